Lay out the workspace, shared types and the design

Cause: an empty repository. The crates follow the borders of the reducers; journals are a stream for each writer, since a stream for each shard would take some 750 appends a second at the target peak (worked out, not yet measured).

--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, shard ownership and configuration, folded from the control stream.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Structured logs, metrics and the state dump.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,30 @@
+//! Ids, sizes, times and the messages of the platform's workers, shared by every egretlb crate.
+//!
+//! The crate holds data and a few total functions, no decisions: a reducer that needs a type of
+//! another reducer's border finds it here, so that the reducers don't depend on each other.
+
+mod authority;
+mod class;
+mod hash;
+mod ids;
+mod outcome;
+mod resources;
+mod time;
+mod vm;
+pub mod worker;
+
+pub use crate::{
+    authority::Authority,
+    class::{ClassKind, ClassSpec, ConfigDocument, TeamSpec},
+    hash::{
+        SHARD_COUNT, rendezvous_score, shard_of_class, shard_of_job, shard_of_key, shard_of_rack,
+    },
+    ids::{
+        Attempt, ClassName, DataCentre, Epoch, Fence, JobId, KEY_MAX_BYTES, Member, NAME_MAX_BYTES,
+        NodeId, Offset, ParseIdError, Rack, RequestKey, Seq, ShardId, TaskId, TeamName, VmId,
+    },
+    outcome::{NotRunReason, Ran, RetryAfter},
+    resources::{Accelerators, Megabytes, MilliCores, ParseSizeError, Resources},
+    time::Time,
+    vm::{VmRecord, VmState},
+};
--- /dev/null
+++ b/crates/types/src/time.rs
@@ -0,0 +1,75 @@
+//! Monotonic time as the reducers see it.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::{
+        fmt,
+        ops::{Add, Sub},
+        time::Duration,
+    },
+};
+
+/// A reading of one process's monotonic clock, in microseconds since a start of its choosing.
+///
+/// Readings of two processes can't be compared: what crosses the network is a duration, never a
+/// `Time`.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Time(u64);
+
+impl Time {
+    /// The start of the clock.
+    pub const ZERO: Time = Time(0);
+
+    /// The reading `micros` microseconds after the clock's start.
+    pub const fn from_micros(micros: u64) -> Self {
+        Time(micros)
+    }
+
+    /// The reading `millis` milliseconds after the clock's start.
+    pub const fn from_millis(millis: u64) -> Self {
+        Time(millis * 1_000)
+    }
+
+    /// The reading `secs` seconds after the clock's start.
+    pub const fn from_secs(secs: u64) -> Self {
+        Time(secs * 1_000_000)
+    }
+
+    /// Microseconds since the clock's start.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// How long ago `earlier` was, zero if it lies ahead.
+    pub const fn since(self, earlier: Time) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Time;
+
+    fn add(self, span: Duration) -> Time {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Time(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Time;
+
+    /// The reading `span` earlier, the clock's start if that is nearer.
+    fn sub(self, span: Duration) -> Time {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Time(self.0.saturating_sub(micros))
+    }
+}
+
+impl fmt::Display for Time {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:06}s", self.0 / 1_000_000, self.0 % 1_000_000)
+    }
+}
