--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -197,6 +197,12 @@
     u64
 );
 
+number_type!(
+    /// Ties a journal entry or a call to its answer, within one reducer.
+    Ticket,
+    u64
+);
+
 /// A task: one of the numbered tasks of a job.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct TaskId {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 mod class;
 mod hash;
 mod ids;
+mod load;
 mod outcome;
 mod resources;
 mod time;
@@ -21,8 +22,10 @@
     },
     ids::{
         Attempt, ClassName, DataCentre, Epoch, Fence, JobId, KEY_MAX_BYTES, Member, NAME_MAX_BYTES,
-        NodeId, Offset, ParseIdError, Rack, RequestKey, Seq, ShardId, TaskId, TeamName, VmId,
+        NodeId, Offset, ParseIdError, Rack, RequestKey, Seq, ShardId, TaskId, TeamName, Ticket,
+        VmId,
     },
+    load::ClassLoad,
     outcome::{NotRunReason, Ran, RetryAfter},
     resources::{Accelerators, Megabytes, MilliCores, ParseSizeError, Resources},
     time::Time,
