Read class configuration and settings with every fault's place

Operators and whoever starts a daemon get all faults of a file in one run, each with line, column, what was expected and the remedy. Derived deserialization was ruled out: it stops at the first fault and knows no places. The check of a document's meaning is apart from the file, so that a daemon refuses what the command refuses.

--- /dev/null
+++ b/crates/config/src/check.rs
@@ -0,0 +1,233 @@
+//! Checks a configuration's meaning: ranges, references and names.
+//!
+//! The command and every daemon call the same function, so that what one accepts no other refuses.
+//! It knows nothing of files; for one that came from a file, [`crate::parse_config`] turns each
+//! place into line and column.
+
+use {
+    crate::{
+        fault::FaultKind,
+        nearest::nearest,
+        units::{Percentile, Period},
+    },
+    compact_str::{CompactString, ToCompactString},
+    egretlb_types::{ClassKind, ClassSpec, ConfigDocument, Resources, TeamName, TeamSpec},
+    std::{
+        collections::{HashMap, HashSet},
+        fmt,
+    },
+};
+
+/// The most classes of a configuration. It is kept by every daemon and replaced as a whole; at this
+/// size it still is a record that the log takes.
+pub const MAX_CLASSES: usize = 5_000;
+
+/// The most teams of a configuration.
+pub const MAX_TEAMS: usize = 500;
+
+/// A target for less than the median says nothing about the tail; one beyond p99.9 can't be told
+/// from chance by the requests of a few minutes.
+const PERCENTILES: (Percentile, Percentile) = (Percentile(500), Percentile(999));
+
+/// Below a millisecond the network alone takes longer; beyond a minute callers have hung up, and
+/// the work is a batch.
+const LATENCY_TARGETS: (Period, Period) = (Period::from_millis(1), Period::from_millis(60_000));
+
+/// Shorter than a minute, starting the tasks takes longer than the target; longer than a month, the
+/// learned rates say nothing about the end.
+const BATCH_PERIODS: (Period, Period) =
+    (Period::from_millis(60_000), Period::from_millis(31 * 86_400_000));
+
+/// A declared run time of nothing would make every batch look done.
+const RUN_TIMES: (Period, Period) = (Period::from_millis(100), BATCH_PERIODS.1);
+
+/// The largest amount for which an urgency is still worked out exactly.
+const AMOUNTS: (u32, u32) = (1, 10_000_000);
+
+/// Where in a document a fault is.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Place {
+    /// The list of teams.
+    Teams,
+    /// The list of classes.
+    Classes,
+    /// A field of a team.
+    Team {
+        /// The team's number in the list, from 0.
+        index: usize,
+        /// The field.
+        field: &'static str,
+    },
+    /// A field of a class.
+    Class {
+        /// The class's number in the list, from 0.
+        index: usize,
+        /// The field.
+        field: &'static str,
+    },
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Place::Teams => write!(f, "teams"),
+            Place::Classes => write!(f, "classes"),
+            Place::Team { index, field } => write!(f, "teams[{index}].{field}"),
+            Place::Class { index, field } => write!(f, "classes[{index}].{field}"),
+        }
+    }
+}
+
+/// A fault of a document's meaning.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CheckFault {
+    /// Where it is.
+    pub place: Place,
+    /// What it is.
+    pub kind: FaultKind,
+}
+
+impl fmt::Display for CheckFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.kind)
+    }
+}
+
+/// All faults of the document's meaning; none if it may be put in force.
+pub fn check_document(document: &ConfigDocument) -> Vec<CheckFault> {
+    let mut faults = Vec::new();
+    check_counts(document, &mut faults);
+    check_teams(document, &mut faults);
+    check_classes(document, &mut faults);
+    faults
+}
+
+fn check_counts(document: &ConfigDocument, faults: &mut Vec<CheckFault>) {
+    let mut check = |place, what, found, limit| {
+        if found > limit {
+            faults.push(CheckFault { place, kind: FaultKind::TooMany { what, found, limit } });
+        }
+    };
+    check(Place::Teams, "teams", document.teams.len(), MAX_TEAMS);
+    check(Place::Classes, "classes", document.classes.len(), MAX_CLASSES);
+}
+
+fn check_teams(document: &ConfigDocument, faults: &mut Vec<CheckFault>) {
+    let mut names = HashSet::new();
+    for (index, team) in document.teams.iter().enumerate() {
+        let mut push = |field, kind| {
+            faults.push(CheckFault { place: Place::Team { index, field }, kind });
+        };
+        if !names.insert(&team.name) {
+            push("name", duplicate("team", team.name.as_str()));
+        }
+        check_resources(&team.quota, "quota", &mut push);
+    }
+}
+
+fn check_classes(document: &ConfigDocument, faults: &mut Vec<CheckFault>) {
+    let teams: HashMap<&TeamName, &TeamSpec> =
+        document.teams.iter().map(|team| (&team.name, team)).collect();
+    let mut names = HashSet::new();
+    for (index, class) in document.classes.iter().enumerate() {
+        let mut push = |field, kind| {
+            faults.push(CheckFault { place: Place::Class { index, field }, kind });
+        };
+        if !names.insert(&class.name) {
+            push("name", duplicate("class", class.name.as_str()));
+        }
+        check_team_of_class(class, &teams, &mut push);
+        check_target(&class.kind, &mut push);
+    }
+}
+
+fn duplicate(what: &'static str, name: &str) -> FaultKind {
+    FaultKind::DuplicateName { what, name: CompactString::new(name), first: None }
+}
+
+fn check_team_of_class(
+    class: &ClassSpec,
+    teams: &HashMap<&TeamName, &TeamSpec>,
+    push: &mut impl FnMut(&'static str, FaultKind),
+) {
+    match teams.get(&class.team) {
+        None => {
+            let names = teams.keys().map(|name| name.as_str());
+            let nearest = nearest(class.team.as_str(), names).and_then(|name| name.parse().ok());
+            push("team", FaultKind::UnknownTeam { team: class.team.clone(), nearest });
+        }
+        Some(team) if team.member != class.member => {
+            let kind = FaultKind::OtherMembersTeam {
+                class: class.name.clone(),
+                member: class.member.clone(),
+                team: class.team.clone(),
+                team_member: team.member.clone(),
+            };
+            push("team", kind);
+        }
+        Some(_) => {}
+    }
+}
+
+fn check_target(kind: &ClassKind, push: &mut impl FnMut(&'static str, FaultKind)) {
+    match kind {
+        ClassKind::Latency { permille, target, replica, .. } => {
+            let percentile = Percentile(*permille);
+            let reason = "below it says nothing of the tail, above can't be measured in minutes";
+            check_range("percentile", percentile, PERCENTILES, reason, push);
+            let reason = "callers wait for the answer; work that takes longer is a batch";
+            check_range("within", Period::from(*target), LATENCY_TARGETS, reason, push);
+            check_resources(replica, "replica", push);
+        }
+        ClassKind::Batch { amount, period, task, run_time, .. } => {
+            let reason = "the target needs an amount of work; split a larger one into classes";
+            check_range("amount", *amount, AMOUNTS, reason, push);
+            let reason = "shorter targets are for a latency class, longer ones can't be foreseen";
+            check_range("within", Period::from(*period), BATCH_PERIODS, reason, push);
+            let reason = "it is the first guess of how long a task runs";
+            check_range("run_time", Period::from(*run_time), RUN_TIMES, reason, push);
+            if run_time > period {
+                let (run_time, within) = (Period::from(*run_time), Period::from(*period));
+                push("run_time", FaultKind::NeverInTime { run_time, within });
+            }
+            check_resources(task, "task", push);
+        }
+    }
+}
+
+fn check_range<T: PartialOrd + fmt::Display>(
+    field: &'static str,
+    found: T,
+    (least, most): (T, T),
+    reason: &'static str,
+    push: &mut impl FnMut(&'static str, FaultKind),
+) {
+    if found < least || found > most {
+        let kind = FaultKind::OutOfRange {
+            found: found.to_compact_string(),
+            least: least.to_compact_string(),
+            most: most.to_compact_string(),
+            reason,
+        };
+        push(field, kind);
+    }
+}
+
+/// Whatever runs takes some processor time and some memory; one that takes none would fit a full
+/// VM any number of times.
+fn check_resources(
+    resources: &Resources,
+    field: &'static str,
+    push: &mut impl FnMut(&'static str, FaultKind),
+) {
+    const LEAST: &str = "1m and 1MB";
+    if resources.cpu.0 == 0 || resources.memory.0 == 0 {
+        let kind = FaultKind::OutOfRange {
+            found: resources.to_compact_string(),
+            least: CompactString::const_new(LEAST),
+            most: CompactString::const_new("what a VM holds"),
+            reason: "what takes nothing would fit a full VM any number of times",
+        };
+        push(field, kind);
+    }
+}
