--- /dev/null
+++ b/crates/telemetry/src/logs.rs
@@ -0,0 +1,186 @@
+//! Log lines of `key=value` pairs.
+//!
+//! Events are logged through the macros of the `log` crate, with the event's name as message and
+//! its values as key-value pairs:
+//!
+//! ```
+//! # let vm = "w-17"; let wait_ms = 12;
+//! log::info!(vm:% = vm, wait_ms; "vm_lost");
+//! ```
+//!
+//! which is written as
+//!
+//! ```text
+//! ts=2026-01-31T08:15:30.123Z level=info node=entry-1 event=vm_lost vm=w-17 wait_ms=12
+//! ```
+
+use {
+    compact_str::CompactString,
+    log::{
+        LevelFilter, Record,
+        kv::{Key, Value, VisitSource},
+    },
+    std::{
+        fmt::{self, Write},
+        time::SystemTime,
+    },
+};
+
+/// The longest value that a line holds, in bytes before escaping. Header values come from callers;
+/// one of them must not fill the log's disk.
+const MAX_VALUE_BYTES: usize = 512;
+
+/// How a process logs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LogOptions {
+    node: CompactString,
+    level: LevelFilter,
+}
+
+impl LogOptions {
+    /// Logs of a process of this name, from level `info`.
+    pub fn new(node: impl AsRef<str>) -> Self {
+        LogOptions { node: CompactString::new(node), level: LevelFilter::Info }
+    }
+
+    /// The level after so many `-v` and `-q` on the command line: `info` with none, then `debug`
+    /// and `trace`, or `warn`, `error` and none.
+    pub fn verbosity(mut self, verbose: usize, quiet: usize) -> Self {
+        const LEVELS: [LevelFilter; 6] = [
+            LevelFilter::Off,
+            LevelFilter::Error,
+            LevelFilter::Warn,
+            LevelFilter::Info,
+            LevelFilter::Debug,
+            LevelFilter::Trace,
+        ];
+        const INFO: usize = 3;
+        let level = (INFO + verbose).saturating_sub(quiet);
+        self.level = LEVELS[level.min(LEVELS.len() - 1)];
+        self
+    }
+
+    /// The level from which events are logged.
+    pub fn level(&self) -> LevelFilter {
+        self.level
+    }
+}
+
+/// The log can't be set up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum InitError {
+    /// A logger is already set in this process.
+    AlreadySet,
+}
+
+impl fmt::Display for InitError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            InitError::AlreadySet => {
+                write!(f, "logging is already set up; call init once in each process")
+            }
+        }
+    }
+}
+
+impl std::error::Error for InitError {}
+
+/// Sends the events of this process to its standard error.
+///
+/// # Errors
+///
+/// A logger is set already.
+pub fn init(options: LogOptions) -> Result<(), InitError> {
+    let LogOptions { node, level } = options;
+    fern::Dispatch::new()
+        .level(level)
+        .format(move |out, _, record| {
+            out.finish(format_args!("{}", format_line(SystemTime::now(), &node, record)));
+        })
+        .chain(std::io::stderr())
+        .apply()
+        .map_err(|_| InitError::AlreadySet)
+}
+
+/// The line for one event, without its end.
+pub fn format_line(now: SystemTime, node: &str, record: &Record<'_>) -> String {
+    let mut line = Line(String::with_capacity(160));
+    line.pair("ts", &humantime::format_rfc3339_millis(now));
+    line.pair("level", &LowerCase(record.level().as_str()));
+    line.pair("node", &node);
+    line.pair("event", record.args());
+    // Visiting into a string can't fail; a value whose own Display fails leaves a cut line.
+    let _ = record.key_values().visit(&mut line);
+    line.0
+}
+
+struct LowerCase(&'static str);
+
+impl fmt::Display for LowerCase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.chars().try_for_each(|c| f.write_char(c.to_ascii_lowercase()))
+    }
+}
+
+struct Line(String);
+
+impl Line {
+    fn pair(&mut self, key: &str, value: &dyn fmt::Display) {
+        if !self.0.is_empty() {
+            self.0.push(' ');
+        }
+        self.push_key(key);
+        self.0.push('=');
+        self.push_value(&value.to_string());
+    }
+
+    /// Keys are chosen by the program; a character that would break the line's form is replaced.
+    fn push_key(&mut self, key: &str) {
+        let safe = |c: char| if c.is_ascii_alphanumeric() || c == '.' { c } else { '_' };
+        self.0.extend(key.chars().map(safe));
+    }
+
+    /// Writes plain values bare, others quoted and escaped.
+    ///
+    /// Values come from callers, too. Were a line feed or a quote written as it is, a header could
+    /// end the line and forge the next event, say a `config_accepted` that never was, and whoever
+    /// reads the log in an incident would follow it.
+    fn push_value(&mut self, value: &str) {
+        let value = cut(value);
+        let plain = |c: char| c.is_ascii_alphanumeric() || "-_.:/+,@%[]".contains(c);
+        if !value.is_empty() && value.chars().all(plain) {
+            self.0.push_str(value);
+            return;
+        }
+        self.0.push('"');
+        for c in value.chars() {
+            match c {
+                '"' => self.0.push_str("\\\""),
+                '\\' => self.0.push_str("\\\\"),
+                '\n' => self.0.push_str("\\n"),
+                '\r' => self.0.push_str("\\r"),
+                '\t' => self.0.push_str("\\t"),
+                // Letters of any script are names; marks that break or turn a line aren't.
+                c if c.is_alphanumeric() || c.is_ascii_graphic() || c == ' ' => self.0.push(c),
+                c => self.0.extend(c.escape_unicode()),
+            }
+        }
+        self.0.push('"');
+    }
+}
+
+/// The value up to [`MAX_VALUE_BYTES`], at a character's border.
+fn cut(value: &str) -> &str {
+    let mut end = value.len().min(MAX_VALUE_BYTES);
+    while !value.is_char_boundary(end) {
+        end -= 1;
+    }
+    &value[..end]
+}
+
+impl<'kvs> VisitSource<'kvs> for Line {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        self.pair(key.as_str(), &value);
+        Ok(())
+    }
+}
