Call and serve HTTP with typed failures and a drain count

Cause: oxhttp reads an answer without Content-Length or chunks as empty, can't be stopped, and doesn't tell which port it got. An answer that can't be shown to be whole is now a typed failure; the requests in progress are counted until the library has flushed and dropped the answer.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,1 +1,10 @@
-//! Input and output: HTTP, peer calls, timers and the loops that run the reducers.
+//! Input and output: HTTP, peer calls, the clock, and the loops that run the reducers.
+//!
+//! The reducers decide; this crate performs their effects and feeds the answers back. It holds no
+//! rule about which request runs where, and keeps nothing that must last.
+
+mod clock;
+pub mod http;
+mod pool;
+
+pub use crate::{clock::Clock, pool::Pool};
