Deliver messages between processes by tarpc

Cause: peers need calls that neither wait for each other (100 ms a round trip between regions would hold a peer to ten messages a second) nor keep a caller waiting on a dead owner.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod clock;
 pub mod http;
+pub mod peers;
 mod pool;
 
 pub use crate::{clock::Clock, pool::Pool};
--- /dev/null
+++ b/crates/net/src/peers/server.rs
@@ -0,0 +1,70 @@
+//! The receiving side of peer calls.
+
+use {
+    super::service::{Peer, Received},
+    egretlb_types::NodeId,
+    futures::StreamExt,
+    std::{
+        io,
+        net::{IpAddr, SocketAddr},
+        sync::Arc,
+    },
+    tarpc::{
+        context::Context,
+        serde_transport::tcp,
+        server::{BaseChannel, Channel},
+        tokio_serde::formats::Bincode,
+    },
+    tokio::{net::TcpListener, runtime::Handle},
+};
+
+/// The largest message accepted, in bytes: a configuration of thousands of classes fits.
+pub(super) const MESSAGE_MAX_BYTES: usize = 8 * 1024 * 1024;
+
+/// The most connections accepted at once: a few for each process at the target's 34.
+const CONNECTIONS_MAX: usize = 256;
+
+#[derive(Clone)]
+struct Inbox {
+    handler: Arc<dyn Fn(Received) + Send + Sync>,
+}
+
+impl Peer for Inbox {
+    async fn deliver(self, _: Context, from: NodeId, body: Vec<u8>) {
+        (self.handler)(Received { from, body });
+    }
+}
+
+/// Listens on `ip` and `port` (0: a free one) and hands each message to `handler`, which must not
+/// block. Returns the address.
+pub fn listen(
+    rt: &Handle,
+    ip: IpAddr,
+    port: u16,
+    handler: impl Fn(Received) + Send + Sync + 'static,
+) -> io::Result<SocketAddr> {
+    let inbox = Inbox { handler: Arc::new(handler) };
+    let listener = std::net::TcpListener::bind(SocketAddr::new(ip, port))?;
+    listener.set_nonblocking(true)?;
+    let addr = listener.local_addr()?;
+    let _guard = rt.enter();
+    let listener = TcpListener::from_std(listener)?;
+    rt.spawn(accept(listener, inbox));
+    Ok(addr)
+}
+
+async fn accept(listener: TcpListener, inbox: Inbox) {
+    let incoming = tcp::listen_on(listener, Bincode::default).await;
+    let Ok(mut incoming) = incoming else { return };
+    incoming.config_mut().max_frame_length(MESSAGE_MAX_BYTES);
+    incoming
+        .filter_map(|transport| async { transport.ok() })
+        .map(BaseChannel::with_defaults)
+        .map(|channel| {
+            let calls = channel.execute(inbox.clone().serve());
+            calls.for_each(|call| call)
+        })
+        .buffer_unordered(CONNECTIONS_MAX)
+        .for_each(|()| async {})
+        .await;
+}
--- /dev/null
+++ b/crates/net/tests/peer_delivery.rs
@@ -0,0 +1,61 @@
+//! Messages between processes over real sockets.
+
+use {
+    crossbeam::channel,
+    egretlb_net::peers::{PeerSender, Received, listen},
+    egretlb_types::NodeId,
+    std::{
+        net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+        time::Duration,
+    },
+    tokio::runtime::{Builder, Runtime},
+};
+
+const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
+/// Far above what a delivery on loopback takes; reached only when it never comes.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn runtime() -> Runtime {
+    Builder::new_multi_thread().worker_threads(2).enable_all().build().expect("a runtime")
+}
+
+#[test]
+fn delivers_each_message() {
+    let rt = runtime();
+    let (tx, rx) = channel::unbounded();
+    let deliver = move |received| tx.send(received).expect("the test receives");
+    let addr = listen(rt.handle(), LOOPBACK, 0, deliver).expect("a free port");
+    let sender = PeerSender::new(rt.handle().clone(), NodeId(7));
+    for n in 0..50_u8 {
+        sender.send(addr, vec![n], None);
+    }
+    let mut bodies: Vec<u8> = Vec::new();
+    for _ in 0..50 {
+        let Received { from, body } = rx.recv_timeout(PATIENCE).expect("a message");
+        assert_eq!(from, NodeId(7));
+        bodies.extend(body);
+    }
+    bodies.sort_unstable();
+    assert_eq!(bodies, (0..50).collect::<Vec<u8>>());
+}
+
+// A process has died and nothing listens at its address. An entry that asks it for a permit must
+// learn so at once, or its caller waits for a time-out.
+#[test]
+fn reports_dead_peer() {
+    let rt = runtime();
+    let free = TcpListener::bind(SocketAddr::new(LOOPBACK, 0)).expect("a free port");
+    let addr = free.local_addr().expect("an address");
+    drop(free);
+    let sender = PeerSender::new(rt.handle().clone(), NodeId(7));
+    let (tx, rx) = channel::unbounded();
+    for n in 0..3 {
+        let tx = tx.clone();
+        let undelivered = Box::new(move || tx.send(n).expect("the test receives"));
+        sender.send(addr, vec![0], Some(undelivered));
+    }
+    let mut failed: Vec<i32> = (0..3).map(|_| rx.recv_timeout(PATIENCE).expect("told")).collect();
+    failed.sort_unstable();
+    assert_eq!(failed, [0, 1, 2]);
+}
