--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        fault::FaultKind,
+        fault::{FaultKind, MAX_FAULTS},
         nearest::nearest,
         units::{Percentile, Period},
     },
@@ -93,12 +93,18 @@
     }
 }
 
-/// All faults of the document's meaning; none if it may be put in force.
+/// All faults of the document's meaning, at most [`MAX_FAULTS`]; none if it may be put in force.
+///
+/// A document with too many entries isn't looked at further, so that the cost is bounded.
 pub fn check_document(document: &ConfigDocument) -> Vec<CheckFault> {
     let mut faults = Vec::new();
     check_counts(document, &mut faults);
+    if !faults.is_empty() {
+        return faults;
+    }
     check_teams(document, &mut faults);
     check_classes(document, &mut faults);
+    faults.truncate(MAX_FAULTS);
     faults
 }
 
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -11,6 +11,10 @@
 /// a screenful of them says no more than the first hundred.
 pub const MAX_FAULTS_SHOWN: usize = 100;
 
+/// How many faults are kept. Each costs a search for its line and column; a file of nothing but
+/// faults must not take minutes to be refused.
+pub const MAX_FAULTS: usize = 1_000;
+
 /// A place in a text, as editors count: from 1, columns in characters.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Position {
@@ -271,9 +275,10 @@
             }
             write!(f, "{fault}")?;
         }
-        match self.0.len().checked_sub(MAX_FAULTS_SHOWN) {
-            None | Some(0) => Ok(()),
-            Some(more) => write!(f, "\nand {more} more; mend these first"),
+        match self.0.len().saturating_sub(MAX_FAULTS_SHOWN) {
+            0 => Ok(()),
+            more if self.0.len() < MAX_FAULTS => write!(f, "\nand {more} more; mend these first"),
+            more => write!(f, "\nand at least {more} more; mend these first"),
         }
     }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -25,7 +25,7 @@
     check::{CheckFault, MAX_CLASSES, MAX_TEAMS, Place, check_document},
     classes::parse_config,
     diff::diff,
-    fault::{Fault, FaultKind, Faults, MAX_FAULTS_SHOWN, Position},
+    fault::{Fault, FaultKind, Faults, MAX_FAULTS, MAX_FAULTS_SHOWN, Position},
     reader::MAX_TEXT_BYTES,
     render::render,
     settings::{Limits, Listen, Settings, SettingsError, parse_settings, read_settings},
--- a/crates/config/src/nearest.rs
+++ b/crates/config/src/nearest.rs
@@ -15,7 +15,8 @@
         .map(|(_, candidate)| candidate)
 }
 
-/// The Levenshtein distance, or more than `limit` without counting on where it is clearly larger.
+/// The Levenshtein distance, or some number above `limit` if it is larger. Stops counting there: a
+/// file of thousands of wrong names would otherwise take seconds.
 fn edits(a: &str, b: &str, limit: usize) -> usize {
     if a.len().abs_diff(b.len()) > limit * char::MAX.len_utf8() {
         return limit + 1;
@@ -31,6 +32,9 @@
             row[j + 1] = substituted.min(above + 1).min(row[j] + 1);
             diagonal = above;
         }
+        if row.iter().all(|edits| *edits > limit) {
+            return limit + 1;
+        }
     }
     row[b.len()]
 }
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        fault::{Fault, FaultKind, Position},
+        fault::{Fault, FaultKind, MAX_FAULTS, Position},
         nearest::nearest,
     },
     compact_str::{CompactString, format_compact},
@@ -102,6 +102,9 @@
     }
 
     fn push_at(&mut self, offset: usize, kind: FaultKind) {
+        if self.faults.len() >= MAX_FAULTS {
+            return;
+        }
         let position = self.position(offset);
         self.faults.push(Fault { position, kind });
     }
