Measure both roles by typed metrics, and dump state in bounds

Labels are classes of the configuration and enums alone: a caller's text as a label would take memory for good and isn't escaped by the text format. A dump cuts long texts and lists, so that it can be asked for in an incident.

--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,6 +4,15 @@
 //! event's name. It is made for grep and for machines alike, and a value can never look like a
 //! second line or a second pair, whoever sent it.
 
+mod dump;
 mod logs;
+mod metrics;
 
-pub use crate::logs::{InitError, LogOptions, format_line, init};
+pub use crate::{
+    dump::{Dump, MAX_DUMP_ITEMS, MAX_DUMP_TEXT, render_dump},
+    logs::{InitError, LogOptions, format_line, init},
+    metrics::{
+        AppendResult, CommonMetrics, EntryMetrics, METRICS_CONTENT_TYPE, Outcome, SchedulerMetrics,
+        Shares, TaskPhase,
+    },
+};
--- /dev/null
+++ b/crates/telemetry/src/metrics/labels.rs
@@ -0,0 +1,141 @@
+//! The labels.
+
+use {
+    compact_str::CompactString,
+    egretlb_types::{ClassName, NotRunReason},
+    prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder},
+    std::fmt::{self, Write},
+};
+
+/// What became of a request, as its caller saw it.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Outcome {
+    /// It got the whole answer.
+    Answered,
+    /// It was refused without being run.
+    Refused,
+    /// It got an error, and may have run.
+    Failed,
+    /// Its caller left before an answer.
+    CallerGone,
+}
+
+impl EncodeLabelValue for Outcome {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), fmt::Error> {
+        encoder.write_str(match self {
+            Outcome::Answered => "answered",
+            Outcome::Refused => "refused",
+            Outcome::Failed => "failed",
+            Outcome::CallerGone => "caller_gone",
+        })
+    }
+}
+
+/// What is known of an append to the log.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum AppendResult {
+    /// It is in the log.
+    Appended,
+    /// It isn't.
+    NotAppended,
+    /// It may be: the answer was lost.
+    Unknown,
+}
+
+impl EncodeLabelValue for AppendResult {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), fmt::Error> {
+        encoder.write_str(match self {
+            AppendResult::Appended => "appended",
+            AppendResult::NotAppended => "not_appended",
+            AppendResult::Unknown => "unknown",
+        })
+    }
+}
+
+/// Where a task is in its life.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum TaskPhase {
+    /// Waiting for a VM.
+    Queued,
+    /// Being started.
+    Starting,
+    /// Running.
+    Running,
+    /// Being stopped, with or without a checkpoint.
+    Stopping,
+    /// Set aside, since it failed on several VMs or can never fit.
+    Parked,
+}
+
+impl EncodeLabelValue for TaskPhase {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), fmt::Error> {
+        encoder.write_str(match self {
+            TaskPhase::Queued => "queued",
+            TaskPhase::Starting => "starting",
+            TaskPhase::Running => "running",
+            TaskPhase::Stopping => "stopping",
+            TaskPhase::Parked => "parked",
+        })
+    }
+}
+
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Reason(pub(super) NotRunReason);
+
+impl EncodeLabelValue for Reason {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), fmt::Error> {
+        encoder.write_str(match self.0 {
+            NotRunReason::UnknownClass => "unknown_class",
+            NotRunReason::TooLate => "too_late",
+            NotRunReason::QueueFull => "queue_full",
+            NotRunReason::NoBackendServer => "no_backend_server",
+            NotRunReason::NoPermit => "no_permit",
+            NotRunReason::KeyInProgress => "key_in_progress",
+            NotRunReason::KeyReused => "key_reused",
+            NotRunReason::ShuttingDown => "shutting_down",
+        })
+    }
+}
+
+/// A class of the configuration. Its characters are those of a name, so they need no escapes.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Class(CompactString);
+
+impl From<&ClassName> for Class {
+    fn from(name: &ClassName) -> Self {
+        Class(CompactString::new(name.as_str()))
+    }
+}
+
+impl EncodeLabelValue for Class {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), fmt::Error> {
+        encoder.write_str(&self.0)
+    }
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(super) struct ByClass {
+    pub(super) class: Class,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(super) struct ByOutcome {
+    pub(super) class: Class,
+    pub(super) outcome: Outcome,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(super) struct ByReason {
+    pub(super) reason: Reason,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(super) struct ByAppendResult {
+    pub(super) result: AppendResult,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(super) struct ByTaskPhase {
+    pub(super) state: TaskPhase,
+}
--- /dev/null
+++ b/crates/telemetry/tests/log_lines.rs
@@ -0,0 +1,80 @@
+//! A log line is one event, whatever its values hold.
+
+use {
+    egretlb_telemetry::{LogOptions, format_line},
+    log::{Level, LevelFilter, Record, kv::Source},
+    std::time::{Duration, UNIX_EPOCH},
+};
+
+fn line(event: &str, values: &dyn Source) -> String {
+    let now = UNIX_EPOCH + Duration::from_millis(1_769_847_330_123);
+    let args = format_args!("{event}").to_string();
+    let mut builder = Record::builder();
+    builder.level(Level::Warn).key_values(values);
+    format_line(now, "entry-1", &builder.args(format_args!("{args}")).build())
+}
+
+#[test]
+fn plain_event() {
+    let values: &[(&str, u32)] = &[("wait_ms", 12), ("shard", 7)];
+    assert_eq!(
+        line("vm_lost", &values),
+        "ts=2026-01-31T08:15:30.123Z level=warn node=entry-1 event=vm_lost wait_ms=12 shard=7"
+    );
+}
+
+#[test]
+fn hostile_value() {
+    // A caller sends a header with a line feed and a whole forged event in it. Whoever reads the
+    // log in an incident must not see an accepted configuration that never was.
+    let forged = "x\"\nts=2026-01-31T08:15:30Z level=info event=config_accepted version=9";
+    for hostile in [forged, "a b=c", "\r\n", "\u{2028}\u{202e}", "\\\" k=v \\", "", "\0\x1b[2J"] {
+        let values: &[(&str, &str)] = &[("key", hostile)];
+        let line = line("key_refused", &values);
+        assert_eq!(line.lines().count(), 1, "{line:?}");
+        assert!(!line.contains('\u{2028}') && !line.contains('\u{202e}'), "{line:?}");
+        assert!(!line.chars().any(char::is_control), "{line:?}");
+        let (_, value) = line.split_once(" key=").unwrap();
+        assert!(is_one_quoted(value), "{line:?}");
+    }
+}
+
+/// Whether the text is one quoted value and nothing after it.
+fn is_one_quoted(text: &str) -> bool {
+    let mut chars = text.chars();
+    if chars.next() != Some('"') {
+        return false;
+    }
+    while let Some(c) = chars.next() {
+        match c {
+            '\\' => drop(chars.next()),
+            '"' => return chars.next().is_none(),
+            _ => {}
+        }
+    }
+    false
+}
+
+#[test]
+fn hostile_event_and_key() {
+    let values: &[(&str, &str)] = &[("a b\n=", "v")];
+    let line = line("two words\nlevel=error", &values);
+    assert!(line.ends_with(r#"event="two words\nlevel=error" a_b__=v"#), "{line}");
+}
+
+#[test]
+fn long_value_is_cut() {
+    let long = "é".repeat(10_000);
+    let values: &[(&str, &str)] = &[("key", &long)];
+    assert!(line("e", &values).len() < 700);
+}
+
+#[test]
+fn verbosity() {
+    let level = |verbose, quiet| LogOptions::new("n").verbosity(verbose, quiet).level();
+    assert_eq!(level(0, 0), LevelFilter::Info);
+    assert_eq!(level(1, 0), LevelFilter::Debug);
+    assert_eq!(level(9, 0), LevelFilter::Trace);
+    assert_eq!(level(0, 1), LevelFilter::Warn);
+    assert_eq!(level(0, 9), LevelFilter::Off);
+}
--- /dev/null
+++ b/crates/telemetry/tests/metric_names.rs
@@ -0,0 +1,81 @@
+//! The metrics' names, units and labels, which alarms rely on.
+
+use {
+    egretlb_telemetry::{AppendResult, EntryMetrics, Outcome, SchedulerMetrics, Shares, TaskPhase},
+    egretlb_types::{ClassName, NotRunReason, Offset},
+    std::time::Duration,
+};
+
+fn has(text: &str, line: &str) {
+    assert!(text.lines().any(|l| l == line), "{line} isn't in\n{text}");
+}
+
+#[test]
+fn entry() {
+    let metrics = EntryMetrics::new();
+    let class: ClassName = "claim-filing".parse().unwrap();
+    metrics.ended(&class, Outcome::Answered, Duration::from_millis(40));
+    metrics.ended(&class, Outcome::Refused, Duration::from_millis(1));
+    metrics.refused(NotRunReason::QueueFull, Duration::from_millis(1));
+    metrics.retried();
+    metrics.set_queue_depth(&class, 3);
+    metrics.set_in_progress(4);
+    metrics.set_shares(Shares { granted: 16, used: 5, servers: 4, ejected: 1 });
+    has(&metrics.render(), "egretlb_config_version -1");
+    metrics.common().set_config_version(Some(Offset(12)));
+    metrics.common().appended(AppendResult::Unknown, Duration::from_millis(7));
+    metrics.common().sent_to_peer(45);
+    let text = metrics.render();
+    for line in [
+        r#"egretlb_requests_total{class="claim-filing",outcome="answered"} 1"#,
+        r#"egretlb_requests_total{class="claim-filing",outcome="refused"} 1"#,
+        r#"egretlb_request_latency_seconds_bucket{le="0.05",class="claim-filing"} 1"#,
+        r#"egretlb_request_latency_seconds_bucket{le="0.025",class="claim-filing"} 0"#,
+        r#"egretlb_refusals_total{reason="queue_full"} 1"#,
+        "egretlb_refusal_latency_seconds_count 1",
+        "egretlb_retries_total 1",
+        r#"egretlb_queue_depth_requests{class="claim-filing"} 3"#,
+        "egretlb_in_progress_requests 4",
+        "egretlb_share_granted_slots 16",
+        "egretlb_backend_servers_ejected 1",
+        "egretlb_config_version 12",
+        r#"egretlb_log_appends_total{result="unknown"} 1"#,
+        "egretlb_peer_sent_bytes_total 45",
+        "# EOF",
+    ] {
+        has(&text, line);
+    }
+
+    // A class that left the configuration must not take memory for good.
+    metrics.forget_class(&class);
+    assert!(!metrics.render().contains("claim-filing"));
+}
+
+#[test]
+fn scheduler() {
+    let metrics = SchedulerMetrics::new();
+    metrics.set_ownership(15, Duration::from_millis(500));
+    metrics.set_journal(9, Duration::from_millis(250));
+    metrics.set_tasks(TaskPhase::Running, 80);
+    metrics.started(true, Duration::from_millis(2_000));
+    metrics.started(false, Duration::from_millis(20));
+    metrics.evicted();
+    metrics.attempt_lost();
+    metrics.set_vms(76, 2);
+    let text = metrics.render();
+    for line in [
+        "egretlb_shards_owned 15",
+        "egretlb_authority_age_seconds 0.5",
+        "egretlb_journal_lag_seconds 0.25",
+        "egretlb_journal_waiting_entries 9",
+        r#"egretlb_tasks{state="running"} 80"#,
+        "egretlb_task_starts_total 2",
+        "egretlb_urgent_start_delay_seconds_count 1",
+        "egretlb_evictions_total 1",
+        "egretlb_lost_attempts_total 1",
+        "egretlb_vms_quarantined 2",
+        "egretlb_vms_known 76",
+    ] {
+        has(&text, line);
+    }
+}
