Check recorded histories against what must always hold

The checker takes what workers, callers and readers of the configuration saw, and nothing that egretlb believes of itself.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 //! The stand-ins keep everything in memory and trust their callers: they are not meant for more
 //! than one machine.
 
+pub mod checker;
 pub mod http;
 pub mod log;
 mod sync;
--- a/crates/standins/src/worker/history.rs
+++ b/crates/standins/src/worker/history.rs
@@ -69,6 +69,8 @@
         /// The caller's id of it.
         id: CompactString,
     },
+    /// The worker began to say that it is leaving.
+    Leaving,
     /// The VM was lost with all that ran on it.
     Died,
 }
--- a/crates/standins/src/worker/state.rs
+++ b/crates/standins/src/worker/state.rs
@@ -177,6 +177,9 @@
             self.stopped.clear();
             self.reports.clear();
         }
+        if faults.leaving && !self.faults.leaving {
+            self.record(now, What::Leaving);
+        }
         self.faults = faults;
     }
 
