--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 mod clock;
 pub mod http;
 pub mod peers;
+pub mod platform;
 mod pool;
 
 pub use crate::{clock::Clock, pool::Pool};
--- /dev/null
+++ b/crates/net/src/platform/mod.rs
@@ -0,0 +1,11 @@
+//! The platform's services over HTTP: the log service, the VM list, the workers.
+
+mod log;
+mod vms;
+mod worker;
+
+pub use self::{
+    log::HttpLog,
+    vms::read_vms,
+    worker::{WorkerClient, worker_url},
+};
