Decide about requests in reducers: entry, shares, keys

The border of the three reducers (events, effects, the messages between entries and the owners of racks and keys) with a first body of each. An entry sends only under a share that it holds, takes only the grant that answers its last ask, and gives each request one final answer.

Ruled out: a share counted by the grantor alone. A lost answer would leave it guessing what is in use; here each ask says what the entry holds, and voids all earlier answers.

--- /dev/null
+++ b/crates/requests/src/entry/sharing.rs
@@ -0,0 +1,281 @@
+//! Asking grantors for shares, and taking what they grant.
+
+use {
+    super::{
+        Entry, Timer,
+        class::ClassIx,
+        event::{EntryEffect, ShardOwner},
+        grantors::Grantor,
+        servers::{Server, ServerIx},
+    },
+    crate::shares::{ServerAsk, ServerInfo, ShareAsk, ShareGrant},
+    egretlb_types::{ShardId, Time, VmRecord, VmState, shard_of_rack},
+    smallvec::SmallVec,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// How often demand is looked at, between regular ticks.
+const LOOK_PERIOD: Duration = Duration::from_millis(10);
+
+/// Shares are asked for when fewer than one in so many of those held are free.
+const SHORT_ONE_IN: u32 = 8;
+
+/// What is asked for beyond the most that was needed of late, so that growth finds room: a quarter
+/// and two more.
+const HEADROOM_ONE_IN: u32 = 4;
+const HEADROOM_LEAST: u32 = 2;
+
+/// No share larger than this is asked for; far beyond any server's slots.
+const WANT_MAX: u32 = 1_024;
+
+impl Entry {
+    pub(super) fn set_owners(
+        &mut self,
+        now: Time,
+        owners: &[ShardOwner],
+        out: &mut Vec<EntryEffect>,
+    ) {
+        for owner in owners {
+            let known = self.owners.get(&owner.shard);
+            // The control stream never goes back; an event that does was overtaken.
+            if known.is_some_and(|(_, epoch)| *epoch >= owner.epoch) {
+                continue;
+            }
+            self.owners.insert(owner.shard, (owner.node, owner.epoch));
+            if let Some(grantor) = self.grantors.get_mut(owner.shard) {
+                grantor.owner = Some((owner.node, owner.epoch));
+                grantor.waiting = false;
+                grantor.hurry = true;
+            }
+        }
+        self.ask_due(now, false, out);
+    }
+
+    /// Takes the platform's list as a hint: which racks there are, and who is leaving.
+    pub(super) fn set_vms(&mut self, vms: &[VmRecord]) {
+        for record in vms {
+            let shard = shard_of_rack(&record.rack);
+            let owner = self.owners.get(&shard).copied();
+            self.grantors.find_or_add(shard).owner = owner;
+            self.servers.list_leaving(&record.vm, record.state == VmState::Leaving);
+        }
+    }
+
+    /// Whether more shares would help now.
+    pub(super) fn is_short(&self) -> bool {
+        let free = self.servers.free();
+        (self.waiting > 0 && free == 0) || free * SHORT_ONE_IN < self.servers.total()
+    }
+
+    /// Asks soon when demand grows, without waiting for the next tick.
+    pub(super) fn ask_for_demand(&mut self, now: Time, out: &mut Vec<EntryEffect>) {
+        if now < self.look_at {
+            return;
+        }
+        self.look_at = now + LOOK_PERIOD;
+        if self.is_short() {
+            self.ask_due(now, true, out);
+        }
+    }
+
+    pub(super) fn recalled(&mut self, now: Time, shard: ShardId, out: &mut Vec<EntryEffect>) {
+        if let Some(grantor) = self.grantors.get_mut(shard) {
+            grantor.hurry = true;
+        }
+        self.ask_due(now, false, out);
+    }
+
+    pub(super) fn ask_due(&mut self, now: Time, short: bool, out: &mut Vec<EntryEffect>) {
+        if self.drained {
+            return;
+        }
+        let due = self.grantors.due(now, short);
+        if due.is_empty() {
+            return;
+        }
+        let wants = self.plan();
+        for shard in due {
+            self.ask(now, shard, &wants, out);
+        }
+    }
+
+    pub(super) fn give_back_shares(&mut self, now: Time, out: &mut Vec<EntryEffect>) {
+        for shard in self.grantors.shards() {
+            let servers = self.grantors.get(shard).map(|grantor| grantor.servers.clone());
+            for server in servers.unwrap_or_default() {
+                self.servers.set_share(server, 0);
+            }
+            self.ask(now, shard, &[], out);
+        }
+    }
+
+    /// Sends an ask that says what is held until its answer, and what is wanted.
+    fn ask(&mut self, now: Time, shard: ShardId, wants: &[u16], out: &mut Vec<EntryEffect>) {
+        let Some(grantor) = self.grantors.get_mut(shard) else { return };
+        let Some((node, epoch)) = grantor.owner else { return };
+        let servers = &self.servers;
+        grantor.servers.retain(|ix| {
+            let server = servers.get(*ix);
+            server.shard == shard && (!server.classes.is_empty() || server.open > 0)
+        });
+        let asks = grantor.servers.iter().filter_map(|ix| {
+            let server = servers.get(*ix);
+            // What is open stays held, also beyond the share: a smaller share takes effect as
+            // exchanges end.
+            let holding = server.share.max(server.open);
+            let want = server.useful(wants.get(ix.0).copied().unwrap_or(0));
+            let named = holding > 0 || want > 0;
+            named.then(|| ServerAsk { vm: server.vm.clone(), holding, want })
+        });
+        let servers: Vec<ServerAsk> = asks.collect();
+        grantor.seq += 1;
+        grantor.asked_at = Some(now);
+        grantor.waiting = true;
+        grantor.hurry = false;
+        let ask = ShareAsk {
+            shard,
+            epoch,
+            entry: self.opts.node,
+            seq: grantor.seq,
+            known: grantor.known,
+            servers,
+        };
+        out.push(EntryEffect::AskShares { node, ask });
+    }
+
+    pub(super) fn take_grant(&mut self, now: Time, grant: ShareGrant, out: &mut Vec<EntryEffect>) {
+        let shard = grant.shard;
+        let Some(grantor) = self.grantors.get_mut(shard) else { return };
+        let epoch = grantor.owner.map(|(_, epoch)| epoch);
+        let current = epoch == Some(grant.epoch) && grant.seq == grantor.seq && grantor.waiting;
+        // A grant that was overtaken by a later ask, or by a later grantor, isn't in anybody's
+        // books any more.
+        if self.opts.protections.fence_grants && !current {
+            return;
+        }
+        let asked_at = grantor.asked_at.unwrap_or(now);
+        let old_lapse = grantor.lapses;
+        grantor.lapses = if self.opts.protections.lapse_shares {
+            Grantor::lease_end(asked_at, grant.lease)
+        } else {
+            Time::from_micros(u64::MAX)
+        };
+        let lapses = grantor.lapses;
+        let changed = grantor.known != grant.version;
+        grantor.known = grant.version;
+        grantor.answered(grant.servers.iter().map(|server| u32::from(server.open)).sum());
+        grantor.hurry = changed;
+        self.timers.remove(&(old_lapse, Timer::Lapse(shard)));
+        if changed {
+            self.describe(shard, &grant.described);
+        }
+        self.set_shares(now, &grant);
+        self.timers.insert((lapses, Timer::Lapse(shard)));
+        // A new description changes what is worth asking for.
+        self.ask_due(now, false, out);
+    }
+
+    fn describe(&mut self, shard: ShardId, described: &[ServerInfo]) {
+        let mut seen = BTreeSet::new();
+        for info in described {
+            let classes: SmallVec<[ClassIx; 4]> =
+                info.classes.iter().map(|name| self.classes.find_or_add(name)).collect();
+            seen.insert(self.servers.describe(info, shard, classes, &self.opts.data_centre));
+        }
+        let Some(grantor) = self.grantors.get_mut(shard) else { return };
+        for gone in grantor.servers.difference(&seen) {
+            if self.servers.get(*gone).shard == shard {
+                self.servers.forget(*gone);
+            }
+        }
+        grantor.servers.extend(seen);
+    }
+
+    fn set_shares(&mut self, now: Time, grant: &ShareGrant) {
+        let Some(grantor) = self.grantors.get(grant.shard) else { return };
+        let granted: BTreeMap<ServerIx, u16> = grant
+            .servers
+            .iter()
+            .filter_map(|server| Some((self.servers.find(&server.vm)?, server.open)))
+            .collect();
+        for ix in &grantor.servers {
+            let server = self.servers.get(*ix);
+            if server.shard != grant.shard {
+                continue;
+            }
+            let share = granted.get(ix).copied().unwrap_or(0);
+            if share > 0 {
+                for class in &server.classes {
+                    self.classes.get_mut(*class).had_share = Some(now);
+                }
+            }
+            self.servers.set_share(*ix, share);
+        }
+    }
+
+    /// The lease has run out without a new grant: nothing more is sent under it.
+    pub(super) fn lapse(&mut self, now: Time, shard: ShardId) {
+        let Some(grantor) = self.grantors.get_mut(shard) else { return };
+        if grantor.lapses > now {
+            return;
+        }
+        for ix in grantor.servers.clone() {
+            if self.servers.get(ix).shard == shard {
+                self.servers.set_share(ix, 0);
+            }
+        }
+    }
+
+    /// How many requests the entry would like to have open at each server.
+    ///
+    /// What was needed at most of late, and some more, spread over the class's servers: the near
+    /// ones first, and in an order of the entry's own, so that entries with little to do don't all
+    /// want the same server.
+    fn plan(&self) -> Vec<u16> {
+        let mut wants = vec![0_u32; self.servers.end()];
+        let mut by_class: Vec<Vec<ServerIx>> = Vec::new();
+        for (ix, server) in self.servers.iter() {
+            for class in &server.classes {
+                if by_class.len() <= class.0 {
+                    by_class.resize_with(class.0 + 1, Vec::new);
+                }
+                if server.useful(1) > 0 {
+                    by_class[class.0].push(ix);
+                }
+            }
+        }
+        for (i, servers) in by_class.iter_mut().enumerate() {
+            let class = self.classes.get(ClassIx(i));
+            if class.service.is_none() || servers.is_empty() {
+                continue;
+            }
+            servers.sort_by_key(|ix| self.preference(*ix, self.servers.get(*ix)));
+            spread(class.load.peak_need(), servers, &mut wants);
+        }
+        wants.into_iter().map(|want| want.min(WANT_MAX) as u16).collect()
+    }
+
+    fn preference(&self, ix: ServerIx, server: &Server) -> (bool, u64) {
+        let mixed = (ix.0 as u64 ^ self.opts.node.0).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        (!server.near, mixed ^ (mixed >> 32))
+    }
+}
+
+/// Adds a class's need to what is wanted of its servers.
+fn spread(need: u32, servers: &[ServerIx], wants: &mut [u32]) {
+    if need == 0 {
+        // Thousands of quiet classes on one server need one share between them, not one each.
+        for ix in servers.iter().take(HEADROOM_LEAST as usize) {
+            wants[ix.0] = wants[ix.0].max(1);
+        }
+        return;
+    }
+    let need = need + need / HEADROOM_ONE_IN + HEADROOM_LEAST;
+    let count = servers.len() as u32;
+    for (i, ix) in servers.iter().enumerate() {
+        wants[ix.0] += need / count + u32::from((i as u32) < need % count);
+    }
+}
--- /dev/null
+++ b/crates/requests/src/keys/book.rs
@@ -0,0 +1,466 @@
+//! The owner's book of keys.
+
+use {
+    super::message::{
+        KeyEntry, KeyOutcome, KeyRecord, KeySnapshot, OutcomeReport, Permit, PermitAsk,
+        PermitHolder,
+    },
+    crate::{
+        ids::BodyHash,
+        limits::{IN_DOUBT_AFTER, KEY_RETENTION, MAX_KEYS_PER_SHARD, PERMIT_WAIT},
+        protections::Protections,
+    },
+    egretlb_types::{Authority, Epoch, RequestKey, ShardId, Ticket, Time},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// How often keys past their retention are looked for. Each pass visits every key.
+const SWEEP_PERIOD: Duration = Duration::from_secs(60);
+
+/// What the book is told.
+#[derive(Clone, Debug)]
+pub enum KeyBookEvent {
+    /// This process owns the shard now; its keys were replayed and restored before.
+    Owned {
+        /// The shard.
+        shard: ShardId,
+        /// The epoch of the ownership.
+        epoch: Epoch,
+    },
+    /// This process doesn't own the shard any more.
+    Lost {
+        /// The shard.
+        shard: ShardId,
+    },
+    /// An entry asks for a permit.
+    Ask {
+        /// The ask.
+        ask: PermitAsk,
+    },
+    /// An entry reports an outcome.
+    Report {
+        /// The report.
+        report: OutcomeReport,
+    },
+    /// A journal entry is in the log.
+    Journaled {
+        /// Which.
+        ticket: Ticket,
+    },
+    /// Whether appends to the log succeed at present.
+    LogState {
+        /// They do.
+        up: bool,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// What the book asks the runtime to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum KeyBookEffect {
+    /// Append to the shard's journal, in the order of these effects; again until it is known to
+    /// have been appended, also across an outage of the log.
+    Journal {
+        /// The shard.
+        shard: ShardId,
+        /// The entry.
+        entry: KeyEntry,
+        /// What [`KeyBookEvent::Journaled`] is to name.
+        ticket: Ticket,
+    },
+    /// Answer an entry's ask. Authority for the shard is asked again before a
+    /// [`Permit::Granted`] is sent.
+    Answer {
+        /// The shard, for asking authority again.
+        shard: ShardId,
+        /// The holder that asked.
+        holder: PermitHolder,
+        /// The answer.
+        permit: Permit,
+    },
+    /// Tell an entry that its report is kept.
+    ReportDone {
+        /// The holder whose report it is.
+        holder: PermitHolder,
+    },
+}
+
+/// When something was recorded, as far as this process knows.
+#[derive(Clone, Copy, Debug)]
+enum Since {
+    /// On this process's clock.
+    At(Time),
+    /// This long before the shard was taken over, at least.
+    Age(Duration),
+}
+
+#[derive(Clone, Debug)]
+enum Phase {
+    /// The intent isn't known to be in the log yet; its holder waits.
+    Intending { ticket: Ticket },
+    /// The permit was given, or may have been.
+    Permitted,
+    /// The outcome is known, or known to stay unknown.
+    Ended(KeyOutcome),
+}
+
+#[derive(Clone, Debug)]
+struct KeyState {
+    body: BodyHash,
+    holder: PermitHolder,
+    phase: Phase,
+    since: Since,
+}
+
+#[derive(Debug, Default)]
+struct ShardKeys {
+    epoch: Option<Epoch>,
+    keys: BTreeMap<RequestKey, KeyState>,
+    /// Permits that wait for their intents.
+    intents: BTreeMap<Ticket, RequestKey>,
+    /// Reports that wait for their outcomes to be in the log.
+    reports: BTreeMap<Ticket, PermitHolder>,
+}
+
+/// Remembers the keys of all shards that this process owns.
+#[derive(Debug)]
+pub struct KeyBook {
+    shards: BTreeMap<ShardId, ShardKeys>,
+    next_ticket: Ticket,
+    log_up: bool,
+    swept_at: Time,
+    protections: Protections,
+}
+
+impl Default for KeyBook {
+    fn default() -> Self {
+        KeyBook::new()
+    }
+}
+
+impl KeyBook {
+    /// An empty book.
+    pub fn new() -> Self {
+        KeyBook::with_protections(Protections::default())
+    }
+
+    /// A book with some protections off, for tests.
+    pub fn with_protections(protections: Protections) -> Self {
+        KeyBook {
+            shards: BTreeMap::new(),
+            next_ticket: Ticket(1),
+            log_up: true,
+            swept_at: Time::ZERO,
+            protections,
+        }
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn step(
+        &mut self,
+        now: Time,
+        event: KeyBookEvent,
+        auth: &dyn Authority,
+        out: &mut Vec<KeyBookEffect>,
+    ) {
+        match event {
+            KeyBookEvent::Owned { shard, epoch } => self.own(now, shard, epoch),
+            KeyBookEvent::Lost { shard } => {
+                self.shards.remove(&shard);
+            }
+            KeyBookEvent::Ask { ask } => self.ask(now, ask, auth, out),
+            KeyBookEvent::Report { report } => self.report(now, report, auth, out),
+            KeyBookEvent::Journaled { ticket } => self.journaled(now, ticket, auth, out),
+            KeyBookEvent::LogState { up } => {
+                self.log_up = up;
+                if !up {
+                    self.refuse_waiting(now, Duration::ZERO, out);
+                }
+            }
+            KeyBookEvent::Tick => {
+                self.refuse_waiting(now, PERMIT_WAIT, out);
+                self.sweep(now);
+            }
+        }
+    }
+
+    /// Folds an entry of a predecessor's journal, in its order.
+    pub fn replay(&mut self, shard: ShardId, entry: &KeyEntry) {
+        let keys = &mut self.shards.entry(shard).or_default().keys;
+        let since = Since::Age(Duration::ZERO);
+        match entry {
+            KeyEntry::Intent { key, body, holder } => {
+                // The permit may have been given: whether it was, only the holder knows.
+                let state =
+                    KeyState { body: *body, holder: *holder, phase: Phase::Permitted, since };
+                keys.insert(key.clone(), state);
+            }
+            KeyEntry::Outcome { key, holder, outcome } => {
+                let Some(state) = keys.get_mut(key).filter(|state| state.holder == *holder) else {
+                    return;
+                };
+                if *outcome == KeyOutcome::NotRun {
+                    keys.remove(key);
+                } else {
+                    state.phase = Phase::Ended(outcome.clone());
+                    state.since = since;
+                }
+            }
+        }
+    }
+
+    /// All keys of the shard, for the journal.
+    pub fn snapshot(&self, now: Time, shard: ShardId) -> KeySnapshot {
+        let Some(shard) = self.shards.get(&shard) else { return KeySnapshot::default() };
+        let records = shard.keys.iter().map(|(key, state)| KeyRecord {
+            key: key.clone(),
+            body: state.body,
+            holder: state.holder,
+            outcome: match &state.phase {
+                Phase::Ended(outcome) => Some(outcome.clone()),
+                Phase::Intending { .. } | Phase::Permitted => None,
+            },
+            age: match state.since {
+                Since::At(at) => now.since(at),
+                Since::Age(age) => age,
+            },
+        });
+        KeySnapshot { keys: records.collect() }
+    }
+
+    /// Puts a snapshot in the place of all that is known of the shard.
+    pub fn restore(&mut self, shard: ShardId, snapshot: KeySnapshot) {
+        let keys = snapshot.keys.into_iter().map(|record| {
+            let phase = record.outcome.map_or(Phase::Permitted, Phase::Ended);
+            let since = Since::Age(record.age);
+            (record.key, KeyState { body: record.body, holder: record.holder, phase, since })
+        });
+        let shard = self.shards.entry(shard).or_default();
+        shard.keys = keys.collect();
+    }
+
+    /// How many keys are remembered for the shard.
+    pub fn key_count(&self, shard: ShardId) -> usize {
+        self.shards.get(&shard).map_or(0, |shard| shard.keys.len())
+    }
+
+    fn own(&mut self, now: Time, shard: ShardId, epoch: Epoch) {
+        let shard = self.shards.entry(shard).or_default();
+        shard.epoch = Some(epoch);
+        for state in shard.keys.values_mut() {
+            if let Since::Age(age) = state.since {
+                // A permit's holder gets the whole time to report to the new owner. An age from
+                // before this clock's start is cut short, so a key is kept longer, never shorter.
+                let open = matches!(state.phase, Phase::Permitted);
+                state.since = Since::At(if open { now } else { now - age });
+            }
+        }
+    }
+
+    fn ask(
+        &mut self,
+        now: Time,
+        ask: PermitAsk,
+        auth: &dyn Authority,
+        out: &mut Vec<KeyBookEffect>,
+    ) {
+        let shard = ask.shard;
+        let holder = ask.holder;
+        let mut answer = |permit| out.push(KeyBookEffect::Answer { shard, holder, permit });
+        let held = auth.epoch_if_held(now, shard);
+        let Some(keys) = self.shards.get_mut(&shard).filter(|keys| keys.epoch.is_some()) else {
+            return answer(Permit::NoPermit);
+        };
+        if held != keys.epoch {
+            return answer(Permit::NoPermit);
+        }
+        if let Some(state) = keys.keys.get(&ask.key) {
+            if let Some(permit) = state.answer(now, &ask, self.protections) {
+                return answer(permit);
+            }
+            if state.holder == holder {
+                return;
+            }
+        }
+        // A full book refuses rather than forget a key early; a log that is down is refused at
+        // once rather than after a wait that the caller gains nothing from.
+        let full = keys.keys.len() >= MAX_KEYS_PER_SHARD;
+        if full || (!self.log_up && self.protections.journal_intent) {
+            return answer(Permit::NoPermit);
+        }
+        self.intend(now, ask, out);
+    }
+
+    fn intend(&mut self, now: Time, ask: PermitAsk, out: &mut Vec<KeyBookEffect>) {
+        let ticket = self.next_ticket();
+        let Some(keys) = self.shards.get_mut(&ask.shard) else { return };
+        let entry = KeyEntry::Intent { key: ask.key.clone(), body: ask.body, holder: ask.holder };
+        out.push(KeyBookEffect::Journal { shard: ask.shard, entry, ticket });
+        let mut phase = Phase::Intending { ticket };
+        if !self.protections.journal_intent {
+            phase = Phase::Permitted;
+            out.push(KeyBookEffect::Answer {
+                shard: ask.shard,
+                holder: ask.holder,
+                permit: Permit::Granted,
+            });
+        }
+        let since = Since::At(now);
+        keys.intents.insert(ticket, ask.key.clone());
+        keys.keys.insert(ask.key, KeyState { body: ask.body, holder: ask.holder, phase, since });
+    }
+
+    fn journaled(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        auth: &dyn Authority,
+        out: &mut Vec<KeyBookEffect>,
+    ) {
+        for (shard, keys) in &mut self.shards {
+            if let Some(holder) = keys.reports.remove(&ticket) {
+                out.push(KeyBookEffect::ReportDone { holder });
+                return;
+            }
+            let Some(key) = keys.intents.remove(&ticket) else { continue };
+            let Some(state) = keys.keys.get_mut(&key) else { return };
+            // Answered otherwise meanwhile: that answer stands.
+            if !matches!(state.phase, Phase::Intending { ticket: waits } if waits == ticket) {
+                return;
+            }
+            // Without authority a successor may already have read the journal without this
+            // intent, and may permit the key to another.
+            let held = auth.epoch_if_held(now, *shard);
+            let granted = held.is_some() && held == keys.epoch;
+            state.phase = Phase::Permitted;
+            state.since = Since::At(now);
+            let permit = if granted { Permit::Granted } else { Permit::NoPermit };
+            out.push(KeyBookEffect::Answer { shard: *shard, holder: state.holder, permit });
+            return;
+        }
+    }
+
+    fn report(
+        &mut self,
+        now: Time,
+        report: OutcomeReport,
+        auth: &dyn Authority,
+        out: &mut Vec<KeyBookEffect>,
+    ) {
+        let held = auth.epoch_if_held(now, report.shard);
+        let Some(keys) = self.shards.get(&report.shard) else { return };
+        // Not the owner: the entry reports again, to whoever is.
+        if held.is_none() || held != keys.epoch {
+            return;
+        }
+        let known = keys.keys.get(&report.key).filter(|state| state.holder == report.holder);
+        let Some(state) = known else {
+            // Freed before, or never permitted: nothing to remember.
+            out.push(KeyBookEffect::ReportDone { holder: report.holder });
+            return;
+        };
+        if matches!(state.phase, Phase::Ended(_)) {
+            // Said before; if its entry is still on the way to the log, that one's answer counts.
+            let waits = keys.reports.values().any(|holder| *holder == report.holder);
+            if !waits {
+                out.push(KeyBookEffect::ReportDone { holder: report.holder });
+            }
+            return;
+        }
+        self.end(now, report, true, out);
+    }
+
+    /// Records an outcome, in memory at once and in the journal behind the intent.
+    fn end(
+        &mut self,
+        now: Time,
+        report: OutcomeReport,
+        reported: bool,
+        out: &mut Vec<KeyBookEffect>,
+    ) {
+        let ticket = self.next_ticket();
+        let Some(keys) = self.shards.get_mut(&report.shard) else { return };
+        if report.outcome == KeyOutcome::NotRun {
+            keys.keys.remove(&report.key);
+        } else if let Some(state) = keys.keys.get_mut(&report.key) {
+            state.phase = Phase::Ended(report.outcome.clone());
+            state.since = Since::At(now);
+        }
+        if reported {
+            keys.reports.insert(ticket, report.holder);
+        }
+        let OutcomeReport { shard, key, holder, outcome } = report;
+        let entry = KeyEntry::Outcome { key, holder, outcome };
+        out.push(KeyBookEffect::Journal { shard, entry, ticket });
+    }
+
+    /// Refuses permits whose intent has waited for the log for `wait`. The key is free again: its
+    /// holder is told that nothing will run, and the journal says so behind the intent, should
+    /// that turn out to be in the log after all.
+    fn refuse_waiting(&mut self, now: Time, wait: Duration, out: &mut Vec<KeyBookEffect>) {
+        let mut refused = Vec::new();
+        for (shard, keys) in &self.shards {
+            for key in keys.intents.values() {
+                let Some(state) = keys.keys.get(key) else { continue };
+                let Since::At(since) = state.since else { continue };
+                if matches!(state.phase, Phase::Intending { .. }) && now.since(since) >= wait {
+                    refused.push((*shard, key.clone(), state.holder));
+                }
+            }
+        }
+        for (shard, key, holder) in refused {
+            out.push(KeyBookEffect::Answer { shard, holder, permit: Permit::NoPermit });
+            let report = OutcomeReport { shard, key, holder, outcome: KeyOutcome::NotRun };
+            self.end(now, report, false, out);
+        }
+    }
+
+    fn sweep(&mut self, now: Time) {
+        if now.since(self.swept_at) < SWEEP_PERIOD {
+            return;
+        }
+        self.swept_at = now;
+        for shard in self.shards.values_mut().filter(|shard| shard.epoch.is_some()) {
+            shard.keys.retain(|_, state| match state.since {
+                Since::At(at) => now.since(at) < KEY_RETENTION,
+                Since::Age(_) => true,
+            });
+        }
+    }
+
+    fn next_ticket(&mut self) -> Ticket {
+        let ticket = self.next_ticket;
+        self.next_ticket = ticket.next();
+        ticket
+    }
+}
+
+impl KeyState {
+    /// What an ask for this key is answered, or `None` if the ask is to be taken as new or is the
+    /// holder's own ask come twice.
+    fn answer(&self, now: Time, ask: &PermitAsk, protections: Protections) -> Option<Permit> {
+        let own = self.holder == ask.holder;
+        if self.body != ask.body {
+            return Some(Permit::OtherBody);
+        }
+        match &self.phase {
+            Phase::Intending { .. } if own => None,
+            Phase::Intending { .. } => Some(Permit::InProgress),
+            Phase::Permitted if own => Some(Permit::Granted),
+            Phase::Permitted if self.overdue(now) => {
+                protections.keep_in_doubt.then_some(Permit::InDoubt)
+            }
+            Phase::Permitted => Some(Permit::InProgress),
+            Phase::Ended(KeyOutcome::Ran(answer)) => Some(Permit::Recorded(answer.clone())),
+            Phase::Ended(KeyOutcome::Unknown) => {
+                protections.keep_in_doubt.then_some(Permit::InDoubt)
+            }
+            Phase::Ended(KeyOutcome::NotRun) => None,
+        }
+    }
+
+    fn overdue(&self, now: Time) -> bool {
+        matches!(self.since, Since::At(at) if now.since(at) >= IN_DOUBT_AFTER)
+    }
+}
--- /dev/null
+++ b/crates/requests/src/shares/book.rs
@@ -0,0 +1,314 @@
+//! The grantor's book.
+
+use {
+    super::{
+        message::{ServerGrant, ServerInfo, ShareAsk, ShareGrant},
+        pool::{Pool, PoolAsk},
+    },
+    crate::{
+        limits::{ATTEMPT_MAX, SHARE_LEASE, with_clock_margin},
+        protections::Protections,
+    },
+    egretlb_types::{Authority, Epoch, NodeId, ShardId, Time, VmId, VmState},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// The least time between two recalls sent to one entry. A recall asks the entry to say sooner
+/// what it needs; more of them would only repeat that.
+const RECALL_GAP: Duration = Duration::from_millis(200);
+
+/// A backend server as the rack's owner knows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerSpec {
+    /// What entries are told of it.
+    pub info: ServerInfo,
+    /// How many requests it works on at once.
+    pub slots: u16,
+    /// How many connections it accepts at once.
+    pub connections: u16,
+}
+
+/// What the book is told.
+#[derive(Clone, Debug)]
+pub enum ShareBookEvent {
+    /// This process owns the shard now.
+    Owned {
+        /// The shard.
+        shard: ShardId,
+        /// The epoch of the ownership.
+        epoch: Epoch,
+        /// Whether anybody owned the shard before and may have granted shares.
+        had_owner: bool,
+    },
+    /// This process doesn't own the shard any more.
+    Lost {
+        /// The shard.
+        shard: ShardId,
+    },
+    /// All backend servers of the shard's racks, with the classes that they serve.
+    Servers {
+        /// The shard.
+        shard: ShardId,
+        /// The servers.
+        servers: Vec<ServerSpec>,
+    },
+    /// An entry asks.
+    Ask {
+        /// The ask.
+        ask: ShareAsk,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// What the book asks the runtime to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ShareBookEffect {
+    /// Answer an entry's ask. Authority for the shard is asked again before it is sent.
+    Grant {
+        /// The entry.
+        entry: NodeId,
+        /// The answer.
+        grant: ShareGrant,
+    },
+    /// Ask an entry to ask again soon, since others go short. Only a hint: it may be lost.
+    Recall {
+        /// The entry.
+        entry: NodeId,
+        /// The shard.
+        shard: ShardId,
+        /// The epoch of this owner.
+        epoch: Epoch,
+    },
+}
+
+#[derive(Debug, Default)]
+struct ShardShares {
+    /// The epoch, once owned.
+    epoch: Option<Epoch>,
+    /// When all that a predecessor granted must have ended.
+    outwaited: Time,
+    /// Whether the rack's servers were told: before that an answer would take shares away that
+    /// entries rightly hold.
+    servers_known: bool,
+    servers: BTreeMap<VmId, ServerShares>,
+    /// Grows when a description changes.
+    version: u64,
+    entries: BTreeMap<NodeId, EntryAsks>,
+}
+
+#[derive(Debug, Default)]
+struct ServerShares {
+    /// `None` for a server that isn't described, now or yet, but of which something is held.
+    spec: Option<ServerSpec>,
+    pool: Pool,
+}
+
+/// What the book remembers of one entry's asks.
+#[derive(Clone, Copy, Debug, Default)]
+struct EntryAsks {
+    last_seq: u64,
+    asked_at: Time,
+    recalled_at: Time,
+}
+
+/// Grants shares of the backend servers of all rack shards that this process owns.
+#[derive(Debug, Default)]
+pub struct ShareBook {
+    shards: BTreeMap<ShardId, ShardShares>,
+    protections: Protections,
+}
+
+impl ShareBook {
+    /// An empty book.
+    pub fn new() -> Self {
+        ShareBook::default()
+    }
+
+    /// A book with some protections off, for tests.
+    pub fn with_protections(protections: Protections) -> Self {
+        ShareBook { protections, ..ShareBook::default() }
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn step(
+        &mut self,
+        now: Time,
+        event: ShareBookEvent,
+        auth: &dyn Authority,
+        out: &mut Vec<ShareBookEffect>,
+    ) {
+        match event {
+            ShareBookEvent::Owned { shard, epoch, had_owner } => {
+                self.own(now, shard, epoch, had_owner);
+            }
+            ShareBookEvent::Lost { shard } => {
+                self.shards.remove(&shard);
+            }
+            ShareBookEvent::Servers { shard, servers } => self.set_servers(shard, servers),
+            ShareBookEvent::Ask { ask } => self.ask(now, ask, auth, out),
+            ShareBookEvent::Tick => self.tick(now),
+        }
+    }
+
+    /// What the server's entries may have open at most, for the state dump; `None` if unknown.
+    pub fn charged(&self, shard: ShardId, vm: &VmId) -> Option<u32> {
+        Some(self.shards.get(&shard)?.servers.get(vm)?.pool.charged())
+    }
+
+    fn own(&mut self, now: Time, shard: ShardId, epoch: Epoch, had_owner: bool) {
+        // The predecessor may have granted up to the moment at which its authority ended, which
+        // precedes `now`. What it granted then lapses last.
+        let wait = had_owner && self.protections.outwait_predecessor;
+        let span = if wait { self.charge_span() } else { Duration::ZERO };
+        let shares = self.shards.entry(shard).or_default();
+        shares.epoch = Some(epoch);
+        shares.outwaited = now + span;
+    }
+
+    /// How long after its ask a share and the exchanges begun under it may last.
+    fn charge_span(&self) -> Duration {
+        let exchanges =
+            if self.protections.outwait_exchanges { ATTEMPT_MAX } else { Duration::ZERO };
+        with_clock_margin(SHARE_LEASE + exchanges)
+    }
+
+    fn set_servers(&mut self, shard: ShardId, servers: Vec<ServerSpec>) {
+        let shares = self.shards.entry(shard).or_default();
+        shares.servers_known = true;
+        let described = shares.servers.values().filter(|server| server.spec.is_some()).count();
+        let same = described == servers.len()
+            && servers.iter().all(|spec| {
+                let known = shares.servers.get(&spec.info.vm);
+                known.is_some_and(|known| known.spec.as_ref() == Some(spec))
+            });
+        if same {
+            return;
+        }
+        // A server that is off the list for a moment must not come back with an empty pool: what
+        // is open there stays charged, whatever changed of the description.
+        for server in shares.servers.values_mut() {
+            server.spec = None;
+            server.pool.resize(0);
+        }
+        for spec in servers {
+            let server = shares.servers.entry(spec.info.vm.clone()).or_default();
+            server.pool.resize(pool_size(&spec));
+            server.spec = Some(spec);
+        }
+        shares.version += 1;
+    }
+
+    fn ask(
+        &mut self,
+        now: Time,
+        ask: ShareAsk,
+        auth: &dyn Authority,
+        out: &mut Vec<ShareBookEffect>,
+    ) {
+        let span = self.charge_span();
+        let Some(shares) = self.shards.get_mut(&ask.shard) else { return };
+        let held = auth.epoch_if_held(now, ask.shard);
+        // An ask meant for another owner says what was held then, not now.
+        let current = held.is_some() && held == shares.epoch && held == Some(ask.epoch);
+        if !current || !shares.servers_known {
+            return;
+        }
+        let asks = shares.entries.entry(ask.entry).or_default();
+        // An overtaken ask would take back what the entry was given since.
+        if ask.seq <= asks.last_seq {
+            return;
+        }
+        asks.last_seq = ask.seq;
+        asks.asked_at = now;
+        let granted = shares.grant_all(now, span, &ask);
+        let described = if ask.known == shares.version { Vec::new() } else { shares.describe() };
+        let grant = ShareGrant {
+            shard: ask.shard,
+            epoch: ask.epoch,
+            seq: ask.seq,
+            lease: SHARE_LEASE,
+            servers: granted,
+            version: shares.version,
+            described,
+        };
+        out.push(ShareBookEffect::Grant { entry: ask.entry, grant });
+        shares.recall(now, &ask, out);
+    }
+
+    fn tick(&mut self, now: Time) {
+        let span = self.charge_span();
+        for shares in self.shards.values_mut() {
+            for server in shares.servers.values_mut() {
+                server.pool.expire(now);
+            }
+            shares.servers.retain(|_, server| server.spec.is_some() || server.pool.charged() > 0);
+            shares.entries.retain(|_, asks| now.since(asks.asked_at) < span);
+        }
+    }
+}
+
+impl ShardShares {
+    fn grant_all(&mut self, now: Time, span: Duration, ask: &ShareAsk) -> Vec<ServerGrant> {
+        let adopt_only = now < self.outwaited;
+        for held in ask.servers.iter().filter(|held| held.holding > 0) {
+            self.servers.entry(held.vm.clone()).or_default();
+        }
+        let mut granted = Vec::new();
+        for (vm, server) in &mut self.servers {
+            let named = ask.servers.iter().find(|wanted| wanted.vm == *vm);
+            let (holding, want) = named.map_or((0, 0), |wanted| (wanted.holding, wanted.want));
+            let leaving =
+                server.spec.as_ref().is_none_or(|spec| spec.info.state == VmState::Leaving);
+            let pool_ask = PoolAsk {
+                entry: ask.entry,
+                holding,
+                want: if leaving { 0 } else { want },
+                now,
+                lapses: now + with_clock_margin(SHARE_LEASE),
+                free_at: now + span,
+            };
+            server.pool.expire(now);
+            let open = server.pool.ask(vm, pool_ask, adopt_only);
+            if open > 0 {
+                granted.push(ServerGrant { vm: vm.clone(), open });
+            }
+        }
+        granted
+    }
+
+    fn describe(&self) -> Vec<ServerInfo> {
+        self.servers
+            .values()
+            .filter_map(|server| Some(server.spec.as_ref()?.info.clone()))
+            .collect()
+    }
+
+    /// Sends a recall to entries that hold more than their part of a server of which the asking
+    /// entry got less than it wants.
+    fn recall(&mut self, now: Time, ask: &ShareAsk, out: &mut Vec<ShareBookEffect>) {
+        let Some(epoch) = self.epoch else { return };
+        for wanted in &ask.servers {
+            let Some(server) = self.servers.get(&wanted.vm) else { continue };
+            let Some(spec) = &server.spec else { continue };
+            let full = server.pool.charged() >= u32::from(pool_size(spec));
+            if !full || wanted.want <= wanted.holding {
+                continue;
+            }
+            for entry in server.pool.holders_above_fair(now) {
+                let Some(asks) = self.entries.get_mut(&entry) else { continue };
+                if entry == ask.entry || now.since(asks.recalled_at) < RECALL_GAP {
+                    continue;
+                }
+                asks.recalled_at = now;
+                out.push(ShareBookEffect::Recall { entry, shard: ask.shard, epoch });
+            }
+        }
+    }
+}
+
+/// How many requests may be open at a server. Each takes a slot and, since an exchange has a
+/// connection of its own, a connection: the scarcer of the two is what is shared out.
+fn pool_size(spec: &ServerSpec) -> u16 {
+    if spec.info.state == VmState::Leaving { 0 } else { spec.slots.min(spec.connections) }
+}
