--- /dev/null
+++ b/crates/lab/src/experiments/mod.rs
@@ -0,0 +1,25 @@
+//! The experiments, each over three sizes or more.
+//!
+//! An experiment builds a small model around a real reducer, drives it with a seeded generator in
+//! virtual time, and measures the reducer alone. A model knows only what its reducer's border says.
+
+use crate::report::Report;
+
+/// An experiment that can be asked for by name.
+#[derive(Clone, Copy, Debug)]
+pub struct Experiment {
+    /// Its name on the command line.
+    pub name: &'static str,
+    /// What it measures, in one line.
+    pub about: &'static str,
+    /// Runs it with a seed.
+    pub run: fn(u64) -> Report,
+}
+
+/// All experiments.
+pub const ALL: &[Experiment] = &[];
+
+/// The experiment of the name.
+pub fn find(name: &str) -> Option<&'static Experiment> {
+    ALL.iter().find(|experiment| experiment.name == name)
+}
--- /dev/null
+++ b/crates/lab/src/report/mod.rs
@@ -0,0 +1,69 @@
+//! What an experiment found, as text, JSON and curves.
+
+mod curves;
+mod text;
+
+use {
+    crate::measure::{Line, Series, Spread},
+    serde::Serialize,
+};
+
+pub use crate::report::curves::{DrawError, draw};
+
+/// A single figure.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Fact {
+    /// What it says.
+    pub name: &'static str,
+    /// The figure.
+    pub value: f64,
+    /// Its unit.
+    pub unit: &'static str,
+}
+
+/// What one experiment found.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Report {
+    /// The experiment's name.
+    pub experiment: &'static str,
+    /// The seed that it ran with.
+    pub seed: u64,
+    /// Values over growing sizes.
+    pub series: Vec<Series>,
+    /// Distributions.
+    pub spreads: Vec<Spread>,
+    /// Single figures.
+    pub facts: Vec<Fact>,
+}
+
+/// A series with the line through it, for readers of the JSON.
+#[derive(Serialize)]
+struct Fitted<'a> {
+    series: &'a Series,
+    line: Option<Line>,
+}
+
+impl Report {
+    /// A report without findings.
+    pub fn new(experiment: &'static str, seed: u64) -> Self {
+        Report { experiment, seed, ..Report::default() }
+    }
+
+    /// Adds a single figure.
+    pub fn fact(&mut self, name: &'static str, value: f64, unit: &'static str) {
+        self.facts.push(Fact { name, value, unit });
+    }
+
+    /// The report as one JSON object.
+    pub fn to_json(&self) -> serde_json::Value {
+        let fitted: Vec<_> =
+            self.series.iter().map(|series| Fitted { series, line: series.line() }).collect();
+        serde_json::json!({
+            "experiment": self.experiment,
+            "seed": self.seed,
+            "series": fitted,
+            "spreads": self.spreads,
+            "facts": self.facts,
+        })
+    }
+}
