Measure appends, bytes and waits of the journals by starts and by owners

The first version of the distribution clamped all times to 2 ns: saturating_record doesn't grow a histogram without bounds, so it has bounds now.

--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -3,6 +3,8 @@
 //! An experiment builds a small model around a real reducer, drives it with a seeded generator in
 //! virtual time, and measures the reducer alone. A model knows only what its reducer's border says.
 
+mod journal;
+
 use crate::report::Report;
 
 /// An experiment that can be asked for by name.
@@ -17,7 +19,11 @@
 }
 
 /// All experiments.
-pub const ALL: &[Experiment] = &[];
+pub const ALL: &[Experiment] = &[Experiment {
+    name: "journal",
+    about: "appends and bytes to the log, by starts and by owners",
+    run: journal::run,
+}];
 
 /// The experiment of the name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
--- a/crates/lab/src/measure/spread.rs
+++ b/crates/lab/src/measure/spread.rs
@@ -9,6 +9,9 @@
 /// How exact a distribution is kept: significant decimal digits.
 const DIGITS: u8 = 3;
 
+/// The longest time told apart; longer ones count as this.
+const LONGEST: Duration = Duration::from_secs(3_600);
+
 /// A distribution in brief.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Spread {
@@ -45,7 +48,8 @@
 impl OpTimer {
     /// An empty collection.
     pub fn new() -> Self {
-        let nanos = Histogram::new(DIGITS).expect("the number of digits is in range");
+        let nanos = Histogram::new_with_bounds(1, LONGEST.as_nanos() as u64, DIGITS)
+            .expect("the bounds and the digits are in range");
         OpTimer { nanos }
     }
 
