--- /dev/null
+++ b/crates/control/src/gossip.rs
@@ -0,0 +1,192 @@
+//! Heartbeats: who was heard when, spread from process to process.
+//!
+//! Each process sends to two others a second, chosen at random, and says whom it has heard of
+//! lately. Sending to all would cost 33 x 220 bytes a second at 17 + 17 processes, three times a
+//! node's whole budget for control. All of this is a hint: it decides who claims when, never who
+//! may act.
+
+use {
+    crate::{
+        record::{ConfigVersion, NodeInfo, Role},
+        state::ControlState,
+    },
+    egretlb_types::{NodeId, Time},
+    rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Time between two heartbeats of a process.
+pub(crate) const HEARTBEAT_EVERY: Duration = Duration::from_millis(500);
+
+/// A process not heard of for this long is asked directly, and answers at once: most silences
+/// are the gossip's chance, and end here before anyone suspects a living process.
+pub(crate) const PROBE_AFTER: Duration = Duration::from_millis(2_500);
+
+/// A process not heard of for this long is probed no more often than others.
+const PROBE_UNTIL: Duration = Duration::from_secs(10);
+
+/// Answers to probes leave at most this often, or a dead node's silence would make the probes of
+/// 33 others a burst of answers.
+const ANSWER_EVERY: Duration = Duration::from_millis(100);
+
+/// The unit of [`Heard::age`], in milliseconds.
+const AGE_UNIT_MS: u64 = 100;
+
+/// A process in a heartbeat: the low 32 bits of its id. Two processes of one tag would at worst
+/// hide each other's silence until one is restarted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Heard {
+    /// The low 32 bits of the process's id.
+    pub tag: [u8; 4],
+    /// How long ago it was heard, in units of 100 ms.
+    pub age: u8,
+}
+
+/// What a process tells another one.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Who sends.
+    pub from: NodeId,
+    /// Whether the sender reads the log: one that doesn't can't act for its shards, and must not
+    /// keep others from claiming them.
+    pub in_touch: bool,
+    /// The version of the configuration in force at the sender.
+    pub config: ConfigVersion,
+    /// The schedulers that the sender has heard of lately.
+    pub heard: Vec<Heard>,
+}
+
+fn tag(node: NodeId) -> [u8; 4] {
+    (node.0 as u32).to_le_bytes()
+}
+
+/// Who was heard when.
+#[derive(Clone, Debug)]
+pub(crate) struct Gossip {
+    me: NodeInfo,
+    rng: SmallRng,
+    heard: BTreeMap<NodeId, Time>,
+    next_at: Time,
+    answered_at: Option<Time>,
+    probe_next: bool,
+}
+
+impl Gossip {
+    pub(crate) fn new(me: NodeInfo, seed: u64) -> Self {
+        Gossip {
+            me,
+            rng: SmallRng::seed_from_u64(seed),
+            heard: BTreeMap::new(),
+            next_at: Time::ZERO,
+            answered_at: None,
+            probe_next: false,
+        }
+    }
+
+    /// Follows the membership; a new process counts as heard now.
+    pub(crate) fn follow(&mut self, now: Time, state: &ControlState) {
+        self.heard.retain(|node, _| state.member(*node).is_some());
+        for info in state.members().filter(|info| info.node != self.me.node) {
+            self.heard.entry(info.node).or_insert(now);
+        }
+    }
+
+    /// Everyone gets time to be heard again: this process was out of touch itself.
+    pub(crate) fn forgive(&mut self, now: Time) {
+        for at in self.heard.values_mut() {
+            *at = now;
+        }
+    }
+
+    /// How long nothing was heard of the process; `None` if it doesn't take part.
+    pub(crate) fn silence(&self, now: Time, node: NodeId) -> Option<Duration> {
+        self.heard.get(&node).map(|at| now.since(*at))
+    }
+
+    /// When the process was last heard of.
+    pub(crate) fn heard_at(&self, node: NodeId) -> Option<Time> {
+        self.heard.get(&node).copied()
+    }
+
+    /// Takes a heartbeat. `true` if the sender has lost sight of this process and should get an
+    /// answer at once.
+    pub(crate) fn receive(&mut self, now: Time, heartbeat: &Heartbeat) -> bool {
+        if heartbeat.in_touch {
+            self.hear(heartbeat.from, now);
+        }
+        for heard in &heartbeat.heard {
+            let age = Duration::from_millis(u64::from(heard.age) * AGE_UNIT_MS);
+            let node = self.heard.keys().find(|node| tag(**node) == heard.tag).copied();
+            if let Some(node) = node {
+                self.hear(node, now - age);
+            }
+        }
+        let limit = PROBE_AFTER.as_millis() as u64 / AGE_UNIT_MS;
+        let sees_me = |h: &&Heard| h.tag == tag(self.me.node) && u64::from(h.age) < limit;
+        let lost =
+            self.me.role == Role::Scheduler && heartbeat.heard.iter().find(sees_me).is_none();
+        let paced = self.answered_at.is_none_or(|at| now >= at + ANSWER_EVERY);
+        if lost && paced {
+            self.answered_at = Some(now);
+        }
+        lost && paced
+    }
+
+    /// The process to send to now, if it is time.
+    pub(crate) fn due<'a>(
+        &mut self,
+        now: Time,
+        members: impl Iterator<Item = &'a NodeInfo>,
+    ) -> Option<&'a NodeInfo> {
+        if now < self.next_at {
+            return None;
+        }
+        // A jitter, so that processes started together don't send together for ever.
+        self.next_at = now + HEARTBEAT_EVERY.mul_f64(self.rng.random_range(0.9..1.1));
+        let others: Vec<&NodeInfo> = members.filter(|info| info.node != self.me.node).collect();
+        self.probe_next = !self.probe_next;
+        let lost: Vec<&NodeInfo> =
+            others.iter().copied().filter(|info| self.wants_probe(now, info)).collect();
+        if self.probe_next && !lost.is_empty() {
+            return lost.choose(&mut self.rng).copied();
+        }
+        others.choose(&mut self.rng).copied()
+    }
+
+    /// What this process tells others now.
+    pub(crate) fn heartbeat<'a>(
+        &self,
+        now: Time,
+        in_touch: bool,
+        config: ConfigVersion,
+        schedulers: impl Iterator<Item = &'a NodeInfo>,
+    ) -> Heartbeat {
+        let heard = schedulers
+            .filter_map(|info| Some((info.node, self.silence(now, info.node)?)))
+            .filter_map(|(node, silence)| {
+                let age = u8::try_from((silence.as_millis() as u64).div_ceil(AGE_UNIT_MS)).ok()?;
+                Some(Heard { tag: tag(node), age })
+            })
+            .collect();
+        Heartbeat { from: self.me.node, in_touch, config, heard }
+    }
+
+    fn hear(&mut self, node: NodeId, at: Time) {
+        if let Some(heard) = self.heard.get_mut(&node) {
+            *heard = at.max(*heard);
+        }
+    }
+
+    fn wants_probe(&self, now: Time, info: &NodeInfo) -> bool {
+        let silence = self.silence(now, info.node).unwrap_or_default();
+        info.role == Role::Scheduler && (PROBE_AFTER..PROBE_UNTIL).contains(&silence)
+    }
+}
+
+impl Heartbeat {
+    /// The heartbeat as bytes, to be measured; the runtime's codec may differ by a few.
+    pub fn encoded_len(&self) -> usize {
+        postcard::to_extend(self, Vec::new()).map_or(0, |buf| buf.len())
+    }
+}
--- /dev/null
+++ b/crates/control/src/reducer/succession.rs
@@ -0,0 +1,207 @@
+//! Taking over shards: which to claim, how long to wait, when to recover and to settle.
+
+use {
+    crate::{
+        event::{ControlEffect, Predecessor},
+        options::Protections,
+        record::{ShardEpoch, ShardEpochs},
+        reducer::{reads::LEASE, suspicion::Suspicion},
+        state::{ControlState, Phase, ShardState},
+    },
+    egretlb_types::{Epoch, NodeId, ShardId, Time, rendezvous_score},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// How long a successor waits from reading its own claim back. The predecessor counts [`LEASE`]
+/// from the sending of a read that came before. If one clock runs 1% slow and the other 1% fast,
+/// the wait must be LEASE x 1.01 / 0.99 = 3.061 s; what is left over is for timers that fire early.
+pub(crate) const WAIT_OUT: Duration = LEASE.saturating_add(Duration::from_millis(100));
+
+/// The process preferred for a shard claims at once; each further one waits this much longer, so
+/// that a preferred one that hangs doesn't leave the shard without an owner.
+const RANK_DELAY: Duration = Duration::from_secs(3);
+
+/// A process that hears few others waits this much longer, for the many that hear each other.
+const FEW_HEARD_DELAY: Duration = Duration::from_secs(5);
+
+/// A claimant that hasn't settled after this long, though it is heard, is stuck; another claims.
+const STUCK_AFTER: Duration = Duration::from_secs(30);
+
+/// Where a take-over stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stage {
+    /// The predecessor may still have authority.
+    Waiting { until: Time },
+    /// The shard is being read back and its snapshot written.
+    Recovering,
+    /// The snapshot is durable.
+    Recovered,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Takeover {
+    epoch: Epoch,
+    stage: Stage,
+}
+
+/// The shards that this process claimed and doesn't act for yet, and those nobody acts for.
+#[derive(Clone, Debug)]
+pub(crate) struct Succession {
+    me: NodeId,
+    protections: Protections,
+    takeovers: BTreeMap<ShardId, Takeover>,
+    claimed_since: BTreeMap<ShardId, (Epoch, Time)>,
+    orphan_since: BTreeMap<ShardId, Time>,
+}
+
+impl Succession {
+    pub(crate) fn new(me: NodeId, protections: Protections) -> Self {
+        Succession {
+            me,
+            protections,
+            takeovers: BTreeMap::new(),
+            claimed_since: BTreeMap::new(),
+            orphan_since: BTreeMap::new(),
+        }
+    }
+
+    /// Follows the state right after a read was folded: this is the moment at which this process
+    /// reads its own claims back, and from which it waits.
+    pub(crate) fn follow(&mut self, now: Time, state: &ControlState) {
+        for (shard, of) in state.shards() {
+            if of.phase() == Phase::Claimed {
+                self.follow_claimed(now, shard, of);
+            } else {
+                self.claimed_since.remove(&shard);
+                self.takeovers.remove(&shard);
+            }
+        }
+    }
+
+    fn follow_claimed(&mut self, now: Time, shard: ShardId, of: &ShardState) {
+        let epoch = of.epoch();
+        if self.claimed_since.get(&shard).is_none_or(|(seen, _)| *seen != epoch) {
+            self.claimed_since.insert(shard, (epoch, now));
+        }
+        if of.owner() != Some(self.me) {
+            self.takeovers.remove(&shard);
+            return;
+        }
+        if self.takeovers.get(&shard).is_none_or(|takeover| takeover.epoch != epoch) {
+            let must_wait = of.must_wait() && self.protections.wait_out;
+            let until = if must_wait { now + WAIT_OUT } else { now };
+            self.takeovers.insert(shard, Takeover { epoch, stage: Stage::Waiting { until } });
+        }
+    }
+
+    /// Forgets everything: this process has no state any more.
+    pub(crate) fn clear(&mut self) {
+        self.takeovers.clear();
+        self.claimed_since.clear();
+        self.orphan_since.clear();
+    }
+
+    /// Begins to recover what was waited for.
+    pub(crate) fn recover(
+        &mut self,
+        now: Time,
+        state: &ControlState,
+        out: &mut Vec<ControlEffect>,
+    ) {
+        for (shard, takeover) in &mut self.takeovers {
+            let Stage::Waiting { until } = takeover.stage else { continue };
+            if now < until {
+                continue;
+            }
+            takeover.stage =
+                if self.protections.snapshot_first { Stage::Recovering } else { Stage::Recovered };
+            let from = state.shard(*shard).last_settled();
+            out.push(ControlEffect::Recover {
+                shard: *shard,
+                epoch: takeover.epoch,
+                from: from.map(|(node, epoch)| Predecessor { node, epoch }),
+            });
+        }
+    }
+
+    /// The shard's snapshot is durable under the epoch.
+    pub(crate) fn recovered(&mut self, shard: ShardId, epoch: Epoch) {
+        let of_epoch = |takeover: &&mut Takeover| {
+            takeover.epoch == epoch && takeover.stage == Stage::Recovering
+        };
+        if let Some(takeover) = self.takeovers.get_mut(&shard).filter(of_epoch) {
+            takeover.stage = Stage::Recovered;
+        }
+    }
+
+    /// The shards to be settled now.
+    pub(crate) fn to_settle(&self) -> ShardEpochs {
+        self.takeovers
+            .iter()
+            .filter(|(_, takeover)| takeover.stage == Stage::Recovered)
+            .map(|(shard, takeover)| ShardEpoch { shard: *shard, epoch: takeover.epoch })
+            .collect()
+    }
+
+    /// The shards to be claimed now, all of them in one append.
+    pub(crate) fn due_claims(
+        &mut self,
+        now: Time,
+        state: &ControlState,
+        suspicion: &Suspicion,
+    ) -> ShardEpochs {
+        let mut claims = ShardEpochs::new();
+        for (shard, of) in state.shards() {
+            if !self.is_orphan(now, shard, of, suspicion) {
+                self.orphan_since.remove(&shard);
+                continue;
+            }
+            let since = *self.orphan_since.entry(shard).or_insert(now);
+            if now >= since + self.delay(shard, of, suspicion) {
+                claims.push(ShardEpoch { shard, epoch: of.epoch().next() });
+            }
+        }
+        claims
+    }
+
+    fn is_orphan(&self, now: Time, shard: ShardId, of: &ShardState, suspicion: &Suspicion) -> bool {
+        match of.owner() {
+            None => true,
+            Some(owner) if owner == self.me => false,
+            Some(owner) if !suspicion.is_live(owner) => true,
+            Some(_) => self.is_stuck(now, shard),
+        }
+    }
+
+    fn is_stuck(&self, now: Time, shard: ShardId) -> bool {
+        self.claimed_since.get(&shard).is_some_and(|(_, since)| now >= *since + STUCK_AFTER)
+    }
+
+    fn delay(&self, shard: ShardId, of: &ShardState, suspicion: &Suspicion) -> Duration {
+        let mine = rendezvous_score(shard, self.me);
+        let better = suspicion
+            .live()
+            .iter()
+            .filter(|node| Some(**node) != of.owner() && rendezvous_score(shard, **node) > mine)
+            .count();
+        let rank = RANK_DELAY * u32::try_from(better).unwrap_or(u32::MAX);
+        if suspicion.few_heard() { rank + FEW_HEARD_DELAY } else { rank }
+    }
+
+    /// Whether any shard has had no settled owner for `limit`.
+    pub(crate) fn any_unserved_for(&self, now: Time, limit: Duration) -> bool {
+        let long = |since: &Time| now.since(*since) >= limit;
+        self.orphan_since.values().any(long)
+            || self.claimed_since.values().any(|(_, since)| long(since))
+    }
+
+    /// How many shards this process is taking over.
+    pub(crate) fn takeovers(&self) -> usize {
+        self.takeovers.len()
+    }
+}
+
+/// The process that the shard would go to if all were free: the live one with the highest score.
+pub(crate) fn preferred(shard: ShardId, live: &[NodeId]) -> Option<NodeId> {
+    live.iter().copied().max_by_key(|node| rendezvous_score(shard, *node))
+}
--- /dev/null
+++ b/crates/control/src/reducer/suspicion.rs
@@ -0,0 +1,156 @@
+//! Who is thought to be gone. A wrong guess costs a needless succession, never safety.
+
+use {
+    crate::{
+        gossip::Gossip,
+        record::{NodeInfo, Role},
+        state::ControlState,
+    },
+    compact_str::CompactString,
+    egretlb_types::{NodeId, Time},
+    smallvec::SmallVec,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// A process silent for this long is suspected: three probes went unanswered by then.
+pub(crate) const SUSPECT_AFTER: Duration = Duration::from_secs(4);
+
+/// How long a doubted process has to answer through the log: three of its reads.
+const DOUBT_WAIT: Duration = Duration::from_secs(3);
+
+/// A process that answered a doubt through the log isn't doubted again for this long: during a
+/// cut between regions each process of the smaller side asks twice a minute.
+const DOUBT_AGAIN_AFTER: Duration = Duration::from_secs(30);
+
+/// What is known of one process beside the gossip.
+#[derive(Clone, Debug, Default)]
+struct Signs {
+    seen_in_log: Option<Time>,
+    doubted: Option<Time>,
+    gone: Option<Time>,
+}
+
+/// The view of who is there, from gossip, the log and the VM list.
+///
+/// A process that is cut off from its peers but not from the log hears nobody. If it then claimed
+/// everything, and the others claimed it back, the shards would go to and fro for as long as the
+/// cut lasts. So one that hears no more than half of the schedulers asks through the log first,
+/// and the living answer there.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Suspicion {
+    signs: BTreeMap<NodeId, Signs>,
+    few_heard: bool,
+    live: Vec<NodeId>,
+}
+
+impl Suspicion {
+    pub(crate) fn seen_in_log(&mut self, now: Time, node: NodeId) {
+        self.signs.entry(node).or_default().seen_in_log = Some(now);
+    }
+
+    pub(crate) fn doubted(&mut self, now: Time, node: NodeId) {
+        self.signs.entry(node).or_default().doubted = Some(now);
+    }
+
+    pub(crate) fn vm_gone(&mut self, now: Time, addr: &str, state: &ControlState) {
+        let at_addr = |info: &&NodeInfo| host(&info.peer_addr) == addr;
+        for info in state.members().filter(at_addr) {
+            self.signs.entry(info.node).or_default().gone = Some(now);
+        }
+    }
+
+    /// Begins anew after this process was out of touch.
+    pub(crate) fn forgive(&mut self) {
+        self.signs.clear();
+    }
+
+    /// Looks at everyone once for this step.
+    pub(crate) fn update(&mut self, now: Time, me: NodeId, gossip: &Gossip, state: &ControlState) {
+        self.signs.retain(|node, _| state.member(*node).is_some());
+        for (node, signs) in &mut self.signs {
+            let silent = gossip.silence(now, *node).is_none_or(|silence| silence >= SUSPECT_AFTER);
+            signs.doubted = signs.doubted.filter(|_| silent);
+            let heard_since = |at: &Time| gossip.heard_at(*node).is_none_or(|heard| heard <= *at);
+            signs.gone = signs.gone.filter(heard_since);
+        }
+        let schedulers = || state.schedulers().map(|info| info.node);
+        let total = schedulers().count();
+        let heard = schedulers().filter(|n| *n == me || !self.is_silent(now, *n, gossip)).count();
+        self.few_heard = heard * 2 <= total;
+        self.live = schedulers()
+            .filter(|n| *n == me || !self.is_silent(now, *n, gossip) || !self.is_confirmed(now, *n))
+            .collect();
+    }
+
+    /// Whether this process hears no more than half of the schedulers, itself among them.
+    pub(crate) fn few_heard(&self) -> bool {
+        self.few_heard
+    }
+
+    /// The schedulers that aren't suspected, this process among them, in the order of their ids.
+    pub(crate) fn live(&self) -> &[NodeId] {
+        &self.live
+    }
+
+    pub(crate) fn is_live(&self, node: NodeId) -> bool {
+        self.live.binary_search(&node).is_ok()
+    }
+
+    /// The silent schedulers to be asked for through the log now.
+    pub(crate) fn to_doubt(
+        &self,
+        now: Time,
+        me: NodeId,
+        gossip: &Gossip,
+        state: &ControlState,
+    ) -> SmallVec<[NodeId; 4]> {
+        if !self.few_heard {
+            return SmallVec::new();
+        }
+        state
+            .schedulers()
+            .map(|info| info.node)
+            .filter(|node| *node != me && self.is_silent(now, *node, gossip))
+            .filter(|node| self.wants_doubt(now, *node))
+            .collect()
+    }
+
+    /// Whether the process has been silent for `limit` and isn't taken for living.
+    pub(crate) fn is_gone_for(
+        &self,
+        now: Time,
+        info: &NodeInfo,
+        gossip: &Gossip,
+        limit: Duration,
+    ) -> bool {
+        let silent = gossip.silence(now, info.node).is_some_and(|silence| silence >= limit);
+        silent && (info.role == Role::Entry || !self.is_live(info.node))
+    }
+
+    fn is_silent(&self, now: Time, node: NodeId, gossip: &Gossip) -> bool {
+        let silent = gossip.silence(now, node).is_none_or(|silence| silence >= SUSPECT_AFTER);
+        silent || self.signs.get(&node).is_some_and(|signs| signs.gone.is_some())
+    }
+
+    fn is_confirmed(&self, now: Time, node: NodeId) -> bool {
+        if !self.few_heard {
+            return true;
+        }
+        let Some(signs) = self.signs.get(&node) else {
+            return false;
+        };
+        signs.doubted.is_some_and(|at| now >= at + DOUBT_WAIT && signs.seen_in_log < Some(at))
+    }
+
+    fn wants_doubt(&self, now: Time, node: NodeId) -> bool {
+        let Some(Signs { doubted: Some(at), seen_in_log, .. }) = self.signs.get(&node) else {
+            return true;
+        };
+        seen_in_log.is_some_and(|seen| seen >= *at && now >= seen + DOUBT_AGAIN_AFTER)
+    }
+}
+
+/// The address without its port.
+fn host(addr: &CompactString) -> &str {
+    addr.rsplit_once(':').map_or(addr, |(host, _)| host)
+}
