Add the operator's command

Changes carry a name of their own (a proposal's id, a job's name), so the command asks again with the same one when an answer is lost, and says at the end whether the change is known, refused or in doubt. A file with faults is never sent. Exit codes tell these apart for scripts.

--- /dev/null
+++ b/crates/cli/src/args/lowered.rs
@@ -0,0 +1,228 @@
+//! What the command line means.
+
+use {
+    super::{Env, low::LowArgs},
+    crate::{error::CliError, help},
+    compact_str::{CompactString, ToCompactString, format_compact},
+    egretlb_api::SubmitJob,
+    egretlb_config::Period,
+    egretlb_types::{JobId, Offset, Resources},
+    smallvec::SmallVec,
+    std::{ffi::OsString, net::SocketAddr, path::PathBuf, time::Duration},
+};
+
+/// What to do.
+#[derive(Debug)]
+pub(crate) enum Action {
+    /// Print a text and end.
+    Print(&'static str),
+    /// Run a command.
+    Run(Box<Args>),
+}
+
+/// A checked command line.
+#[derive(Debug)]
+pub(crate) struct Args {
+    pub(crate) command: Command,
+    pub(crate) json: bool,
+    pub(crate) quiet: usize,
+    pub(crate) verbose: usize,
+    /// How long one call may be silent.
+    pub(crate) timeout: Duration,
+    /// How long a change is asked for again.
+    pub(crate) wait: Duration,
+}
+
+/// The commands with what each needs.
+#[derive(Debug)]
+pub(crate) enum Command {
+    ConfigCheck { path: PathBuf },
+    ConfigDiff { path: PathBuf, servers: Servers },
+    ConfigApply { path: PathBuf, base: Option<Offset>, by: CompactString, servers: Servers },
+    ConfigShow { servers: Servers },
+    JobSubmit { source: JobSource, servers: Servers },
+    JobStatus { job: JobId, servers: Servers },
+    JobCancel { job: JobId, servers: Servers },
+    Status { servers: Servers },
+    Dump { addr: SocketAddr },
+}
+
+/// Where the job to submit is described.
+#[derive(Debug)]
+pub(crate) enum JobSource {
+    File(PathBuf),
+    Flags(SubmitJob),
+}
+
+/// The addresses to try in turn; at least one.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Servers(SmallVec<[SocketAddr; 4]>);
+
+impl Servers {
+    pub(crate) fn one(addr: SocketAddr) -> Self {
+        Servers(std::iter::once(addr).collect())
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = SocketAddr> + Clone + '_ {
+        self.0.iter().copied()
+    }
+}
+
+const DEFAULT_TIMEOUT: Period = Period::from_millis(5_000);
+const DEFAULT_WAIT: Period = Period::from_millis(30_000);
+
+/// Reads the command line.
+pub(crate) fn parse(args: Vec<OsString>, env: &Env) -> Result<Action, CliError> {
+    let low = LowArgs::read(args)?;
+    if low.long_help {
+        return Ok(Action::Print(help::LONG));
+    }
+    if low.short_help {
+        return Ok(Action::Print(help::SHORT));
+    }
+    if low.version {
+        return Ok(Action::Print(help::VERSION));
+    }
+    Lowering { low, env }.args().map(|args| Action::Run(Box::new(args)))
+}
+
+struct Lowering<'e> {
+    low: LowArgs,
+    env: &'e Env,
+}
+
+impl Lowering<'_> {
+    fn args(mut self) -> Result<Args, CliError> {
+        let words = std::mem::take(&mut self.low.words);
+        let shown: Vec<_> = words.iter().map(|word| word.to_string_lossy()).collect();
+        let typed: Vec<&str> = shown.iter().map(|word| &**word).collect();
+        let command = match typed.as_slice() {
+            ["config", "check", _] => Command::ConfigCheck { path: PathBuf::from(&words[2]) },
+            ["config", "diff", _] => {
+                Command::ConfigDiff { path: PathBuf::from(&words[2]), servers: self.servers()? }
+            }
+            ["config", "apply", _] => self.config_apply(PathBuf::from(&words[2]))?,
+            ["config", "show"] => Command::ConfigShow { servers: self.servers()? },
+            ["job", "submit"] => self.submit_flags()?,
+            ["job", "submit", _] => Command::JobSubmit {
+                source: JobSource::File(PathBuf::from(&words[2])),
+                servers: self.servers()?,
+            },
+            ["job", "status", job] => {
+                Command::JobStatus { job: job.parse()?, servers: self.servers()? }
+            }
+            ["job", "cancel", job] => {
+                Command::JobCancel { job: job.parse()?, servers: self.servers()? }
+            }
+            ["status"] => Command::Status { servers: self.servers()? },
+            ["dump", addr] => Command::Dump { addr: address(addr)? },
+            other => return Err(unknown_command(other)),
+        };
+        self.check_unused()?;
+        Ok(Args {
+            command,
+            json: self.low.json,
+            quiet: self.low.quiet,
+            verbose: self.low.verbose,
+            timeout: self.low.timeout.unwrap_or(DEFAULT_TIMEOUT).as_duration(),
+            wait: self.low.wait.unwrap_or(DEFAULT_WAIT).as_duration(),
+        })
+    }
+
+    fn servers(&mut self) -> Result<Servers, CliError> {
+        let from_env = || self.env.server.as_ref().map(|text| text.to_string_lossy().into_owned());
+        let text = self.low.server.take().or_else(from_env);
+        let Some(text) = text.filter(|text| !text.is_empty()) else {
+            return Err(CliError::Usage(CompactString::const_new(
+                "no server is named; give --server ip:port, or set EGRETLB_SERVER",
+            )));
+        };
+        text.split(',').map(address).collect::<Result<_, _>>().map(Servers)
+    }
+
+    fn config_apply(&mut self, path: PathBuf) -> Result<Command, CliError> {
+        let user = self.env.user.as_ref().map(|user| user.to_string_lossy().to_compact_string());
+        let by = self.low.by.take().or(user).unwrap_or(CompactString::const_new("unknown"));
+        let base = self.low.base.take();
+        Ok(Command::ConfigApply { path, base, by, servers: self.servers()? })
+    }
+
+    fn submit_flags(&mut self) -> Result<Command, CliError> {
+        let resources = self.resources()?;
+        let submit = SubmitJob {
+            job: needed(self.low.job.take(), "--job")?,
+            class: needed(self.low.class.take(), "--class")?,
+            tasks: needed(self.low.tasks.take(), "--tasks")?,
+            command: needed(self.low.command.take(), "--command")?,
+            resources,
+        };
+        Ok(Command::JobSubmit { source: JobSource::Flags(submit), servers: self.servers()? })
+    }
+
+    fn resources(&mut self) -> Result<Option<Resources>, CliError> {
+        let (cpu, memory) = (self.low.cpu.take(), self.low.memory.take());
+        let accelerators = self.low.accelerators.take();
+        if cpu.is_none() && memory.is_none() && accelerators.is_none() {
+            return Ok(None);
+        }
+        Ok(Some(Resources {
+            cpu: needed(cpu, "--cpu")?,
+            memory: needed(memory, "--memory")?,
+            accelerators: accelerators.unwrap_or_default(),
+        }))
+    }
+
+    /// A flag that the command took no notice of. Passing over it would leave an operator
+    /// believing, say, that `config diff --base 7` compared with version 7.
+    fn check_unused(&self) -> Result<(), CliError> {
+        let low = &self.low;
+        let unused = [
+            ("--server", low.server.is_some()),
+            ("--base", low.base.is_some()),
+            ("--by", low.by.is_some()),
+            ("--job", low.job.is_some()),
+            ("--class", low.class.is_some()),
+            ("--tasks", low.tasks.is_some()),
+            ("--command", low.command.is_some()),
+            ("--cpu", low.cpu.is_some()),
+            ("--memory", low.memory.is_some()),
+            ("--accelerators", low.accelerators.is_some()),
+        ];
+        match unused.iter().find(|(_, given)| *given) {
+            Some((flag, _)) => {
+                Err(CliError::Usage(format_compact!("{flag} has no meaning here; leave it out")))
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+fn needed<T>(value: Option<T>, flag: &str) -> Result<T, CliError> {
+    value.ok_or_else(|| {
+        CliError::Usage(format_compact!(
+            "{flag} is missing; give it, or describe the job in a FILE"
+        ))
+    })
+}
+
+fn address(text: &str) -> Result<SocketAddr, CliError> {
+    text.trim().parse().map_err(|_| {
+        let text: String = text.chars().take(60).collect();
+        CliError::Usage(format_compact!(
+            "{text:?} is no address; give an IP number and port, like 10.0.0.4:8081"
+        ))
+    })
+}
+
+fn unknown_command(words: &[&str]) -> CliError {
+    CliError::Usage(match words {
+        [] => CompactString::const_new("no command is given"),
+        ["config", "check" | "diff" | "apply"] => {
+            format_compact!("{} needs a FILE", words.join(" "))
+        }
+        ["job", "status" | "cancel"] => format_compact!("{} needs a job's ID", words.join(" ")),
+        ["dump"] => CompactString::const_new("dump needs the ADDR of a process"),
+        ["config" | "job"] => format_compact!("{} needs a further word", words[0]),
+        _ => format_compact!("there is no command {:?}", words.join(" ")),
+    })
+}
--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,81 @@
+//! The commands.
+
+mod config;
+mod job;
+mod look;
+
+use {
+    crate::{
+        Streams,
+        args::{Args, Command},
+        error::CliError,
+    },
+    egretlb_telemetry::LogOptions,
+    serde::Serialize,
+    std::{
+        fs,
+        path::{Path, PathBuf},
+    },
+};
+
+pub(crate) fn run(args: &Args, streams: &mut Streams<'_>) -> Result<(), CliError> {
+    if args.verbose > 0 {
+        // A caller of the library may have set its own logger; its choice stands.
+        let options = LogOptions::new("egretlb");
+        let _ = egretlb_telemetry::init(options.verbosity(args.verbose, 0));
+    }
+    let mut cx = Cx { args, streams };
+    match &args.command {
+        Command::ConfigCheck { path } => config::check(&mut cx, path),
+        Command::ConfigDiff { path, servers } => config::diff(&mut cx, path, servers),
+        Command::ConfigApply { path, base, by, servers } => {
+            config::apply(&mut cx, path, *base, by, servers)
+        }
+        Command::ConfigShow { servers } => config::show(&mut cx, servers),
+        Command::JobSubmit { source, servers } => job::submit(&mut cx, source, servers),
+        Command::JobStatus { job, servers } => job::status(&mut cx, job, servers),
+        Command::JobCancel { job, servers } => job::cancel(&mut cx, job, servers),
+        Command::Status { servers } => look::status(&mut cx, servers),
+        Command::Dump { addr } => look::dump(&mut cx, *addr),
+    }
+}
+
+/// What every command needs.
+struct Cx<'a, 's> {
+    args: &'a Args,
+    streams: &'a mut Streams<'s>,
+}
+
+impl Cx<'_, '_> {
+    /// Prints what was asked for.
+    fn print(&mut self, text: impl AsRef<str>) -> Result<(), CliError> {
+        Ok(self.streams.out.write_all(text.as_ref().as_bytes())?)
+    }
+
+    /// Prints JSON on one line.
+    fn print_json(&mut self, value: &impl Serialize) -> Result<(), CliError> {
+        serde_json::to_writer(&mut *self.streams.out, value).map_err(std::io::Error::from)?;
+        self.print("\n")
+    }
+
+    /// Says what goes on, to whoever watches.
+    fn tell(&mut self, text: impl AsRef<str>) -> Result<(), CliError> {
+        if self.args.quiet == 0 {
+            writeln!(self.streams.err, "{}", text.as_ref())?;
+        }
+        Ok(())
+    }
+}
+
+/// Reads a text file of at most what the parsers take, so that a wrong path, such as a device,
+/// doesn't fill the memory.
+fn read_file(path: &Path) -> Result<String, CliError> {
+    use std::io::Read;
+    let limit = egretlb_config::MAX_TEXT_BYTES as u64 + 1;
+    let read = || {
+        let mut text = String::new();
+        fs::File::open(path)?.take(limit).read_to_string(&mut text)?;
+        Ok(text)
+    };
+    read().map_err(|error| CliError::ReadFile { path: PathBuf::from(path), error })
+}
--- /dev/null
+++ b/crates/cli/src/error.rs
@@ -0,0 +1,164 @@
+//! What can go wrong, and the exit code of each.
+
+use {
+    compact_str::CompactString,
+    egretlb_config::Faults,
+    egretlb_types::{JobId, Offset, ParseIdError},
+    std::{fmt, io, path::PathBuf, process::ExitCode},
+};
+
+/// The command's exit codes. Scripts rely on them: none changes its meaning.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Exit {
+    /// What was asked for is done.
+    Done = 0,
+    /// Something else went wrong, such as a file that can't be read.
+    Failed = 1,
+    /// The command line is wrong; nothing was tried.
+    Usage = 2,
+    /// The file, or the document made of it, has faults; nothing was changed.
+    Faults = 3,
+    /// Another configuration was accepted first; nothing was changed.
+    LostRace = 4,
+    /// There is no such job.
+    NotFound = 5,
+    /// No answer in time. A change may or may not have been made; the same command again is safe.
+    Unavailable = 6,
+    /// The request was understood and refused; nothing was changed.
+    Refused = 7,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        ExitCode::from(exit as u8)
+    }
+}
+
+/// Why a command didn't do what it was asked for.
+#[derive(Debug)]
+pub enum CliError {
+    /// The command line is wrong.
+    Usage(CompactString),
+    /// A file can't be read.
+    ReadFile {
+        /// The file.
+        path: PathBuf,
+        /// Why not.
+        error: io::Error,
+    },
+    /// A file has faults.
+    Faults {
+        /// The file.
+        path: PathBuf,
+        /// The faults.
+        faults: Faults,
+    },
+    /// The daemon found faults that the command's own check didn't, as it is of another version.
+    InvalidThere(Vec<String>),
+    /// Another configuration was accepted first.
+    LostRace {
+        /// The version now in force.
+        version: Option<Offset>,
+    },
+    /// There is no such job.
+    NoSuchJob(JobId),
+    /// No daemon gave a whole answer in time.
+    Unavailable {
+        /// What the last try of each kind met with.
+        last: String,
+        /// Whether a change was asked for, which may have been made.
+        change: bool,
+    },
+    /// The daemon refused.
+    Refused(CompactString),
+    /// The reader of the output has gone.
+    OutputClosed,
+    /// The output can't be written.
+    Output(io::Error),
+}
+
+impl CliError {
+    /// The exit code.
+    pub fn exit(&self) -> Exit {
+        match self {
+            CliError::Usage(_) => Exit::Usage,
+            CliError::ReadFile { .. } | CliError::Output(_) => Exit::Failed,
+            CliError::Faults { .. } | CliError::InvalidThere(_) => Exit::Faults,
+            CliError::LostRace { .. } => Exit::LostRace,
+            CliError::NoSuchJob(_) => Exit::NotFound,
+            CliError::Unavailable { .. } => Exit::Unavailable,
+            CliError::Refused(_) => Exit::Refused,
+            CliError::OutputClosed => Exit::Done,
+        }
+    }
+}
+
+impl fmt::Display for CliError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CliError::Usage(message) => write!(f, "{message}; `egretlb --help` lists all commands"),
+            CliError::ReadFile { path, error } => {
+                write!(f, "{}: {error}; give the path of a readable text file", path.display())
+            }
+            CliError::Faults { path, faults } => {
+                let count = faults.as_slice().len();
+                let noun = if count == 1 { "fault" } else { "faults" };
+                write!(f, "{}: {count} {noun}; nothing was changed", path.display())?;
+                let listing = faults.to_string();
+                listing.lines().try_for_each(|line| write!(f, "\n{}:{line}", path.display()))
+            }
+            CliError::InvalidThere(faults) => {
+                write!(
+                    f,
+                    "the daemon finds faults in the document, and changed nothing; mend them, or \
+                     use an egretlb of the daemon's version"
+                )?;
+                faults.iter().try_for_each(|fault| write!(f, "\n{fault}"))
+            }
+            CliError::LostRace { version } => {
+                write!(f, "another configuration was accepted first")?;
+                if let Some(version) = version {
+                    write!(f, ", version {version}")?;
+                }
+                write!(
+                    f,
+                    "; nothing was changed by yours: bring the differences shown into your file, \
+                     then apply it again"
+                )
+            }
+            CliError::NoSuchJob(job) => write!(
+                f,
+                "there is no job {job}; check its name, or it ended so long ago that it is \
+                 forgotten"
+            ),
+            CliError::Unavailable { last, change: true } => write!(
+                f,
+                "no answer in time ({last}); it may or may not have been done: give the same \
+                 command again, which does it once"
+            ),
+            CliError::Unavailable { last, change: false } => {
+                write!(f, "no answer in time ({last}); check --server and try again")
+            }
+            CliError::Refused(message) => write!(f, "refused: {message}"),
+            CliError::OutputClosed => write!(f, "the output's reader has gone"),
+            CliError::Output(e) => write!(f, "the output can't be written: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for CliError {}
+
+impl From<io::Error> for CliError {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::BrokenPipe => CliError::OutputClosed,
+            _ => CliError::Output(error),
+        }
+    }
+}
+
+impl From<ParseIdError> for CliError {
+    fn from(error: ParseIdError) -> Self {
+        CliError::Usage(compact_str::format_compact!("{error}"))
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,6 +15,7 @@
 mod classes;
 mod diff;
 mod fault;
+mod job;
 mod nearest;
 mod reader;
 mod render;
@@ -26,6 +27,8 @@
     classes::parse_config,
     diff::diff,
     fault::{Fault, FaultKind, Faults, MAX_FAULTS, MAX_FAULTS_SHOWN, Position},
+    job::{JobFile, parse_job},
+    nearest::nearest,
     reader::MAX_TEXT_BYTES,
     render::render,
     settings::{Limits, Listen, Settings, SettingsError, parse_settings, read_settings},
--- a/crates/config/src/nearest.rs
+++ b/crates/config/src/nearest.rs
@@ -4,7 +4,7 @@
 const MAX_EDITS: usize = 2;
 
 /// The known name nearest to `name`, if it is near enough to be a slip of the keyboard.
-pub(crate) fn nearest<T: AsRef<str>>(name: &str, known: impl IntoIterator<Item = T>) -> Option<T> {
+pub fn nearest<T: AsRef<str>>(name: &str, known: impl IntoIterator<Item = T>) -> Option<T> {
     // A name of three letters is two edits away from half of all others.
     let limit = MAX_EDITS.min(name.chars().count() / 3);
     known
