--- /dev/null
+++ b/crates/tasks/src/jobs/calls.rs
@@ -0,0 +1,227 @@
+//! Submissions, cancellations and questions for status.
+
+use {
+    super::{
+        JobBook, Pending,
+        api::{CallId, JobEffect, JobRefusal, JobReply},
+        job::Job,
+        record::{JobEntry, JobRecord, JobSpec, is_service_job},
+    },
+    egretlb_types::{
+        Authority, ClassKind, JobId, Resources, RetryAfter, ShardId, Time, shard_of_job,
+    },
+    std::time::Duration,
+};
+
+/// When to come back to an owner that can't act now: a succession takes a few seconds.
+const COME_BACK: Duration = Duration::from_secs(3);
+
+/// When to come back to a full shard.
+const FULL_BACK: Duration = Duration::from_secs(60);
+
+pub(super) fn ask_again(call: CallId) -> JobEffect {
+    let after = RetryAfter::from_wait(COME_BACK);
+    JobEffect::Reply { call, reply: JobReply::AskAgain { after } }
+}
+
+fn refuse(call: CallId, refusal: JobRefusal) -> JobEffect {
+    JobEffect::Reply { call, reply: JobReply::Refused(refusal) }
+}
+
+impl JobBook {
+    pub(super) fn submit(
+        &mut self,
+        now: Time,
+        call: CallId,
+        spec: JobSpec,
+        auth: &dyn Authority,
+        out: &mut Vec<JobEffect>,
+    ) {
+        let shard = shard_of_job(&spec.job);
+        match self.check(now, shard, &spec, auth) {
+            Err(refusal) => out.push(refuse(call, refusal)),
+            Ok(None) => self.answer_known_job(now, call, shard, &spec.job, out),
+            Ok(Some(record)) => self.accept(now, call, shard, record, out),
+        }
+    }
+
+    /// Checks a submission: the record of a new job, or `None` for one that is known.
+    fn check(
+        &self,
+        now: Time,
+        shard: ShardId,
+        spec: &JobSpec,
+        auth: &dyn Authority,
+    ) -> Result<Option<JobRecord>, JobRefusal> {
+        if is_service_job(&spec.job) {
+            return Err(JobRefusal::ReservedName);
+        }
+        let after = RetryAfter::from_wait(COME_BACK);
+        let kept = self.shards.get(&shard).filter(|_| self.held(now, shard, auth).is_some());
+        let Some(kept) = kept else { return Err(JobRefusal::NotOwner { after }) };
+        if let Some(job) = kept.jobs.get(&spec.job) {
+            let same = job.record.spec == *spec;
+            return if same { Ok(None) } else { Err(JobRefusal::OtherSpec) };
+        }
+        let max = self.limits.job_tasks_max;
+        if !(1..=max).contains(&spec.tasks) {
+            return Err(JobRefusal::BadCount { max });
+        }
+        if kept.jobs.len() >= self.limits.shard_jobs_max {
+            return Err(JobRefusal::Full { after: RetryAfter::from_wait(FULL_BACK) });
+        }
+        let record = self.record_of(spec, after)?;
+        if self.fits_nowhere(&record.resources) {
+            return Err(JobRefusal::NeverFits);
+        }
+        Ok(Some(record))
+    }
+
+    fn record_of(&self, spec: &JobSpec, after: RetryAfter) -> Result<JobRecord, JobRefusal> {
+        let Some(document) = &self.document else { return Err(JobRefusal::NoConfig { after }) };
+        let Some(class) = document.class(&spec.class) else {
+            return Err(JobRefusal::UnknownClass);
+        };
+        let ClassKind::Batch { task, run_time, .. } = &class.kind else {
+            return Err(JobRefusal::NotBatch);
+        };
+        Ok(JobRecord {
+            spec: spec.clone(),
+            resources: spec.resources.unwrap_or(*task),
+            learned_size: spec.resources.is_none(),
+            team: Some(class.team.clone()),
+            run_time: *run_time,
+            service: false,
+            cancelled: false,
+            tasks: Vec::new(),
+        })
+    }
+
+    /// Whether every node is known and none has a VM that could hold it, even empty.
+    pub(super) fn fits_nowhere(&self, resources: &Resources) -> bool {
+        let never =
+            |room: &crate::msg::NodeRoom| !room.largest.is_empty() && !room.could_hold(resources);
+        let known = self.nodes.values().map(|node| node.room.as_ref());
+        // A node that knows no VM yet has just taken over and says nothing.
+        !self.nodes.is_empty() && known.into_iter().all(|room| room.is_some_and(never))
+    }
+
+    fn accept(
+        &mut self,
+        now: Time,
+        call: CallId,
+        shard: ShardId,
+        record: JobRecord,
+        out: &mut Vec<JobEffect>,
+    ) {
+        let id = record.spec.job.clone();
+        let entry = JobEntry::Submitted { record: Box::new(record.clone()) };
+        let mut whole = record;
+        whole.grow(whole.spec.tasks);
+        let Some(kept) = self.shards.get_mut(&shard) else { return };
+        kept.jobs.insert(id.clone(), Job::new(now, whole));
+        kept.open.insert(id.clone());
+        let ticket = self.journal(shard, entry, out);
+        self.answer_when_journaled(now, call, shard, ticket, JobReply::Accepted { job: id }, out);
+    }
+
+    fn answer_when_journaled(
+        &mut self,
+        now: Time,
+        call: CallId,
+        shard: ShardId,
+        ticket: egretlb_types::Ticket,
+        reply: JobReply,
+        out: &mut Vec<JobEffect>,
+    ) {
+        if !self.protections.journal_before_ack {
+            out.push(JobEffect::Reply { call, reply });
+            return;
+        }
+        self.pending.insert(ticket, Pending::Call { call, shard, reply, since: now });
+    }
+
+    /// A job submitted again. While its first entry may still be on its way, the caller is
+    /// answered along with the first one: an entry appended later in the same journal is
+    /// acknowledged later.
+    fn answer_known_job(
+        &mut self,
+        now: Time,
+        call: CallId,
+        shard: ShardId,
+        id: &JobId,
+        out: &mut Vec<JobEffect>,
+    ) {
+        let Some(job) = self.shards.get(&shard).and_then(|kept| kept.jobs.get(id)) else { return };
+        let reply = JobReply::Accepted { job: id.clone() };
+        if job.durable {
+            out.push(JobEffect::Reply { call, reply });
+            return;
+        }
+        // Appended again: folding it twice changes nothing.
+        let mut record = job.record.clone();
+        record.tasks.clear();
+        let entry = JobEntry::Submitted { record: Box::new(record) };
+        let ticket = self.journal(shard, entry, out);
+        self.answer_when_journaled(now, call, shard, ticket, reply, out);
+    }
+
+    pub(super) fn cancel(
+        &mut self,
+        now: Time,
+        call: CallId,
+        id: JobId,
+        auth: &dyn Authority,
+        out: &mut Vec<JobEffect>,
+    ) {
+        let shard = shard_of_job(&id);
+        if self.held(now, shard, auth).is_none() {
+            let after = RetryAfter::from_wait(COME_BACK);
+            out.push(refuse(call, JobRefusal::NotOwner { after }));
+            return;
+        }
+        let Some(kept) = self.shards.get_mut(&shard) else { return };
+        let Some(job) = kept.jobs.get_mut(&id).filter(|job| !job.record.service) else {
+            out.push(refuse(call, JobRefusal::NoSuchJob));
+            return;
+        };
+        // Marking is all that a wave of cancellations costs at once; the stops are paced.
+        for active in job.active.values_mut() {
+            active.stop = true;
+        }
+        kept.open.insert(id.clone());
+        let ticket = self.journal(shard, JobEntry::Cancelled { job: id.clone() }, out);
+        if let Some(job) = self.shards.get_mut(&shard).and_then(|kept| kept.jobs.get_mut(&id)) {
+            job.refill(now);
+        }
+        self.answer_when_journaled(now, call, shard, ticket, JobReply::Cancelled { job: id }, out);
+    }
+
+    pub(super) fn status(&mut self, now: Time, call: CallId, id: JobId, out: &mut Vec<JobEffect>) {
+        let task = egretlb_types::TaskId { job: id, index: 0 };
+        let shard = super::job_shard_of_task(&task);
+        let owned = self.shards.get(&shard).filter(|kept| kept.epoch.is_some());
+        let reply = match owned.map(|kept| kept.jobs.get(&task.job)) {
+            None => {
+                let after = RetryAfter::from_wait(COME_BACK);
+                JobReply::Refused(JobRefusal::NotOwner { after })
+            }
+            Some(None) => JobReply::Refused(JobRefusal::NoSuchJob),
+            Some(Some(job)) => JobReply::Status(job.status(now)),
+        };
+        out.push(JobEffect::Reply { call, reply });
+    }
+
+    /// Answers calls that the journal keeps waiting: with the log down they would wait for as long
+    /// as it takes, and their callers with them.
+    pub(super) fn give_up_calls(&mut self, now: Time, out: &mut Vec<JobEffect>) {
+        let within = self.limits.ack_within;
+        self.pending.retain(|_, pending| match pending {
+            Pending::Call { call, since, .. } if now.since(*since) >= within => {
+                out.push(ask_again(*call));
+                false
+            }
+            _ => true,
+        });
+    }
+}
--- /dev/null
+++ b/crates/tasks/src/jobs/ends.rs
@@ -0,0 +1,179 @@
+//! Ends of attempts and of jobs.
+
+use {
+    super::{
+        JobAlarm, JobBook, JobEffect, JobEntry, Pending,
+        job::Waiting,
+        record::{TaskLife, TaskResult},
+    },
+    crate::msg::{AttemptEnd, Ended, RackMsg},
+    egretlb_types::{Authority, JobId, Resources, ShardId, Time, worker::TaskEnd},
+    std::time::Duration,
+};
+
+/// How long a task waits after a failure before it is tried again; doubled with each failure.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The most doublings of the wait.
+const RETRY_DOUBLINGS: u32 = 6;
+
+impl JobBook {
+    pub(super) fn on_ended(
+        &mut self,
+        now: Time,
+        ended: Ended,
+        auth: &dyn Authority,
+        out: &mut Vec<JobEffect>,
+    ) {
+        let shard = super::job_shard_of_task(&ended.of.task);
+        if self.held(now, shard, auth).is_none() {
+            return;
+        }
+        let index = ended.of.task.index;
+        let fenced = self.protections.fence_outcomes;
+        let Some(job) = self.job_mut(&ended.of.task) else {
+            out.push(ack(&ended));
+            return;
+        };
+        let current = job.active.get(&index).map(|active| active.attempt.fence);
+        if current.is_none() || (current != Some(ended.of.fence) && fenced) {
+            // Told before. While its entry is on its way to the journal, the acknowledgement
+            // waits for it; the end is told again until then.
+            if !job.settling.contains(&index) {
+                out.push(ack(&ended));
+            }
+            return;
+        }
+        job.active.remove(&index);
+        job.settling.insert(index);
+        self.journal_end(now, shard, ended, current.unwrap_or_default(), out);
+    }
+
+    fn journal_end(
+        &mut self,
+        now: Time,
+        shard: ShardId,
+        ended: Ended,
+        fence: egretlb_types::Fence,
+        out: &mut Vec<JobEffect>,
+    ) {
+        let task = ended.of.task.clone();
+        let failed = ended.how == AttemptEnd::Failed;
+        let blamed = (failed && !ended.suspect).then(|| ended.vm.clone());
+        let entry = JobEntry::Ended { task: task.clone(), fence, how: ended.how.clone(), blamed };
+        let ticket = self.journal(shard, entry, out);
+        self.after_end(now, &ended, out);
+        if self.protections.journal_before_ack {
+            self.pending.insert(ticket, Pending::End { shard, ended: Box::new(ended) });
+        } else {
+            out.push(ack(&ended));
+            if let Some(job) = self.job_mut(&task) {
+                job.settling.remove(&task.index);
+            }
+        }
+    }
+
+    /// Queues the task again where it isn't over, and tells operators what they should know.
+    fn after_end(&mut self, now: Time, ended: &Ended, out: &mut Vec<JobEffect>) {
+        let task = &ended.of.task;
+        let Some(job) = self.job_mut(task) else { return };
+        let class = job.record.spec.class.clone();
+        let Some(record) = job.record.tasks.get(task.index as usize) else { return };
+        match record.life {
+            TaskLife::Queued => {
+                let failed = ended.how == AttemptEnd::Failed;
+                let doublings = u32::from(record.fails).min(RETRY_DOUBLINGS);
+                let wait = if failed { RETRY_AFTER * 2_u32.pow(doublings) } else { Duration::ZERO };
+                let waiting = Waiting { since: now, not_before: now + wait, round: None };
+                job.waiting.insert(task.index, waiting);
+            }
+            TaskLife::Over(TaskResult::Parked) => {
+                let vms = record.failed_on.to_vec();
+                out.push(JobEffect::Alarm(JobAlarm::TaskParked { task: task.clone(), vms }));
+            }
+            _ => {}
+        }
+        match ended.how {
+            AttemptEnd::Lost => {
+                let alarm = JobAlarm::AttemptLost { task: task.clone(), vm: ended.vm.clone() };
+                out.push(JobEffect::Alarm(alarm));
+            }
+            AttemptEnd::Done => {
+                self.run_times.note_end(&class, &Resources::default(), ended.ran, TaskEnd::Done);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn end_journaled(
+        &mut self,
+        now: Time,
+        shard: ShardId,
+        ended: Ended,
+        auth: &dyn Authority,
+        out: &mut Vec<JobEffect>,
+    ) {
+        // Acknowledged without authority, an end could be forgotten by the rack's owner while a
+        // successor has already read the journal without it.
+        if self.held(now, shard, auth).is_some() {
+            out.push(ack(&ended));
+        }
+        let index = ended.of.task.index;
+        if let Some(job) = self.job_mut(&ended.of.task) {
+            job.settling.remove(&index);
+        }
+    }
+
+    /// Gives up what can never fit, and forgets what ended long ago.
+    pub(super) fn close_jobs(&mut self, now: Time, shard: ShardId, out: &mut Vec<JobEffect>) {
+        let Some(kept) = self.shards.get(&shard) else { return };
+        let open: Vec<JobId> = kept.open.iter().cloned().collect();
+        for id in open {
+            self.close_job(now, shard, &id, out);
+        }
+        let keep = self.limits.keep_ended;
+        let Some(kept) = self.shards.get(&shard) else { return };
+        let old = |job: &super::Job| job.over_since.is_some_and(|since| now.since(since) >= keep);
+        let old: Vec<JobId> =
+            kept.jobs.iter().filter(|(_, job)| old(job)).map(|(id, _)| id.clone()).collect();
+        for id in old {
+            self.journal(shard, JobEntry::Forgot { job: id.clone() }, out);
+            if let Some(kept) = self.shards.get_mut(&shard) {
+                kept.jobs.remove(&id);
+            }
+        }
+    }
+
+    fn close_job(&mut self, now: Time, shard: ShardId, id: &JobId, out: &mut Vec<JobEffect>) {
+        let never_after = self.limits.never_fits_after;
+        let Some(kept) = self.shards.get_mut(&shard) else { return };
+        let Some(job) = kept.jobs.get_mut(id) else { return };
+        let idle = job.active.is_empty() && job.settling.is_empty();
+        if idle && job.record.is_over() {
+            job.over_since = Some(now);
+            kept.open.remove(id);
+            return;
+        }
+        let never = job.never_since.is_some_and(|since| now.since(since) >= never_after);
+        if !never || job.record.service {
+            return;
+        }
+        job.never_since = None;
+        self.journal(shard, JobEntry::NeverFits { job: id.clone() }, out);
+        out.push(JobEffect::Alarm(JobAlarm::JobNeverFits { job: id.clone() }));
+        if let Some(job) = self.shards.get_mut(&shard).and_then(|kept| kept.jobs.get_mut(id)) {
+            job.refill(now);
+        }
+    }
+
+    pub(super) fn mark_durable(&mut self, shard: ShardId, id: &JobId) {
+        if let Some(job) = self.shards.get_mut(&shard).and_then(|kept| kept.jobs.get_mut(id)) {
+            job.durable = true;
+        }
+    }
+}
+
+fn ack(ended: &Ended) -> JobEffect {
+    let msg = RackMsg::AckEnded { vm: ended.vm.clone(), of: ended.of.clone() };
+    JobEffect::SendToRack { shard: ended.rack, msg }
+}
--- /dev/null
+++ b/crates/tasks/src/jobs/job.rs
@@ -0,0 +1,189 @@
+//! What the owner keeps of a job in memory, besides its record.
+
+use {
+    super::{
+        api::{JobCounts, JobStatus},
+        record::{AttemptRecord, JobRecord, TaskLife, TaskResult},
+    },
+    crate::msg::ReservationId,
+    egretlb_types::{DataCentre, NodeId, Ticket, Time},
+    smallvec::SmallVec,
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// A task that waits for room.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiting {
+    pub(super) since: Time,
+    /// Not tried before: it failed a moment ago.
+    pub(super) not_before: Time,
+    /// The round of placement that it is in.
+    pub(super) round: Option<Ticket>,
+}
+
+/// An attempt that may run.
+#[derive(Clone, Debug)]
+pub(super) struct Active {
+    pub(super) attempt: AttemptRecord,
+    pub(super) reservation: Option<ReservationId>,
+    pub(super) journaled: bool,
+    pub(super) running: bool,
+    pub(super) doubt: bool,
+    pub(super) stop: bool,
+    pub(super) leaving: bool,
+    pub(super) since: Time,
+    pub(super) send_at: Time,
+}
+
+/// One job.
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    pub(super) record: JobRecord,
+    pub(super) submitted: Time,
+    /// Whether the submission is acknowledged by the journal.
+    pub(super) durable: bool,
+    pub(super) waiting: BTreeMap<u32, Waiting>,
+    pub(super) active: BTreeMap<u32, Active>,
+    /// Tasks whose end isn't acknowledged by the journal yet.
+    pub(super) settling: BTreeSet<u32>,
+    /// Nodes that had no room for its tasks in this sweep.
+    pub(super) full: SmallVec<[NodeId; 4]>,
+    /// Sweeps over all nodes without room for anything.
+    pub(super) sweeps: u32,
+    /// When the next sweep begins.
+    pub(super) not_before: Time,
+    /// Since when every node says that its tasks can never fit.
+    pub(super) never_since: Option<Time>,
+    /// When lent room was last asked back for it.
+    pub(super) reclaimed_at: Option<Time>,
+    /// Whether its tasks are spread over data centres.
+    pub(super) spread: bool,
+    /// Since when it is over.
+    pub(super) over_since: Option<Time>,
+}
+
+impl Job {
+    /// A job just submitted.
+    pub(super) fn new(now: Time, record: JobRecord) -> Self {
+        let mut job = Job {
+            record,
+            submitted: now,
+            durable: false,
+            waiting: BTreeMap::new(),
+            active: BTreeMap::new(),
+            settling: BTreeSet::new(),
+            full: SmallVec::new(),
+            sweeps: 0,
+            not_before: now,
+            never_since: None,
+            reclaimed_at: None,
+            spread: false,
+            over_since: None,
+        };
+        job.refill(now);
+        job
+    }
+
+    /// A job taken over from an earlier owner. What may run is asked about first, and without a
+    /// reservation, so that asking can't start it.
+    pub(super) fn adopt(now: Time, record: JobRecord) -> Self {
+        let mut job = Job::new(now, record);
+        job.durable = true;
+        for (index, task) in job.record.tasks.iter().enumerate() {
+            if let TaskLife::Attempt(attempt) = &task.life {
+                let mut active = Active::new(now, attempt.clone(), None);
+                active.journaled = true;
+                active.stop = job.record.cancelled;
+                job.active.insert(index as u32, active);
+            }
+        }
+        job
+    }
+
+    /// Puts every queued task that isn't waiting yet into the queue, and takes others out.
+    pub(super) fn refill(&mut self, now: Time) {
+        for (index, task) in self.record.tasks.iter().enumerate() {
+            let index = index as u32;
+            if task.life == TaskLife::Queued {
+                let waiting = Waiting { since: now, not_before: now, round: None };
+                self.waiting.entry(index).or_insert(waiting);
+            } else {
+                self.waiting.remove(&index);
+            }
+        }
+    }
+
+    /// Where its attempts run.
+    pub(super) fn data_centres(&self) -> SmallVec<[DataCentre; 4]> {
+        let mut found = SmallVec::new();
+        for active in self.active.values().filter(|active| !active.stop && !active.leaving) {
+            if !found.contains(&active.attempt.data_centre) {
+                found.push(active.attempt.data_centre.clone());
+            }
+        }
+        found
+    }
+
+    /// Tasks that still have to end.
+    pub(super) fn remaining(&self) -> u32 {
+        (self.waiting.len() + self.active.len()) as u32
+    }
+
+    pub(super) fn status(&self, now: Time) -> JobStatus {
+        let mut counts = JobCounts::default();
+        for (index, task) in self.record.tasks.iter().enumerate() {
+            let index = index as u32;
+            // An end that isn't in the journal yet may be unknown to a successor: it isn't told.
+            if self.settling.contains(&index) {
+                counts.running += 1;
+                continue;
+            }
+            match &task.life {
+                TaskLife::Queued => counts.queued += 1,
+                TaskLife::Attempt(_) => self.count_active(index, &mut counts),
+                TaskLife::Over(TaskResult::Done) => counts.done += 1,
+                TaskLife::Over(TaskResult::Parked) => counts.parked += 1,
+                TaskLife::Over(TaskResult::NeverFits) => counts.never_fits += 1,
+                TaskLife::Over(TaskResult::Cancelled) => counts.cancelled += 1,
+            }
+        }
+        let waits = self.waiting.values().map(|waiting| now.since(waiting.since).as_secs());
+        JobStatus {
+            spec: self.record.spec.clone(),
+            cancelled: self.record.cancelled,
+            over: self.record.is_over() && self.settling.is_empty(),
+            counts,
+            attempts: self.record.tasks.iter().map(|task| u64::from(task.attempts.0)).sum(),
+            waiting_secs: waits.max().unwrap_or(0),
+        }
+    }
+
+    fn count_active(&self, index: u32, counts: &mut JobCounts) {
+        match self.active.get(&index) {
+            Some(active) if active.stop => counts.stopping += 1,
+            Some(active) if active.running => counts.running += 1,
+            Some(active) if active.doubt => counts.in_doubt += 1,
+            _ => counts.starting += 1,
+        }
+    }
+}
+
+impl Active {
+    pub(super) fn new(
+        now: Time,
+        attempt: AttemptRecord,
+        reservation: Option<ReservationId>,
+    ) -> Self {
+        Active {
+            attempt,
+            reservation,
+            journaled: false,
+            running: false,
+            doubt: false,
+            stop: false,
+            leaving: false,
+            since: now,
+            send_at: now,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tasks/src/jobs/mod.rs
@@ -0,0 +1,304 @@
+//! The book of jobs and their tasks, for the job shards that a node owns.
+//!
+//! It knows where each task may run and is the only one to decide that it may run somewhere else.
+//! An attempt is journalled before it is asked for, and no other attempt begins before that one is
+//! known to be over: that one rule is what keeps a task from running in two places.
+
+mod api;
+mod calls;
+mod ends;
+mod job;
+mod queue;
+mod record;
+mod rounds;
+mod services;
+mod starts;
+
+pub use {
+    api::{CallId, JobAlarm, JobCounts, JobEffect, JobEvent, JobRefusal, JobReply, JobStatus},
+    record::{
+        JobEntry, JobSnapshot, JobSpec, TaskRecord, TaskResult, job_shard_of_task, service_job,
+    },
+};
+
+use {
+    crate::{
+        learn::SizeTable,
+        limits::{Limits, Protections},
+        msg::JobMsg,
+    },
+    egretlb_types::{
+        Authority, ClassName, ConfigDocument, Epoch, JobId, NodeId, ShardId, TaskId, Ticket, Time,
+        shard_of_class, worker::TaskFence,
+    },
+    job::Job,
+    queue::NodeInfo,
+    rand::{SeedableRng, rngs::SmallRng},
+    record::{JobRecord, ParkRule, fold},
+    rounds::Round,
+    services::Service,
+    std::{
+        collections::{BTreeMap, BTreeSet, HashMap},
+        sync::Arc,
+    },
+};
+
+/// What waits for a journal entry.
+#[derive(Clone, Debug)]
+enum Pending {
+    /// A submission or cancellation, to be answered.
+    Call { call: CallId, shard: ShardId, reply: JobReply, since: Time },
+    /// An attempt, to be started.
+    Start { shard: ShardId, of: TaskFence },
+    /// An end, to be acknowledged.
+    End { shard: ShardId, ended: Box<crate::msg::Ended> },
+}
+
+/// One shard, owned or being replayed.
+#[derive(Debug, Default)]
+struct Shard {
+    /// `None` while the shard is being replayed.
+    epoch: Option<Epoch>,
+    /// What was replayed, until the shard is owned.
+    replayed: BTreeMap<JobId, JobRecord>,
+    jobs: BTreeMap<JobId, Job>,
+    /// Jobs that have tasks to place, to start or to stop.
+    open: BTreeSet<JobId>,
+    rounds: BTreeMap<Ticket, Round>,
+}
+
+/// Builds a [`JobBook`].
+#[derive(Debug, Default)]
+pub struct JobBookBuilder {
+    limits: Limits,
+    protections: Protections,
+    seed: u64,
+}
+
+impl JobBookBuilder {
+    /// Other limits than the default ones.
+    pub fn limits(mut self, limits: Limits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Switches protections off, in tests.
+    pub fn protections(mut self, protections: Protections) -> Self {
+        self.protections = protections;
+        self
+    }
+
+    /// The seed of the book's random choices.
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// The book, without any shards.
+    pub fn build(self) -> JobBook {
+        JobBook {
+            limits: self.limits,
+            protections: self.protections,
+            rng: SmallRng::seed_from_u64(self.seed),
+            document: None,
+            nodes: BTreeMap::new(),
+            shards: BTreeMap::new(),
+            pending: HashMap::new(),
+            next_ticket: Ticket(0),
+            services: BTreeMap::new(),
+            run_times: SizeTable::default(),
+        }
+    }
+}
+
+/// The book of jobs. See the [module](self).
+#[derive(Debug)]
+pub struct JobBook {
+    limits: Limits,
+    protections: Protections,
+    rng: SmallRng,
+    document: Option<Arc<ConfigDocument>>,
+    nodes: BTreeMap<NodeId, NodeInfo>,
+    shards: BTreeMap<ShardId, Shard>,
+    pending: HashMap<Ticket, Pending>,
+    next_ticket: Ticket,
+    services: BTreeMap<ClassName, Service>,
+    /// Run times learned from ends, by class.
+    run_times: SizeTable,
+}
+
+impl JobBook {
+    /// A builder.
+    pub fn builder() -> JobBookBuilder {
+        JobBookBuilder::default()
+    }
+
+    /// Takes in one event and puts what is to be done into `out`.
+    pub fn step(
+        &mut self,
+        now: Time,
+        event: JobEvent,
+        auth: &dyn Authority,
+        out: &mut Vec<JobEffect>,
+    ) {
+        match event {
+            JobEvent::Owned { shard, epoch } => self.own(now, shard, epoch),
+            JobEvent::Lost { shard } => self.lose(shard, out),
+            JobEvent::Config { document } => self.document = Some(document),
+            JobEvent::Tick => self.tick(now, auth, out),
+            JobEvent::Nodes { nodes } => self.take_nodes(nodes),
+            JobEvent::Submit { call, spec } => self.submit(now, call, spec, auth, out),
+            JobEvent::Cancel { call, job } => self.cancel(now, call, job, auth, out),
+            JobEvent::Status { call, job } => self.status(now, call, job, out),
+            JobEvent::Journaled { ticket } => self.journaled(now, ticket, auth, out),
+            JobEvent::Message { from, msg } => self.on_message(now, from, msg, auth, out),
+            JobEvent::Load { from, class, load } => self.on_load(now, from, class, load),
+        }
+    }
+
+    /// Folds an entry of a predecessor's journal into a shard that isn't owned yet.
+    pub fn replay(&mut self, shard: ShardId, entry: &JobEntry) {
+        let park = self.park_rule();
+        fold(&mut self.shards.entry(shard).or_default().replayed, entry, park);
+    }
+
+    /// Takes over a shard's snapshot; entries that follow it are replayed on top.
+    pub fn restore(&mut self, shard: ShardId, snapshot: JobSnapshot) {
+        let kept = self.shards.entry(shard).or_default();
+        let jobs = snapshot.jobs.into_iter();
+        kept.replayed = jobs.map(|record| (record.spec.job.clone(), record)).collect();
+    }
+
+    /// Everything that lasts of a shard, owned or replayed.
+    pub fn snapshot(&self, shard: ShardId) -> JobSnapshot {
+        let Some(kept) = self.shards.get(&shard) else { return JobSnapshot::default() };
+        let owned = kept.jobs.values().map(|job| job.record.clone());
+        JobSnapshot { jobs: owned.chain(kept.replayed.values().cloned()).collect() }
+    }
+
+    fn park_rule(&self) -> ParkRule {
+        ParkRule { vms: self.limits.parked_after_vms, fails: self.limits.parked_after_fails }
+    }
+
+    fn own(&mut self, now: Time, shard: ShardId, epoch: Epoch) {
+        let kept = self.shards.entry(shard).or_default();
+        kept.epoch = Some(epoch);
+        for (id, record) in std::mem::take(&mut kept.replayed) {
+            let job = Job::adopt(now, record);
+            kept.open.insert(id.clone());
+            kept.jobs.insert(id, job);
+        }
+    }
+
+    /// The shard's successor decides from now on. Callers who still wait are told to ask again:
+    /// the entry may or may not be in the journal that the successor reads.
+    fn lose(&mut self, shard: ShardId, out: &mut Vec<JobEffect>) {
+        self.shards.remove(&shard);
+        self.services.retain(|class, _| shard_of_class(class) != shard);
+        self.pending.retain(|_, pending| match pending {
+            Pending::Call { call, shard: of, .. } if *of == shard => {
+                out.push(calls::ask_again(*call));
+                false
+            }
+            Pending::Call { .. } => true,
+            Pending::Start { shard: of, .. } | Pending::End { shard: of, .. } => *of != shard,
+        });
+    }
+
+    /// The epoch of a shard for which unsafe steps are allowed now.
+    fn held(&self, now: Time, shard: ShardId, auth: &dyn Authority) -> Option<Epoch> {
+        let epoch = self.shards.get(&shard)?.epoch?;
+        let held = !self.protections.authority || auth.epoch_if_held(now, shard) == Some(epoch);
+        held.then_some(epoch)
+    }
+
+    /// Applies an entry and journals it.
+    fn journal(&mut self, shard: ShardId, entry: JobEntry, out: &mut Vec<JobEffect>) -> Ticket {
+        let park = self.park_rule();
+        self.next_ticket = self.next_ticket.next();
+        if let Some(kept) = self.shards.get_mut(&shard)
+            && let Some(job) = kept.jobs.get_mut(entry.job())
+        {
+            record::fold_record(&mut job.record, &entry, park);
+        }
+        out.push(JobEffect::Journal { shard, entry, ticket: self.next_ticket });
+        self.next_ticket
+    }
+
+    fn tick(&mut self, now: Time, auth: &dyn Authority, out: &mut Vec<JobEffect>) {
+        self.give_up_calls(now, out);
+        self.ask_rooms(now, out);
+        let shards: Vec<ShardId> = self.shards.keys().copied().collect();
+        self.plan_services(now, auth, out);
+        for shard in shards {
+            if self.held(now, shard, auth).is_some() {
+                self.expire_rounds(now, shard);
+                self.resend(now, shard, out);
+                self.plan(now, shard, out);
+                self.close_jobs(now, shard, out);
+            }
+        }
+    }
+
+    fn journaled(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        auth: &dyn Authority,
+        out: &mut Vec<JobEffect>,
+    ) {
+        match self.pending.remove(&ticket) {
+            Some(Pending::Call { call, shard, reply, .. }) => {
+                // Only an append acknowledged under authority is certain to be read by a successor.
+                let held = self.held(now, shard, auth).is_some();
+                if let JobReply::Accepted { job } = &reply {
+                    self.mark_durable(shard, job);
+                }
+                let reply =
+                    if held { JobEffect::Reply { call, reply } } else { calls::ask_again(call) };
+                out.push(reply);
+            }
+            Some(Pending::Start { shard, of }) => self.start_journaled(now, shard, &of, auth, out),
+            Some(Pending::End { shard, ended }) => {
+                self.end_journaled(now, shard, *ended, auth, out)
+            }
+            None => {}
+        }
+    }
+
+    fn on_message(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        msg: JobMsg,
+        auth: &dyn Authority,
+        out: &mut Vec<JobEffect>,
+    ) {
+        match msg {
+            JobMsg::Placed(placed) => self.on_placed(now, from, placed, auth, out),
+            JobMsg::Started { vm, rack, of } => self.on_started(now, vm, rack, of, auth, out),
+            JobMsg::InDoubt { of } => {
+                if let Some(active) = self.active_mut(&of) {
+                    active.doubt = true;
+                }
+            }
+            JobMsg::Ended(ended) => self.on_ended(now, ended, auth, out),
+            JobMsg::Leaving { of } => {
+                if let Some(active) = self.active_mut(&of) {
+                    active.leaving = true;
+                }
+            }
+        }
+    }
+
+    fn job_mut(&mut self, task: &TaskId) -> Option<&mut Job> {
+        let shard = job_shard_of_task(task);
+        self.shards.get_mut(&shard)?.jobs.get_mut(&task.job)
+    }
+
+    /// The attempt, if it is the one that may run now.
+    fn active_mut(&mut self, of: &TaskFence) -> Option<&mut job::Active> {
+        let job = self.job_mut(&of.task)?;
+        job.active.get_mut(&of.task.index).filter(|active| active.attempt.fence == of.fence)
+    }
+}
--- /dev/null
+++ b/crates/tasks/src/jobs/queue.rs
@@ -0,0 +1,290 @@
+//! Who is placed next, and which node is asked.
+//!
+//! Services go first, then urgent work, then batch work that is at risk of missing its target,
+//! then other work within its team's quota, then work on lent quota. Within a rank the job that
+//! lags most behind its target goes first.
+
+use {
+    super::{JobBook, job::Job, rounds::Round},
+    crate::msg::{NodeMsg, NodeRoom, Place, Want},
+    egretlb_types::{ClassKind, JobId, NodeId, Resources, ShardId, TaskId, TeamName, Ticket, Time},
+    rand::Rng,
+    std::{cmp::Reverse, collections::BTreeMap, time::Duration},
+};
+
+/// Tasks of one job asked of one node in one round: enough to use a round trip, few enough that a
+/// large job spreads over the nodes.
+const CHUNK: usize = 8;
+
+/// How often the room of a node that isn't asked otherwise is asked for.
+const ROOM_EVERY: Duration = Duration::from_secs(20);
+
+/// How often lent room is taken back for one job: a checkpoint and a stop take some seconds, and
+/// asking sooner would evict a second time for the same task.
+const RECLAIM_EVERY: Duration = Duration::from_secs(10);
+
+/// Before so much of a job's time has passed, in hundredths, it isn't at risk for lagging: it
+/// hasn't had its turn yet.
+const SETTLE_PERCENT: u32 = 25;
+
+/// What is known of a node.
+#[derive(Clone, Debug, Default)]
+pub(super) struct NodeInfo {
+    pub(super) room: Option<NodeRoom>,
+    pub(super) usage: BTreeMap<TeamName, Resources>,
+    pub(super) asked: Option<Time>,
+}
+
+/// How early a job is placed.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Rank {
+    Service,
+    Urgent,
+    AtRisk,
+    InQuota,
+    Lent,
+}
+
+impl JobBook {
+    pub(super) fn take_nodes(&mut self, nodes: Vec<NodeId>) {
+        self.nodes.retain(|node, _| nodes.contains(node));
+        for node in nodes {
+            self.nodes.entry(node).or_default();
+        }
+    }
+
+    /// Asks nodes for their room, so that a task that fits nowhere is refused at submission.
+    pub(super) fn ask_rooms(&mut self, now: Time, out: &mut Vec<super::JobEffect>) {
+        let Some(shard) = self.shards.iter().find(|(_, kept)| kept.epoch.is_some()) else { return };
+        let shard = *shard.0;
+        let resend = self.limits.resend;
+        for (id, node) in &mut self.nodes {
+            let every = if node.room.is_some() { ROOM_EVERY } else { resend };
+            if node.asked.is_some_and(|asked| now.since(asked) < every) {
+                continue;
+            }
+            node.asked = Some(now);
+            let msg = NodeMsg::Place(Place { shard, round: Ticket(0), wants: Vec::new() });
+            out.push(super::JobEffect::SendToNode { node: *id, msg });
+        }
+    }
+
+    /// Sends the next tasks of a shard to nodes that may have room.
+    pub(super) fn plan(&mut self, now: Time, shard: ShardId, out: &mut Vec<super::JobEffect>) {
+        let Some(kept) = self.shards.get(&shard) else { return };
+        let in_rounds: usize = kept.rounds.values().map(|round| round.tasks.len()).sum();
+        let mut budget = self.limits.place_at_once.saturating_sub(in_rounds);
+        let mut order: Vec<(Rank, Reverse<u64>, JobId)> = Vec::new();
+        for id in &kept.open {
+            let Some(job) = kept.jobs.get(id) else { continue };
+            if !job.waiting.is_empty() && now >= job.not_before {
+                order.push((self.rank_of(now, job), Reverse(self.lag(now, job)), id.clone()));
+            }
+        }
+        order.sort();
+        let mut batches: BTreeMap<NodeId, Vec<Want>> = BTreeMap::new();
+        for (rank, _, id) in order {
+            if budget == 0 {
+                break;
+            }
+            budget -= self.plan_job(now, shard, &id, rank, budget, &mut batches);
+        }
+        for (node, wants) in batches {
+            self.ask_node(now, shard, node, wants, out);
+        }
+    }
+
+    /// Puts some tasks of a job into the batches of nodes. Returns how many.
+    fn plan_job(
+        &mut self,
+        now: Time,
+        shard: ShardId,
+        id: &JobId,
+        rank: Rank,
+        budget: usize,
+        batches: &mut BTreeMap<NodeId, Vec<Want>>,
+    ) -> usize {
+        let Some(job) = self.shards.get(&shard).and_then(|kept| kept.jobs.get(id)) else {
+            return 0;
+        };
+        let missing = if job.record.service { self.missing_replicas(job) } else { usize::MAX };
+        let free = job.waiting.iter().filter(|(_, w)| w.round.is_none() && now >= w.not_before);
+        let tasks: Vec<u32> = free.map(|(index, _)| *index).take(budget.min(missing)).collect();
+        let may_reclaim = rank <= Rank::AtRisk
+            && job.sweeps > 0
+            && job.reclaimed_at.is_none_or(|at| now.since(at) >= RECLAIM_EVERY);
+        let mut planned = 0;
+        for chunk in tasks.chunks(CHUNK) {
+            let Some(node) = self.choose_node(shard, id) else {
+                self.end_sweep(now, shard, id, rank);
+                break;
+            };
+            let reclaim = may_reclaim && planned == 0;
+            let Some(job) = self.shards.get_mut(&shard).and_then(|kept| kept.jobs.get_mut(id))
+            else {
+                break;
+            };
+            if reclaim {
+                job.reclaimed_at = Some(now);
+            }
+            let wants = chunk.iter().map(|index| want(job, *index, rank, reclaim));
+            batches.entry(node).or_default().extend(wants);
+            planned += chunk.len();
+        }
+        planned
+    }
+
+    fn ask_node(
+        &mut self,
+        now: Time,
+        shard: ShardId,
+        node: NodeId,
+        wants: Vec<Want>,
+        out: &mut Vec<super::JobEffect>,
+    ) {
+        self.next_ticket = self.next_ticket.next();
+        let round = self.next_ticket;
+        let tasks: Vec<TaskId> = wants.iter().map(|want| want.task.clone()).collect();
+        for task in &tasks {
+            if let Some(job) = self.job_mut(task)
+                && let Some(waiting) = job.waiting.get_mut(&task.index)
+            {
+                waiting.round = Some(round);
+            }
+        }
+        if let Some(kept) = self.shards.get_mut(&shard) {
+            kept.rounds.insert(round, Round { node, sent: now, tasks });
+        }
+        if let Some(info) = self.nodes.get_mut(&node) {
+            info.asked = Some(now);
+        }
+        let msg = NodeMsg::Place(Place { shard, round, wants });
+        out.push(super::JobEffect::SendToNode { node, msg });
+    }
+
+    /// The roomier of two nodes drawn at random among those not yet asked in this sweep. Always
+    /// taking the roomiest would send all owners' tasks to one node until its room is told anew.
+    fn choose_node(&mut self, shard: ShardId, id: &JobId) -> Option<NodeId> {
+        let job = self.shards.get(&shard)?.jobs.get(id)?;
+        let resources = &job.record.resources;
+        let may = |(node, info): &(&NodeId, &NodeInfo)| {
+            !job.full.contains(node)
+                && info.room.as_ref().is_none_or(|room| room.could_hold(resources))
+        };
+        let nodes: Vec<(&NodeId, &NodeInfo)> = self.nodes.iter().filter(may).collect();
+        if nodes.is_empty() {
+            return None;
+        }
+        let first = nodes[self.rng.random_range(0..nodes.len())];
+        let second = nodes[self.rng.random_range(0..nodes.len())];
+        let free = |info: &NodeInfo| info.room.as_ref().map_or(u32::MAX, |room| room.free.cpu.0);
+        Some(if free(second.1) > free(first.1) { *second.0 } else { *first.0 })
+    }
+
+    /// All nodes were asked: the job waits a little, so that a full cluster isn't asked ten times
+    /// a second by every owner.
+    fn end_sweep(&mut self, now: Time, shard: ShardId, id: &JobId, rank: Rank) {
+        let backoff = match rank {
+            Rank::Service | Rank::Urgent => self.limits.urgent_backoff,
+            _ => self.limits.place_backoff,
+        };
+        let Some(job) = self.shards.get(&shard).and_then(|kept| kept.jobs.get(id)) else { return };
+        let never = self.fits_nowhere(&job.record.resources);
+        let Some(job) = self.shards.get_mut(&shard).and_then(|kept| kept.jobs.get_mut(id)) else {
+            return;
+        };
+        job.never_since = if never { job.never_since.or(Some(now)) } else { None };
+        job.full.clear();
+        job.sweeps = job.sweeps.saturating_add(1);
+        job.not_before = now + backoff;
+    }
+
+    pub(super) fn rank_of(&self, now: Time, job: &Job) -> Rank {
+        if job.record.service {
+            return Rank::Service;
+        }
+        if !self.within_quota(job) {
+            return Rank::Lent;
+        }
+        match self.batch_target(job) {
+            Some(target) if target.urgent => Rank::Urgent,
+            Some(target) if self.is_at_risk(now, job, &target) => Rank::AtRisk,
+            _ => Rank::InQuota,
+        }
+    }
+
+    /// Whether the job's team may hold one more of its tasks, by what the nodes last told.
+    fn within_quota(&self, job: &Job) -> bool {
+        let Some(team) = &job.record.team else { return true };
+        let Some(spec) = self.document.as_ref().and_then(|document| document.team(team)) else {
+            return true;
+        };
+        let held = |sum: Resources, node: &NodeInfo| match node.usage.get(team) {
+            Some(held) => sum.plus(held),
+            None => sum,
+        };
+        let held = self.nodes.values().fold(Resources::default(), held);
+        held.plus(&job.record.resources).fits(&spec.quota)
+    }
+
+    fn batch_target(&self, job: &Job) -> Option<BatchTarget> {
+        let class = self.document.as_ref()?.class(&job.record.spec.class)?;
+        let ClassKind::Batch { amount, period, urgent, .. } = class.kind else { return None };
+        // A job larger than the class's amount has as many periods as it needs.
+        let periods = job.record.spec.tasks.div_ceil(amount.max(1)).max(1);
+        Some(BatchTarget { time: period * periods, urgent })
+    }
+
+    /// How many tasks must run at once from now on to be done in time, in thousandths, for each
+    /// one that runs now.
+    fn lag(&self, now: Time, job: &Job) -> u64 {
+        let Some(target) = self.batch_target(job) else { return 0 };
+        self.needed(now, job, &target) / (job.active.len() as u64).max(1)
+    }
+
+    fn needed(&self, now: Time, job: &Job, target: &BatchTarget) -> u64 {
+        let run_time = self.run_time(job);
+        let left = target.time.saturating_sub(now.since(job.submitted)).max(run_time);
+        let work = run_time.as_millis() as u64 * u64::from(job.remaining());
+        work * 1_000 / (left.as_millis() as u64).max(1)
+    }
+
+    fn run_time(&self, job: &Job) -> Duration {
+        let learned = self.run_times.run_time(&job.record.spec.class);
+        learned.unwrap_or(job.record.run_time).max(Duration::from_millis(1))
+    }
+
+    fn is_at_risk(&self, now: Time, job: &Job, target: &BatchTarget) -> bool {
+        let passed = now.since(job.submitted);
+        let settled = passed * 100 >= target.time * SETTLE_PERCENT;
+        let late = target.time.saturating_sub(passed) < self.run_time(job) * 2;
+        let lags = self.needed(now, job, target) > job.active.len() as u64 * 1_000;
+        late || (settled && lags)
+    }
+}
+
+/// When a job has to be done, counted from its submission.
+struct BatchTarget {
+    time: Duration,
+    urgent: bool,
+}
+
+fn want(job: &Job, index: u32, rank: Rank, reclaim: bool) -> Want {
+    let record = &job.record;
+    let task = &record.tasks[index as usize];
+    let spread = if job.spread { job.data_centres() } else { Default::default() };
+    Want {
+        task: TaskId { job: record.spec.job.clone(), index },
+        attempt: task.attempts.next(),
+        class: record.spec.class.clone(),
+        team: record.team.clone(),
+        resources: record.resources,
+        // A task that failed may have been held to too little.
+        learned_size: record.learned_size && task.fails == 0,
+        service: record.service,
+        lent: rank == Rank::Lent,
+        reclaim,
+        avoid: task.failed_on.clone(),
+        avoid_data_centres: spread,
+    }
+}
--- /dev/null
+++ b/crates/tasks/src/jobs/rounds.rs
@@ -0,0 +1,90 @@
+//! Questions for room in progress, and their answers.
+
+use {
+    super::{JobBook, JobEffect, queue::NodeInfo},
+    crate::msg::{Grant, Placed},
+    egretlb_types::{Authority, NodeId, ShardId, TaskId, Ticket, Time},
+};
+
+/// One question to one node.
+#[derive(Clone, Debug)]
+pub(super) struct Round {
+    pub(super) node: NodeId,
+    pub(super) sent: Time,
+    pub(super) tasks: Vec<TaskId>,
+}
+
+impl JobBook {
+    pub(super) fn on_placed(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        placed: Placed,
+        auth: &dyn Authority,
+        out: &mut Vec<JobEffect>,
+    ) {
+        self.note_node(from, &placed);
+        let has_round = |kept: &super::Shard| kept.rounds.contains_key(&placed.round);
+        let Some(shard) = self.shards.iter().find(|(_, kept)| has_round(kept)) else { return };
+        let shard = *shard.0;
+        // Without authority nothing is started; the round expires and the room lapses.
+        if self.held(now, shard, auth).is_none() {
+            return;
+        }
+        self.end_round(shard, placed.round, &placed.refused);
+        for grant in placed.granted {
+            self.start(now, shard, grant, auth, out);
+        }
+    }
+
+    fn note_node(&mut self, from: NodeId, placed: &Placed) {
+        let Some(node) = self.nodes.get_mut(&from) else { return };
+        let NodeInfo { room, usage, .. } = node;
+        *room = Some(placed.room.clone());
+        for of_team in &placed.usage {
+            usage.insert(of_team.team.clone(), of_team.held);
+        }
+    }
+
+    /// Takes a round's tasks out of it. The node isn't asked again in this sweep for jobs of
+    /// which it refused a task.
+    fn end_round(&mut self, shard: ShardId, round: Ticket, refused: &[TaskId]) {
+        let Some(kept) = self.shards.get_mut(&shard) else { return };
+        let Some(Round { node, tasks, .. }) = kept.rounds.remove(&round) else { return };
+        for task in &tasks {
+            let Some(job) = kept.jobs.get_mut(&task.job) else { continue };
+            if let Some(waiting) = job.waiting.get_mut(&task.index)
+                && waiting.round == Some(round)
+            {
+                waiting.round = None;
+            }
+            if refused.contains(task) && !job.full.contains(&node) {
+                job.full.push(node);
+            }
+        }
+    }
+
+    /// A node that doesn't answer counts as full: its answer may come, and is then too late, so
+    /// that a task is never granted room twice in one attempt.
+    pub(super) fn expire_rounds(&mut self, now: Time, shard: ShardId) {
+        let timeout = self.limits.place_timeout;
+        let Some(kept) = self.shards.get(&shard) else { return };
+        let late = kept.rounds.iter().filter(|(_, round)| now.since(round.sent) >= timeout);
+        let late: Vec<(Ticket, Vec<TaskId>)> =
+            late.map(|(ticket, round)| (*ticket, round.tasks.clone())).collect();
+        for (round, tasks) in late {
+            self.end_round(shard, round, &tasks);
+        }
+    }
+
+    /// Whether the grant is for the attempt that the task would begin next.
+    pub(super) fn is_wanted(&self, shard: ShardId, grant: &Grant) -> bool {
+        let Some(job) = self.shards.get(&shard).and_then(|kept| kept.jobs.get(&grant.task.job))
+        else {
+            return false;
+        };
+        let waits = job.waiting.contains_key(&grant.task.index);
+        let task = job.record.tasks.get(grant.task.index as usize);
+        waits && task.is_some_and(|task| task.attempts.next() == grant.attempt)
+    }
+}
--- /dev/null
+++ b/crates/tasks/src/jobs/services.rs
@@ -0,0 +1,300 @@
+//! How many replicas a service runs.
+//!
+//! The number follows what entries measure: requests late or refused, and requests open at once.
+//! It grows at once when the target is missed and shrinks slowly, one replica at a time: a replica
+//! too few is felt by callers, one too many only takes room from batch work.
+
+use {
+    super::{
+        JobAlarm, JobBook, JobEffect, JobEntry, JobSpec,
+        job::Job,
+        record::{JobRecord, service_job},
+    },
+    crate::msg::NodeMsg,
+    egretlb_types::{
+        Authority, ClassKind, ClassLoad, ClassName, ClassSpec, JobId, NodeId, Resources, ShardId,
+        Time, shard_of_class,
+    },
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// How often replicas are counted.
+const PLAN_EVERY: Duration = Duration::from_secs(1);
+
+/// How long an entry's measurement counts.
+const LOAD_LIFE: Duration = Duration::from_secs(15);
+
+/// How long after a growth the next one waits: until the new replicas' effect is measured.
+const GROW_EVERY: Duration = Duration::from_secs(10);
+
+/// How long a service must have needed fewer replicas before it gets one fewer.
+const SHRINK_AFTER: Duration = Duration::from_secs(300);
+
+/// Requests that one replica works on at once, assumed before its backend server's slots are
+/// known here: the smallest of today's sizes.
+const SLOTS: u64 = 8;
+
+/// The share of its slots that a replica is planned to have in use, in thousandths. Above it,
+/// waiting times grow steeply; the rest absorbs bursts until a new replica runs.
+const FULL_PERMILLE: u64 = 600;
+
+/// Below this share, in thousandths, one replica fewer is enough. Far below the other, so that
+/// the number doesn't swing.
+const IDLE_PERMILLE: u64 = 300;
+
+/// The most replicas of one class.
+const REPLICAS_MAX: u32 = 512;
+
+/// One service class whose shard is owned.
+#[derive(Debug, Default)]
+pub(super) struct Service {
+    loads: BTreeMap<NodeId, (Time, ClassLoad)>,
+    pub(super) wanted: u32,
+    planned_at: Option<Time>,
+    grown_at: Option<Time>,
+    idle_since: Option<Time>,
+    missing: bool,
+    short_since: Option<Time>,
+}
+
+/// What a service's entries measured, summed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Measured {
+    answered: u64,
+    bad: u64,
+    open_permille: u64,
+}
+
+impl Service {
+    fn measured(&mut self, now: Time) -> Measured {
+        self.loads.retain(|_, (at, _)| now.since(*at) < LOAD_LIFE);
+        let mut sum = Measured::default();
+        for (_, load) in self.loads.values() {
+            sum.answered += u64::from(load.within_target);
+            sum.bad += u64::from(load.late) + u64::from(load.refused);
+            sum.open_permille += u64::from(load.open_permille);
+        }
+        sum
+    }
+
+    /// Decides how many replicas are wanted.
+    fn decide(&mut self, now: Time, permille: u64, least: u32, running: u32) {
+        let sum = self.measured(now);
+        let total = sum.answered + sum.bad;
+        self.missing = total > 0 && sum.bad * 1_000 > total * 1_000_u64.saturating_sub(permille);
+        // Open requests are in thousandths, and so is the share.
+        let per_replica = SLOTS * FULL_PERMILLE;
+        let for_load = u32::try_from(sum.open_permille.div_ceil(per_replica)).unwrap_or(u32::MAX);
+        let mut target = for_load.max(least);
+        if self.missing {
+            target = target.max(running + (running / 4).max(1));
+        }
+        target = target.min(REPLICAS_MAX);
+        let may_grow = self.grown_at.is_none_or(|at| now.since(at) >= GROW_EVERY);
+        if target > self.wanted && may_grow {
+            self.wanted = target;
+            self.grown_at = Some(now);
+        }
+        self.shrink(now, &sum, least);
+    }
+
+    fn shrink(&mut self, now: Time, sum: &Measured, least: u32) {
+        let room = u64::from(self.wanted) * SLOTS * IDLE_PERMILLE;
+        let idle = !self.missing && !self.loads.is_empty() && sum.open_permille < room;
+        if !idle || self.wanted <= least {
+            self.idle_since = None;
+            return;
+        }
+        let since = *self.idle_since.get_or_insert(now);
+        if now.since(since) >= SHRINK_AFTER {
+            self.wanted -= 1;
+            self.idle_since = Some(now);
+        }
+    }
+}
+
+impl JobBook {
+    pub(super) fn on_load(&mut self, now: Time, from: NodeId, class: ClassName, load: ClassLoad) {
+        if let Some(service) = self.services.get_mut(&class) {
+            service.loads.insert(from, (now, load));
+        }
+    }
+
+    pub(super) fn plan_services(
+        &mut self,
+        now: Time,
+        auth: &dyn Authority,
+        out: &mut Vec<JobEffect>,
+    ) {
+        let Some(document) = self.document.clone() else { return };
+        for class in &document.classes {
+            let shard = shard_of_class(&class.name);
+            let is_service = matches!(class.kind, ClassKind::Latency { .. });
+            if is_service && self.held(now, shard, auth).is_some() {
+                self.plan_service(now, shard, class, out);
+            }
+        }
+        let gone = |name: &&ClassName| document.class(name).is_none();
+        let gone: Vec<ClassName> = self.services.keys().filter(gone).cloned().collect();
+        for class in gone {
+            self.retire_service(now, &class);
+        }
+    }
+
+    fn plan_service(
+        &mut self,
+        now: Time,
+        shard: ShardId,
+        class: &ClassSpec,
+        out: &mut Vec<JobEffect>,
+    ) {
+        let ClassKind::Latency { permille, replica, spread, .. } = class.kind else { return };
+        let Some(id) = service_job(&class.name) else {
+            if !self.services.contains_key(&class.name) {
+                self.services.insert(class.name.clone(), Service::default());
+                let class = class.name.clone();
+                out.push(JobEffect::Alarm(JobAlarm::ServiceNameTooLong { class }));
+            }
+            return;
+        };
+        let service = self.services.entry(class.name.clone()).or_default();
+        if service.planned_at.is_some_and(|at| now.since(at) < PLAN_EVERY) {
+            return;
+        }
+        service.planned_at = Some(now);
+        self.make_service_job(now, shard, &id, class, replica, out);
+        let running = self.replicas(shard, &id);
+        let least = if spread { 2 } else { 1 };
+        let Some(service) = self.services.get_mut(&class.name) else { return };
+        // A new owner starts from what runs: the load that asked for it will be told again.
+        service.wanted = service.wanted.max(if service.grown_at.is_none() { running } else { 0 });
+        service.decide(now, u64::from(permille), least, running);
+        let (wanted, missing) = (service.wanted, service.missing);
+        self.resize(now, shard, &id, wanted, spread, out);
+        self.tell_pressure(&class.name, missing, out);
+        self.note_short(now, &class.name, running, out);
+    }
+
+    fn make_service_job(
+        &mut self,
+        now: Time,
+        shard: ShardId,
+        id: &JobId,
+        class: &ClassSpec,
+        replica: Resources,
+        out: &mut Vec<JobEffect>,
+    ) {
+        let Some(kept) = self.shards.get_mut(&shard) else { return };
+        if kept.jobs.contains_key(id) {
+            return;
+        }
+        let spec = JobSpec {
+            job: id.clone(),
+            class: class.name.clone(),
+            tasks: 0,
+            command: class.name.as_str().into(),
+            resources: None,
+        };
+        let record = JobRecord {
+            spec,
+            resources: replica,
+            learned_size: true,
+            team: Some(class.team.clone()),
+            run_time: Duration::ZERO,
+            service: true,
+            cancelled: false,
+            tasks: Vec::new(),
+        };
+        kept.jobs.insert(id.clone(), Job::new(now, record.clone()));
+        kept.open.insert(id.clone());
+        self.journal(shard, JobEntry::Submitted { record: Box::new(record) }, out);
+    }
+
+    /// Replicas that run or start and aren't going away.
+    fn replicas(&self, shard: ShardId, id: &JobId) -> u32 {
+        let job = self.shards.get(&shard).and_then(|kept| kept.jobs.get(id));
+        let stays = |active: &&super::job::Active| !active.stop && !active.leaving;
+        job.map_or(0, |job| job.active.values().filter(stays).count() as u32)
+    }
+
+    fn resize(
+        &mut self,
+        now: Time,
+        shard: ShardId,
+        id: &JobId,
+        wanted: u32,
+        spread: bool,
+        out: &mut Vec<JobEffect>,
+    ) {
+        let has = self.replicas(shard, id);
+        let Some(job) = self.shards.get_mut(&shard).and_then(|kept| kept.jobs.get_mut(id)) else {
+            return;
+        };
+        job.spread = spread;
+        let surplus = has.saturating_sub(wanted) as usize;
+        let stays = job.active.values_mut().filter(|a| !a.stop && !a.leaving);
+        for active in stays.rev().take(surplus) {
+            active.stop = true;
+            active.send_at = now;
+        }
+        let free = job.waiting.len() as u32;
+        let missing = wanted.saturating_sub(has);
+        if free < missing {
+            let tasks = job.record.tasks.len() as u32 + missing - free;
+            self.journal(shard, JobEntry::Grown { job: id.clone(), tasks }, out);
+            if let Some(job) = self.shards.get_mut(&shard).and_then(|kept| kept.jobs.get_mut(id)) {
+                job.refill(now);
+            }
+        }
+    }
+
+    /// How many more replicas may be asked for now.
+    pub(super) fn missing_replicas(&self, job: &Job) -> usize {
+        let class = &job.record.spec.class;
+        let wanted = self.services.get(class).map_or(0, |service| service.wanted) as usize;
+        let stays = job.active.values().filter(|a| !a.stop && !a.leaving).count();
+        let asked = job.waiting.values().filter(|waiting| waiting.round.is_some()).count();
+        wanted.saturating_sub(stays + asked)
+    }
+
+    fn tell_pressure(&mut self, class: &ClassName, missing: bool, out: &mut Vec<JobEffect>) {
+        let Some(service) = self.services.get_mut(class) else { return };
+        if !missing {
+            return;
+        }
+        service.idle_since = None;
+        for node in self.nodes.keys() {
+            let msg = NodeMsg::Pressure { class: class.clone(), missing };
+            out.push(JobEffect::SendToNode { node: *node, msg });
+        }
+    }
+
+    fn note_short(&mut self, now: Time, class: &ClassName, has: u32, out: &mut Vec<JobEffect>) {
+        let Some(service) = self.services.get_mut(class) else { return };
+        if has >= service.wanted {
+            service.short_since = None;
+            return;
+        }
+        let since = *service.short_since.get_or_insert(now);
+        if now.since(since) >= GROW_EVERY * 3 {
+            service.short_since = Some(now);
+            let needs = service.wanted;
+            let alarm = JobAlarm::ServiceShort { class: class.clone(), has, needs };
+            out.push(JobEffect::Alarm(alarm));
+        }
+    }
+
+    /// A class that the configuration no longer has: its replicas are stopped.
+    fn retire_service(&mut self, now: Time, class: &ClassName) {
+        self.services.remove(class);
+        let shard = shard_of_class(class);
+        let Some(id) = service_job(class) else { return };
+        let Some(job) = self.shards.get_mut(&shard).and_then(|kept| kept.jobs.get_mut(&id)) else {
+            return;
+        };
+        for active in job.active.values_mut() {
+            active.stop = true;
+            active.send_at = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/tasks/src/jobs/starts.rs
@@ -0,0 +1,167 @@
+//! Starting attempts, and asking about them until their fate is known.
+
+use {
+    super::{
+        JobBook, JobEffect, JobEntry, Pending,
+        job::{Active, Job},
+        record::AttemptRecord,
+    },
+    crate::msg::{Grant, RackMsg, Start, Stop},
+    egretlb_types::{Authority, Fence, ShardId, TaskId, Time, VmId, worker::TaskFence},
+};
+
+impl JobBook {
+    /// Journals an attempt for which room was found. It is asked for once that is acknowledged:
+    /// an attempt that runs and that a successor can't read of would be started a second time.
+    pub(super) fn start(
+        &mut self,
+        now: Time,
+        shard: ShardId,
+        grant: Grant,
+        auth: &dyn Authority,
+        out: &mut Vec<JobEffect>,
+    ) {
+        if !self.is_wanted(shard, &grant) {
+            return;
+        }
+        let Some(epoch) = self.held(now, shard, auth) else { return };
+        let lent = self.is_lent(now, &grant.task);
+        let attempt = AttemptRecord {
+            fence: Fence { epoch, attempt: grant.attempt },
+            vm: grant.vm,
+            rack: grant.rack,
+            data_centre: grant.data_centre,
+            resources: grant.resources,
+            lent,
+        };
+        let of = TaskFence { task: grant.task.clone(), fence: attempt.fence };
+        if let Some(job) = self.job_mut(&grant.task) {
+            job.waiting.remove(&grant.task.index);
+            job.sweeps = 0;
+            job.never_since = None;
+            let active = Active::new(now, attempt.clone(), Some(grant.reservation));
+            job.active.insert(grant.task.index, active);
+        }
+        let entry = JobEntry::Starting { task: grant.task, attempt };
+        let ticket = self.journal(shard, entry, out);
+        if self.protections.journal_before_start {
+            self.pending.insert(ticket, Pending::Start { shard, of });
+        } else {
+            self.start_journaled(now, shard, &of, auth, out);
+        }
+    }
+
+    pub(super) fn start_journaled(
+        &mut self,
+        now: Time,
+        shard: ShardId,
+        of: &TaskFence,
+        auth: &dyn Authority,
+        out: &mut Vec<JobEffect>,
+    ) {
+        if let Some(active) = self.active_mut(of) {
+            active.journaled = true;
+            active.send_at = now;
+        }
+        // Without authority the attempt isn't asked for now. Once authority is back it is, by
+        // `resend`: its entry then precedes whatever a successor could have read.
+        if self.held(now, shard, auth).is_none() {
+            return;
+        }
+        let resend = self.limits.resend;
+        let Some(job) = self.job_mut(&of.task) else { return };
+        if let Some(msg) = ask(job, of.task.index, now + resend) {
+            out.push(msg);
+        }
+    }
+
+    /// Asks again for what has had no answer: starts, stops, and now and then running attempts.
+    pub(super) fn resend(&mut self, now: Time, shard: ShardId, out: &mut Vec<JobEffect>) {
+        let again = now + self.limits.resend;
+        let seldom = now + self.limits.ask_running;
+        let mut stops = self.limits.cancel_at_once;
+        let Some(kept) = self.shards.get_mut(&shard) else { return };
+        let open: Vec<_> = kept.open.iter().cloned().collect();
+        for id in &open {
+            let Some(job) = kept.jobs.get_mut(id) else { continue };
+            let waits = |active: &&Active| active.stop && active.send_at > now;
+            stops = stops.saturating_sub(job.active.values().filter(waits).count());
+            let due = job.active.iter().filter(|(_, a)| a.journaled && now >= a.send_at);
+            let due: Vec<(u32, bool, bool)> =
+                due.map(|(index, a)| (*index, a.stop, a.running)).collect();
+            for (index, stop, running) in due {
+                if stop && stops == 0 {
+                    continue;
+                }
+                stops -= usize::from(stop);
+                let next = if running && !stop { seldom } else { again };
+                out.extend(ask(job, index, next));
+            }
+        }
+    }
+
+    /// An attempt runs. One that shouldn't is stopped: it was given up for good reasons, and its
+    /// task may run elsewhere soon.
+    pub(super) fn on_started(
+        &mut self,
+        now: Time,
+        vm: VmId,
+        rack: ShardId,
+        of: TaskFence,
+        auth: &dyn Authority,
+        out: &mut Vec<JobEffect>,
+    ) {
+        let seldom = now + self.limits.ask_running;
+        let again = now + self.limits.resend;
+        let shard = super::job_shard_of_task(&of.task);
+        if self.held(now, shard, auth).is_none() {
+            return;
+        }
+        if let Some(active) = self.active_mut(&of) {
+            if !active.running {
+                active.since = now;
+            }
+            active.running = true;
+            active.doubt = false;
+            // Asking without the reservation from now on can't start it again.
+            active.reservation = None;
+            active.send_at = if active.stop { again.min(active.send_at) } else { seldom };
+            return;
+        }
+        let msg = RackMsg::Stop(Stop { vm, of, checkpoint: false });
+        out.push(JobEffect::SendToRack { shard: rack, msg });
+    }
+
+    /// Whether the task's room is lent: its team was over its quota when it found room.
+    fn is_lent(&self, now: Time, task: &TaskId) -> bool {
+        let shard = super::job_shard_of_task(task);
+        let job = self.shards.get(&shard).and_then(|kept| kept.jobs.get(&task.job));
+        job.is_some_and(|job| self.rank_of(now, job) == super::queue::Rank::Lent)
+    }
+}
+
+/// The message that asks for an attempt's start or stop, or for its fate.
+fn ask(job: &mut Job, index: u32, next: Time) -> Option<JobEffect> {
+    let record = &job.record;
+    let active = job.active.get_mut(&index)?;
+    active.send_at = next;
+    let task = TaskId { job: record.spec.job.clone(), index };
+    let of = TaskFence { task, fence: active.attempt.fence };
+    let vm = active.attempt.vm.clone();
+    let msg = if active.stop {
+        RackMsg::Stop(Stop { vm, of, checkpoint: false })
+    } else {
+        RackMsg::Start(Start {
+            vm,
+            of,
+            reservation: active.reservation,
+            class: record.spec.class.clone(),
+            service: record.service,
+            lent: active.attempt.lent,
+            resources: active.attempt.resources,
+            checkpoint: record.tasks.get(index as usize)?.checkpoint.clone(),
+            command: record.spec.command.clone(),
+        })
+    };
+    Some(JobEffect::SendToRack { shard: active.attempt.rack, msg })
+}
--- /dev/null
+++ b/crates/tasks/src/learn/interference.rs
@@ -0,0 +1,97 @@
+//! Which class slows which one down, from the slowdowns that VMs report late.
+//!
+//! A report gives a task's slowdown among all its neighbours, not by whom. The weights of the
+//! pairs are found by normalized least mean squares: the part of a slowdown that the weights don't
+//! explain is shared out over the classes present. Over many mixes of neighbours the blame settles
+//! on those who cause it. A weight is shrunk towards "unknown", which is zero, while it rests on
+//! few samples, and fades with time, since interference shifts with load.
+
+use {
+    egretlb_types::{ClassName, Time, worker::RunningTask},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// How much of the unexplained part one report corrects.
+const RATE: f64 = 0.1;
+
+/// Samples at which a weight counts half.
+const HALF_TRUSTED: f64 = 8.0;
+
+/// How long until an unrefreshed weight counts half as many samples.
+const HALF_LIFE: Duration = Duration::from_secs(900);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Weight {
+    value: f64,
+    samples: f64,
+    at: Time,
+}
+
+/// Learned weights by pair of classes.
+#[derive(Clone, Debug, Default)]
+pub struct InterferenceTable {
+    /// For each class that suffers, what each class causes.
+    rows: BTreeMap<ClassName, BTreeMap<ClassName, Weight>>,
+    now: Time,
+}
+
+impl InterferenceTable {
+    /// Takes in the running tasks of one VM.
+    pub fn take(&mut self, now: Time, running: &[RunningTask]) {
+        self.now = now;
+        let mut counts: BTreeMap<&ClassName, f64> = BTreeMap::new();
+        for task in running {
+            *counts.entry(&task.class).or_default() += 1.0;
+        }
+        for task in running {
+            let excess = (f64::from(task.slowdown_permille) - 1_000.0) / 1_000.0;
+            self.learn(&task.class, excess, &counts);
+        }
+    }
+
+    fn learn(&mut self, of: &ClassName, excess: f64, counts: &BTreeMap<&ClassName, f64>) {
+        if !self.rows.contains_key(of) {
+            self.rows.insert(of.clone(), BTreeMap::new());
+        }
+        let now = self.now;
+        let row = self.rows.get_mut(of).expect("inserted above");
+        // The task itself isn't its own neighbour.
+        let others = |class: &ClassName, n: f64| if class == of { n - 1.0 } else { n };
+        let mut expected = 0.0;
+        let mut norm = 0.0;
+        for (class, n) in counts {
+            let n = others(class, *n);
+            expected += n * row.get(*class).map_or(0.0, |weight| weight.value);
+            norm += n * n;
+        }
+        if norm == 0.0 {
+            return;
+        }
+        let error = excess - expected;
+        for (class, n) in counts {
+            let n = others(class, *n);
+            if n == 0.0 {
+                continue;
+            }
+            if !row.contains_key(*class) {
+                row.insert((*class).clone(), Weight::default());
+            }
+            let weight = row.get_mut(*class).expect("inserted above");
+            weight.value = (weight.value + RATE * error * n / norm).max(0.0);
+            weight.samples = faded(weight, now) + 1.0;
+            weight.at = now;
+        }
+    }
+
+    /// How much one task of `by` is expected to slow one of `of` down; 1.0 doubles its time.
+    pub fn pair(&self, of: &ClassName, by: &ClassName) -> f64 {
+        let Some(weight) = self.rows.get(of).and_then(|row| row.get(by)) else { return 0.0 };
+        let samples = faded(weight, self.now);
+        weight.value * samples / (samples + HALF_TRUSTED)
+    }
+}
+
+fn faded(weight: &Weight, now: Time) -> f64 {
+    let age = now.since(weight.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+    weight.samples * 0.5_f64.powf(age)
+}
--- /dev/null
+++ b/crates/tasks/src/racks/answers.rs
@@ -0,0 +1,166 @@
+//! What workers answer, and what is known when they don't.
+
+use {
+    super::{About, Call, CallError, RackBook, RackEffect, WorkerAnswer, to_job, vm::Phase},
+    crate::msg::{AttemptEnd, JobMsg},
+    egretlb_types::{
+        Authority, Ticket, Time, VmId,
+        worker::{RenewAnswer, StartAnswer, StopAnswer, TaskFence},
+    },
+    std::time::Duration,
+};
+
+impl RackBook {
+    pub(super) fn on_answer(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        result: Result<WorkerAnswer, CallError>,
+        auth: &dyn Authority,
+        out: &mut Vec<RackEffect>,
+    ) {
+        let Some(call) = self.calls.remove(&ticket) else { return };
+        let Some(vm) = self.vms.get_mut(&call.vm) else { return };
+        match call.about {
+            About::Report => vm.polling = false,
+            About::Renew => vm.renewing = false,
+            About::Start(ref of) | About::Stop(ref of) | About::Throttle(ref of) => {
+                if let Some(on) = vm.attempts.get_mut(of) {
+                    on.calling = false;
+                }
+            }
+        }
+        match result {
+            Ok(answer) => self.on_good_answer(now, call, answer, auth, out),
+            Err(e) => self.on_no_answer(now, call, e, out),
+        }
+    }
+
+    fn on_good_answer(
+        &mut self,
+        now: Time,
+        call: Call,
+        answer: WorkerAnswer,
+        auth: &dyn Authority,
+        out: &mut Vec<RackEffect>,
+    ) {
+        let Call { vm: id, sent, about } = call;
+        match (about, answer) {
+            (About::Report, WorkerAnswer::Report(report)) => {
+                self.on_report(now, &id, sent, report, auth, out);
+            }
+            (About::Renew, WorkerAnswer::Renew(answer)) => self.on_renewed(now, &id, answer),
+            (About::Start(of), WorkerAnswer::Start(answer)) => {
+                self.on_started(now, &id, &of, answer, out);
+            }
+            (About::Stop(of), WorkerAnswer::Stop(answer)) => {
+                self.on_stopped(now, &id, &of, answer, out);
+            }
+            // A throttle's answer changes nothing that a report won't tell; an answer of another
+            // kind than the call is a fault of the worker's and is treated as none.
+            _ => {}
+        }
+        self.reindex(&id);
+    }
+
+    /// A call got no answer. Grants and renewals on the VM end until it reports again.
+    fn on_no_answer(&mut self, now: Time, call: Call, e: CallError, out: &mut Vec<RackEffect>) {
+        let id = call.vm;
+        let resolve = self.protections.resolve_doubt;
+        let poll_min = self.limits.poll_min;
+        let Some(vm) = self.vms.get_mut(&id) else { return };
+        vm.suspect = true;
+        vm.poll_at = now + poll_min;
+        if let About::Start(of) = call.about {
+            let Some(on) = vm.attempts.get_mut(&of) else { return };
+            let never_left = e == CallError::NotSent && !on.doubt;
+            on.doubt |= e == CallError::Unknown;
+            if never_left || !resolve {
+                // Certain: the worker never sees it, and nobody else starts on this VM.
+                vm.close(now, &of, AttemptEnd::NeverRan, Duration::ZERO);
+                self.tell_ends(now, &id, out);
+            } else {
+                out.push(to_job(&of.task, JobMsg::InDoubt { of: of.clone() }));
+            }
+        }
+        self.reindex(&id);
+    }
+
+    fn on_started(
+        &mut self,
+        now: Time,
+        id: &VmId,
+        of: &TaskFence,
+        answer: StartAnswer,
+        out: &mut Vec<RackEffect>,
+    ) {
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        let Some(on) = vm.attempts.get_mut(of) else { return };
+        match answer {
+            StartAnswer::Started => {
+                on.ran = true;
+                on.start = None;
+                on.doubt = false;
+                on.since = now;
+                if on.phase == Phase::Starting {
+                    on.phase = Phase::Running;
+                }
+                if on.service {
+                    self.backends_changed.insert(vm.shard);
+                }
+                vm.poll_at = vm.poll_at.min(now + self.limits.poll_min);
+                let msg = JobMsg::Started { vm: id.clone(), rack: vm.shard, of: of.clone() };
+                out.push(to_job(&of.task, msg));
+            }
+            StartAnswer::AlreadyEnded => {
+                on.phase = Phase::Stopping;
+                on.call_at = now;
+            }
+            StartAnswer::StaleFence | StartAnswer::Refused if on.doubt => {
+                // An earlier call of this start may have been taken up; the VM has to say.
+                on.phase = Phase::Stopping;
+                on.call_at = now;
+            }
+            StartAnswer::StaleFence | StartAnswer::Refused => {
+                vm.close(now, of, AttemptEnd::NeverRan, Duration::ZERO);
+                vm.poll_at = now;
+                self.tell_ends(now, id, out);
+            }
+        }
+    }
+
+    fn on_stopped(
+        &mut self,
+        now: Time,
+        id: &VmId,
+        of: &TaskFence,
+        answer: StopAnswer,
+        out: &mut Vec<RackEffect>,
+    ) {
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        let Some(on) = vm.attempts.get(of) else { return };
+        let ran = now.since(on.since);
+        let service = on.service;
+        let how = match answer {
+            StopAnswer::Stopped { checkpoint } => AttemptEnd::Stopped { checkpoint },
+            StopAnswer::Ended { end } => end.into(),
+            // It ran, and the worker knows nothing of it: the worker itself was restarted.
+            StopAnswer::NeverRan if on.ran => AttemptEnd::Lost,
+            StopAnswer::NeverRan => AttemptEnd::NeverRan,
+            StopAnswer::Throttled => return,
+        };
+        if service {
+            self.backends_changed.insert(vm.shard);
+        }
+        vm.close(now, of, how, ran);
+        self.tell_ends(now, id, out);
+    }
+
+    /// Tasks that the worker doesn't run any more: the next report says how they ended.
+    fn on_renewed(&mut self, now: Time, id: &VmId, answer: RenewAnswer) {
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        if !answer.unknown.is_empty() {
+            vm.poll_at = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/tasks/src/racks/mod.rs
@@ -0,0 +1,408 @@
+//! The book of what VMs hold, for the rack shards that a node owns.
+//!
+//! It alone talks to its racks' VMs: it reserves room, passes starts and stops on, renews the
+//! leases of all that runs there, polls reports, and tells the jobs' owners how attempts ended.
+//! It journals nothing: a successor adopts what the VMs report, and grants nothing on a VM before
+//! it has a report that no call of the predecessor can make untrue.
+
+mod answers;
+mod api;
+mod index;
+mod lease;
+mod place;
+mod pressure;
+mod report;
+mod start;
+mod vm;
+
+pub use api::{
+    Backend, CallError, EvictReason, Guard, RackAlarm, RackEffect, RackEvent, VmSummary,
+    WorkerAnswer, WorkerCall,
+};
+
+use {
+    crate::{
+        jobs::job_shard_of_task,
+        learn::Learned,
+        limits::{Limits, Protections},
+        msg::{JobMsg, NodeMsg, NodeRoom, RackMsg, ReservationId},
+    },
+    egretlb_types::{
+        Authority, ClassName, ConfigDocument, Epoch, Resources, ShardId, TaskId, Ticket, Time,
+        VmId, VmRecord, shard_of_rack, worker::TaskFence,
+    },
+    index::RoomIndex,
+    pressure::Pressure,
+    rand::{SeedableRng, rngs::SmallRng},
+    smallvec::SmallVec,
+    std::{
+        collections::{BTreeMap, BTreeSet, HashMap},
+        sync::Arc,
+        time::Duration,
+    },
+    vm::Vm,
+};
+
+/// What is kept of one owned shard.
+#[derive(Clone, Copy, Debug)]
+struct RackShard {
+    epoch: Epoch,
+    owned_at: Time,
+    released: bool,
+    /// When authority was last seen to be held; renewals go on for a while after it.
+    held_at: Time,
+}
+
+/// A call of a worker that isn't answered yet.
+#[derive(Clone, Debug)]
+struct Call {
+    vm: VmId,
+    sent: Time,
+    about: About,
+}
+
+/// What a call is about.
+#[derive(Clone, Debug)]
+enum About {
+    Start(TaskFence),
+    Renew,
+    Stop(TaskFence),
+    Throttle(TaskFence),
+    Report,
+}
+
+/// Builds a [`RackBook`].
+#[derive(Debug, Default)]
+pub struct RackBookBuilder {
+    limits: Limits,
+    protections: Protections,
+    seed: u64,
+    learning: bool,
+}
+
+impl RackBookBuilder {
+    /// Other limits than the default ones.
+    pub fn limits(mut self, limits: Limits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Switches protections off, in tests.
+    pub fn protections(mut self, protections: Protections) -> Self {
+        self.protections = protections;
+        self
+    }
+
+    /// The seed of the book's random choices.
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Whether sizes and interference are learned. Off only for a baseline to measure against.
+    pub fn learning(mut self, on: bool) -> Self {
+        self.learning = on;
+        self
+    }
+
+    /// The book, without any shards.
+    pub fn build(self) -> RackBook {
+        RackBook {
+            limits: self.limits,
+            protections: self.protections,
+            rng: SmallRng::seed_from_u64(self.seed),
+            learned: Learned::new(self.learning),
+            document: Arc::default(),
+            shards: BTreeMap::new(),
+            list: Arc::default(),
+            vms: BTreeMap::new(),
+            slots: Vec::new(),
+            free_slots: Vec::new(),
+            index: RoomIndex::default(),
+            placed: HashMap::new(),
+            calls: HashMap::new(),
+            next_ticket: Ticket(0),
+            backends_changed: BTreeSet::new(),
+            pressure: Pressure::default(),
+            usage: BTreeMap::new(),
+            room: NodeRoom::default(),
+            sum_up_at: Time::ZERO,
+            quarantined: BTreeSet::new(),
+        }
+    }
+}
+
+/// The book of what VMs hold. See the [module](self).
+#[derive(Debug)]
+pub struct RackBook {
+    limits: Limits,
+    protections: Protections,
+    rng: SmallRng,
+    learned: Learned,
+    document: Arc<ConfigDocument>,
+    shards: BTreeMap<ShardId, RackShard>,
+    list: Arc<Vec<VmRecord>>,
+    vms: BTreeMap<VmId, Vm>,
+    /// The VM of each slot of the index.
+    slots: Vec<VmId>,
+    free_slots: Vec<u32>,
+    index: RoomIndex,
+    /// The reservation of each task that has one, so that a doubled question gets one answer.
+    placed: HashMap<TaskId, (VmId, ReservationId)>,
+    calls: HashMap<Ticket, Call>,
+    next_ticket: Ticket,
+    backends_changed: BTreeSet<ShardId>,
+    pressure: Pressure,
+    /// What each class holds, as last summed up.
+    usage: BTreeMap<ClassName, Resources>,
+    /// The room of all VMs, as last summed up.
+    room: NodeRoom,
+    sum_up_at: Time,
+    quarantined: BTreeSet<VmId>,
+}
+
+/// How often room and use are summed up over all VMs.
+const SUM_UP_EVERY: Duration = Duration::from_millis(500);
+
+impl RackBook {
+    /// A builder with learning on.
+    pub fn builder() -> RackBookBuilder {
+        RackBookBuilder { learning: true, ..RackBookBuilder::default() }
+    }
+
+    /// Takes in one event and puts what is to be done into `out`.
+    pub fn step(
+        &mut self,
+        now: Time,
+        event: RackEvent,
+        auth: &dyn Authority,
+        out: &mut Vec<RackEffect>,
+    ) {
+        self.note_authority(now, auth);
+        match event {
+            RackEvent::Owned { shard, epoch, released } => self.own(now, shard, epoch, released),
+            RackEvent::Lost { shard } => self.lose(shard),
+            RackEvent::Config { document } => self.document = document,
+            RackEvent::Tick => self.tick(now, auth, out),
+            RackEvent::Vms { vms } => {
+                self.list = Arc::new(vms);
+                self.take_list(now);
+            }
+            RackEvent::NodeMessage { from: _, msg: NodeMsg::Place(place) } => {
+                self.place(now, place, auth, out);
+            }
+            RackEvent::NodeMessage { from: _, msg: NodeMsg::Pressure { class, missing } } => {
+                self.pressure.note(now, class, missing);
+            }
+            RackEvent::RackMessage { shard, msg } => match msg {
+                RackMsg::Start(start) => self.on_start(now, shard, start, auth, out),
+                RackMsg::Stop(stop) => self.on_stop(now, shard, stop, auth, out),
+                RackMsg::AckEnded { vm, of } => self.on_ack(&vm, &of),
+            },
+            RackEvent::WorkerAnswered { ticket, result } => {
+                self.on_answer(now, ticket, result, auth, out);
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Time, auth: &dyn Authority, out: &mut Vec<RackEffect>) {
+        let ids: Vec<VmId> = self.vms.keys().cloned().collect();
+        for id in &ids {
+            self.expire_reservations(now, id);
+            self.check_lost(now, id, out);
+            self.poll(now, id, out);
+            self.renew(now, id, out);
+            self.call_due(now, id, auth, out);
+            self.drain_leaving(now, id, out);
+            self.tell_ends(now, id, out);
+        }
+        if now >= self.sum_up_at {
+            self.sum_up_at = now + SUM_UP_EVERY;
+            self.sum_up();
+        }
+        self.relieve(now, auth, out);
+        self.tell_backends(out);
+    }
+
+    fn note_authority(&mut self, now: Time, auth: &dyn Authority) {
+        for (shard, kept) in &mut self.shards {
+            if auth.epoch_if_held(now, *shard) == Some(kept.epoch) {
+                kept.held_at = now;
+            }
+        }
+    }
+
+    /// Whether unsafe steps are allowed for the shard now.
+    fn holds(&self, now: Time, shard: ShardId, auth: &dyn Authority) -> bool {
+        let Some(kept) = self.shards.get(&shard) else { return false };
+        !self.protections.authority || auth.epoch_if_held(now, shard) == Some(kept.epoch)
+    }
+
+    fn own(&mut self, now: Time, shard: ShardId, epoch: Epoch, released: bool) {
+        let kept = RackShard { epoch, owned_at: now, released, held_at: now };
+        self.shards.insert(shard, kept);
+        self.take_list(now);
+    }
+
+    fn lose(&mut self, shard: ShardId) {
+        self.shards.remove(&shard);
+        let gone: Vec<VmId> = self
+            .vms
+            .values()
+            .filter(|vm| vm.shard == shard)
+            .map(|vm| vm.record.vm.clone())
+            .collect();
+        for id in &gone {
+            self.forget(id);
+        }
+        self.calls.retain(|_, call| !gone.contains(&call.vm));
+    }
+
+    fn take_list(&mut self, now: Time) {
+        for vm in self.vms.values_mut() {
+            vm.listed = false;
+        }
+        let list = Arc::clone(&self.list);
+        for record in list.iter() {
+            let shard = shard_of_rack(&record.rack);
+            if self.shards.contains_key(&shard) {
+                self.take_record(now, shard, record);
+            }
+        }
+        let gone: Vec<VmId> = self
+            .vms
+            .values()
+            .filter(|vm| !vm.listed && vm.attempts.is_empty() && vm.closed.is_empty())
+            .map(|vm| vm.record.vm.clone())
+            .collect();
+        for id in &gone {
+            self.forget(id);
+        }
+        let ids: Vec<VmId> = self.vms.keys().cloned().collect();
+        ids.iter().for_each(|id| self.reindex(id));
+    }
+
+    fn take_record(&mut self, now: Time, shard: ShardId, record: &VmRecord) {
+        if let Some(vm) = self.vms.get_mut(&record.vm) {
+            vm.listed = true;
+            if vm.record != *record {
+                vm.record = record.clone();
+                self.backends_changed.insert(shard);
+            }
+            return;
+        }
+        let slot = self.free_slots.pop().unwrap_or(self.slots.len() as u32);
+        if slot as usize == self.slots.len() {
+            self.slots.push(record.vm.clone());
+        } else {
+            self.slots[slot as usize] = record.vm.clone();
+        }
+        let mut vm = Vm::new(record.clone(), shard, slot, now);
+        let owned_at = self.shards[&shard].owned_at;
+        vm.fresh_from = owned_at + self.limits.call_life;
+        vm.lease_bound = self.inherited_bound(shard);
+        self.vms.insert(record.vm.clone(), vm);
+    }
+
+    fn forget(&mut self, id: &VmId) {
+        let Some(vm) = self.vms.remove(id) else { return };
+        self.index.set(vm.slot, None);
+        self.quarantined.remove(id);
+        self.free_slots.push(vm.slot);
+        self.backends_changed.insert(vm.shard);
+        self.placed.retain(|_, (at, _)| at != id);
+    }
+
+    /// Puts the VM where its room now belongs in the index.
+    fn reindex(&mut self, id: &VmId) {
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        vm.recount();
+        if vm.health.quarantined {
+            self.quarantined.insert(id.clone());
+        } else {
+            self.quarantined.remove(id);
+        }
+        let open = vm.may_grant(self.protections.report_before_grant) && !vm.health.quarantined;
+        let checked = self.protections.capacity_check;
+        let room = if checked { vm.room() } else { vm.record.capacity };
+        self.index.set(vm.slot, open.then_some(&room));
+    }
+
+    fn ticket(&mut self, now: Time, vm: &VmId, about: About) -> Ticket {
+        self.next_ticket = self.next_ticket.next();
+        self.calls.insert(self.next_ticket, Call { vm: vm.clone(), sent: now, about });
+        self.next_ticket
+    }
+
+    fn call(
+        &mut self,
+        now: Time,
+        id: &VmId,
+        about: About,
+        call: WorkerCall,
+        guard: Guard,
+        out: &mut Vec<RackEffect>,
+    ) {
+        let addr = self.vms[id].record.addr.clone();
+        let ticket = self.ticket(now, id, about);
+        out.push(RackEffect::CallWorker { vm: id.clone(), addr, ticket, call, guard });
+    }
+
+    /// What the node's VMs can hold.
+    fn count_room(&self) -> NodeRoom {
+        let mut room = NodeRoom::default();
+        for vm in self.vms.values() {
+            room.add_size(&vm.record.capacity);
+            if vm.may_grant(self.protections.report_before_grant) {
+                room.vms += 1;
+                room.free = room.free.plus(&vm.room());
+            }
+        }
+        room
+    }
+
+    /// What each VM holds, for a state dump.
+    pub fn summary(&self) -> Vec<VmSummary> {
+        let summary = |vm: &Vm| VmSummary {
+            vm: vm.record.vm.clone(),
+            committed: vm.committed,
+            observed: vm.observed,
+            attempts: vm.attempts.len() as u32,
+            takes_work: vm.may_grant(true) && !vm.health.quarantined,
+            quarantined: vm.health.quarantined,
+            lost: vm.lost,
+        };
+        self.vms.values().map(summary).collect()
+    }
+
+    fn tell_backends(&mut self, out: &mut Vec<RackEffect>) {
+        for shard in std::mem::take(&mut self.backends_changed) {
+            let backends = self.backends(shard);
+            out.push(RackEffect::Backends { shard, backends });
+        }
+    }
+
+    /// The VMs of a shard that answer requests now.
+    pub fn backends(&self, shard: ShardId) -> Vec<Backend> {
+        let serves = |vm: &&Vm| vm.shard == shard && !vm.is_leaving() && !vm.lost;
+        let backend = |vm: &Vm| {
+            let running =
+                vm.attempts.values().filter(|on| on.service && on.phase == vm::Phase::Running);
+            let classes: SmallVec<[ClassName; 4]> = running.map(|on| on.class.clone()).collect();
+            Backend {
+                vm: vm.record.vm.clone(),
+                addr: vm.record.addr.clone(),
+                data_centre: vm.record.data_centre.clone(),
+                classes,
+                slots: vm.record.slots,
+                connections: vm.record.connections,
+            }
+        };
+        let all = self.vms.values().filter(serves).map(backend);
+        all.filter(|backend| !backend.classes.is_empty()).collect()
+    }
+}
+
+fn to_job(task: &TaskId, msg: JobMsg) -> RackEffect {
+    RackEffect::SendToJob { shard: job_shard_of_task(task), msg }
+}
--- /dev/null
+++ b/crates/tasks/src/racks/place.rs
@@ -0,0 +1,237 @@
+//! Choosing VMs for tasks, and keeping the room until they start.
+
+use {
+    super::{
+        RackBook, RackEffect,
+        vm::{Reserved, Vm},
+    },
+    crate::msg::{Grant, JobMsg, Place, Placed, ReservationId, TeamUsage, Want},
+    egretlb_types::{Authority, ClassKind, Resources, TeamName, Time, VmId},
+    std::collections::BTreeMap,
+};
+
+/// How many VMs are compared for a task. More find a better neighbourhood at more cost; past a
+/// dozen the best of them hardly improves.
+const CANDIDATES: usize = 12;
+
+/// How much worse one unit of expected slowdown (a doubling of run time) is than leaving a VM
+/// wholly empty: a latency target missed costs more than fragmented room.
+const SLOWDOWN_WEIGHT: f64 = 4.0;
+
+/// A VM in a data centre that already has a replica is taken only for want of others.
+const SPREAD_PENALTY: f64 = 100.0;
+
+/// An accelerator held idle by a task that needs none may keep another task waiting.
+const IDLE_ACCELERATOR_PENALTY: f64 = 2.0;
+
+impl RackBook {
+    pub(super) fn place(
+        &mut self,
+        now: Time,
+        place: Place,
+        auth: &dyn Authority,
+        out: &mut Vec<RackEffect>,
+    ) {
+        let mut placed = Placed {
+            round: place.round,
+            granted: Vec::new(),
+            refused: Vec::new(),
+            room: Default::default(),
+            usage: Vec::new(),
+        };
+        for want in &place.wants {
+            match self.place_one(now, want, auth) {
+                Some(grant) => placed.granted.push(grant),
+                None => {
+                    placed.refused.push(want.task.clone());
+                    if want.reclaim {
+                        self.reclaim(now, want, auth, out);
+                    }
+                }
+            }
+        }
+        placed.room = self.room.clone();
+        placed.usage = self.usage_of(place.wants.iter().filter_map(|want| want.team.as_ref()));
+        let msg = JobMsg::Placed(placed);
+        out.push(RackEffect::SendToJob { shard: place.shard, msg });
+    }
+
+    fn place_one(&mut self, now: Time, want: &Want, auth: &dyn Authority) -> Option<Grant> {
+        if let Some(grant) = self.granted_before(now, want) {
+            return Some(grant);
+        }
+        let resources = self.size_of(want);
+        let id = self.choose(now, want, &resources, auth)?;
+        let vm = self.vms.get_mut(&id)?;
+        if vm.health.quarantined {
+            vm.health.probe_at = now + self.limits.probe_every;
+        }
+        let epoch = self.shards.get(&vm.shard)?.epoch;
+        self.next_ticket = self.next_ticket.next();
+        let reservation = ReservationId { epoch, number: self.next_ticket };
+        let reserved = Reserved {
+            task: want.task.clone(),
+            attempt: want.attempt,
+            service: want.service,
+            class: want.class.clone(),
+            resources,
+            until: now + self.limits.reservation,
+        };
+        vm.reservations.insert(reservation, reserved);
+        self.placed.insert(want.task.clone(), (id.clone(), reservation));
+        self.reindex(&id);
+        self.grant(&id, reservation)
+    }
+
+    /// The same room again for a question that was doubled or whose answer was lost.
+    fn granted_before(&self, now: Time, want: &Want) -> Option<Grant> {
+        let (id, reservation) = self.placed.get(&want.task)?;
+        let reserved = self.vms.get(id)?.reservations.get(reservation)?;
+        let same = reserved.attempt == want.attempt && now < reserved.until;
+        if same { self.grant(id, *reservation) } else { None }
+    }
+
+    fn grant(&self, id: &VmId, reservation: ReservationId) -> Option<Grant> {
+        let vm = self.vms.get(id)?;
+        let reserved = vm.reservations.get(&reservation)?;
+        Some(Grant {
+            task: reserved.task.clone(),
+            attempt: reserved.attempt,
+            reservation,
+            vm: id.clone(),
+            rack: vm.shard,
+            data_centre: vm.record.data_centre.clone(),
+            resources: reserved.resources,
+        })
+    }
+
+    /// What to commit for a task: what was learned of its class, where that may stand in.
+    pub(super) fn size_of(&self, want: &Want) -> Resources {
+        if want.learned_size {
+            self.learned.size(&want.class, &want.resources)
+        } else {
+            want.resources
+        }
+    }
+
+    /// The best of a sample of VMs with room. Looking at all of them would make each decision
+    /// dearer with every worker; a dozen at random, from tight and roomy ones, rank nearly as well.
+    fn choose(
+        &mut self,
+        now: Time,
+        want: &Want,
+        resources: &Resources,
+        auth: &dyn Authority,
+    ) -> Option<VmId> {
+        if let Some(probe) = self.probe(now, want, resources, auth) {
+            return Some(probe);
+        }
+        let slots = self.index.sample(resources, CANDIDATES, &mut self.rng);
+        let mut best: Option<(f64, &VmId)> = None;
+        for slot in slots {
+            let id = &self.slots[slot as usize];
+            let Some(vm) = self.vms.get(id) else { continue };
+            if !self.may_take(now, vm, want, resources, auth) {
+                continue;
+            }
+            let cost = self.cost(vm, want, resources);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, id));
+            }
+        }
+        best.map(|(_, id)| id.clone())
+    }
+
+    fn may_take(
+        &self,
+        now: Time,
+        vm: &Vm,
+        want: &Want,
+        resources: &Resources,
+        auth: &dyn Authority,
+    ) -> bool {
+        let room = !self.protections.capacity_check || resources.fits(&vm.room());
+        room && vm.may_grant(self.protections.report_before_grant)
+            && !want.avoid.contains(&vm.record.vm)
+            && (!want.service || vm.takes_service(&want.class))
+            && self.holds(now, vm.shard, auth)
+    }
+
+    /// A VM in quarantine that is due for a probe. Only a batch task that hasn't failed yet is
+    /// used for it: it costs the task one short attempt, and its failure isn't held against it.
+    fn probe(
+        &self,
+        now: Time,
+        want: &Want,
+        resources: &Resources,
+        auth: &dyn Authority,
+    ) -> Option<VmId> {
+        if want.service || !want.avoid.is_empty() {
+            return None;
+        }
+        let due = |vm: &&Vm| vm.health.quarantined && now >= vm.health.probe_at;
+        let probes = self.quarantined.iter().filter_map(|id| self.vms.get(id));
+        probes
+            .filter(due)
+            .find(|vm| self.may_take(now, vm, want, resources, auth))
+            .map(|vm| vm.record.vm.clone())
+    }
+
+    /// What placing the task on the VM would cost: expected slowdown on both sides, room left in
+    /// shapes that are hard to use, lost spread. It only ranks; whether it fits is checked before.
+    fn cost(&self, vm: &Vm, want: &Want, resources: &Resources) -> f64 {
+        let left = vm.room().minus(resources);
+        let part = |left: u32, of: u32| f64::from(left) / f64::from(of.max(1));
+        let capacity = &vm.record.capacity;
+        let cpu_left = part(left.cpu.0, capacity.cpu.0);
+        let memory_left = part(left.memory.0, capacity.memory.0);
+        // Batch packs tightly and keeps roomy VMs for large tasks; a service takes the roomiest,
+        // since its load grows where it stands.
+        let roomy = (cpu_left + memory_left) / 2.0;
+        let mut cost = if want.service { 1.0 - roomy } else { roomy };
+        cost += (cpu_left - memory_left).abs();
+        if resources.accelerators.0 == 0 && capacity.accelerators.0 > 0 {
+            cost += IDLE_ACCELERATOR_PENALTY;
+        }
+        if want.avoid_data_centres.contains(&vm.record.data_centre) {
+            cost += SPREAD_PENALTY;
+        }
+        let neighbours = vm.attempts.values().map(|on| (&on.class, on.service));
+        cost + SLOWDOWN_WEIGHT * self.learned.slowdown(&want.class, want.service, neighbours)
+    }
+
+    fn usage_of<'a>(&self, teams: impl Iterator<Item = &'a TeamName>) -> Vec<TeamUsage> {
+        let mut held: BTreeMap<&TeamName, Resources> =
+            teams.map(|team| (team, Resources::default())).collect();
+        if held.is_empty() {
+            return Vec::new();
+        }
+        for (class, sum) in &self.usage {
+            let Some(class) = self.document.class(class) else { continue };
+            // A quota bounds batch work: services take what their targets need.
+            let batch = matches!(class.kind, ClassKind::Batch { .. });
+            if let Some(total) = held.get_mut(&class.team).filter(|_| batch) {
+                *total = total.plus(sum);
+            }
+        }
+        let usage = |(team, held): (&TeamName, Resources)| TeamUsage { team: team.clone(), held };
+        held.into_iter().map(usage).collect()
+    }
+}
+
+impl RackBook {
+    /// Sums up the room and what each class holds. Done now and then rather than for each
+    /// question, so that a question's cost doesn't grow with the VMs.
+    pub(super) fn sum_up(&mut self) {
+        self.room = self.count_room();
+        self.usage.clear();
+        for on in self.vms.values().flat_map(|vm| vm.attempts.values()) {
+            if !self.usage.contains_key(&on.class) {
+                self.usage.insert(on.class.clone(), Resources::default());
+            }
+            if let Some(sum) = self.usage.get_mut(&on.class) {
+                *sum = sum.plus(&on.resources);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tasks/src/racks/report.rs
@@ -0,0 +1,222 @@
+//! What VMs report: adopting what runs, noticing what ended, measuring.
+
+use {
+    super::{
+        RackAlarm, RackBook, RackEffect, to_job,
+        vm::{OnVm, Phase, Vm},
+    },
+    crate::{limits::Limits, msg::JobMsg},
+    egretlb_types::{
+        Authority, Resources, Time, VmId,
+        worker::{EndedTask, RunningTask, TaskEnd, TaskFence, WorkerReport},
+    },
+    std::{collections::BTreeSet, time::Duration},
+};
+
+impl RackBook {
+    pub(super) fn on_report(
+        &mut self,
+        now: Time,
+        id: &VmId,
+        sent: Time,
+        report: WorkerReport,
+        auth: &dyn Authority,
+        out: &mut Vec<RackEffect>,
+    ) {
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        // An older report than one already taken would bring back what has ended since.
+        if vm.report_sent.is_some_and(|taken| sent < taken) {
+            return;
+        }
+        if vm.suspect {
+            // In reach again: the leases are renewed at once, they may be about to lapse.
+            vm.renew_at = now;
+        }
+        if vm.lost {
+            out.push(RackEffect::Alarm(RackAlarm::VmBack { vm: id.clone() }));
+        }
+        vm.report_sent = Some(sent);
+        vm.suspect = false;
+        vm.lost = false;
+        vm.says_leaving = report.leaving;
+        self.learn(now, id, &report);
+        for ended in &report.ended {
+            self.take_ended(now, id, ended, out);
+        }
+        for running in &report.running {
+            self.take_running(now, id, sent, running, out);
+        }
+        self.take_missing(now, id, sent, &report);
+        self.measure(id, &report, out);
+        self.drop_closed(id, sent, &report);
+        self.plan_poll(now, id);
+        self.tell_ends(now, id, out);
+        self.call_due(now, id, auth, out);
+    }
+
+    fn learn(&mut self, now: Time, id: &VmId, report: &WorkerReport) {
+        let Some(vm) = self.vms.get(id) else { return };
+        // Ends that are listed again aren't learned again: the attempt is closed by then.
+        let class_of = |of: &TaskFence| vm.attempts.get(of).map(|on| on.class.clone());
+        self.learned.take(now, report, class_of);
+    }
+
+    fn take_ended(&mut self, now: Time, id: &VmId, ended: &EndedTask, out: &mut Vec<RackEffect>) {
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        let was_service = vm.attempts.get(&ended.of).is_some_and(|on| on.service);
+        let ran = Duration::from_millis(ended.ran_ms);
+        if !vm.close(now, &ended.of, ended.end.into(), ran) {
+            return;
+        }
+        if was_service {
+            self.backends_changed.insert(vm.shard);
+        }
+        let (health, limit) = (&mut vm.health, self.limits.quarantine_after);
+        if ended.end == TaskEnd::Failed && !health.quarantined && health.fails >= limit {
+            // Everything it is given fails here: it would swallow a queue faster than any healthy
+            // VM, since failing is quick.
+            health.quarantined = true;
+            health.probe_at = now + self.limits.probe_every;
+            let alarm = RackAlarm::Quarantined { vm: id.clone(), fails: health.fails };
+            out.push(RackEffect::Alarm(alarm));
+        }
+        if ended.end == TaskEnd::Done && health.quarantined {
+            health.quarantined = false;
+            out.push(RackEffect::Alarm(RackAlarm::QuarantineOver { vm: id.clone() }));
+        }
+    }
+
+    fn take_running(
+        &mut self,
+        now: Time,
+        id: &VmId,
+        sent: Time,
+        running: &RunningTask,
+        out: &mut Vec<RackEffect>,
+    ) {
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        let shard = vm.shard;
+        if let Some(closed) = vm.closed.get(&running.of) {
+            // It was given up, or a stop of it was confirmed, and a later report lists it: the
+            // worker's clock is slower than the bound, or the worker erred. It must not go on.
+            if sent > closed.at {
+                let mut on = adopted(now, running);
+                on.phase = Phase::Stopping;
+                on.ran = false;
+                vm.attempts.insert(running.of.clone(), on);
+            }
+            return;
+        }
+        let known = vm.attempts.contains_key(&running.of);
+        let on = vm.attempts.entry(running.of.clone()).or_insert_with(|| adopted(now, running));
+        on.used = running.used;
+        on.slowdown_permille = running.slowdown_permille;
+        on.ran = true;
+        let started = !known || on.phase == Phase::Starting;
+        if on.phase == Phase::Starting && !on.calling {
+            on.phase = Phase::Running;
+            on.start = None;
+            on.doubt = false;
+        }
+        if !started {
+            return;
+        }
+        if on.service {
+            self.backends_changed.insert(shard);
+        }
+        if !known {
+            vm.renew_at = now;
+        }
+        let msg = JobMsg::Started { vm: id.clone(), rack: shard, of: running.of.clone() };
+        out.push(to_job(&running.of.task, msg));
+    }
+
+    /// Attempts that should run and that a later report doesn't list: the VM is asked.
+    fn take_missing(&mut self, now: Time, id: &VmId, sent: Time, report: &WorkerReport) {
+        let listed: BTreeSet<&TaskFence> = report.running.iter().map(|r| &r.of).collect();
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        for (of, on) in &mut vm.attempts {
+            let runs = matches!(on.phase, Phase::Running | Phase::Draining { .. });
+            if runs && on.since < sent && !listed.contains(of) {
+                on.phase = Phase::Stopping;
+                on.checkpoint = true;
+                on.call_at = now;
+                if on.service {
+                    self.backends_changed.insert(vm.shard);
+                }
+            }
+        }
+    }
+
+    fn measure(&mut self, id: &VmId, report: &WorkerReport, out: &mut Vec<RackEffect>) {
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        let sum = |sum: Resources, running: &RunningTask| sum.plus(&running.used);
+        vm.observed = report.running.iter().fold(Resources::default(), sum);
+        vm.recount();
+        if !vm.observed.fits(&vm.record.capacity) {
+            let used = vm.observed;
+            out.push(RackEffect::Alarm(RackAlarm::Overused { vm: id.clone(), used }));
+        }
+    }
+
+    /// Forgets acknowledged ends that no report can list any more.
+    fn drop_closed(&mut self, id: &VmId, sent: Time, report: &WorkerReport) {
+        let ended = report.ended.iter().map(|ended| &ended.of);
+        let running = report.running.iter().map(|running| &running.of);
+        let listed: BTreeSet<&TaskFence> = ended.chain(running).collect();
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        vm.closed.retain(|of, closed| !closed.acked || sent <= closed.at || listed.contains(of));
+    }
+
+    /// The next report: soon where something is about to end or wants watching, seldom else.
+    /// Polling all VMs at the shortest period would by itself pass the control budget.
+    fn plan_poll(&mut self, now: Time, id: &VmId) {
+        let Some(vm) = self.vms.get(id) else { return };
+        let wait = poll_wait(now, vm, &self.limits, |class| self.learned.run_time(class));
+        if let Some(vm) = self.vms.get_mut(id) {
+            vm.poll_at = now + wait;
+        }
+    }
+}
+
+fn poll_wait(
+    now: Time,
+    vm: &Vm,
+    limits: &Limits,
+    run_time: impl Fn(&egretlb_types::ClassName) -> Option<Duration>,
+) -> Duration {
+    let mut wait = limits.poll_max;
+    for on in vm.attempts.values() {
+        let ran = now.since(on.since);
+        let expected = match run_time(&on.class) {
+            _ if on.service => limits.poll_max,
+            // What already runs longer than usual is asked about after a part of that excess.
+            Some(usual) => usual.saturating_sub(ran).max(ran.saturating_sub(usual) / 4),
+            None => ran / 4,
+        };
+        let watched = on.throttled.is_some() || on.slowdown_permille > 1_500;
+        let expected = if watched { expected.min(limits.poll_max / 3) } else { expected };
+        wait = wait.min(expected);
+    }
+    wait.max(limits.poll_min)
+}
+
+fn adopted(now: Time, running: &RunningTask) -> OnVm {
+    OnVm {
+        class: running.class.clone(),
+        service: running.service,
+        lent: false,
+        resources: running.resources,
+        phase: Phase::Running,
+        start: None,
+        doubt: false,
+        ran: true,
+        checkpoint: true,
+        calling: false,
+        call_at: now,
+        since: now,
+        used: running.used,
+        slowdown_permille: running.slowdown_permille,
+        throttled: None,
+    }
+}
