--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,1 +1,18 @@
-//! Structured logs, metrics and the state dump.
+//! Logs, metrics and the state dump.
+//!
+//! A log line is one event: `key=value` pairs, the first of them the time, the level and the
+//! event's name. It is made for grep and for machines alike, and a value can never look like a
+//! second line or a second pair, whoever sent it.
+
+mod dump;
+mod logs;
+mod metrics;
+
+pub use crate::{
+    dump::{Dump, MAX_DUMP_ITEMS, MAX_DUMP_TEXT, render_dump},
+    logs::{InitError, LogOptions, format_line, init},
+    metrics::{
+        AppendResult, CommonMetrics, EntryMetrics, METRICS_CONTENT_TYPE, Outcome, SchedulerMetrics,
+        Shares, TaskPhase,
+    },
+};
