--- a/crates/tasks/src/jobs/mod.rs
+++ b/crates/tasks/src/jobs/mod.rs
@@ -111,7 +111,7 @@
     }
 }
 
-/// The book of jobs. See the [module](self).
+/// The book of jobs and where their tasks may run.
 #[derive(Debug)]
 pub struct JobBook {
     limits: Limits,
--- a/crates/tasks/src/racks/mod.rs
+++ b/crates/tasks/src/racks/mod.rs
@@ -132,7 +132,7 @@
     }
 }
 
-/// The book of what VMs hold. See the [module](self).
+/// The book of what VMs hold: room, leases, attempts, health.
 #[derive(Debug)]
 pub struct RackBook {
     limits: Limits,
