--- a/crates/lab/src/models/classes.rs
+++ b/crates/lab/src/models/classes.rs
@@ -25,7 +25,7 @@
         0 => ClassKind::Latency {
             permille: 990,
             target: Duration::from_millis(400),
-            idempotent: n % 4 == 0,
+            idempotent: n.is_multiple_of(4),
             replica: size(2_000, 4_000),
             spread: true,
         },
