--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -5,6 +5,7 @@
 
 mod control;
 mod journal;
+mod tasks;
 
 use crate::report::Report;
 
@@ -31,6 +32,11 @@
         about: "appends and bytes to the log, by starts and by owners",
         run: journal::run,
     },
+    Experiment {
+        name: "tasks",
+        about: "books, messages and journals of tasks, and start delays, by workers",
+        run: tasks::run,
+    },
 ];
 
 /// The experiment of the name.
--- a/crates/lab/src/models/mod.rs
+++ b/crates/lab/src/models/mod.rs
@@ -2,8 +2,11 @@
 
 mod classes;
 mod cluster;
+pub mod place;
+mod world;
 
 pub use crate::models::{
-    classes::document,
+    classes::{class_name, document},
     cluster::{Cluster, Traffic},
+    world::{Totals, World},
 };
--- /dev/null
+++ b/crates/lab/src/models/place.rs
@@ -0,0 +1,92 @@
+//! Workers in racks and data centres, and the nodes that own them.
+
+use {
+    compact_str::format_compact,
+    egretlb_types::{
+        Accelerators, Authority, Epoch, Megabytes, MilliCores, NodeId, Rack, Resources,
+        SHARD_COUNT, ShardId, Time, VmId, VmRecord, VmState, rendezvous_score,
+    },
+};
+
+/// Workers in a rack, as in Bogota.
+const PER_RACK: usize = 8;
+
+/// Data centres.
+const DATA_CENTRES: usize = 5;
+
+/// Accelerators over the workers, in thousandths of one for each: 1,700 over 1,300.
+const ACCELERATORS_PERMILLE: usize = 1_308;
+
+/// A worker's size: that of one in Bogota, every third with four accelerators.
+pub fn worker_size(n: usize) -> Resources {
+    let accelerators = if n % 3 == 0 { 3 * ACCELERATORS_PERMILLE / 1_000 + n % 2 } else { 0 };
+    Resources {
+        cpu: MilliCores(30_000),
+        memory: Megabytes(125_000),
+        accelerators: Accelerators(accelerators as u32),
+    }
+}
+
+/// The worker's id.
+pub fn worker_id(n: usize) -> VmId {
+    format_compact!("vm-{n:05}").parse().expect("a name")
+}
+
+/// The worker's rack.
+pub fn rack_of(n: usize) -> Rack {
+    format_compact!("rack-{:04}", n / PER_RACK).parse().expect("a name")
+}
+
+/// The platform's list of so many workers.
+pub fn vm_list(workers: usize) -> Vec<VmRecord> {
+    let record = |n: usize| VmRecord {
+        vm: worker_id(n),
+        addr: format_compact!("10.1.{}.{}:9000", n / 250, n % 250),
+        data_centre: format_compact!("dc{}", n / PER_RACK % DATA_CENTRES).parse().expect("a name"),
+        rack: rack_of(n),
+        state: VmState::Live,
+        capacity: worker_size(n),
+        slots: 8,
+        connections: 64,
+    };
+    (0..workers).map(record).collect()
+}
+
+/// The id of the node of that number, spread over the whole range as ids drawn at random are.
+pub fn node_id(n: usize) -> NodeId {
+    NodeId((n as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15))
+}
+
+/// The number of the node that a shard prefers, among so many.
+pub fn owner(shard: ShardId, nodes: usize) -> usize {
+    (0..nodes).max_by_key(|n| rendezvous_score(shard, node_id(*n))).unwrap_or(0)
+}
+
+/// The shards of a node among so many.
+pub fn shards_of(node: usize, nodes: usize) -> Vec<ShardId> {
+    (0..SHARD_COUNT).map(ShardId).filter(|shard| owner(*shard, nodes) == node).collect()
+}
+
+/// Authority over some shards that never lapses.
+#[derive(Clone, Debug)]
+pub struct Held(Vec<bool>);
+
+impl Held {
+    /// The epoch of every held shard.
+    pub const EPOCH: Epoch = Epoch(1);
+
+    /// Authority over these shards.
+    pub fn new(shards: &[ShardId]) -> Self {
+        let mut held = vec![false; usize::from(SHARD_COUNT)];
+        for shard in shards {
+            held[usize::from(shard.0)] = true;
+        }
+        Held(held)
+    }
+}
+
+impl Authority for Held {
+    fn epoch_if_held(&self, _: Time, shard: ShardId) -> Option<Epoch> {
+        self.0[usize::from(shard.0)].then_some(Held::EPOCH)
+    }
+}
