--- /dev/null
+++ b/crates/daemon/src/scheduler/books.rs
@@ -0,0 +1,410 @@
+//! The four books of a scheduler, and what they tell each other and the outside.
+
+use {
+    super::{
+        Out, SchedulerEffect, WorkerCallGuard,
+        journal::{BookEntry, BookTicket},
+        recovery::Past,
+    },
+    crate::{
+        node::Notice,
+        peer::{JobRequest, PeerMessage},
+    },
+    egretlb_control::Control,
+    egretlb_log::Recovered,
+    egretlb_requests::{
+        KeyBook, KeyBookEffect, KeyBookEvent, ShareBook, ShareBookEffect, ShareBookEvent,
+        keys::{KeyEntry, KeySnapshot, Permit},
+        shares::{ServerInfo, ServerSpec},
+    },
+    egretlb_tasks::{
+        Backend, CallError, CallId, Guard, JobBook, JobEffect, JobEntry, JobEvent, JobSnapshot,
+        RackBook, RackEffect, RackEvent, WorkerAnswer,
+    },
+    egretlb_types::{
+        Authority, ConfigDocument, Epoch, NodeId, ShardId, Ticket, Time, VmRecord, VmState,
+    },
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// All that lasts of a shard, as a journal's snapshot has it.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(super) struct ShardSnapshot {
+    jobs: JobSnapshot,
+    keys: KeySnapshot,
+}
+
+/// One change of a shard, as a journal's entry has it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum ShardChange {
+    Job(JobEntry),
+    Key(KeyEntry),
+}
+
+impl ShardSnapshot {
+    pub(super) fn encode(&self) -> Vec<u8> {
+        // Writing to a growing buffer can't fail for types without maps of unknown length.
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+}
+
+impl ShardChange {
+    fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+}
+
+/// Who gets the reply to a call about a job.
+#[derive(Clone, Copy, Debug)]
+struct Caller {
+    node: NodeId,
+    call: CallId,
+}
+
+pub(super) struct Books {
+    jobs: JobBook,
+    racks: RackBook,
+    shares: ShareBook,
+    keys: KeyBook,
+    callers: BTreeMap<CallId, Caller>,
+    next_call: u64,
+    entries: Vec<BookEntry>,
+    log_up: bool,
+    known_nodes: Vec<NodeId>,
+}
+
+impl Books {
+    pub(super) fn new(node: NodeId, seed: u64) -> Self {
+        Books {
+            jobs: JobBook::builder().seed(seed).build(),
+            racks: RackBook::builder().seed(seed.wrapping_add(node.0)).build(),
+            shares: ShareBook::new(),
+            keys: KeyBook::new(),
+            callers: BTreeMap::new(),
+            next_call: 0,
+            entries: Vec::new(),
+            log_up: true,
+            known_nodes: Vec::new(),
+        }
+    }
+
+    pub(super) fn jobs(&self) -> &JobBook {
+        &self.jobs
+    }
+
+    pub(super) fn racks(&self) -> &RackBook {
+        &self.racks
+    }
+
+    pub(super) fn keys(&self) -> &KeyBook {
+        &self.keys
+    }
+
+    /// The entries that the books want journalled, in the order of their decisions.
+    pub(super) fn take_entries(&mut self) -> Vec<BookEntry> {
+        std::mem::take(&mut self.entries)
+    }
+
+    pub(super) fn snapshot(&self, now: Time, shard: ShardId) -> ShardSnapshot {
+        ShardSnapshot { jobs: self.jobs.snapshot(shard), keys: self.keys.snapshot(now, shard) }
+    }
+
+    /// Takes over what a predecessor left. Returns whether some of it couldn't be read.
+    pub(super) fn restore(&mut self, shard: ShardId, past: Option<&Recovered>) -> bool {
+        let Some(past) = past else { return false };
+        let snapshot: Result<ShardSnapshot, _> = postcard::from_bytes(&past.snapshot);
+        let mut unreadable = snapshot.is_err();
+        let ShardSnapshot { jobs, keys } = snapshot.unwrap_or_default();
+        self.jobs.restore(shard, jobs);
+        self.keys.restore(shard, keys);
+        for change in &past.changes {
+            match postcard::from_bytes(change) {
+                Ok(ShardChange::Job(entry)) => self.jobs.replay(shard, &entry),
+                Ok(ShardChange::Key(entry)) => self.keys.replay(shard, &entry),
+                Err(_) => unreadable = true,
+            }
+        }
+        unreadable
+    }
+
+    pub(super) fn own(
+        &mut self,
+        now: Time,
+        shard: ShardId,
+        epoch: Epoch,
+        past: Past,
+        control: &Control,
+        out: &mut Out,
+    ) {
+        let Past { had_owner, waited } = past;
+        let released = !had_owner || !waited;
+        self.step_racks(now, RackEvent::Owned { shard, epoch, released }, control, out);
+        let owned = ShareBookEvent::Owned { shard, epoch, had_owner };
+        self.step_shares(now, owned, control, out);
+        self.step_keys(now, KeyBookEvent::Owned { shard, epoch }, control, out);
+        self.step_jobs(now, JobEvent::Owned { shard, epoch }, control, out);
+    }
+
+    pub(super) fn lose(&mut self, now: Time, shard: ShardId, control: &Control, out: &mut Out) {
+        self.step_jobs(now, JobEvent::Lost { shard }, control, out);
+        self.step_keys(now, KeyBookEvent::Lost { shard }, control, out);
+        self.step_shares(now, ShareBookEvent::Lost { shard }, control, out);
+        self.step_racks(now, RackEvent::Lost { shard }, control, out);
+    }
+
+    pub(super) fn configure(
+        &mut self,
+        now: Time,
+        document: &Arc<ConfigDocument>,
+        control: &Control,
+        out: &mut Out,
+    ) {
+        let event = RackEvent::Config { document: Arc::clone(document) };
+        self.step_racks(now, event, control, out);
+        let event = JobEvent::Config { document: Arc::clone(document) };
+        self.step_jobs(now, event, control, out);
+    }
+
+    pub(super) fn tick(&mut self, now: Time, control: &Control, out: &mut Out) {
+        self.step_racks(now, RackEvent::Tick, control, out);
+        self.step_shares(now, ShareBookEvent::Tick, control, out);
+        self.step_keys(now, KeyBookEvent::Tick, control, out);
+        self.step_jobs(now, JobEvent::Tick, control, out);
+    }
+
+    /// Tells the books which schedulers there are, when that has changed.
+    pub(super) fn nodes(&mut self, now: Time, control: &Control, out: &mut Out) {
+        let Some(state) = control.state() else { return };
+        let nodes: Vec<NodeId> = state.schedulers().map(|info| info.node).collect();
+        if nodes != self.known_nodes {
+            self.known_nodes.clone_from(&nodes);
+            self.step_jobs(now, JobEvent::Nodes { nodes }, control, out);
+        }
+    }
+
+    pub(super) fn vms(
+        &mut self,
+        now: Time,
+        vms: Vec<VmRecord>,
+        control: &Control,
+        out: &mut Out,
+    ) {
+        self.step_racks(now, RackEvent::Vms { vms }, control, out);
+    }
+
+    pub(super) fn log_state(&mut self, now: Time, up: bool, control: &Control, out: &mut Out) {
+        if up != self.log_up {
+            self.log_up = up;
+            self.step_keys(now, KeyBookEvent::LogState { up }, control, out);
+        }
+    }
+
+    pub(super) fn journaled(
+        &mut self,
+        now: Time,
+        ticket: BookTicket,
+        control: &Control,
+        out: &mut Out,
+    ) {
+        match ticket {
+            BookTicket::Jobs(ticket) => {
+                self.step_jobs(now, JobEvent::Journaled { ticket }, control, out);
+            }
+            BookTicket::Keys(ticket) => {
+                self.step_keys(now, KeyBookEvent::Journaled { ticket }, control, out);
+            }
+        }
+    }
+
+    pub(super) fn worker_answered(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        result: Result<WorkerAnswer, CallError>,
+        control: &Control,
+        out: &mut Out,
+    ) {
+        self.step_racks(now, RackEvent::WorkerAnswered { ticket, result }, control, out);
+    }
+
+    /// Takes a message for a scheduler. Those for an entry are ignored: they were sent to a process
+    /// that had this address before.
+    pub(super) fn peer(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        message: PeerMessage,
+        control: &Control,
+        out: &mut Out,
+    ) {
+        match message {
+            PeerMessage::AskPermit(ask) => {
+                self.step_keys(now, KeyBookEvent::Ask { ask }, control, out);
+            }
+            PeerMessage::Outcome(report) => {
+                self.step_keys(now, KeyBookEvent::Report { report }, control, out);
+            }
+            PeerMessage::AskShares(ask) => {
+                self.step_shares(now, ShareBookEvent::Ask { ask }, control, out);
+            }
+            PeerMessage::Load { class, load } => {
+                self.step_jobs(now, JobEvent::Load { from, class, load }, control, out);
+            }
+            PeerMessage::ToNode(msg) => {
+                self.step_racks(now, RackEvent::NodeMessage { from, msg }, control, out);
+            }
+            PeerMessage::ToRack { shard, msg } => {
+                self.step_racks(now, RackEvent::RackMessage { shard, msg }, control, out);
+            }
+            PeerMessage::ToJob { msg, .. } => {
+                self.step_jobs(now, JobEvent::Message { from, msg }, control, out);
+            }
+            PeerMessage::JobCall { call, request } => {
+                self.job_call(now, Caller { node: from, call }, request, control, out);
+            }
+            _ => {}
+        }
+    }
+
+    fn job_call(
+        &mut self,
+        now: Time,
+        caller: Caller,
+        request: JobRequest,
+        control: &Control,
+        out: &mut Out,
+    ) {
+        self.next_call += 1;
+        let call = CallId(self.next_call);
+        self.callers.insert(call, caller);
+        let event = match request {
+            JobRequest::Submit(spec) => JobEvent::Submit { call, spec },
+            JobRequest::Cancel(job) => JobEvent::Cancel { call, job },
+            JobRequest::Status(job) => JobEvent::Status { call, job },
+        };
+        self.step_jobs(now, event, control, out);
+    }
+
+    fn step_jobs(&mut self, now: Time, event: JobEvent, control: &Control, out: &mut Out) {
+        let mut effects = Vec::new();
+        self.jobs.step(now, event, control, &mut effects);
+        for effect in effects {
+            self.perform_job(effect, control, out);
+        }
+    }
+
+    fn perform_job(&mut self, effect: JobEffect, control: &Control, out: &mut Out) {
+        match effect {
+            JobEffect::Journal { shard, entry, ticket } => {
+                let body = ShardChange::Job(entry).encode();
+                self.entries.push(BookEntry { shard, ticket: BookTicket::Jobs(ticket), body });
+            }
+            JobEffect::Reply { call, reply } => {
+                if let Some(caller) = self.callers.remove(&call) {
+                    let message = PeerMessage::JobReply { call: caller.call, reply };
+                    out.node.send(control, caller.node, message);
+                }
+            }
+            JobEffect::SendToNode { node, msg } => {
+                out.node.send(control, node, PeerMessage::ToNode(msg));
+            }
+            JobEffect::SendToRack { shard, msg } => {
+                out.node.send_to_owner(control, shard, PeerMessage::ToRack { shard, msg });
+            }
+            JobEffect::Alarm(alarm) => out.notice(Notice::Job(alarm)),
+        }
+    }
+
+    fn step_racks(&mut self, now: Time, event: RackEvent, control: &Control, out: &mut Out) {
+        let mut effects = Vec::new();
+        self.racks.step(now, event, control, &mut effects);
+        for effect in effects {
+            self.perform_rack(now, effect, control, out);
+        }
+    }
+
+    fn perform_rack(&mut self, now: Time, effect: RackEffect, control: &Control, out: &mut Out) {
+        match effect {
+            RackEffect::CallWorker { addr, ticket, call, guard, .. } => {
+                let guard = call_guard(now, guard, control);
+                out.own.push(SchedulerEffect::CallWorker { addr, ticket, call, guard });
+            }
+            RackEffect::SendToJob { shard, msg } => {
+                out.node.send_to_owner(control, shard, PeerMessage::ToJob { shard, msg });
+            }
+            RackEffect::Backends { shard, backends } => {
+                let servers = backends.into_iter().map(server_spec).collect();
+                self.step_shares(now, ShareBookEvent::Servers { shard, servers }, control, out);
+            }
+            RackEffect::Alarm(alarm) => out.notice(Notice::Rack(alarm)),
+        }
+    }
+
+    fn step_shares(&mut self, now: Time, event: ShareBookEvent, control: &Control, out: &mut Out) {
+        let mut effects = Vec::new();
+        self.shares.step(now, event, control, &mut effects);
+        for effect in effects {
+            match effect {
+                ShareBookEffect::Grant { entry, grant } => {
+                    if control.epoch_if_held(now, grant.shard) == Some(grant.epoch) {
+                        out.node.send(control, entry, PeerMessage::Shares(grant));
+                    }
+                }
+                ShareBookEffect::Recall { entry, shard, .. } => {
+                    out.node.send(control, entry, PeerMessage::RecallShares { shard });
+                }
+            }
+        }
+    }
+
+    fn step_keys(&mut self, now: Time, event: KeyBookEvent, control: &Control, out: &mut Out) {
+        let mut effects = Vec::new();
+        self.keys.step(now, event, control, &mut effects);
+        for effect in effects {
+            match effect {
+                KeyBookEffect::Journal { shard, entry, ticket } => {
+                    let body = ShardChange::Key(entry).encode();
+                    self.entries.push(BookEntry { shard, ticket: BookTicket::Keys(ticket), body });
+                }
+                KeyBookEffect::Answer { shard, holder, permit } => {
+                    let held = control.epoch_if_held(now, shard).is_some();
+                    // Without a word the entry gives up on the permit and frees the key.
+                    if held || permit != Permit::Granted {
+                        let message = PeerMessage::Permit { request: holder.request, permit };
+                        out.node.send(control, holder.entry, message);
+                    }
+                }
+                KeyBookEffect::ReportDone { holder } => {
+                    let message = PeerMessage::OutcomeKept { request: holder.request };
+                    out.node.send(control, holder.entry, message);
+                }
+            }
+        }
+    }
+}
+
+fn call_guard(now: Time, guard: Guard, control: &Control) -> WorkerCallGuard {
+    match guard {
+        Guard::None => WorkerCallGuard::None,
+        Guard::Before(time) => WorkerCallGuard::Before(time),
+        Guard::Authority(shard) => match control.authority_until(now, shard) {
+            Some(until) => WorkerCallGuard::Before(until),
+            None => WorkerCallGuard::Refused(shard),
+        },
+    }
+}
+
+fn server_spec(backend: Backend) -> ServerSpec {
+    ServerSpec {
+        info: ServerInfo {
+            vm: backend.vm,
+            addr: backend.addr,
+            data_centre: backend.data_centre,
+            state: VmState::Live,
+            classes: backend.classes,
+        },
+        slots: backend.slots,
+        connections: backend.connections,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/scheduler/dump.rs
@@ -0,0 +1,48 @@
+//! The scheduler's state for a person: what it owns, what its VMs hold, what waits.
+
+use {
+    super::Scheduler,
+    egretlb_types::{SHARD_COUNT, ShardId, Time},
+    serde_json::{Value, json},
+};
+
+impl Scheduler {
+    /// The state dump. It names VMs, jobs and classes, and holds no request keys and no commands.
+    pub(super) fn dump(&self, now: Time) -> Value {
+        let control = self.core.control();
+        let (owned, taking_over) = control.shard_counts();
+        let alarms: Vec<String> = control.alarms().map(|alarm| alarm.to_string()).collect();
+        let vms: Vec<Value> = self
+            .books
+            .racks()
+            .summary()
+            .iter()
+            .map(|vm| {
+                json!({
+                    "vm": vm.vm,
+                    "committed": vm.committed.to_string(),
+                    "observed": vm.observed.to_string(),
+                    "attempts": vm.attempts,
+                    "takes_work": vm.takes_work,
+                    "quarantined": vm.quarantined,
+                    "lost": vm.lost,
+                })
+            })
+            .collect();
+        let keys: usize = (0..SHARD_COUNT).map(|n| self.books.keys().key_count(ShardId(n))).sum();
+        json!({
+            "node": control.info().node.to_string(),
+            "role": "scheduler",
+            "data_centre": control.info().data_centre,
+            "config_version": control.in_force().version.0,
+            "in_touch_with_log": control.is_in_touch(now),
+            "alarms": alarms,
+            "shards": { "owned": owned, "taking_over": taking_over,
+                        "reading_back": self.recovery.under_way() },
+            "journal": { "held_bytes": self.journal.held_bytes(),
+                         "failures_in_a_row": self.journal.failures() },
+            "keys": keys,
+            "vms": vms,
+        })
+    }
+}
