Step both daemons' reducers over the platform and the peers

Cause: the books, the control stream and the request reducer need one reducer for each daemon that puts them together, and a loop that performs their effects. A worker call is checked against the end of authority on the thread that makes it. Requests that a worker didn't hand on are told apart from a service's own 503 by a header, since a service's 503 may have run.

--- a/crates/control/src/reducer/mod.rs
+++ b/crates/control/src/reducer/mod.rs
@@ -25,7 +25,7 @@
             holdings::Holdings,
             in_force::ConfigHolder,
             proposals::Proposals,
-            reads::Reads,
+            reads::{LEASE, Reads},
             succession::Succession,
             suspicion::Suspicion,
             upkeep::StreamUpkeep,
@@ -148,6 +148,14 @@
         self.reads.is_in_touch(now)
     }
 
+    /// Until when this process may act for the shard, unless it reads the log again before; `None`
+    /// if it may not now. The runtime checks its clock against it right before an unsafe call: a
+    /// process that was paused in between must notice.
+    pub fn authority_until(&self, now: Time, shard: ShardId) -> Option<Time> {
+        self.epoch_if_held(now, shard)?;
+        self.reads.fresh().map(|sent| sent + LEASE)
+    }
+
     /// The alarms that are on.
     pub fn alarms(&self) -> impl Iterator<Item = Alarm> {
         self.alarms.raised()
@@ -339,7 +347,7 @@
     }
 
     fn watch(&mut self, now: Time, in_touch: bool, out: &mut Vec<ControlEffect>) {
-        let long = self.reads.out_of_touch_for(now) >= reads::LEASE;
+        let long = self.reads.out_of_touch_for(now) >= LEASE;
         self.alarms.set(Alarm::LogOutOfReach, !in_touch && long, out);
         let few = in_touch && self.suspicion.few_heard();
         self.alarms.set(Alarm::FewPeersHeard, few, out);
--- a/crates/daemon/src/entry/event.rs
+++ b/crates/daemon/src/entry/event.rs
@@ -5,9 +5,10 @@
     compact_str::CompactString,
     egretlb_control::NodeInfo,
     egretlb_requests::{
-        AttemptId, RequestId,
-        entry::{Arrival, AttemptResult, Verdict},
+        AttemptId, BodyHash, RequestId,
+        entry::{AttemptResult, Verdict},
     },
+    egretlb_types::ClassName,
     smallvec::SmallVec,
     std::time::Duration,
 };
@@ -23,13 +24,30 @@
     pub seeds: SmallVec<[CompactString; 4]>,
 }
 
+/// A caller's request, without its body, which the runtime keeps.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallerArrival {
+    /// The request's number, new for each request.
+    pub request: RequestId,
+    /// The class that the caller named.
+    pub class: ClassName,
+    /// How long the caller will still wait, if it said so.
+    pub deadline: Option<Duration>,
+    /// The text of the caller's idempotency key, checked.
+    pub key: Option<CompactString>,
+    /// The hash of what is to be run.
+    pub body: BodyHash,
+    /// The size of the body in bytes.
+    pub body_size: u64,
+}
+
 /// What happens to an entry.
 #[derive(Clone, Debug)]
 pub enum EntryNodeEvent {
     /// What may happen to any daemon.
     Node(NodeEvent),
-    /// A request arrived with its whole body, which the runtime keeps.
-    Arrived(Arrival),
+    /// A request arrived with its whole body.
+    Arrived(CallerArrival),
     /// The caller closed its connection.
     CallerGone {
         /// Its request.
@@ -85,3 +103,9 @@
         request: RequestId,
     },
 }
+
+impl From<NodeEvent> for EntryNodeEvent {
+    fn from(event: NodeEvent) -> Self {
+        EntryNodeEvent::Node(event)
+    }
+}
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -2,7 +2,9 @@
 
 mod event;
 
-pub use self::event::{EntryNodeEffect, EntryNodeEvent, EntryNodeOptions, RequestEffect};
+pub use self::event::{
+    CallerArrival, EntryNodeEffect, EntryNodeEvent, EntryNodeOptions, RequestEffect,
+};
 
 use {
     crate::{
@@ -12,13 +14,13 @@
         },
         peer::PeerMessage,
     },
-    egretlb_control::{ControlEffect, ControlEvent},
+    egretlb_control::{Control, ControlEffect, ControlEvent},
     egretlb_requests::{
         Entry, EntryEffect, EntryEvent, EntryOptions,
-        entry::ShardOwner,
+        entry::{Arrival, EntryDump, ShardOwner},
         keys::Permit,
     },
-    egretlb_types::{NodeId, SHARD_COUNT, ShardId, Time, shard_of_class},
+    egretlb_types::{NodeId, RequestKey, SHARD_COUNT, ShardId, Time, shard_of_class},
     serde_json::{Value, json},
 };
 
@@ -61,6 +63,7 @@
         match event {
             EntryNodeEvent::Node(event) => self.node_event(now, event, &mut out),
             EntryNodeEvent::Arrived(arrival) => {
+                let arrival = self.arrival(arrival);
                 self.requests(now, EntryEvent::Arrived(arrival), &mut out);
             }
             EntryNodeEvent::CallerGone { request } => {
@@ -74,6 +77,36 @@
         effects.extend(out.requests.into_iter().map(EntryNodeEffect::Request));
     }
 
+    /// The node's control.
+    pub fn control(&self) -> &Control {
+        self.core.control()
+    }
+
+    /// When the last answered read of the control stream was sent.
+    pub fn last_read_sent(&self) -> Option<Time> {
+        self.core.last_read_sent()
+    }
+
+    /// What becomes of the requests in progress.
+    pub fn request_state(&self) -> EntryDump {
+        self.entry.dump()
+    }
+
+    /// Puts the key under the member that owns the class: keys of two members never meet.
+    fn arrival(&self, arrival: CallerArrival) -> Arrival {
+        let document = &self.core.control().in_force().document;
+        let member = document.class(&arrival.class).map(|class| class.member.clone());
+        let key = arrival.key.zip(member).map(|(text, member)| RequestKey { member, text });
+        Arrival {
+            request: arrival.request,
+            class: arrival.class,
+            deadline: arrival.deadline,
+            key,
+            body: arrival.body,
+            body_size: arrival.body_size,
+        }
+    }
+
     /// When to step next, if nothing else happens before.
     pub fn wake_at(&self) -> Option<Time> {
         self.entry.wake_at()
@@ -87,11 +120,11 @@
                 self.requests(now, EntryEvent::Tick, out);
             }
             NodeEvent::ControlRead { sent, outcome } => {
-                self.control(now, ControlEvent::ReadDone { sent, outcome }, out);
+                self.step_control(now, ControlEvent::ReadDone { sent, outcome }, out);
                 self.follow_owners(now, out);
             }
             NodeEvent::ControlAppended { ticket, outcome } => {
-                self.control(now, ControlEvent::AppendDone { ticket, outcome }, out);
+                self.step_control(now, ControlEvent::AppendDone { ticket, outcome }, out);
             }
             NodeEvent::Peer { from, message } => self.peer(now, from, message, out),
             NodeEvent::Undelivered { message, delivery } => {
@@ -113,7 +146,7 @@
             NodeEvent::Shutdown => {
                 self.shutting_down = true;
                 self.requests(now, EntryEvent::Shutdown, out);
-                self.control(now, ControlEvent::Shutdown, out);
+                self.step_control(now, ControlEvent::Shutdown, out);
             }
         }
     }
@@ -130,7 +163,7 @@
         None
     }
 
-    fn control(&mut self, now: Time, event: ControlEvent, out: &mut Out) {
+    fn step_control(&mut self, now: Time, event: ControlEvent, out: &mut Out) {
         let effects = self.core.step_control(now, event, &mut out.node);
         self.perform(now, effects, out);
     }
@@ -196,13 +229,7 @@
         self.requests(now, event, out);
     }
 
-    fn undelivered(
-        &mut self,
-        now: Time,
-        message: &PeerMessage,
-        delivery: Delivery,
-        out: &mut Out,
-    ) {
+    fn undelivered(&mut self, now: Time, message: &PeerMessage, delivery: Delivery, out: &mut Out) {
         self.core.undelivered(message, delivery, &mut out.node);
         // Only an ask that certainly never left may be refused at once: for any other the owner
         // may have given the permit, and the entry has to report that nothing ran.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,7 +15,9 @@
 mod scheduler;
 
 pub use crate::{
-    entry::{EntryNode, EntryNodeEffect, EntryNodeEvent, EntryNodeOptions, RequestEffect},
+    entry::{
+        CallerArrival, EntryNode, EntryNodeEffect, EntryNodeEvent, EntryNodeOptions, RequestEffect,
+    },
     node::{
         CallTicket, Delivery, NodeEffect, NodeEvent, Notice, OperatorReply, OperatorRequest,
         PEER_CONFIG_MAX_BYTES,
--- a/crates/daemon/src/node/core.rs
+++ b/crates/daemon/src/node/core.rs
@@ -69,6 +69,10 @@
         }
     }
 
+    pub(crate) fn last_read_sent(&self) -> Option<Time> {
+        self.last_read_sent
+    }
+
     pub(crate) fn control(&self) -> &Control {
         &self.control
     }
@@ -147,7 +151,7 @@
     ) -> Vec<ControlEffect> {
         match request {
             OperatorRequest::Config => {
-                let reply = OperatorReply::Config(self.config_view());
+                let reply = OperatorReply::Config(Box::new(self.config_view()));
                 out.effects.push(NodeEffect::Reply { call, reply });
             }
             OperatorRequest::Status => {
@@ -169,7 +173,7 @@
         &mut self,
         now: Time,
         call: CallTicket,
-        propose: ProposeConfig,
+        propose: Box<ProposeConfig>,
         out: &mut Outbox,
     ) -> Vec<ControlEffect> {
         let faults = check_document(&propose.document);
@@ -272,10 +276,7 @@
 
     fn config_view(&self) -> ConfigView {
         let in_force = self.control.in_force();
-        ConfigView {
-            version: version_of(in_force.version),
-            document: (*in_force.document).clone(),
-        }
+        ConfigView { version: version_of(in_force.version), document: (*in_force.document).clone() }
     }
 
     fn status(&self, now: Time) -> Status {
@@ -297,7 +298,8 @@
         });
         let me = info.node == self.control.info().node;
         let in_force = self.control.in_force().version;
-        let version = if me { Some(in_force) } else { self.heard_versions.get(&info.node).copied() };
+        let version =
+            if me { Some(in_force) } else { self.heard_versions.get(&info.node).copied() };
         let silence = if me { Some(Duration::ZERO) } else { self.control.silence(now, info.node) };
         NodeStatus {
             node: info.node,
@@ -330,4 +332,3 @@
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
-
--- a/crates/daemon/src/node/event.rs
+++ b/crates/daemon/src/node/event.rs
@@ -77,7 +77,7 @@
     /// The configuration in force.
     Config,
     /// Propose a configuration.
-    Propose(ProposeConfig),
+    Propose(Box<ProposeConfig>),
     /// Submit a job.
     Submit(SubmitJob),
     /// Where a job stands.
@@ -96,7 +96,7 @@
 #[derive(Clone, Debug)]
 pub enum OperatorReply {
     /// To [`OperatorRequest::Config`].
-    Config(ConfigView),
+    Config(Box<ConfigView>),
     /// To [`OperatorRequest::Propose`].
     Propose(ProposeAnswer),
     /// To [`OperatorRequest::Submit`].
--- a/crates/daemon/src/scheduler/books.rs
+++ b/crates/daemon/src/scheduler/books.rs
@@ -89,10 +89,6 @@
         }
     }
 
-    pub(super) fn jobs(&self) -> &JobBook {
-        &self.jobs
-    }
-
     pub(super) fn racks(&self) -> &RackBook {
         &self.racks
     }
@@ -183,13 +179,7 @@
         }
     }
 
-    pub(super) fn vms(
-        &mut self,
-        now: Time,
-        vms: Vec<VmRecord>,
-        control: &Control,
-        out: &mut Out,
-    ) {
+    pub(super) fn vms(&mut self, now: Time, vms: Vec<VmRecord>, control: &Control, out: &mut Out) {
         self.step_racks(now, RackEvent::Vms { vms }, control, out);
     }
 
--- a/crates/daemon/src/scheduler/event.rs
+++ b/crates/daemon/src/scheduler/event.rs
@@ -94,3 +94,9 @@
         guard: WorkerCallGuard,
     },
 }
+
+impl From<NodeEvent> for SchedulerEvent {
+    fn from(event: NodeEvent) -> Self {
+        SchedulerEvent::Node(event)
+    }
+}
--- a/crates/daemon/src/scheduler/journal.rs
+++ b/crates/daemon/src/scheduler/journal.rs
@@ -146,12 +146,7 @@
     }
 
     /// What is durable by the log's answer.
-    pub(super) fn answered(
-        &mut self,
-        now: Time,
-        seq: Seq,
-        outcome: AppendOutcome,
-    ) -> Vec<Origin> {
+    pub(super) fn answered(&mut self, now: Time, seq: Seq, outcome: AppendOutcome) -> Vec<Origin> {
         let answered = self.writer.answered(now, seq, outcome);
         answered.durable.iter().filter_map(|ticket| self.origins.remove(ticket)).collect()
     }
--- a/crates/daemon/src/scheduler/mod.rs
+++ b/crates/daemon/src/scheduler/mod.rs
@@ -14,10 +14,14 @@
 use {
     self::{books::Books, journal::Journal, recovery::Recovery},
     crate::{
-        node::{NodeCore, NodeEffect, NodeEvent, Notice, OperatorReply, OperatorRequest, Outbox},
+        node::{
+            NodeCore, NodeEffect, NodeEvent, Notice, OperatorReply, OperatorRequest, Outbox,
+            PeerTaken,
+        },
         peer::PeerMessage,
     },
-    egretlb_control::{ControlEffect, ControlEvent},
+    egretlb_control::{Control, ControlEffect, ControlEvent},
+    egretlb_tasks::VmSummary,
     egretlb_types::{NodeId, Time},
 };
 
@@ -77,21 +81,35 @@
         effects.append(&mut out.own);
     }
 
-    /// How much longer this process has authority for the shard: the runtime checks its clock
-    /// against it right before an unsafe call.
-    pub fn core_control(&self) -> &egretlb_control::Control {
+    /// The node.
+    pub fn node(&self) -> NodeId {
+        self.core.control().info().node
+    }
+
+    /// The node's control.
+    pub fn control(&self) -> &Control {
         self.core.control()
     }
 
+    /// When the last answered read of the control stream was sent.
+    pub fn last_read_sent(&self) -> Option<Time> {
+        self.core.last_read_sent()
+    }
+
+    /// What each VM of this node's racks holds.
+    pub fn vms(&self) -> Vec<VmSummary> {
+        self.books.racks().summary()
+    }
+
     fn node_event(&mut self, now: Time, event: NodeEvent, out: &mut Out) {
         match event {
             NodeEvent::Tick => self.tick(now, out),
             NodeEvent::ControlRead { sent, outcome } => {
-                self.control(now, ControlEvent::ReadDone { sent, outcome }, out);
+                self.step_control(now, ControlEvent::ReadDone { sent, outcome }, out);
                 self.books.nodes(now, self.core.control(), out);
             }
             NodeEvent::ControlAppended { ticket, outcome } => {
-                self.control(now, ControlEvent::AppendDone { ticket, outcome }, out);
+                self.step_control(now, ControlEvent::AppendDone { ticket, outcome }, out);
             }
             NodeEvent::Peer { from, message } => self.peer(now, from, message, out),
             NodeEvent::Undelivered { message, delivery } => {
@@ -110,7 +128,7 @@
                 let effects = self.core.operator(now, call, request, &mut out.node);
                 self.perform(now, effects, out);
             }
-            NodeEvent::Shutdown => self.control(now, ControlEvent::Shutdown, out),
+            NodeEvent::Shutdown => self.step_control(now, ControlEvent::Shutdown, out),
         }
     }
 
@@ -135,7 +153,7 @@
         }
     }
 
-    fn control(&mut self, now: Time, event: ControlEvent, out: &mut Out) {
+    fn step_control(&mut self, now: Time, event: ControlEvent, out: &mut Out) {
         let effects = self.core.step_control(now, event, &mut out.node);
         self.perform(now, effects, out);
     }
@@ -175,8 +193,8 @@
 
     fn peer(&mut self, now: Time, from: NodeId, message: PeerMessage, out: &mut Out) {
         match self.core.peer(now, from, message, &mut out.node) {
-            crate::node::PeerTaken::Done(effects) => self.perform(now, effects, out),
-            crate::node::PeerTaken::NotMine(message) => {
+            PeerTaken::Done(effects) => self.perform(now, effects, out),
+            PeerTaken::NotMine(message) => {
                 self.books.peer(now, from, message, self.core.control(), out);
             }
         }
@@ -185,7 +203,7 @@
     fn journaled(&mut self, now: Time, origin: journal::Origin, out: &mut Out) {
         match origin {
             journal::Origin::Takeover { shard, epoch } => {
-                self.control(now, ControlEvent::RecoveryDone { shard, epoch }, out);
+                self.step_control(now, ControlEvent::RecoveryDone { shard, epoch }, out);
             }
             journal::Origin::Refresh => {}
             journal::Origin::Book(ticket) => {
@@ -197,7 +215,7 @@
     /// Takes up what this step left inside the process: its messages to itself, recovered shards,
     /// entries for the journal. Each may lead to more of the others.
     fn settle(&mut self, now: Time, out: &mut Out) {
-        let me = self.core.control().info().node;
+        let me = self.node();
         loop {
             if let Some(message) = out.node.take_own() {
                 self.peer(now, me, message, out);
--- a/crates/daemon/src/scheduler/recovery.rs
+++ b/crates/daemon/src/scheduler/recovery.rs
@@ -120,13 +120,7 @@
         }
     }
 
-    pub(super) fn read(
-        &mut self,
-        now: Time,
-        run: JournalRun,
-        outcome: ReadOutcome,
-        out: &mut Out,
-    ) {
+    pub(super) fn read(&mut self, now: Time, run: JournalRun, outcome: ReadOutcome, out: &mut Out) {
         let Some(reading) = self.runs.get_mut(&run) else { return };
         match reading.reader.fold(outcome) {
             ReadStep::More => {
--- a/crates/net/src/http/mod.rs
+++ b/crates/net/src/http/mod.rs
@@ -5,5 +5,5 @@
 
 pub use self::{
     client::{CallFailure, HttpAnswer, call, call_json},
-    server::{Drain, HttpServer, ReadBodyError, read_body, respond, respond_json},
+    server::{BadRequest, Drain, HttpServer, ReadBodyError, read_body, respond, respond_json},
 };
--- a/crates/net/src/http/server.rs
+++ b/crates/net/src/http/server.rs
@@ -183,6 +183,32 @@
     if buf.len() > limit { Err(ReadBodyError::TooLarge { limit }) } else { Ok(buf) }
 }
 
+/// A request that can't be taken, with the text that names the remedy.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BadRequest {
+    /// The status to answer with.
+    pub status: StatusCode,
+    /// What is wrong and what to do.
+    pub text: String,
+}
+
+impl BadRequest {
+    /// A request to be answered with `status` and `text`.
+    pub fn new(status: StatusCode, text: impl fmt::Display) -> Self {
+        BadRequest { status, text: text.to_string() }
+    }
+}
+
+impl From<ReadBodyError> for BadRequest {
+    fn from(error: ReadBodyError) -> Self {
+        let status = match error {
+            ReadBodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            ReadBodyError::Broken(_) => StatusCode::BAD_REQUEST,
+        };
+        BadRequest::new(status, error)
+    }
+}
+
 /// A plain-text answer with extra headers.
 pub fn respond(
     status: StatusCode,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,5 +8,10 @@
 pub mod peers;
 pub mod platform;
 mod pool;
+pub mod runtime;
 
-pub use crate::{clock::Clock, pool::Pool};
+pub use crate::{
+    clock::Clock,
+    pool::Pool,
+    runtime::{Running, StartError, Stopped, start_entry, start_scheduler},
+};
--- a/crates/net/src/peers/client.rs
+++ b/crates/net/src/peers/client.rs
@@ -31,8 +31,17 @@
 /// How long a peer that nothing is sent to keeps its connection.
 const IDLE_LIMIT: Duration = Duration::from_secs(120);
 
-/// What to do when a message certainly or probably didn't arrive.
-pub type Undelivered = Box<dyn FnOnce() + Send>;
+/// What is known of a message that wasn't confirmed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fate {
+    /// No byte of it left this process.
+    NeverSent,
+    /// It may have arrived.
+    Unknown,
+}
+
+/// What to do when a message isn't known to have arrived.
+pub type Undelivered = Box<dyn FnOnce(Fate) + Send>;
 
 struct Outgoing {
     body: Vec<u8>,
@@ -40,9 +49,9 @@
 }
 
 impl Outgoing {
-    fn fail(self) {
+    fn never_sent(self) {
         if let Some(undelivered) = self.undelivered {
-            undelivered();
+            undelivered(Fate::NeverSent);
         }
     }
 }
@@ -66,7 +75,7 @@
         let tx = self.queue(to);
         match tx.try_send(Outgoing { body, undelivered }) {
             Ok(()) => {}
-            Err(TrySendError::Full(out) | TrySendError::Closed(out)) => out.fail(),
+            Err(TrySendError::Full(out) | TrySendError::Closed(out)) => out.never_sent(),
         }
     }
 
@@ -107,7 +116,7 @@
                 tokio::spawn(deliver(connected, from, out, Arc::clone(&broken)));
             }
             None => {
-                out.fail();
+                out.never_sent();
                 fail_queued(&mut rx);
             }
         }
@@ -121,7 +130,7 @@
     if sent.is_err() {
         broken.store(true, Ordering::Release);
         if let Some(undelivered) = out.undelivered {
-            undelivered();
+            undelivered(Fate::Unknown);
         }
     }
 }
@@ -130,6 +139,6 @@
 /// than after a time-out each.
 fn fail_queued(rx: &mut Receiver<Outgoing>) {
     while let Ok(out) = rx.try_recv() {
-        out.fail();
+        out.never_sent();
     }
 }
--- a/crates/net/src/peers/mod.rs
+++ b/crates/net/src/peers/mod.rs
@@ -9,7 +9,7 @@
 mod service;
 
 pub use self::{
-    client::{PeerSender, Undelivered},
+    client::{Fate, PeerSender, Undelivered},
     server::listen,
     service::Received,
 };
--- /dev/null
+++ b/crates/net/src/runtime/gauges.rs
@@ -0,0 +1,76 @@
+//! Gauges that are read off the reducers now and then.
+
+use {
+    egretlb_control::Control,
+    egretlb_daemon::{EntryNode, Scheduler},
+    egretlb_telemetry::{CommonMetrics, EntryMetrics, SchedulerMetrics, Shares},
+    egretlb_types::{Offset, Time},
+    std::{sync::Arc, time::Duration},
+};
+
+/// Time between two updates: reading them off costs a walk over classes and servers.
+const UPDATE_EVERY: Duration = Duration::from_secs(1);
+
+fn common(now: Time, control: &Control, read_sent: Option<Time>, metrics: &CommonMetrics) {
+    let version = control.in_force().version.0.checked_sub(1).map(Offset);
+    metrics.set_config_version(version);
+    metrics.set_control_read_age(now.since(read_sent.unwrap_or(Time::ZERO)));
+}
+
+/// A scheduler's gauges.
+pub(super) struct SchedulerGauges {
+    metrics: Arc<SchedulerMetrics>,
+    at: Time,
+}
+
+impl SchedulerGauges {
+    pub(super) fn new(metrics: Arc<SchedulerMetrics>) -> Self {
+        SchedulerGauges { metrics, at: Time::ZERO }
+    }
+
+    pub(super) fn update(&mut self, now: Time, scheduler: &Scheduler) {
+        if now < self.at {
+            return;
+        }
+        self.at = now + UPDATE_EVERY;
+        let read_sent = scheduler.last_read_sent();
+        common(now, scheduler.control(), read_sent, self.metrics.common());
+        let (owned, _) = scheduler.control().shard_counts();
+        let age = now.since(read_sent.unwrap_or(Time::ZERO));
+        self.metrics.set_ownership(owned, age);
+        let vms = scheduler.vms();
+        let quarantined = vms.iter().filter(|vm| vm.quarantined).count();
+        self.metrics.set_vms(vms.len(), quarantined);
+    }
+}
+
+/// An entry's gauges.
+pub(super) struct EntryGauges {
+    metrics: Arc<EntryMetrics>,
+    at: Time,
+}
+
+impl EntryGauges {
+    pub(super) fn new(metrics: Arc<EntryMetrics>) -> Self {
+        EntryGauges { metrics, at: Time::ZERO }
+    }
+
+    pub(super) fn update(&mut self, now: Time, entry: &EntryNode) {
+        if now < self.at {
+            return;
+        }
+        self.at = now + UPDATE_EVERY;
+        common(now, entry.control(), entry.last_read_sent(), self.metrics.common());
+        let state = entry.request_state();
+        self.metrics.set_in_progress(state.requests);
+        for class in &state.classes {
+            self.metrics.set_queue_depth(&class.class, class.queued);
+        }
+        self.metrics.set_shares(Shares {
+            granted: state.servers.iter().map(|server| u32::from(server.share)).sum(),
+            used: state.servers.iter().map(|server| u32::from(server.open)).sum(),
+            servers: state.servers.len() as u32,
+            ejected: state.servers.iter().filter(|server| server.ejected).count() as u32,
+        });
+    }
+}
--- /dev/null
+++ b/crates/net/src/runtime/operators.rs
@@ -0,0 +1,186 @@
+//! Operators' calls over HTTP.
+
+use {
+    crate::http::{BadRequest, HttpServer, read_body, respond, respond_json},
+    compact_str::CompactString,
+    crossbeam::channel::{self, Sender},
+    egretlb_api::{
+        ApiError, CONFIG, HEALTHZ, JOBS, MAX_COMMAND_BYTES, MAX_TASKS_PER_JOB, METRICS, READYZ,
+        STATE, STATUS, SubmitJob, job_of_path,
+    },
+    egretlb_config::Settings,
+    egretlb_daemon::{CallTicket, NodeEvent, OperatorReply, OperatorRequest},
+    egretlb_telemetry::METRICS_CONTENT_TYPE,
+    oxhttp::model::{Body, Method, Request, Response, StatusCode, header::CONTENT_TYPE},
+    serde::de::DeserializeOwned,
+    std::{
+        collections::HashMap,
+        io,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+};
+
+/// How long a call waits for the reducer. It answers every call within 5 s by itself; this is for
+/// a process that hangs.
+const REPLY_WITHIN: Duration = Duration::from_secs(10);
+
+/// The largest body of an operator's call: a configuration of thousands of classes.
+const BODY_MAX_BYTES: usize = 8 * 1024 * 1024;
+
+/// Connections at once. Operators and scrapers are few; callers never come here.
+const CONNECTIONS_MAX: usize = 64;
+
+/// How long a connection may be idle.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+
+/// The calls that wait for a reply.
+#[derive(Clone, Default)]
+pub(super) struct Replies {
+    next: Arc<AtomicU64>,
+    waiting: Arc<Mutex<HashMap<CallTicket, Sender<OperatorReply>>>>,
+}
+
+impl Replies {
+    /// Hands a reply to whoever waits for it.
+    pub(super) fn give(&self, call: CallTicket, reply: OperatorReply) {
+        if let Some(tx) = self.lock().remove(&call) {
+            // The receiver may have stopped waiting.
+            let _ = tx.send(reply);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<CallTicket, Sender<OperatorReply>>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Asks the reducer and waits for its reply.
+    fn ask<E: From<NodeEvent>>(
+        &self,
+        tx: &Sender<E>,
+        request: OperatorRequest,
+    ) -> Option<OperatorReply> {
+        let call = CallTicket(self.next.fetch_add(1, Ordering::Relaxed));
+        let (reply_tx, reply_rx) = channel::bounded(1);
+        self.lock().insert(call, reply_tx);
+        let sent = tx.send(NodeEvent::Operator { call, request }.into());
+        let reply = sent.ok().and_then(|()| reply_rx.recv_timeout(REPLY_WITHIN).ok());
+        self.lock().remove(&call);
+        reply
+    }
+}
+
+/// Serves the operators' calls of one daemon.
+pub(super) fn serve<E: From<NodeEvent> + Send + 'static>(
+    settings: &Settings,
+    tx: Sender<E>,
+    replies: Replies,
+    render_metrics: impl Fn() -> String + Send + Sync + 'static,
+) -> io::Result<HttpServer> {
+    let addr = settings.listen.operators;
+    let handler = move |req: &mut Request<Body>| match route(req) {
+        Ok(Routed::Ask(request)) => match replies.ask(&tx, request) {
+            Some(reply) => answer(reply),
+            None => api_error(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the process doesn't answer; look at its log and restart it if it hangs",
+            ),
+        },
+        Ok(Routed::Alive) => respond(StatusCode::OK, [], "alive\n"),
+        Ok(Routed::Metrics) => {
+            let content_type = (CONTENT_TYPE, METRICS_CONTENT_TYPE.to_owned());
+            let mut metrics = respond(StatusCode::OK, [], render_metrics());
+            metrics.headers_mut().remove(CONTENT_TYPE);
+            if let Ok(value) = content_type.1.parse() {
+                metrics.headers_mut().insert(content_type.0, value);
+            }
+            metrics
+        }
+        Err(bad) => api_error(bad.status, bad.text),
+    };
+    HttpServer::start(addr.ip(), addr.port(), IDLE_LIMIT, CONNECTIONS_MAX, handler)
+}
+
+enum Routed {
+    Ask(OperatorRequest),
+    Alive,
+    Metrics,
+}
+
+fn route(req: &mut Request<Body>) -> Result<Routed, BadRequest> {
+    let path = req.uri().path().to_owned();
+    let method = req.method().clone();
+    let request = match (method, path.as_str()) {
+        (Method::GET, HEALTHZ) => return Ok(Routed::Alive),
+        (Method::GET, METRICS) => return Ok(Routed::Metrics),
+        (Method::GET, READYZ) => OperatorRequest::Ready,
+        (Method::GET, CONFIG) => OperatorRequest::Config,
+        (Method::POST, CONFIG) => OperatorRequest::Propose(Box::new(json_body(req)?)),
+        (Method::GET, STATUS) => OperatorRequest::Status,
+        (Method::GET, STATE) => OperatorRequest::State,
+        (Method::POST, JOBS) => OperatorRequest::Submit(checked(json_body(req)?)?),
+        (method, path) => match (method, job_of_path(path)) {
+            (Method::GET, Some(Ok(job))) => OperatorRequest::Job(job),
+            (Method::DELETE, Some(Ok(job))) => OperatorRequest::Cancel(job),
+            (_, Some(Err(error))) => {
+                return Err(BadRequest::new(
+                    StatusCode::BAD_REQUEST,
+                    format!("the job id: {error}"),
+                ));
+            }
+            _ => {
+                let text = "no such call; see the operators' calls in docs/GUIDE.md";
+                return Err(BadRequest::new(StatusCode::NOT_FOUND, text));
+            }
+        },
+    };
+    Ok(Routed::Ask(request))
+}
+
+fn json_body<T: DeserializeOwned>(req: &mut Request<Body>) -> Result<T, BadRequest> {
+    let body = read_body(req, BODY_MAX_BYTES)?;
+    serde_json::from_slice(&body).map_err(|e| {
+        let text = format!("the body isn't what this call takes: {e}; see docs/GUIDE.md");
+        BadRequest::new(StatusCode::BAD_REQUEST, text)
+    })
+}
+
+/// The limits that keep one submission within a record of the log.
+fn checked(submit: SubmitJob) -> Result<SubmitJob, BadRequest> {
+    if submit.tasks == 0 || submit.tasks > MAX_TASKS_PER_JOB {
+        let text = format!("a job has 1 to {MAX_TASKS_PER_JOB} tasks; split larger ones");
+        return Err(BadRequest::new(StatusCode::UNPROCESSABLE_ENTITY, text));
+    }
+    if submit.command.len() > MAX_COMMAND_BYTES {
+        let text = format!("a command has at most {MAX_COMMAND_BYTES} bytes; name a file instead");
+        return Err(BadRequest::new(StatusCode::UNPROCESSABLE_ENTITY, text));
+    }
+    Ok(submit)
+}
+
+fn api_error(status: StatusCode, text: impl Into<CompactString>) -> Response<Body> {
+    respond_json(status, &ApiError { error: text.into(), retry_after: None })
+}
+
+fn status_code(code: u16) -> StatusCode {
+    StatusCode::from_u16(code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+fn answer(reply: OperatorReply) -> Response<Body> {
+    match reply {
+        OperatorReply::Config(view) => respond_json(StatusCode::OK, &view),
+        OperatorReply::Propose(answer) => respond_json(status_code(answer.status_code()), &answer),
+        OperatorReply::Submit(answer) => respond_json(status_code(answer.status_code()), &answer),
+        OperatorReply::Job(answer) => respond_json(status_code(answer.status_code()), &answer),
+        OperatorReply::Cancel(answer) => respond_json(status_code(answer.status_code()), &answer),
+        OperatorReply::Status(status) => respond_json(StatusCode::OK, &status),
+        OperatorReply::State(state) => respond_json(StatusCode::OK, &state),
+        OperatorReply::Ready { missing: None } => respond(StatusCode::OK, [], "ready\n"),
+        OperatorReply::Ready { missing: Some(why) } => {
+            respond(StatusCode::SERVICE_UNAVAILABLE, [], format!("not ready: {why}\n"))
+        }
+    }
+}
--- a/crates/net/tests/peer_delivery.rs
+++ b/crates/net/tests/peer_delivery.rs
@@ -2,7 +2,7 @@
 
 use {
     crossbeam::channel,
-    egretlb_net::peers::{PeerSender, Received, listen},
+    egretlb_net::peers::{Fate, PeerSender, Received, listen},
     egretlb_types::NodeId,
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
@@ -52,10 +52,12 @@
     let (tx, rx) = channel::unbounded();
     for n in 0..3 {
         let tx = tx.clone();
-        let undelivered = Box::new(move || tx.send(n).expect("the test receives"));
+        let undelivered = Box::new(move |fate| tx.send((n, fate)).expect("the test receives"));
         sender.send(addr, vec![0], Some(undelivered));
     }
-    let mut failed: Vec<i32> = (0..3).map(|_| rx.recv_timeout(PATIENCE).expect("told")).collect();
-    failed.sort_unstable();
-    assert_eq!(failed, [0, 1, 2]);
+    let mut failed: Vec<(i32, Fate)> =
+        (0..3).map(|_| rx.recv_timeout(PATIENCE).expect("told")).collect();
+    failed.sort_unstable_by_key(|(n, _)| *n);
+    let never_sent = [0, 1, 2].map(|n| (n, Fate::NeverSent));
+    assert_eq!(failed, never_sent);
 }
--- a/crates/standins/src/worker/mod.rs
+++ b/crates/standins/src/worker/mod.rs
@@ -5,7 +5,7 @@
 //!
 //! | call | body | answer |
 //! |---|---|---|
-//! | `* /serve/{class}/{path}` | any | 200 [`Served`]; 404 if no service of the class runs; 503 if busy or leaving |
+//! | `* /serve/{class}/{path}` | any | 200 [`Served`]; 404 if no service of the class runs, 503 if busy or leaving, both with `Worker-Declined` |
 //! | `POST /faults` | [`WorkerFaults`] | 200; replaces the faults in force |
 //! | `GET /history` | none | 200 a list of [`Happening`] |
 //!
--- a/crates/standins/src/worker/serve.rs
+++ b/crates/standins/src/worker/serve.rs
@@ -7,7 +7,10 @@
         worker::{What, WorkerState},
     },
     compact_str::CompactString,
-    egretlb_types::{ClassName, VmId},
+    egretlb_types::{
+        ClassName, VmId,
+        worker::{DECLINED_BUSY, DECLINED_HEADER, DECLINED_LEAVING, DECLINED_NO_SERVICE},
+    },
     serde::{Deserialize, Serialize},
     siphasher::sip::SipHasher13,
     std::{hash::Hasher, sync::Mutex, thread, time::Duration},
@@ -69,15 +72,15 @@
     let (slots, default_time) = {
         let mut state = lock(state);
         if state.faults().leaving || state.faults().refuse {
-            return Reply::text(503, "leaving");
+            return declined(503, DECLINED_LEAVING);
         }
         if !state.serves(wall_clock(), &class) {
-            return Reply::text(404, "no service of this class runs here");
+            return declined(404, DECLINED_NO_SERVICE);
         }
         (state.settings().slots, state.settings().service_time)
     };
     let Some(_busy) = Busy::enter(busy, slots) else {
-        return Reply::text(503, "all slots are busy");
+        return declined(503, DECLINED_BUSY);
     };
     let id = CompactString::new(call.header("x-request-id").unwrap_or_default());
     lock(state).record(wall_clock(), What::RequestBegan { id: id.clone(), class });
@@ -85,6 +88,13 @@
     finish(call, state, id)
 }
 
+/// An answer of the worker itself: the request wasn't handed on.
+fn declined(status: u16, why: &str) -> Reply {
+    let body = why.as_bytes().to_vec();
+    let headers = vec![(DECLINED_HEADER, why.to_owned())];
+    Reply::Whole { status, media_type: "text/plain", headers, body }
+}
+
 fn work(call: &Call, state: &Mutex<WorkerState>, default_time: Duration) {
     let asked = call.header("x-service-ms").and_then(|text| text.parse().ok());
     let time = asked.map_or(default_time, Duration::from_millis).min(SERVICE_MAX);
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -258,6 +258,11 @@
 impl RequestKey {
     /// Checks a caller's text: printable ASCII without blanks, 1 to [`KEY_MAX_BYTES`] bytes.
     pub fn new(member: Member, text: &str) -> Result<Self, ParseIdError> {
+        RequestKey::check(text).map(|text| RequestKey { member, text })
+    }
+
+    /// Checks a caller's text alone, before its member is known.
+    pub fn check(text: &str) -> Result<CompactString, ParseIdError> {
         if text.is_empty() {
             return Err(ParseIdError::Empty);
         }
@@ -266,7 +271,7 @@
         }
         match text.chars().find(|c| !c.is_ascii_graphic()) {
             Some(character) => Err(ParseIdError::BadCharacter { character }),
-            None => Ok(RequestKey { member, text: CompactString::new(text) }),
+            None => Ok(CompactString::new(text)),
         }
     }
 }
--- a/crates/types/src/worker.rs
+++ b/crates/types/src/worker.rs
@@ -7,10 +7,13 @@
 //! | `POST /stop` | [`StopTask`] | 200 [`StopAnswer`] |
 //! | `POST /throttle` | [`ThrottleTask`] | 200 [`StopAnswer`] |
 //! | `GET /report` | none | 200 [`WorkerReport`] |
-//! | `* /serve/{class}/{path}` | the caller's | the service's |
+//! | `* /serve/{class}/{path}` | the caller's | the service's, or the worker's own |
 //!
 //! The worker answers for what it runs: a task runs there from an accepted start until its end, a
 //! confirmed stop, or the lapse of its lease, whichever comes first.
+//!
+//! A worker that doesn't hand a request on to a service answers 503 or 404 with the header
+//! [`DECLINED_HEADER`]. Without that header a 503 is a service's own answer, and may have run.
 
 use {
     crate::{
@@ -21,6 +24,19 @@
     serde::{Deserialize, Serialize},
 };
 
+/// On an answer that comes from the worker itself, since it didn't hand the request on to a service:
+/// the request certainly didn't run. The value says why.
+pub const DECLINED_HEADER: &str = "worker-declined";
+
+/// The value of [`DECLINED_HEADER`] of a worker that is leaving.
+pub const DECLINED_LEAVING: &str = "leaving";
+
+/// The value of [`DECLINED_HEADER`] of a worker without a free slot.
+pub const DECLINED_BUSY: &str = "busy";
+
+/// The value of [`DECLINED_HEADER`] of a worker where no service of the class runs.
+pub const DECLINED_NO_SERVICE: &str = "no-service";
+
 /// Starts a task under a lease.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct StartTask {
