Name peers in the settings, refuse addresses nobody can call

A process that starts while the log is out of reach asks known_peers for the configuration. An address of any interface would be told to the others as it stands and send each of them to itself.

--- a/crates/config/examples/parse_cost.rs
+++ b/crates/config/examples/parse_cost.rs
@@ -3,7 +3,7 @@
 //! Run by `cargo run --release -p egretlb-config --example parse_cost`.
 
 use {
-    egretlb_config::{diff, parse_config, render},
+    egretlb_config::{diff, parse_config, render, render_compact},
     egretlb_types::{ClassSpec, ConfigDocument},
     std::{
         hint::black_box,
@@ -17,14 +17,15 @@
 const RUNS: usize = 31;
 
 fn main() {
-    println!("classes  text_bytes  parse_us  check_us  diff_us  render_us");
+    println!("classes  text_bytes  compact_bytes  parse_us  check_us  diff_us  render_us");
     for count in CLASSES {
         let document = document(count);
         let text = render(&document);
         let changed = changed(&document);
         println!(
-            "{count:7}  {:10}  {:8}  {:8}  {:7}  {:9}",
+            "{count:7}  {:10}  {:13}  {:8}  {:8}  {:7}  {:9}",
             text.len(),
+            render_compact(&document).len(),
             median(|| drop(black_box(parse_config(black_box(&text))))).as_micros(),
             median(|| drop(black_box(egretlb_config::check_document(black_box(&document)))))
                 .as_micros(),
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -155,6 +155,11 @@
         /// The most allowed.
         limit: usize,
     },
+    /// An address that others are to call stands for any interface.
+    AnyInterface {
+        /// The address.
+        address: CompactString,
+    },
     /// Two listening addresses are the same.
     SameAddress {
         /// The address.
@@ -242,6 +247,11 @@
             FaultKind::TooMany { what, found, limit } => {
                 write!(f, "{found} {what}; at most {limit} are allowed: remove unused ones")
             }
+            FaultKind::AnyInterface { address } => write!(
+                f,
+                "{address} stands for any interface, and other processes are to call it; give the \
+                 VM's own IP number"
+            ),
             FaultKind::SameAddress { address } => {
                 write!(f, "{address} is listened on twice; give each its own port")
             }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -30,7 +30,7 @@
     job::{JobFile, parse_job},
     nearest::nearest,
     reader::MAX_TEXT_BYTES,
-    render::render,
+    render::{render, render_compact},
     settings::{Limits, Listen, Settings, SettingsError, parse_settings, read_settings},
     units::{ByteSize, ParseUnitError, Percentile, Period},
 };
--- a/crates/config/src/render.rs
+++ b/crates/config/src/render.rs
@@ -16,6 +16,12 @@
     }
 }
 
+/// The same without blanks, for the log: each process reads every accepted document, and the bytes
+/// count against its control budget. No name or value of a document holds a blank.
+pub fn render_compact(document: &ConfigDocument) -> String {
+    render(document).replace([' ', '\n'], "")
+}
+
 fn write_document(out: &mut String, document: &ConfigDocument) -> fmt::Result {
     writeln!(out, "{{\n  \"teams\": [")?;
     for (i, team) in document.teams.iter().enumerate() {
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -30,6 +30,10 @@
     pub log_service: SmallVec<[SocketAddr; 4]>,
     /// The address of the platform's VM list.
     pub vm_list: SocketAddr,
+    /// Addresses of other processes for peers, which a process that starts while the log is out of
+    /// reach asks for the configuration. The rest of the time peers are found through the log, so
+    /// the list may be empty, and may name processes that are gone.
+    pub known_peers: SmallVec<[SocketAddr; 4]>,
     /// What the process may use.
     pub limits: Limits,
 }
@@ -70,13 +74,16 @@
     }
 }
 
-const ROOT_FIELDS: &[&str] = &["name", "data_centre", "listen", "log_service", "vm_list", "limits"];
+const ROOT_FIELDS: &[&str] =
+    &["name", "data_centre", "listen", "log_service", "vm_list", "known_peers", "limits"];
 const LISTEN_FIELDS: &[&str] = &["callers", "operators", "peers"];
 const LIMIT_FIELDS: &[&str] = &["max_body", "max_connections", "caller_timeout", "drain"];
 
 const NAME_EXPECTED: &str = r#"a name of letters, digits, "-", "_" and ".", like "entry-1""#;
 const ADDRESS_EXPECTED: &str = r#"an IP number and port in quotes, like "10.0.0.4:8080""#;
 
+const ADDRESSES_EXPECTED: &str = r#"a list of addresses, like ["10.0.0.9:9000"]"#;
+
 /// A thread serves each connection; more than this and their stacks no longer fit a small VM.
 const MAX_CONNECTIONS: CountRange = CountRange {
     least: 1,
@@ -166,6 +173,10 @@
     let listen = listen(reader, root);
     let log_service = log_service(reader, root);
     let vm_list = remote(reader, root, "vm_list");
+    let known_peers = match root.get("known_peers") {
+        Some(_) => remotes(reader, root, "known_peers"),
+        None => Some(SmallVec::new()),
+    };
     let limits = limits(reader, root);
     Some(Settings {
         name: name?.to_compact_string(),
@@ -173,6 +184,7 @@
         listen: listen?,
         log_service: log_service?,
         vm_list: vm_list?,
+        known_peers: known_peers?,
         limits: limits?,
     })
 }
@@ -190,9 +202,21 @@
     let peers = reader.text(object, "peers", ADDRESS_EXPECTED);
     let listen = Listen { callers: callers?, operators: operators?, peers: peers? };
     check_distinct(reader, object, &listen);
+    check_callable(reader, object, &listen);
     Some(listen)
 }
 
+/// The operators' and peers' addresses are told to the other processes as they stand here. One that
+/// means "any interface" would send each of them to itself, and the process would look dead.
+fn check_callable<'t>(reader: &mut Reader<'t>, object: &Object<'t>, listen: &Listen) {
+    for (field, address) in [("operators", listen.operators), ("peers", listen.peers)] {
+        if let Some(prop) = object.get(field).filter(|_| address.ip().is_unspecified()) {
+            let address = address.to_compact_string();
+            reader.push(prop.value.range(), FaultKind::AnyInterface { address });
+        }
+    }
+}
+
 /// Two listeners on one address: the second fails at the start, by when the operator has left.
 fn check_distinct<'t>(reader: &mut Reader<'t>, object: &Object<'t>, listen: &Listen) {
     let named = [
@@ -214,12 +238,21 @@
     reader: &mut Reader<'t>,
     root: &Object<'t>,
 ) -> Option<SmallVec<[SocketAddr; 4]>> {
-    const EXPECTED: &str = r#"a list of addresses, like ["10.0.0.9:9000"]"#;
-    let array = reader.array(root, "log_service", EXPECTED)?;
-    if array.elements.is_empty() {
-        reader
-            .push(array.range, FaultKind::MissingField { name: "log_service", expected: EXPECTED });
+    let addresses = remotes(reader, root, "log_service")?;
+    if addresses.is_empty() {
+        let kind = FaultKind::MissingField { name: "log_service", expected: ADDRESSES_EXPECTED };
+        reader.push(root.get("log_service")?.value.range(), kind);
+        return None;
     }
+    Some(addresses)
+}
+
+fn remotes<'t>(
+    reader: &mut Reader<'t>,
+    root: &Object<'t>,
+    name: &'static str,
+) -> Option<SmallVec<[SocketAddr; 4]>> {
+    let array = reader.array(root, name, ADDRESSES_EXPECTED)?;
     let addresses: SmallVec<[Option<SocketAddr>; 4]> =
         array.elements.iter().map(|value| as_remote(reader, value)).collect();
     addresses.into_iter().collect()
--- a/crates/config/tests/examples.rs
+++ b/crates/config/tests/examples.rs
@@ -1,7 +1,9 @@
 //! The committed examples are read without a fault and mean what their comments say.
 
 use {
-    egretlb_config::{ByteSize, Period, diff, parse_config, parse_settings, render},
+    egretlb_config::{
+        ByteSize, Period, diff, parse_config, parse_settings, render, render_compact,
+    },
     egretlb_types::{ClassKind, ConfigDocument},
     std::{fs, path::Path},
 };
@@ -34,6 +36,7 @@
         let again = parse_config(&render(&document)).unwrap_or_else(|faults| panic!("{faults}"));
         assert_eq!(diff(&document, &again), Vec::<String>::new());
         assert_eq!(document, again);
+        assert_eq!(parse_config(&render_compact(&document)), Ok(document));
     }
 }
 
@@ -48,4 +51,5 @@
     let scheduler = parse_settings(&example("settings-scheduler.jsonc")).unwrap();
     assert_eq!(scheduler.listen.callers, None);
     assert_eq!(scheduler.limits, entry.limits);
+    assert_eq!((scheduler.known_peers.len(), entry.known_peers.len()), (1, 0));
 }
--- a/crates/config/tests/faults.rs
+++ b/crates/config/tests/faults.rs
@@ -216,6 +216,9 @@
     let same = text.replace("localhost:80", "127.0.0.1:80");
     let says = "3:80: 127.0.0.1:81 is listened on twice; give each its own port";
     assert!(settings_faults(&same).iter().any(|fault| fault == says));
+    let any = same.replace("\"127.0.0.1:81\" }", "\"0.0.0.0:82\" }");
+    let says = "3:80: 0.0.0.0:82 stands for any interface";
+    assert!(settings_faults(&any).iter().any(|fault| fault.starts_with(says)));
 }
 
 #[test]
