--- a/crates/net/src/runtime/callers.rs
+++ b/crates/net/src/runtime/callers.rs
@@ -9,7 +9,7 @@
     compact_str::CompactString,
     crossbeam::channel::{self, Receiver, Sender},
     egretlb_api::{CALLS_PREFIX, DEADLINE_MS, IDEMPOTENCY_KEY, RAN, RETRY_AFTER},
-    egretlb_daemon::{CallerArrival, EntryNodeEvent},
+    egretlb_node::{CallerArrival, EntryNodeEvent},
     egretlb_requests::{
         AttemptId, BodyHash, RECORDED_BODY_MAX, RequestId,
         entry::{AttemptResult, ErrorReason, Verdict},
--- a/crates/net/src/runtime/entry.rs
+++ b/crates/net/src/runtime/entry.rs
@@ -7,7 +7,7 @@
         gauges::EntryGauges,
         io::{
             Io, Running, Stopped, TICK, drain, draw_node, listen_to_peers, node_info, peer_runtime,
-            spawn_loop, wait,
+            seeds, spawn_loop, wait,
         },
         operators::{self, Replies},
     },
@@ -19,13 +19,12 @@
     egretlb_api::DEADLINE_MS,
     egretlb_config::Settings,
     egretlb_control::Role,
-    egretlb_daemon::{
+    egretlb_node::{
         EntryNode, EntryNodeEffect, EntryNodeEvent, EntryNodeOptions, NodeEvent, RequestEffect,
     },
     egretlb_telemetry::EntryMetrics,
     egretlb_types::Time,
     oxhttp::model::{HeaderName, HeaderValue},
-    smallvec::SmallVec,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -55,7 +54,7 @@
     let clock = Clock::start();
     let common = metrics.common().clone();
     let io = Io::new(clock, node, settings, &rt, tx.clone(), replies, common);
-    let entry = EntryNode::new(EntryNodeOptions { info, seed: node.0, seeds: SmallVec::new() });
+    let entry = EntryNode::new(EntryNodeOptions { info, seed: node.0, seeds: seeds(settings) });
     let daemon = Loop {
         entry,
         io,
@@ -65,6 +64,7 @@
         drain_limit: settings.limits.drain.as_duration(),
         stop_by: None,
     };
+    let drains = vec![callers.drain().clone(), http.drain().clone()];
     let (callers_addr, operators) = (callers.addr(), http.addr());
     let thread = spawn_loop("egretlb-entry", move || daemon.run(&callers, &http))?;
     log::info!(
@@ -73,7 +73,7 @@
     );
     let shutdown = Box::new(move || drop(tx.send(NodeEvent::Shutdown.into())));
     let callers = Some(callers_addr);
-    Ok(Running { node, callers, operators, peers, shutdown, thread, _rt: rt })
+    Ok(Running { node, callers, operators, peers, shutdown, drains, thread, _rt: rt })
 }
 
 fn serve_operators(
--- a/crates/net/src/runtime/gauges.rs
+++ b/crates/net/src/runtime/gauges.rs
@@ -2,7 +2,7 @@
 
 use {
     egretlb_control::Control,
-    egretlb_daemon::{EntryNode, Scheduler},
+    egretlb_node::{EntryNode, Scheduler},
     egretlb_telemetry::{CommonMetrics, EntryMetrics, SchedulerMetrics, Shares},
     egretlb_types::{Offset, Time},
     std::{sync::Arc, time::Duration},
--- a/crates/net/src/runtime/io.rs
+++ b/crates/net/src/runtime/io.rs
@@ -13,11 +13,12 @@
     crossbeam::channel::{Receiver, Sender},
     egretlb_config::Settings,
     egretlb_control::{NodeInfo, Role},
-    egretlb_daemon::{Delivery, NodeEffect, NodeEvent, Notice, PeerMessage},
     egretlb_log::{AppendOutcome, LogService, StreamName},
+    egretlb_node::{Delivery, NodeEffect, NodeEvent, Notice, PeerMessage},
     egretlb_telemetry::{AppendResult, CommonMetrics},
     egretlb_types::{NodeId, Time},
     rand::{Rng, SeedableRng, rngs::StdRng},
+    smallvec::SmallVec,
     std::{
         net::SocketAddr,
         sync::Arc,
@@ -55,6 +56,7 @@
     pub(super) operators: SocketAddr,
     pub(super) peers: SocketAddr,
     pub(super) shutdown: Box<dyn Fn() + Send + Sync>,
+    pub(super) drains: Vec<Drain>,
     pub(super) thread: JoinHandle<Stopped>,
     pub(super) _rt: Arc<Runtime>,
 }
@@ -85,6 +87,11 @@
         (self.shutdown)();
     }
 
+    /// How many requests are in progress.
+    pub fn in_progress(&self) -> usize {
+        self.drains.iter().map(Drain::open).sum()
+    }
+
     /// Whether the daemon has ended.
     pub fn is_finished(&self) -> bool {
         self.thread.is_finished()
@@ -127,6 +134,11 @@
     })
 }
 
+/// The peers of the settings, to be asked for a configuration while the log is out of reach.
+pub(super) fn seeds(settings: &Settings) -> SmallVec<[CompactString; 4]> {
+    settings.known_peers.iter().map(ToCompactString::to_compact_string).collect()
+}
+
 pub(super) fn node_info(
     node: NodeId,
     role: Role,
--- a/crates/net/src/runtime/operators.rs
+++ b/crates/net/src/runtime/operators.rs
@@ -9,7 +9,7 @@
         STATE, STATUS, SubmitJob, job_of_path,
     },
     egretlb_config::Settings,
-    egretlb_daemon::{CallTicket, NodeEvent, OperatorReply, OperatorRequest},
+    egretlb_node::{CallTicket, NodeEvent, OperatorReply, OperatorRequest},
     egretlb_telemetry::METRICS_CONTENT_TYPE,
     oxhttp::model::{Body, Method, Request, Response, StatusCode, header::CONTENT_TYPE},
     serde::de::DeserializeOwned,
--- a/crates/net/src/runtime/scheduler.rs
+++ b/crates/net/src/runtime/scheduler.rs
@@ -6,7 +6,7 @@
         gauges::SchedulerGauges,
         io::{
             Io, Running, Stopped, TICK, drain, draw_node, listen_to_peers, node_info, peer_runtime,
-            spawn_loop, wait,
+            seeds, spawn_loop, wait,
         },
         operators::{self, Replies},
     },
@@ -18,14 +18,13 @@
     crossbeam::channel::{self, Receiver, Sender},
     egretlb_config::Settings,
     egretlb_control::Role,
-    egretlb_daemon::{
+    egretlb_log::StreamName,
+    egretlb_node::{
         NodeEvent, Scheduler, SchedulerEffect, SchedulerEvent, SchedulerOptions, WorkerCallGuard,
     },
-    egretlb_log::StreamName,
     egretlb_tasks::{CallError, WorkerAnswer, WorkerCall},
     egretlb_telemetry::SchedulerMetrics,
     egretlb_types::Time,
-    smallvec::SmallVec,
     std::{sync::Arc, time::Duration},
 };
 
@@ -54,15 +53,16 @@
     let clock = Clock::start();
     let common = metrics.common().clone();
     let io = Io::new(clock, node, settings, &rt, tx.clone(), replies, common);
-    let options = SchedulerOptions { info, seed: node.0, seeds: SmallVec::new() };
+    let options = SchedulerOptions { info, seed: node.0, seeds: seeds(settings) };
     let scheduler = Scheduler::new(options);
     let gauges = SchedulerGauges::new(metrics);
     let daemon = Loop { scheduler, io, rx, gauges, stop_by: None };
     let operators = http.addr();
+    let drains = vec![http.drain().clone()];
     let thread = spawn_loop("egretlb-scheduler", move || daemon.run(&http))?;
     log::info!(node:% = node, operators:% = operators, peers:% = peers; "started");
     let shutdown = Box::new(move || drop(tx.send(NodeEvent::Shutdown.into())));
-    Ok(Running { node, callers: None, operators, peers, shutdown, thread, _rt: rt })
+    Ok(Running { node, callers: None, operators, peers, shutdown, drains, thread, _rt: rt })
 }
 
 fn serve_operators(
