--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -10,12 +10,10 @@
         args::{Args, Command},
         error::CliError,
     },
+    egretlb_config::read_text,
     egretlb_telemetry::LogOptions,
     serde::Serialize,
-    std::{
-        fs,
-        path::{Path, PathBuf},
-    },
+    std::path::{Path, PathBuf},
 };
 
 pub(crate) fn run(args: &Args, streams: &mut Streams<'_>) -> Result<(), CliError> {
@@ -67,15 +65,6 @@
     }
 }
 
-/// Reads a text file of at most what the parsers take, so that a wrong path, such as a device,
-/// doesn't fill the memory.
 fn read_file(path: &Path) -> Result<String, CliError> {
-    use std::io::Read;
-    let limit = egretlb_config::MAX_TEXT_BYTES as u64 + 1;
-    let read = || {
-        let mut text = String::new();
-        fs::File::open(path)?.take(limit).read_to_string(&mut text)?;
-        Ok(text)
-    };
-    read().map_err(|error| CliError::ReadFile { path: PathBuf::from(path), error })
+    read_text(path).map_err(|error| CliError::ReadFile { path: PathBuf::from(path), error })
 }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -209,6 +209,15 @@
     assert!(lines[3].starts_with("scheduler-2") && lines[3].ends_with("behind"));
 }
 
+#[test]
+fn verbose_logs_calls() {
+    let daemon = FakeDaemon::start(|_, _| ok(&json!({})));
+    let ended = egretlb(["dump", &daemon.addr(), "-v"]);
+    let calls =
+        ended.err.lines().filter(|line| line.contains("level=debug node=egretlb event=call"));
+    assert_eq!(calls.count(), 1, "{}", ended.err);
+}
+
 #[test]
 fn dump() {
     let daemon = FakeDaemon::start(|_, _| ok(&json!({"node": {"name": "entry-1"}})));
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -29,7 +29,7 @@
     fault::{Fault, FaultKind, Faults, MAX_FAULTS, MAX_FAULTS_SHOWN, Position},
     job::{JobFile, parse_job},
     nearest::nearest,
-    reader::MAX_TEXT_BYTES,
+    reader::{MAX_TEXT_BYTES, read_text},
     render::{render, render_compact},
     settings::{Limits, Listen, Settings, SettingsError, parse_settings, read_settings},
     units::{ByteSize, ParseUnitError, Percentile, Period},
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -13,7 +13,13 @@
         common::{Range, Ranged},
         parse_to_ast,
     },
-    std::{fmt, str::FromStr},
+    std::{
+        fmt,
+        fs::File,
+        io::{self, Read},
+        path::Path,
+        str::FromStr,
+    },
 };
 
 /// The longest text that is read, in bytes. A configuration of the most classes allowed stays well
@@ -301,6 +307,19 @@
     }
 }
 
+/// Reads a text file up to one byte more than the parsers take, so that a wrong path, such as a
+/// device that never ends, doesn't fill the memory.
+///
+/// # Errors
+///
+/// The file can't be read, or isn't UTF-8.
+pub fn read_text(path: impl AsRef<Path>) -> io::Result<String> {
+    let limit = MAX_TEXT_BYTES as u64 + 1;
+    let mut text = String::new();
+    File::open(path)?.take(limit).read_to_string(&mut text)?;
+    Ok(text)
+}
+
 /// The range of a whole number, and what it is for.
 #[derive(Clone, Copy)]
 pub(crate) struct CountRange {
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         fault::{FaultKind, Faults},
-        reader::{CountRange, Reader},
+        reader::{CountRange, Reader, read_text},
         units::{ByteSize, Period},
     },
     compact_str::{CompactString, ToCompactString},
@@ -13,7 +13,7 @@
         common::Ranged,
     },
     smallvec::SmallVec,
-    std::{fmt, fs, io, net::SocketAddr, path::Path, path::PathBuf, str::FromStr},
+    std::{fmt, io, net::SocketAddr, path::Path, path::PathBuf, str::FromStr},
 };
 
 /// What one daemon, entry or scheduler, is told at its start.
@@ -159,8 +159,8 @@
 /// The file can't be read, or has faults.
 pub fn read_settings(path: impl AsRef<Path>) -> Result<Settings, SettingsError> {
     let path = path.as_ref();
-    let text = fs::read_to_string(path)
-        .map_err(|error| SettingsError::Read { path: path.to_path_buf(), error })?;
+    let text =
+        read_text(path).map_err(|error| SettingsError::Read { path: path.to_path_buf(), error })?;
     parse_settings(&text)
         .map_err(|faults| SettingsError::Faults { path: path.to_path_buf(), faults })
 }
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -17,7 +17,7 @@
 use {
     compact_str::CompactString,
     log::{
-        LevelFilter, Record,
+        Level, LevelFilter, Record,
         kv::{Key, Value, VisitSource},
     },
     std::{
@@ -102,6 +102,20 @@
         .map_err(|_| InitError::AlreadySet)
 }
 
+/// Logs an event whose name and pairs are only known as it happens. Where they are known before, the
+/// macros of `log` say the same more shortly.
+pub fn log_event(level: Level, event: &str, pairs: &[(&str, &dyn fmt::Display)]) {
+    if level > log::max_level() {
+        return;
+    }
+    let pairs: Vec<(&str, Value<'_>)> =
+        pairs.iter().map(|(key, value)| (*key, Value::from_dyn_display(*value))).collect();
+    let args = format_args!("{event}");
+    let mut record = Record::builder();
+    record.level(level).target(module_path!()).key_values(&pairs);
+    log::logger().log(&record.args(args).build());
+}
+
 /// The line for one event, without its end.
 pub fn format_line(now: SystemTime, node: &str, record: &Record<'_>) -> String {
     let mut line = Line(String::with_capacity(160));
--- a/crates/telemetry/tests/log_lines.rs
+++ b/crates/telemetry/tests/log_lines.rs
@@ -1,9 +1,12 @@
 //! A log line is one event, whatever its values hold.
 
 use {
-    egretlb_telemetry::{LogOptions, format_line},
-    log::{Level, LevelFilter, Record, kv::Source},
-    std::time::{Duration, UNIX_EPOCH},
+    egretlb_telemetry::{LogOptions, format_line, log_event},
+    log::{Level, LevelFilter, Log, Metadata, Record, kv::Source},
+    std::{
+        sync::Mutex,
+        time::{Duration, UNIX_EPOCH},
+    },
 };
 
 fn line(event: &str, values: &dyn Source) -> String {
@@ -78,3 +81,34 @@
     assert_eq!(level(0, 1), LevelFilter::Warn);
     assert_eq!(level(0, 9), LevelFilter::Off);
 }
+
+/// Keeps the lines of this test process in place of its standard error.
+struct Kept(Mutex<Vec<String>>);
+
+impl Log for Kept {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        let line = format_line(UNIX_EPOCH, "entry-1", record);
+        self.0.lock().unwrap().push(line);
+    }
+
+    fn flush(&self) {}
+}
+
+#[test]
+fn macro_and_function_agree() {
+    static KEPT: Kept = Kept(Mutex::new(Vec::new()));
+    log::set_logger(&KEPT).unwrap();
+    log::set_max_level(LevelFilter::Warn);
+    let vm = "w 17\n";
+    log::warn!(vm:% = vm, attempts = 3; "vm_lost");
+    log_event(Level::Warn, "vm_lost", &[("vm", &vm), ("attempts", &3)]);
+    log_event(Level::Info, "not_logged", &[]);
+    let kept = KEPT.0.lock().unwrap();
+    assert_eq!(kept.len(), 2);
+    assert_eq!(kept[0], kept[1]);
+    assert!(kept[0].ends_with(r#"event=vm_lost vm="w 17\n" attempts=3"#), "{}", kept[0]);
+}
