--- a/crates/lab/src/experiments/tasks.rs
+++ b/crates/lab/src/experiments/tasks.rs
@@ -231,7 +231,7 @@
             owed += jobs_per_step;
             while owed >= 1.0 {
                 owed -= 1.0;
-                let class = if self.jobs % 10 == 0 { URGENT } else { ORDINARY };
+                let class = if self.jobs.is_multiple_of(10) { URGENT } else { ORDINARY };
                 self.submit(class, JOB_TASKS, "run=10s use=800m mem=1500MB");
             }
             self.world.run(step);
--- a/crates/lab/src/models/place.rs
+++ b/crates/lab/src/models/place.rs
@@ -19,7 +19,8 @@
 
 /// A worker's size: that of one in Bogota, every third with four accelerators.
 pub fn worker_size(n: usize) -> Resources {
-    let accelerators = if n % 3 == 0 { 3 * ACCELERATORS_PERMILLE / 1_000 + n % 2 } else { 0 };
+    let accelerators =
+        if n.is_multiple_of(3) { 3 * ACCELERATORS_PERMILLE / 1_000 + n % 2 } else { 0 };
     Resources {
         cpu: MilliCores(30_000),
         memory: Megabytes(125_000),
