--- a/crates/requests/src/entry/arrive.rs
+++ b/crates/requests/src/entry/arrive.rs
@@ -17,8 +17,8 @@
     std::time::Duration,
 };
 
-/// A class without any share for this long has no backend server in reach. Shorter gaps are the
-/// first ask of a new entry under way.
+/// A class whose requests have waited for this long without any share has no backend server in
+/// reach: one ask and its answer take a few milliseconds.
 const NO_SHARE_FOR: Duration = Duration::from_millis(500);
 
 impl Entry {
@@ -79,11 +79,12 @@
         None
     }
 
+    /// For grantors out of reach: the first request waits for a share, those behind it needn't.
     fn lacks_share(&self, now: Time, class: ClassIx) -> bool {
         let state = self.classes.get(class);
-        !self.servers.has_candidate(class)
-            && state.open == 0
-            && state.had_share.is_some_and(|at| now.since(at) >= NO_SHARE_FOR)
+        self.servers.shares(class) == 0
+            && !state.queue.is_empty()
+            && state.starved_since.is_some_and(|at| now.since(at) >= NO_SHARE_FOR)
     }
 
     fn new_request(
@@ -120,7 +121,11 @@
     pub(super) fn enqueue(&mut self, now: Time, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (class, member) = (request.class, request.member);
+        let starved = self.servers.shares(class) == 0;
         let state = self.classes.get_mut(class);
+        if starved {
+            state.starved_since.get_or_insert(now);
+        }
         let target = state.service.as_ref().map_or(ATTEMPT_MAX, |service| service.target);
         let patience = request.answer_by.since(request.arrived).min(target);
         let give_up_at = request.answer_by - state.service_time(patience);
@@ -140,6 +145,9 @@
         let state = self.classes.get_mut(request.class);
         state.queue.remove(&key);
         let last = state.queue.is_empty();
+        if last {
+            state.drain.emptied();
+        }
         self.fairness.dequeued(request.member, request.class, last);
         self.timers.remove(&(key.give_up_at, Timer::GiveUp(id)));
         self.waiting -= 1;
--- a/crates/requests/src/entry/budget.rs
+++ b/crates/requests/src/entry/budget.rs
@@ -8,6 +8,12 @@
 /// The most that is saved up: a class that was quiet for long may not flood a failing server.
 const MOST: f64 = 10.0;
 
+/// What a class begins with: its first requests may meet a dead server.
+const AT_FIRST: f64 = 3.0;
+
+/// What hedges leave for retries: a retry saves a request that a hedge only speeds up.
+const KEPT_FOR_RETRIES: f64 = 2.0;
+
 /// Tokens for second sendings of one class.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RetryBudget {
@@ -15,18 +21,26 @@
 }
 
 impl RetryBudget {
-    /// One token to begin with: the first request of a quiet class may meet a dead server.
     pub(super) fn new() -> Self {
-        RetryBudget { tokens: 1.0 }
+        RetryBudget { tokens: AT_FIRST }
     }
 
     pub(super) fn earn(&mut self) {
         self.tokens = (self.tokens + EARNED).min(MOST);
     }
 
-    /// Takes a token if there is one.
+    /// Takes a token for a retry if there is one.
     pub(super) fn spend(&mut self) -> bool {
-        let enough = self.tokens >= 1.0;
+        self.spend_above(0.0)
+    }
+
+    /// Takes a token for a hedge if enough are left for retries.
+    pub(super) fn spend_on_hedge(&mut self) -> bool {
+        self.spend_above(KEPT_FOR_RETRIES)
+    }
+
+    fn spend_above(&mut self, kept: f64) -> bool {
+        let enough = self.tokens >= kept + 1.0;
         if enough {
             self.tokens -= 1.0;
         }
--- a/crates/requests/src/entry/class.rs
+++ b/crates/requests/src/entry/class.rs
@@ -16,6 +16,13 @@
     },
 };
 
+/// A second sending starts after this many hundredths of the class's p95: fewer than one request
+/// in twenty gets that far, so hedges stay far below the budget while all is well.
+const HEDGE_PERCENT: u32 = 150;
+
+/// No hedge before this: timers and scheduling make shorter waits meaningless.
+const HEDGE_LEAST: Duration = Duration::from_millis(2);
+
 /// The place of a class in [`Classes`].
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub(super) struct ClassIx(pub(super) usize);
@@ -49,8 +56,8 @@
     pub(super) budget: RetryBudget,
     pub(super) drain: Drain,
     pub(super) load: LoadMeter,
-    /// When the entry last held a share that the class could use.
-    pub(super) had_share: Option<Time>,
+    /// Since when requests have waited without any share that they could use.
+    pub(super) starved_since: Option<Time>,
 }
 
 impl ClassState {
@@ -65,7 +72,7 @@
             budget: RetryBudget::new(),
             drain: Drain::new(),
             load: LoadMeter::default(),
-            had_share: None,
+            starved_since: None,
         }
     }
 
@@ -79,6 +86,13 @@
         tail.min(target * 3 / 4)
     }
 
+    /// How long a first sending is waited for before a second one may help.
+    pub(super) fn hedge_after(&self) -> Duration {
+        let target = self.service.as_ref().map_or(Duration::from_secs(1), |known| known.target);
+        let tail = self.latency.quantile(950).map(|p95| p95 * HEDGE_PERCENT / 100);
+        tail.unwrap_or(target / 2).max(HEDGE_LEAST)
+    }
+
     /// The one to be sent next.
     pub(super) fn head(&self, order: QueueOrder) -> Option<(QueueKey, RequestId)> {
         let head = match order {
--- a/crates/requests/src/entry/dispatch.rs
+++ b/crates/requests/src/entry/dispatch.rs
@@ -20,13 +20,6 @@
 /// chosen for its load then.
 const SEND_WITHIN: Duration = Duration::from_secs(1);
 
-/// A second sending starts after this many hundredths of the class's p95: fewer than one request
-/// in twenty gets that far, so hedges stay far below the budget while all is well.
-const HEDGE_PERCENT: u32 = 150;
-
-/// No hedge before this: timers and scheduling make shorter waits meaningless.
-const HEDGE_LEAST: Duration = Duration::from_millis(2);
-
 /// A request that could go now.
 struct Next {
     request: RequestId,
@@ -88,19 +81,18 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let state = self.classes.get_mut(request.class);
         let expected = state.latency.mean();
-        // The outcome of a key is worth waiting for after the caller's deadline; nothing else is.
-        let left = request.deadline.since(now).max(Duration::from_millis(1));
-        let timeout = if request.keyed.is_some() { ATTEMPT_MAX } else { left.min(ATTEMPT_MAX) };
+        // An exchange isn't broken off at its caller's deadline. The backend server may work on it
+        // all the same, and a slot that is taken for free too early overloads it; and the outcome
+        // of a key is worth knowing.
+        let timeout = ATTEMPT_MAX;
+        let deadline = request.deadline.since(now);
         let attempt = AttemptId(self.next_attempt);
         self.next_attempt += 1;
         let ends_at = now + timeout + END_GRACE;
         request.phase = Phase::Open;
         request.attempts.push(attempt);
-        if request.idempotent
-            && request.hedge_at.is_none()
-            && let Some(p95) = state.latency.quantile(950)
-        {
-            let at = now + (p95 * HEDGE_PERCENT / 100).max(HEDGE_LEAST);
+        if request.idempotent && request.hedge_at.is_none() {
+            let at = now + state.hedge_after();
             request.hedge_at = Some(at);
             self.timers.insert((at, Timer::Hedge(id)));
         }
@@ -127,7 +119,7 @@
         };
         let lapses = self.grantors.get(shard).map_or(now, |grantor| grantor.lapses);
         let send_by = lapses.min(now + SEND_WITHIN);
-        out.push(EntryEffect::Send { request: id, attempt, vm, addr, timeout, send_by });
+        out.push(EntryEffect::Send { request: id, attempt, vm, addr, timeout, deadline, send_by });
     }
 
     /// Sends an idempotent request a second time, since its first answer is late.
@@ -135,15 +127,21 @@
     /// For one slow backend server, before it is noticed and ejected. Only while nobody waits: a
     /// second sending under load takes the slot of somebody else's first.
     pub(super) fn hedge(&mut self, now: Time, id: RequestId, out: &mut Vec<EntryEffect>) {
-        let Some(request) = self.requests.get(&id) else { return };
+        let Some(request) = self.requests.get_mut(&id) else { return };
         let alone = request.attempts.len() == 1;
-        if !request.caller_waits || request.phase != Phase::Open || !alone || self.waiting > 0 {
+        if !request.caller_waits || request.phase != Phase::Open || !alone {
+            return;
+        }
+        let again = now + self.classes.get(request.class).hedge_after();
+        request.hedge_at = Some(again);
+        self.timers.insert((again, Timer::Hedge(id)));
+        if self.waiting > 0 {
             return;
         }
         let first = self.attempts.get(&request.attempts[0]).map(|attempt| attempt.server);
         let picked = self.servers.pick(request.class, true, first, &mut self.rng);
         let Some(server) = picked else { return };
-        if self.classes.get_mut(request.class).budget.spend() {
+        if self.classes.get_mut(request.class).budget.spend_on_hedge() {
             self.send(now, id, server, out);
         }
     }
--- a/crates/requests/src/entry/event.rs
+++ b/crates/requests/src/entry/event.rs
@@ -190,8 +190,11 @@
         vm: VmId,
         /// Its address, as `ip:port`.
         addr: CompactString,
-        /// After this the attempt has failed; also what to pass on as the deadline.
+        /// After this the attempt has failed, though the caller's deadline may be earlier: until
+        /// then its answer still tells that the server's slot is free.
         timeout: Duration,
+        /// What is left of the caller's deadline, to be passed on to the backend server.
+        deadline: Duration,
         /// Asked again just before the first byte leaves: if it is later, the share may have
         /// lapsed meanwhile, and the attempt ends with [`AttemptResult::NotSent`].
         send_by: Time,
--- a/crates/requests/src/entry/grantors.rs
+++ b/crates/requests/src/entry/grantors.rs
@@ -24,6 +24,18 @@
 /// The longest time between two asks because of demand.
 const DEMAND_GAP_MAX: Duration = Duration::from_secs(2);
 
+/// Demand has grown when it is by one in so many above what was last said.
+const GROWTH_ONE_IN: usize = 4;
+
+/// The need for shares as it is now.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Demand {
+    /// Whether more shares would help.
+    pub(super) short: bool,
+    /// Requests open and waiting.
+    pub(super) need: usize,
+}
+
 /// One grantor.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Grantor {
@@ -38,6 +50,8 @@
     pub(super) known: u64,
     pub(super) servers: BTreeSet<ServerIx>,
     pub(super) granted: u32,
+    /// What was needed in all when the last ask was sent.
+    pub(super) asked_need: usize,
     /// Ask as soon as the gap allows.
     pub(super) hurry: bool,
     gap: Duration,
@@ -45,7 +59,7 @@
 
 impl Grantor {
     /// Whether it is time to ask.
-    pub(super) fn is_due(&self, now: Time, short: bool) -> bool {
+    pub(super) fn is_due(&self, now: Time, demand: Demand) -> bool {
         if self.owner.is_none() {
             return false;
         }
@@ -54,8 +68,10 @@
         if self.waiting {
             return age >= ASK_LOST;
         }
-        let gap = self.gap.max(DEMAND_GAP);
-        age >= ASK_PERIOD || self.hurry || (short && age >= gap)
+        // What the grantor was told is out of date; otherwise asking again only repeats it.
+        let grown = demand.need > self.asked_need + self.asked_need / GROWTH_ONE_IN;
+        let gap = if grown { DEMAND_GAP } else { self.gap.max(DEMAND_GAP) };
+        age >= ASK_PERIOD || self.hurry || (demand.short && age >= gap)
     }
 
     /// Takes down what an answer brought, `granted` in all.
@@ -94,8 +110,8 @@
     }
 
     /// The shards whose grantors are to be asked now.
-    pub(super) fn due(&self, now: Time, short: bool) -> Vec<ShardId> {
-        let due = self.shards.iter().filter(|(_, grantor)| grantor.is_due(now, short));
+    pub(super) fn due(&self, now: Time, demand: Demand) -> Vec<ShardId> {
+        let due = self.shards.iter().filter(|(_, grantor)| grantor.is_due(now, demand));
         due.map(|(shard, _)| *shard).collect()
     }
 
--- a/crates/requests/src/entry/meter.rs
+++ b/crates/requests/src/entry/meter.rs
@@ -34,6 +34,11 @@
         self.last = waiting.then_some(now);
     }
 
+    /// Nobody waits any more: the time until somebody does again isn't a wait.
+    pub(super) fn emptied(&mut self) {
+        self.last = None;
+    }
+
     /// How long the one behind `ahead` others will wait. A queue that has stopped draining counts
     /// the time since it last did.
     pub(super) fn wait(&self, now: Time, ahead: usize) -> Duration {
--- a/crates/requests/src/entry/outcome.rs
+++ b/crates/requests/src/entry/outcome.rs
@@ -73,6 +73,14 @@
             let target = state.service.as_ref().map_or(Duration::MAX, |service| service.target);
             state.limit.record(now, took, target);
         }
+        // What is open beyond a share that was taken back is free for others once it is known to
+        // have ended.
+        let server = self.servers.get(attempt.server);
+        if server.open > server.share
+            && let Some(grantor) = self.grantors.get_mut(server.shard)
+        {
+            grantor.hurry = true;
+        }
         self.fairness.ended(attempt.member, attempt.expected, took);
         if let AttemptResult::Declined { leaving: true } = result {
             let until = self.servers.said_leaving(attempt.server, now);
--- a/crates/requests/src/entry/servers.rs
+++ b/crates/requests/src/entry/servers.rs
@@ -57,6 +57,8 @@
     servers: u32,
     /// How many of them are ejected.
     out: u32,
+    /// The sum of the shares held of them.
+    shares: u32,
 }
 
 /// All backend servers that grantors described.
@@ -142,6 +144,11 @@
         self.candidates.get(class.0).map_or(0, |candidates| candidates.servers)
     }
 
+    /// How many requests of the class the shares held allow, besides other classes' ones.
+    pub(super) fn shares(&self, class: ClassIx) -> u32 {
+        self.candidates.get(class.0).map_or(0, |candidates| candidates.shares)
+    }
+
     pub(super) fn has_candidate(&self, class: ClassIx) -> bool {
         let candidates = self.candidates.get(class.0);
         candidates.is_some_and(|c| !c.near.is_empty() || !c.far.is_empty())
@@ -176,6 +183,10 @@
 
     pub(super) fn set_share(&mut self, ix: ServerIx, share: u16) {
         let old = self.list[ix.0].share;
+        for class in self.list[ix.0].classes.clone() {
+            let sum = &mut self.candidates[class.0].shares;
+            *sum = *sum - u32::from(old) + u32::from(share);
+        }
         self.total = self.total - u32::from(old) + u32::from(share);
         self.change(ix, |server| server.share = share);
     }
@@ -297,9 +308,11 @@
             return;
         }
         self.withdraw(ix);
+        let share = u32::from(self.list[ix.0].share);
         let out = u32::from(matches!(self.list[ix.0].health.standing, Standing::Out { .. }));
         for class in std::mem::take(&mut self.list[ix.0].classes) {
             self.candidates[class.0].servers -= 1;
+            self.candidates[class.0].shares -= share;
             self.candidates[class.0].out -= out;
         }
         for class in &classes {
@@ -307,6 +320,7 @@
                 self.candidates.resize_with(class.0 + 1, Candidates::default);
             }
             self.candidates[class.0].servers += 1;
+            self.candidates[class.0].shares += share;
             self.candidates[class.0].out += out;
         }
         self.list[ix.0].classes = classes;
--- a/crates/requests/src/entry/sharing.rs
+++ b/crates/requests/src/entry/sharing.rs
@@ -5,7 +5,7 @@
         Entry, Timer,
         class::ClassIx,
         event::{EntryEffect, ShardOwner},
-        grantors::Grantor,
+        grantors::{Demand, Grantor},
         servers::{Server, ServerIx},
     },
     crate::shares::{ServerAsk, ServerInfo, ShareAsk, ShareGrant},
@@ -92,13 +92,14 @@
         if self.drained {
             return;
         }
-        let due = self.grantors.due(now, short);
+        let need = self.waiting + self.attempts.len();
+        let due = self.grantors.due(now, Demand { short, need });
         if due.is_empty() {
             return;
         }
-        let wants = self.plan();
+        let plan = self.plan();
         for shard in due {
-            self.ask(now, shard, &wants, out);
+            self.ask(now, shard, &plan, out);
         }
     }
 
@@ -113,7 +114,7 @@
     }
 
     /// Sends an ask that says what is held until its answer, and what is wanted.
-    fn ask(&mut self, now: Time, shard: ShardId, wants: &[u16], out: &mut Vec<EntryEffect>) {
+    fn ask(&mut self, now: Time, shard: ShardId, plan: &[Planned], out: &mut Vec<EntryEffect>) {
         let Some(grantor) = self.grantors.get_mut(shard) else { return };
         let Some((node, epoch)) = grantor.owner else { return };
         let servers = &self.servers;
@@ -126,15 +127,18 @@
             // What is open stays held, also beyond the share: a smaller share takes effect as
             // exchanges end.
             let holding = server.share.max(server.open);
-            let want = server.useful(wants.get(ix.0).copied().unwrap_or(0));
+            let planned = plan.get(ix.0).copied().unwrap_or_default();
+            let want = server.useful(planned.want);
+            let need = planned.need.min(want);
             let named = holding > 0 || want > 0;
-            named.then(|| ServerAsk { vm: server.vm.clone(), holding, want })
+            named.then(|| ServerAsk { vm: server.vm.clone(), holding, need, want })
         });
         let servers: Vec<ServerAsk> = asks.collect();
         grantor.seq += 1;
         grantor.asked_at = Some(now);
         grantor.waiting = true;
         grantor.hurry = false;
+        grantor.asked_need = self.waiting + self.attempts.len();
         let ask = ShareAsk {
             shard,
             epoch,
@@ -167,14 +171,17 @@
         let changed = grantor.known != grant.version;
         grantor.known = grant.version;
         grantor.answered(grant.servers.iter().map(|server| u32::from(server.open)).sum());
-        grantor.hurry = changed;
         self.timers.remove(&(old_lapse, Timer::Lapse(shard)));
         if changed {
             self.describe(shard, &grant.described);
         }
-        self.set_shares(now, &grant);
+        let lowered = self.set_shares(&grant);
         self.timers.insert((lapses, Timer::Lapse(shard)));
-        // A new description changes what is worth asking for.
+        // A new description changes what is worth asking for; and what was taken back is free for
+        // others only once the grantor knows that it was.
+        if let Some(grantor) = self.grantors.get_mut(shard) {
+            grantor.hurry = changed || lowered;
+        }
         self.ask_due(now, false, out);
     }
 
@@ -194,8 +201,10 @@
         grantor.servers.extend(seen);
     }
 
-    fn set_shares(&mut self, now: Time, grant: &ShareGrant) {
-        let Some(grantor) = self.grantors.get(grant.shard) else { return };
+    /// Returns whether any share became smaller.
+    fn set_shares(&mut self, grant: &ShareGrant) -> bool {
+        let mut lowered = false;
+        let Some(grantor) = self.grantors.get(grant.shard) else { return lowered };
         let granted: BTreeMap<ServerIx, u16> = grant
             .servers
             .iter()
@@ -209,11 +218,13 @@
             let share = granted.get(ix).copied().unwrap_or(0);
             if share > 0 {
                 for class in &server.classes {
-                    self.classes.get_mut(*class).had_share = Some(now);
+                    self.classes.get_mut(*class).starved_since = None;
                 }
             }
+            lowered |= share < server.share;
             self.servers.set_share(*ix, share);
         }
+        lowered
     }
 
     /// The lease has run out without a new grant: nothing more is sent under it.
@@ -229,13 +240,13 @@
         }
     }
 
-    /// How many requests the entry would like to have open at each server.
+    /// How many requests the entry needs to have open at each server, and would like to.
     ///
-    /// What was needed at most of late, and some more, spread over the class's servers: the near
-    /// ones first, and in an order of the entry's own, so that entries with little to do don't all
-    /// want the same server.
-    fn plan(&self) -> Vec<u16> {
-        let mut wants = vec![0_u32; self.servers.end()];
+    /// What is open and waiting, or was at most of late, and some more, spread over the class's
+    /// servers: the near ones first, and in an order of the entry's own, so that entries with
+    /// little to do don't all want the same server.
+    fn plan(&self) -> Vec<Planned> {
+        let mut plan = vec![Planned::default(); self.servers.end()];
         let mut by_class: Vec<Vec<ServerIx>> = Vec::new();
         for (ix, server) in self.servers.iter() {
             for class in &server.classes {
@@ -253,9 +264,10 @@
                 continue;
             }
             servers.sort_by_key(|ix| self.preference(*ix, self.servers.get(*ix)));
-            spread(class.load.peak_need(), servers, &mut wants);
+            let waiting = u32::try_from(class.queue.len()).unwrap_or(u32::MAX);
+            spread(class.open + waiting, class.load.peak_need(), servers, &mut plan);
         }
-        wants.into_iter().map(|want| want.min(WANT_MAX) as u16).collect()
+        plan
     }
 
     fn preference(&self, ix: ServerIx, server: &Server) -> (bool, u64) {
@@ -264,18 +276,37 @@
     }
 }
 
-/// Adds a class's need to what is wanted of its servers.
-fn spread(need: u32, servers: &[ServerIx], wants: &mut [u32]) {
-    if need == 0 {
-        // Thousands of quiet classes on one server need one share between them, not one each.
+/// What is asked of one server.
+#[derive(Clone, Copy, Debug, Default)]
+struct Planned {
+    need: u16,
+    want: u16,
+}
+
+impl Planned {
+    fn add(&mut self, need: u32, want: u32) {
+        self.need = add(self.need, need);
+        self.want = add(self.want, want);
+    }
+}
+
+fn add(sum: u16, more: u32) -> u16 {
+    (u32::from(sum) + more.min(WANT_MAX)).min(WANT_MAX) as u16
+}
+
+/// Adds what a class needs and would like to what is asked of its servers.
+fn spread(need: u32, peak: u32, servers: &[ServerIx], plan: &mut [Planned]) {
+    if peak == 0 {
+        // Thousands of quiet classes on one server want one share between them, not one each.
         for ix in servers.iter().take(HEADROOM_LEAST as usize) {
-            wants[ix.0] = wants[ix.0].max(1);
+            plan[ix.0].want = plan[ix.0].want.max(1);
         }
         return;
     }
-    let need = need + need / HEADROOM_ONE_IN + HEADROOM_LEAST;
+    let want = peak.max(need) + peak / HEADROOM_ONE_IN + HEADROOM_LEAST;
     let count = servers.len() as u32;
+    let part = |sum: u32, i: usize| sum / count + u32::from((i as u32) < sum % count);
     for (i, ix) in servers.iter().enumerate() {
-        wants[ix.0] += need / count + u32::from((i as u32) < need % count);
+        plan[ix.0].add(part(need, i), part(want, i));
     }
 }
--- a/crates/requests/src/keys/book.rs
+++ b/crates/requests/src/keys/book.rs
@@ -17,6 +17,12 @@
 /// How often keys past their retention are looked for. Each pass visits every key.
 const SWEEP_PERIOD: Duration = Duration::from_secs(60);
 
+/// How long an ask may be under way after its holder's report.
+const ASK_UNDER_WAY: Duration = Duration::from_secs(10);
+
+/// The most holders remembered for that, in a shard. Beyond it a key may fall in doubt for nothing.
+const GIVEN_UP_MAX: usize = 1_024;
+
 /// What the book is told.
 #[derive(Clone, Debug)]
 pub enum KeyBookEvent {
@@ -121,6 +127,8 @@
     intents: BTreeMap<Ticket, RequestKey>,
     /// Reports that wait for their outcomes to be in the log.
     reports: BTreeMap<Ticket, PermitHolder>,
+    /// Holders that have given up before their ask came, and when they said so.
+    given_up: BTreeMap<PermitHolder, Time>,
 }
 
 /// Remembers the keys of all shards that this process owns.
@@ -166,9 +174,7 @@
     ) {
         match event {
             KeyBookEvent::Owned { shard, epoch } => self.own(now, shard, epoch),
-            KeyBookEvent::Lost { shard } => {
-                self.shards.remove(&shard);
-            }
+            KeyBookEvent::Lost { shard } => self.lose(shard, out),
             KeyBookEvent::Ask { ask } => self.ask(now, ask, auth, out),
             KeyBookEvent::Report { report } => self.report(now, report, auth, out),
             KeyBookEvent::Journaled { ticket } => self.journaled(now, ticket, auth, out),
@@ -180,6 +186,9 @@
             }
             KeyBookEvent::Tick => {
                 self.refuse_waiting(now, PERMIT_WAIT, out);
+                for keys in self.shards.values_mut() {
+                    keys.given_up.retain(|_, since| now.since(*since) < ASK_UNDER_WAY);
+                }
                 self.sweep(now);
             }
         }
@@ -258,6 +267,17 @@
         }
     }
 
+    /// Whoever waits for a permit is told at once that there will be none from here.
+    fn lose(&mut self, shard: ShardId, out: &mut Vec<KeyBookEffect>) {
+        let Some(lost) = self.shards.remove(&shard) else { return };
+        for state in lost.keys.values() {
+            if matches!(state.phase, Phase::Intending { .. }) {
+                let holder = state.holder;
+                out.push(KeyBookEffect::Answer { shard, holder, permit: Permit::NoPermit });
+            }
+        }
+    }
+
     fn ask(
         &mut self,
         now: Time,
@@ -272,7 +292,7 @@
         let Some(keys) = self.shards.get_mut(&shard).filter(|keys| keys.epoch.is_some()) else {
             return answer(Permit::NoPermit);
         };
-        if held != keys.epoch {
+        if held != keys.epoch || keys.given_up.contains_key(&holder) {
             return answer(Permit::NoPermit);
         }
         if let Some(state) = keys.keys.get(&ask.key) {
@@ -349,14 +369,18 @@
         out: &mut Vec<KeyBookEffect>,
     ) {
         let held = auth.epoch_if_held(now, report.shard);
-        let Some(keys) = self.shards.get(&report.shard) else { return };
+        let Some(keys) = self.shards.get_mut(&report.shard) else { return };
         // Not the owner: the entry reports again, to whoever is.
         if held.is_none() || held != keys.epoch {
             return;
         }
         let known = keys.keys.get(&report.key).filter(|state| state.holder == report.holder);
         let Some(state) = known else {
-            // Freed before, or never permitted: nothing to remember.
+            // Freed before, or never permitted. The ask may still be under way, overtaken by this
+            // report: a permit for it would be nobody's, and the key in doubt for nothing.
+            if keys.given_up.len() < GIVEN_UP_MAX {
+                keys.given_up.insert(report.holder, now);
+            }
             out.push(KeyBookEffect::ReportDone { holder: report.holder });
             return;
         };
--- a/crates/requests/src/limits.rs
+++ b/crates/requests/src/limits.rs
@@ -12,7 +12,11 @@
 /// that a dead entry's slots are back within half a minute.
 pub const SHARE_LEASE: Duration = Duration::from_secs(10);
 
-/// The longest that an exchange with a backend server may stay open.
+/// The longest that an exchange with a backend server may stay open, and that a server may work on
+/// a request.
+///
+/// Assumed of backend servers: none works on a request for longer than this. One that does may get
+/// another request for the slot that it still uses.
 ///
 /// A grantor keeps a lapsed share aside for this long, because exchanges begun under it may still
 /// be open; every millisecond is capacity lost after an entry's death.
--- a/crates/requests/src/shares/book.rs
+++ b/crates/requests/src/shares/book.rs
@@ -15,7 +15,7 @@
 
 /// The least time between two recalls sent to one entry. A recall asks the entry to say sooner
 /// what it needs; more of them would only repeat that.
-const RECALL_GAP: Duration = Duration::from_millis(200);
+const RECALL_GAP: Duration = Duration::from_millis(100);
 
 /// A backend server as the rack's owner knows it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -147,7 +147,7 @@
             }
             ShareBookEvent::Servers { shard, servers } => self.set_servers(shard, servers),
             ShareBookEvent::Ask { ask } => self.ask(now, ask, auth, out),
-            ShareBookEvent::Tick => self.tick(now),
+            ShareBookEvent::Tick => self.tick(now, out),
         }
     }
 
@@ -233,17 +233,18 @@
             described,
         };
         out.push(ShareBookEffect::Grant { entry: ask.entry, grant });
-        shares.recall(now, &ask, out);
+        shares.recall(now, ask.shard, Some(ask.entry), out);
     }
 
-    fn tick(&mut self, now: Time) {
+    fn tick(&mut self, now: Time, out: &mut Vec<ShareBookEffect>) {
         let span = self.charge_span();
-        for shares in self.shards.values_mut() {
+        for (shard, shares) in &mut self.shards {
             for server in shares.servers.values_mut() {
                 server.pool.expire(now);
             }
             shares.servers.retain(|_, server| server.spec.is_some() || server.pool.charged() > 0);
             shares.entries.retain(|_, asks| now.since(asks.asked_at) < span);
+            shares.recall(now, *shard, None, out);
         }
     }
 }
@@ -257,19 +258,19 @@
         let mut granted = Vec::new();
         for (vm, server) in &mut self.servers {
             let named = ask.servers.iter().find(|wanted| wanted.vm == *vm);
-            let (holding, want) = named.map_or((0, 0), |wanted| (wanted.holding, wanted.want));
-            let leaving =
-                server.spec.as_ref().is_none_or(|spec| spec.info.state == VmState::Leaving);
+            let (holding, need, want) =
+                named.map_or((0, 0, 0), |wanted| (wanted.holding, wanted.need, wanted.want));
+            let leaving = server.spec.as_ref().is_none_or(ServerSpec::is_leaving);
             let pool_ask = PoolAsk {
                 entry: ask.entry,
                 holding,
+                need: if leaving { 0 } else { need },
                 want: if leaving { 0 } else { want },
-                now,
                 lapses: now + with_clock_margin(SHARE_LEASE),
                 free_at: now + span,
             };
             server.pool.expire(now);
-            let open = server.pool.ask(vm, pool_ask, adopt_only);
+            let open = server.pool.ask(now, vm, pool_ask, adopt_only);
             if open > 0 {
                 granted.push(ServerGrant { vm: vm.clone(), open });
             }
@@ -284,31 +285,36 @@
             .collect()
     }
 
-    /// Sends a recall to entries that hold more than their part of a server of which the asking
-    /// entry got less than it wants.
-    fn recall(&mut self, now: Time, ask: &ShareAsk, out: &mut Vec<ShareBookEffect>) {
+    /// Asks entries to ask again where others' asks have changed what they should hold.
+    fn recall(
+        &mut self,
+        now: Time,
+        shard: ShardId,
+        asking: Option<NodeId>,
+        out: &mut Vec<ShareBookEffect>,
+    ) {
         let Some(epoch) = self.epoch else { return };
-        for wanted in &ask.servers {
-            let Some(server) = self.servers.get(&wanted.vm) else { continue };
-            let Some(spec) = &server.spec else { continue };
-            let full = server.pool.charged() >= u32::from(pool_size(spec));
-            if !full || wanted.want <= wanted.holding {
-                continue;
-            }
-            for entry in server.pool.holders_above_fair(now) {
+        for (vm, server) in &self.servers {
+            for entry in server.pool.to_recall(now, vm) {
                 let Some(asks) = self.entries.get_mut(&entry) else { continue };
-                if entry == ask.entry || now.since(asks.recalled_at) < RECALL_GAP {
+                if Some(entry) == asking || now.since(asks.recalled_at) < RECALL_GAP {
                     continue;
                 }
                 asks.recalled_at = now;
-                out.push(ShareBookEffect::Recall { entry, shard: ask.shard, epoch });
+                out.push(ShareBookEffect::Recall { entry, shard, epoch });
             }
         }
     }
 }
 
+impl ServerSpec {
+    fn is_leaving(&self) -> bool {
+        self.info.state == VmState::Leaving
+    }
+}
+
 /// How many requests may be open at a server. Each takes a slot and, since an exchange has a
 /// connection of its own, a connection: the scarcer of the two is what is shared out.
 fn pool_size(spec: &ServerSpec) -> u16 {
-    if spec.info.state == VmState::Leaving { 0 } else { spec.slots.min(spec.connections) }
+    if spec.is_leaving() { 0 } else { spec.slots.min(spec.connections) }
 }
--- a/crates/requests/src/shares/message.rs
+++ b/crates/requests/src/shares/message.rs
@@ -35,7 +35,9 @@
     pub vm: VmId,
     /// The most requests that the entry has or will have open there before the answer.
     pub holding: u16,
-    /// How many it would use.
+    /// How many it would use now, for what is open and waiting.
+    pub need: u16,
+    /// How many it would like to hold, with some room for growth; at least `need`.
     pub want: u16,
 }
 
--- a/crates/requests/src/shares/pool.rs
+++ b/crates/requests/src/shares/pool.rs
@@ -3,22 +3,47 @@
 use {
     egretlb_types::{NodeId, Time, VmId},
     smallvec::SmallVec,
+    std::time::Duration,
 };
 
+/// After so long another entry goes without where there are fewer slots than entries.
+const TURN: Duration = Duration::from_secs(1);
+
 /// What one entry may have open at the server.
 #[derive(Clone, Copy, Debug)]
 struct Charge {
     entry: NodeId,
     /// The most that the entry may have open, whichever answer of ours it has seen.
     open: u16,
-    /// How many it last wanted.
+    need: u16,
     want: u16,
-    /// When its lease must have lapsed at the entry; its want counts until then.
+    /// When its lease must have lapsed at the entry; its need counts until then.
     lapses: Time,
     /// When exchanges begun under the lease must have ended too; the slots are free then.
     free_at: Time,
 }
 
+/// One entry's ask, as a pool needs it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PoolAsk {
+    pub(super) entry: NodeId,
+    pub(super) holding: u16,
+    pub(super) need: u16,
+    pub(super) want: u16,
+    pub(super) lapses: Time,
+    pub(super) free_at: Time,
+}
+
+/// An entry's fair part of a pool.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    entry: NodeId,
+    rank: u64,
+    need: u16,
+    want: u16,
+    part: u16,
+}
+
 /// The slots of one backend server.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pool {
@@ -42,82 +67,89 @@
         self.charges.iter().map(|charge| u32::from(charge.open)).sum()
     }
 
-    /// Takes down what `entry` says it holds and wants, and returns what it gets.
+    /// Takes down what an entry says it holds and wants, and returns what it gets.
     ///
     /// `adopt_only` is for a new grantor that doesn't know yet what its predecessor granted to
     /// others: it confirms what is held and adds nothing.
-    pub(super) fn ask(&mut self, vm: &VmId, ask: PoolAsk, adopt_only: bool) -> u16 {
+    pub(super) fn ask(&mut self, now: Time, vm: &VmId, ask: PoolAsk, adopt_only: bool) -> u16 {
         self.charges.retain(|charge| charge.entry != ask.entry);
-        let others = self.charged();
-        let free = u32::from(self.size).saturating_sub(others);
+        if ask.holding == 0 && ask.want == 0 {
+            return 0;
+        }
+        let free = u32::from(self.size).saturating_sub(self.charged());
         let most = if adopt_only { u32::from(ask.holding) } else { free };
-        let fair = self.fair_share(vm, ask);
+        let PoolAsk { entry, holding, need, want, lapses, free_at } = ask;
+        let charge = Charge { entry, open: holding, need, want, lapses, free_at };
+        self.charges.push(charge);
+        let parts = self.parts(now, vm);
+        let fair = parts.iter().find(|part| part.entry == entry).map_or(0, |part| part.part);
         let granted = u32::from(fair).min(most) as u16;
         // Until the entry's next ask it may act on the old answer or on this one.
-        let open = ask.holding.max(granted);
-        if open > 0 || ask.want > 0 {
-            self.charges.push(Charge {
-                entry: ask.entry,
-                open,
-                want: ask.want,
-                lapses: ask.lapses,
-                free_at: ask.free_at,
-            });
+        if let Some(charge) = self.charges.last_mut() {
+            charge.open = holding.max(granted);
         }
         granted
     }
 
-    /// The max-min fair part of the pool for the asking entry: nobody gets more than it wants, and
-    /// what one doesn't want is lent to the others.
+    /// The fair parts of the pool: first of what is needed now, then of what is wanted besides.
     ///
-    /// With fewer slots than entries the rest goes round by a hash of server and entry, so that at
-    /// each server other entries go without.
-    fn fair_share(&self, vm: &VmId, ask: PoolAsk) -> u16 {
-        let mut wants: SmallVec<[(u16, u64, NodeId); 12]> = self
-            .charges
-            .iter()
-            .filter(|charge| charge.lapses > ask.now)
-            .map(|charge| (charge.want, rank(vm, charge.entry), charge.entry))
+    /// Both times nobody gets more than it asks for, and what one leaves is lent to the others. So
+    /// an entry without load never keeps a slot that another's callers wait for. With fewer slots
+    /// than entries that need them, the rest goes round: by server and by turn, other entries go
+    /// without.
+    fn parts(&self, now: Time, vm: &VmId) -> SmallVec<[Part; 12]> {
+        let turn = now.as_micros() / TURN.as_micros() as u64;
+        let live = self.charges.iter().filter(|charge| charge.lapses > now);
+        let mut parts: SmallVec<[Part; 12]> = live
+            .map(|charge| Part {
+                entry: charge.entry,
+                rank: rank(vm, charge.entry, turn),
+                need: charge.need.min(charge.want),
+                want: charge.want,
+                part: 0,
+            })
             .collect();
-        wants.push((ask.want, rank(vm, ask.entry), ask.entry));
-        wants.sort_unstable();
-        let mut left = self.size;
-        let mut waiting = wants.len() as u16;
-        for (want, _, entry) in wants {
-            let part = want.min(left / waiting);
-            if entry == ask.entry {
-                return part;
-            }
-            left -= part;
-            waiting -= 1;
-        }
-        0
+        let left = share_out(self.size, &mut parts, |part| part.need);
+        share_out(left, &mut parts, |part| part.want - part.need);
+        parts
     }
 
-    /// Entries that hold more than their fair part while somebody goes short of it.
-    pub(super) fn holders_above_fair(&self, now: Time) -> SmallVec<[NodeId; 4]> {
-        let live = self.charges.iter().filter(|charge| charge.lapses > now && charge.want > 0);
-        let count = live.clone().count().max(1) as u16;
-        let fair = (self.size / count).max(1);
-        let above = self.charges.iter().filter(|charge| charge.open > fair);
-        above.map(|charge| charge.entry).collect()
+    /// Entries that should ask again: those that hold more than their part while somebody goes
+    /// short, and those that go short while something is free.
+    pub(super) fn to_recall(&self, now: Time, vm: &VmId) -> SmallVec<[NodeId; 4]> {
+        let short = self.charges.iter().any(|charge| charge.open < charge.need);
+        if !short {
+            return SmallVec::new();
+        }
+        let free = self.charged() < u32::from(self.size);
+        let parts = self.parts(now, vm);
+        let recalled = self.charges.iter().filter(|charge| {
+            let part = parts.iter().find(|part| part.entry == charge.entry);
+            let fair = part.map_or(0, |part| part.part);
+            charge.open > fair || (free && charge.open < charge.need.min(fair))
+        });
+        recalled.map(|charge| charge.entry).collect()
     }
 }
 
-/// One entry's ask, as a pool needs it.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct PoolAsk {
-    pub(super) entry: NodeId,
-    pub(super) holding: u16,
-    pub(super) want: u16,
-    pub(super) now: Time,
-    pub(super) lapses: Time,
-    pub(super) free_at: Time,
+/// Shares `size` out, max-min fair, by what each asks for; returns what is left.
+fn share_out(size: u16, parts: &mut [Part], asks: impl Fn(&Part) -> u16) -> u16 {
+    parts.sort_unstable_by_key(|part| (asks(part), part.rank));
+    let mut left = size;
+    let mut waiting = parts.len() as u16;
+    for part in parts {
+        // Those that ask for most come last and share what the others left.
+        let given = asks(part).min(left / waiting);
+        part.part += given;
+        left -= given;
+        waiting -= 1;
+    }
+    left
 }
 
-/// An order of entries that differs from server to server; the same for every grantor isn't needed.
-fn rank(vm: &VmId, entry: NodeId) -> u64 {
-    let seed = vm.as_str().bytes().fold(entry.0, |sum, byte| {
+/// An order of entries that differs from server to server and from turn to turn.
+fn rank(vm: &VmId, entry: NodeId, turn: u64) -> u64 {
+    let seed = vm.as_str().bytes().fold(entry.0 ^ (turn << 40), |sum, byte| {
         (sum ^ u64::from(byte)).wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(29)
     });
     seed ^ (seed >> 31)
--- /dev/null
+++ b/crates/requests/tests/fault_matrix.rs
@@ -0,0 +1,25 @@
+//! Every fault at every step of a request.
+
+mod support;
+
+use {
+    egretlb_requests::Protections,
+    support::matrix::{all_cells, run_all, table},
+};
+
+/// A part fails while a request is at some step of its way. A user must get one answer, its own
+/// and whole, be told the truth about whether the request ran, and never have a filing doubled.
+#[test]
+fn every_fault_at_every_step() {
+    let cells = run_all(&all_cells(), Protections::default(), 11);
+    println!("{}", table(&cells));
+    let broken: Vec<_> = cells.iter().filter(|cell| !cell.violations.is_empty()).collect();
+    println!("cells={} broken={}", cells.len(), broken.len());
+    for cell in &broken {
+        println!("{:?} {:?}: {:?}", cell.kind, cell.faults, cell.violations);
+    }
+    assert!(broken.is_empty());
+    for cell in cells.iter().filter(|cell| !cell.fired) {
+        panic!("the fault never happened: {cell:?}");
+    }
+}
--- /dev/null
+++ b/crates/requests/tests/fault_pairs.rs
@@ -0,0 +1,47 @@
+//! Two faults on one request, drawn by bolero's generators from committed seeds.
+
+mod support;
+
+use {
+    bolero::{
+        ValueGenerator,
+        generator::bolero_generator::driver::{Options, Rng},
+        produce,
+    },
+    egretlb_requests::Protections,
+    rand::{SeedableRng, rngs::SmallRng},
+    support::{
+        faults::{Fault, Kind, Step},
+        matrix::{CellPlan, run_all},
+    },
+};
+
+/// One pair for each seed. A seed that has found something stays on the list unchanged.
+const SEEDS: std::ops::Range<u64> = 0..400;
+
+fn draw(seed: u64) -> CellPlan {
+    let mut driver = Rng::new(SmallRng::seed_from_u64(seed), &Options::default());
+    let mut index = |len: usize| {
+        let number = produce::<u32>().generate(&mut driver).expect("a number");
+        number as usize % len
+    };
+    let kind = Kind::ALL[index(Kind::ALL.len())];
+    let steps: Vec<Step> = Step::ALL.iter().copied().filter(|step| step.applies(kind)).collect();
+    let mut fault = || (steps[index(steps.len())], Fault::ALL[index(Fault::ALL.len())]);
+    (kind, vec![fault(), fault()])
+}
+
+/// Two parts fail while one request is on its way, or one after the other. What must hold of one
+/// fault must hold of two.
+#[test]
+fn pairs_of_faults() {
+    let plans: Vec<CellPlan> = SEEDS.map(draw).collect();
+    let cells = run_all(&plans, Protections::default(), 50_000);
+    let mut broken = 0;
+    for cell in cells.iter().filter(|cell| !cell.violations.is_empty()) {
+        println!("{:?} {:?}: {:?}", cell.kind, cell.faults, cell.violations);
+        broken += 1;
+    }
+    println!("pairs={} broken={broken}", cells.len());
+    assert_eq!(broken, 0);
+}
--- /dev/null
+++ b/crates/requests/tests/support/faults.rs
@@ -0,0 +1,408 @@
+//! Faults at steps of one request, and the caller who sends it until it knows the outcome.
+
+use {
+    super::{
+        check::violations,
+        world::{ClassSetup, Ev, Record, Setup, World},
+    },
+    egretlb_requests::{
+        Protections, RequestId,
+        entry::{AttemptResult, EntryEvent, QueueOrder, Verdict},
+    },
+    egretlb_types::{Ran, RequestKey, Time, VmState, shard_of_rack},
+    rand::Rng,
+    std::time::Duration,
+};
+
+macro_rules! listed_enum {
+    ($(#[$doc:meta])* $name:ident { $($item:ident),* $(,)? }) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+        pub enum $name { $($item),* }
+
+        impl $name {
+            /// Every one of them, so that no cell can be forgotten.
+            pub const ALL: &[$name] = &[$($name::$item),*];
+        }
+    };
+}
+
+listed_enum!(
+    /// The steps of a request with a key, in order; others skip those about the key.
+    Step {
+        Arrived, PermitAsked, IntentInLog, PermitGiven, Sent, Running, Finished, Answered,
+        Reported, OutcomeInLog,
+    }
+);
+
+listed_enum!(
+    /// What happens at a step.
+    Fault {
+        EntryKilled, EntryPaused, AsksLost, OwnersAnswersLost, ServerKilled, ServerLeaving,
+        AnswerLost, AnswerTruncated, AnswerLate, LogDown, LogAnswerLost, KeyOwnerKilled,
+        KeyOwnerPaused, ShareOwnerKilled, CallerGone,
+    }
+);
+
+listed_enum!(
+    /// What kind of request meets the fault.
+    Kind { Idempotent, Plain, Keyed }
+);
+
+impl Step {
+    pub fn applies(self, kind: Kind) -> bool {
+        let about_key = matches!(
+            self,
+            Step::PermitAsked
+                | Step::IntentInLog
+                | Step::PermitGiven
+                | Step::Reported
+                | Step::OutcomeInLog
+        );
+        !about_key || kind == Kind::Keyed
+    }
+}
+
+const PAUSE: Duration = Duration::from_secs(12);
+const CUT: Duration = Duration::from_secs(15);
+const LOG_OUTAGE: Duration = Duration::from_secs(15);
+const DETECTION: Duration = Duration::from_millis(500);
+const TRIES: usize = 30;
+const RACK_OWNER: usize = 0;
+const KEY_OWNER: usize = 1;
+const SUCCESSOR: usize = 2;
+const ACT_SUCCEED_RACKS: u32 = 0;
+const ACT_SUCCEED_KEYS: u32 = 1;
+const ACT_HEAL: u32 = 2;
+const ACT_RESTART_SERVER: u32 = 100;
+
+/// Which faults are to happen to which request.
+#[derive(Debug, Default)]
+pub struct Plan {
+    target: Option<RequestId>,
+    intent: usize,
+    faults: Vec<(Step, Fault)>,
+    server: usize,
+    answer: Option<Fault>,
+    tries: usize,
+    pub fired: usize,
+}
+
+impl Plan {
+    pub fn note_server(&mut self, request: RequestId, server: usize) {
+        if self.target == Some(request) {
+            self.server = server;
+        }
+    }
+
+    /// What becomes of the answer to `request`: `None` for nothing unusual, `Some(None)` if it is
+    /// lost, else another result or a delay.
+    pub fn take_answer(
+        &mut self,
+        request: RequestId,
+    ) -> Option<Option<(Option<AttemptResult>, Duration)>> {
+        if self.target != Some(request) {
+            return None;
+        }
+        let late = Duration::from_secs(4);
+        match self.answer.take()? {
+            Fault::AnswerLost => Some(None),
+            Fault::AnswerTruncated => Some(Some((Some(AttemptResult::Truncated), Duration::ZERO))),
+            Fault::AnswerLate => Some(Some((None, late))),
+            _ => None,
+        }
+    }
+}
+
+impl World {
+    /// The target request has come to a step.
+    pub fn step(&mut self, step: Step, request: RequestId) {
+        if self.plan.target != Some(request) {
+            return;
+        }
+        while let Some(due) = self.plan.faults.iter().position(|(at, _)| *at == step) {
+            let (_, fault) = self.plan.faults.remove(due);
+            self.plan.fired += 1;
+            self.inject(fault, request);
+        }
+    }
+
+    fn inject(&mut self, fault: Fault, request: RequestId) {
+        let entry = self.requests[request.0 as usize].entry;
+        let server = self.plan.server;
+        match fault {
+            Fault::EntryKilled => self.kill_entry(entry),
+            Fault::EntryPaused => self.entries[entry].paused_until = self.now + PAUSE,
+            Fault::AsksLost => {
+                self.cut_to.extend((0..3).map(|s| (entry, s)));
+                self.at(self.now + CUT, Ev::Act(ACT_HEAL));
+            }
+            Fault::OwnersAnswersLost => {
+                self.cut_from.extend((0..3).map(|s| (entry, s)));
+                self.at(self.now + CUT, Ev::Act(ACT_HEAL));
+            }
+            Fault::ServerKilled => {
+                self.kill_server(server);
+                let restart = ACT_RESTART_SERVER + server as u32;
+                self.at(self.now + Duration::from_secs(5), Ev::Act(restart));
+            }
+            Fault::ServerLeaving => self.server_leaves(server),
+            Fault::AnswerLost | Fault::AnswerTruncated | Fault::AnswerLate => {
+                self.plan.answer = Some(fault);
+            }
+            Fault::LogDown => self.log.down_until = self.now + LOG_OUTAGE,
+            Fault::LogAnswerLost => self.log.lose_answers = 1,
+            Fault::KeyOwnerKilled => {
+                self.schedulers[KEY_OWNER].alive = false;
+                self.at(self.now + DETECTION, Ev::Act(ACT_SUCCEED_KEYS));
+            }
+            Fault::KeyOwnerPaused => {
+                self.schedulers[KEY_OWNER].paused_until = self.now + PAUSE;
+                self.at(self.now + DETECTION, Ev::Act(ACT_SUCCEED_KEYS));
+            }
+            Fault::ShareOwnerKilled => {
+                self.schedulers[RACK_OWNER].alive = false;
+                self.at(self.now + DETECTION, Ev::Act(ACT_SUCCEED_RACKS));
+            }
+            Fault::CallerGone => {
+                self.requests[request.0 as usize].caller_gone = true;
+                self.tell(entry, EntryEvent::CallerGone { request });
+                self.caller_next(request);
+            }
+        }
+    }
+
+    /// The server says so itself at once; the platform's list and the rack's owner a while later.
+    fn server_leaves(&mut self, server: usize) {
+        self.servers[server].leaving = true;
+        self.vms[server].state = VmState::Leaving;
+        let shard = shard_of_rack(&self.vms[server].rack);
+        self.tell_servers(shard);
+    }
+
+    pub fn act(&mut self, number: u32) {
+        match number {
+            ACT_SUCCEED_RACKS => self.succeed(RACK_OWNER, SUCCESSOR),
+            ACT_SUCCEED_KEYS => self.succeed(KEY_OWNER, SUCCESSOR),
+            ACT_HEAL => {
+                self.cut_to.clear();
+                self.cut_from.clear();
+            }
+            _ => self.servers[(number - ACT_RESTART_SERVER) as usize].alive = true,
+        }
+    }
+
+    /// What the caller of the target does next: asks again, through another entry, as long as it
+    /// was told that it may or doesn't know what became of it.
+    pub fn caller_next(&mut self, id: RequestId) {
+        let record = self.requests[id.0 as usize].clone();
+        if self.plan.target.is_none() || record.intent != self.plan.intent {
+            return;
+        }
+        self.plan.tries += 1;
+        let repeatable = record.key.is_some() || self.setup.classes[record.class].idempotent;
+        let wait = match record.answers.last().map(|(_, verdict)| verdict) {
+            Some(Verdict::PassOn { .. } | Verdict::Recorded(_)) => return,
+            Some(Verdict::Refuse { retry_after, .. }) => {
+                Duration::from_secs(retry_after.as_secs().into())
+            }
+            Some(Verdict::Error { .. }) | None if repeatable => Duration::from_secs(2),
+            _ => return,
+        };
+        if self.plan.tries >= TRIES || self.now > end() {
+            return;
+        }
+        let entry = (record.entry + 1) % self.setup.entries;
+        let next = Record {
+            arrived: self.now + wait,
+            entry,
+            answers: Vec::new(),
+            runs: 0,
+            sends: 0,
+            caller_gone: false,
+            cut_off: false,
+            ..record
+        };
+        self.request(self.now + wait, next);
+    }
+}
+
+/// When callers of a cell stop asking.
+fn end() -> Time {
+    Time::from_secs(160)
+}
+
+/// What one cell of the matrix came to.
+#[derive(Clone, Debug)]
+pub struct Cell {
+    pub kind: Kind,
+    pub faults: Vec<(Step, Fault)>,
+    /// The answer to the request that met the fault.
+    pub first: String,
+    /// The last answer that the caller got.
+    pub last: String,
+    pub tries: usize,
+    pub runs: u32,
+    pub fired: bool,
+    /// Whether each `Egretlb-Ran: no` and `yes` was true.
+    pub truthful: bool,
+    pub violations: Vec<String>,
+}
+
+/// What goes on around the request that meets the fault.
+#[derive(Clone, Copy, Debug)]
+pub struct Around {
+    /// How much longer messages between entries and owners may take.
+    pub jitter: Duration,
+    /// The longest time between two other requests, in milliseconds.
+    pub gap_ms: u64,
+    /// What the other requests take, in milliseconds.
+    pub work_ms: (u64, u64),
+}
+
+/// Light load, a network that behaves.
+pub const CALM: Around = Around { jitter: Duration::ZERO, gap_ms: 60, work_ms: (60, 240) };
+
+/// Runs one request of `kind` that meets `faults`, among some others.
+pub fn run_cell(kind: Kind, faults: &[(Step, Fault)], protections: Protections, seed: u64) -> Cell {
+    run_cell_in(CALM, kind, faults, protections, seed)
+}
+
+pub fn run_cell_in(
+    around: Around,
+    kind: Kind,
+    faults: &[(Step, Fault)],
+    protections: Protections,
+    seed: u64,
+) -> Cell {
+    let mut world = start_cell(around, kind, faults, protections, seed);
+    world.run_until(end() + Duration::from_secs(40));
+    let violations = violations(&world);
+    let tries = || world.requests.iter().filter(|record| record.intent == 1_000_000);
+    let truthful = !violations.iter().any(|text| text.contains("said"));
+    Cell {
+        kind,
+        faults: faults.to_vec(),
+        first: tries().next().map(told).unwrap_or_default(),
+        last: tries()
+            .filter(|record| !told(record).is_empty())
+            .last()
+            .map(told)
+            .unwrap_or_default(),
+        tries: tries().count(),
+        runs: tries().map(|record| record.runs).sum(),
+        fired: world.plan.fired > 0,
+        truthful,
+        violations,
+    }
+}
+
+/// The world of a cell before anything happens.
+pub fn start_cell(
+    around: Around,
+    kind: Kind,
+    faults: &[(Step, Fault)],
+    protections: Protections,
+    seed: u64,
+) -> World {
+    let mut world = World::new(small_setup(protections, seed));
+    world.jitter = around.jitter;
+    background(&mut world, around);
+    let start = Time::from_secs(102);
+    let target = world.request(start, record(&mut world_rng(seed), kind, 1_000_000, start, 0));
+    world.plan.target = Some(target);
+    world.plan.intent = 1_000_000;
+    world.plan.faults = faults.to_vec();
+    world
+}
+
+/// What a caller was told, in a word or two.
+fn told(record: &Record) -> String {
+    let text = match record.answers.first().map(|(_, verdict)| verdict) {
+        None if record.caller_gone => "caller gone".into(),
+        None if record.cut_off => "connection cut".into(),
+        None => "nothing".into(),
+        Some(Verdict::PassOn { .. }) => "answer".into(),
+        Some(Verdict::Recorded(_)) => "recorded answer".into(),
+        Some(Verdict::Refuse { reason, .. }) => format!("refused {reason:?}"),
+        Some(Verdict::Error { reason, ran, .. }) => {
+            let ran = if *ran == Ran::Unknown { "unknown" } else { "no" };
+            format!("error {reason:?}, ran {ran}")
+        }
+    };
+    text
+}
+
+fn small_setup(protections: Protections, seed: u64) -> Setup {
+    let class = |name, member, idempotent| ClassSetup {
+        name,
+        member,
+        target: Duration::from_millis(1_500),
+        idempotent,
+    };
+    Setup {
+        entries: 3,
+        schedulers: 3,
+        servers: 4,
+        slots: 2,
+        connections: 4,
+        per_rack: 2,
+        data_centres: 2,
+        classes: vec![class("check", "andina", true), class("filing", "kelani", false)],
+        order: QueueOrder::default(),
+        protections,
+        seed,
+    }
+}
+
+fn world_rng(seed: u64) -> rand::rngs::SmallRng {
+    rand::SeedableRng::seed_from_u64(seed ^ 0xC0FFEE)
+}
+
+fn record(
+    rng: &mut rand::rngs::SmallRng,
+    kind: Kind,
+    intent: usize,
+    arrived: Time,
+    entry: usize,
+) -> Record {
+    let keyed = kind == Kind::Keyed;
+    let key = keyed.then(|| RequestKey::new("kelani".parse().unwrap(), &format!("key-{intent}")));
+    Record {
+        class: usize::from(kind != Kind::Idempotent),
+        arrived,
+        work: Duration::from_millis(rng.random_range(60..240)),
+        deadline: Some(Duration::from_secs(2)),
+        key: key.map(Result::unwrap),
+        intent,
+        entry,
+        incarnation: 0,
+        answers: Vec::new(),
+        runs: 0,
+        sends: 0,
+        caller_gone: false,
+        cut_off: false,
+    }
+}
+
+/// Other callers' requests of each kind, for a while before and after the fault.
+fn background(world: &mut World, around: Around) {
+    let mut rng = world_rng(world.setup.seed ^ 1);
+    let mut at = Time::from_secs(101);
+    for intent in 0.. {
+        at = at + Duration::from_millis(rng.random_range(1..around.gap_ms));
+        if at > Time::from_secs(130) {
+            return;
+        }
+        let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
+        let entry = rng.random_range(0..world.setup.entries);
+        let mut other = record(&mut rng, kind, intent, at, entry);
+        let (least, most) = around.work_ms;
+        other.work = Duration::from_millis(rng.random_range(least..most));
+        // Long work is for callers who wait for it.
+        if other.work > Duration::from_secs(1) {
+            other.deadline = None;
+        }
+        world.request(at, other);
+    }
+}
--- /dev/null
+++ b/crates/requests/tests/support/servers.rs
@@ -0,0 +1,82 @@
+//! Backend servers: some slots, and a queue for what is sent beyond them.
+
+use {
+    egretlb_requests::{AttemptId, RequestId},
+    egretlb_types::VmId,
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// One exchange at a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Run {
+    pub request: RequestId,
+    pub attempt: AttemptId,
+    pub entry: usize,
+    /// Which incarnation of the entry waits for the answer.
+    pub incarnation: u32,
+    pub work: Duration,
+}
+
+#[derive(Debug)]
+pub struct Server {
+    pub vm: VmId,
+    pub slots: usize,
+    pub alive: bool,
+    pub leaving: bool,
+    /// How many times longer than elsewhere everything takes.
+    pub slow: f64,
+    pub running: Vec<Run>,
+    pub queue: VecDeque<Run>,
+    /// The most that was ever there at once.
+    pub peak: usize,
+    /// Grows with each restart: an end of an earlier life is void.
+    pub life: u32,
+}
+
+impl Server {
+    pub fn new(vm: VmId, slots: usize) -> Self {
+        Server {
+            vm,
+            slots,
+            alive: true,
+            leaving: false,
+            slow: 1.0,
+            running: Vec::new(),
+            queue: VecDeque::new(),
+            peak: 0,
+            life: 0,
+        }
+    }
+
+    /// Takes a request; returns it if it runs at once.
+    pub fn receive(&mut self, run: Run) -> Option<Run> {
+        self.peak = self.peak.max(self.running.len() + self.queue.len() + 1);
+        if self.running.len() < self.slots {
+            self.running.push(run);
+            return Some(run);
+        }
+        self.queue.push_back(run);
+        None
+    }
+
+    /// Ends a run; returns the next one if one waited.
+    pub fn finish(&mut self, run: &Run) -> Option<Run> {
+        self.running.retain(|other| other != run);
+        let next = self.queue.pop_front()?;
+        self.running.push(next);
+        Some(next)
+    }
+
+    pub fn time_for(&self, work: Duration) -> Duration {
+        work.mul_f64(self.slow)
+    }
+
+    /// The process dies with all it holds; returns what was there.
+    pub fn kill(&mut self) -> Vec<Run> {
+        self.alive = false;
+        self.life += 1;
+        let mut lost = std::mem::take(&mut self.running);
+        lost.extend(std::mem::take(&mut self.queue));
+        lost
+    }
+}
--- /dev/null
+++ b/crates/requests/tests/support/world/performing.rs
@@ -0,0 +1,395 @@
+//! What the runtimes do: performing effects, exchanging messages.
+
+use super::*;
+
+impl World {
+    pub(super) fn entry_effect(&mut self, i: usize, effect: EntryEffect) {
+        if !self.entries[i].alive {
+            return;
+        }
+        match effect {
+            EntryEffect::Send { request, attempt, vm, timeout, send_by, .. } => {
+                self.send(i, request, attempt, &vm, timeout, send_by);
+            }
+            EntryEffect::CancelAttempt { attempt } => {
+                self.entries[i].open.remove(&attempt);
+            }
+            EntryEffect::Answer { request, verdict } => {
+                self.requests[request.0 as usize].answers.push((self.now, verdict));
+                self.step(Step::Answered, request);
+                self.caller_next(request);
+            }
+            EntryEffect::AskPermit { node, ask } => {
+                let request = ask.holder.request;
+                self.step(Step::PermitAsked, request);
+                self.to_scheduler(i, node, |s, from| {
+                    Ev::ToKeys(s, from, KeyBookEvent::Ask { ask })
+                });
+            }
+            EntryEffect::ReportOutcome { node, report } => {
+                let request = report.holder.request;
+                self.step(Step::Reported, request);
+                let event = KeyBookEvent::Report { report };
+                self.to_scheduler(i, node, |s, from| Ev::ToKeys(s, from, event));
+            }
+            EntryEffect::AskShares { node, ask } => {
+                let event = ShareBookEvent::Ask { ask };
+                self.to_scheduler(i, node, |s, from| Ev::ToShares(s, from, event));
+            }
+            EntryEffect::Drained => self.entries[i].drained = true,
+            EntryEffect::Forget { .. } | EntryEffect::ReportLoad { .. } => {}
+        }
+    }
+
+    fn to_scheduler(&mut self, i: usize, node: NodeId, ev: impl FnOnce(usize, usize) -> Ev) {
+        let found = self.schedulers.iter().position(|scheduler| scheduler.node == node);
+        let Some(s) = found else { return };
+        let delay = self.control_hop();
+        self.messages += 1;
+        if !self.cut_to.contains(&(i, s)) {
+            self.at(self.now + delay, ev(s, i));
+        }
+    }
+
+    fn to_entry(&mut self, s: usize, node: NodeId, event: EntryEvent) {
+        let Some(i) = self.entries.iter().position(|entry| entry.node == node) else { return };
+        let delay = self.control_hop();
+        if !self.cut_from.contains(&(i, s)) {
+            let incarnation = self.entries[i].incarnation;
+            self.at(self.now + delay, Ev::ToEntry(i, incarnation, Box::new(event)));
+        }
+    }
+
+    fn send(
+        &mut self,
+        i: usize,
+        request: RequestId,
+        attempt: AttemptId,
+        vm: &VmId,
+        timeout: Duration,
+        send_by: Time,
+    ) {
+        let server = self.by_vm[vm];
+        self.plan.note_server(request, server);
+        self.step(Step::Sent, request);
+        let incarnation = self.entries[i].incarnation;
+        if !self.entries[i].alive {
+            return;
+        }
+        let record = &mut self.requests[request.0 as usize];
+        record.sends += 1;
+        self.sent.insert((i, incarnation, attempt), request);
+        let run = Run { request, attempt, entry: i, incarnation, work: record.work };
+        self.entries[i].open.insert(attempt, run);
+        // A process paused between the decision and the first byte looks at the time again.
+        let starts = self.now.max(self.entries[i].paused_until);
+        if starts > send_by && self.setup.protections.lapse_shares {
+            self.end_attempt(i, attempt, AttemptResult::NotSent);
+            return;
+        }
+        let delay = self.hop();
+        self.at(starts + delay, Ev::Recv(server, run));
+        self.at(starts + timeout, Ev::AttemptTimeout(i, incarnation, attempt));
+    }
+
+    /// The runtime tells the end of an attempt, once.
+    pub fn end_attempt(&mut self, i: usize, attempt: AttemptId, result: AttemptResult) {
+        let incarnation = self.entries[i].incarnation;
+        if self.entries[i].open.remove(&attempt).is_some() {
+            let event = EntryEvent::Answered { attempt, result };
+            self.at(self.now, Ev::ToEntry(i, incarnation, Box::new(event)));
+        }
+    }
+
+    /// The end of an exchange reaches the entry after the way back; the runtime drops it if it has
+    /// told another end before.
+    fn back(&mut self, run: &Run, result: AttemptResult, delay: Duration) {
+        self.at(self.now + delay, Ev::Back(*run, result));
+    }
+
+    pub(super) fn back_at_entry(&mut self, run: &Run, result: AttemptResult) {
+        if result == AttemptResult::Truncated {
+            self.truncated.insert((run.entry, run.incarnation, run.attempt));
+        }
+        if self.lives(run.entry, run.incarnation) {
+            self.end_attempt(run.entry, run.attempt, result);
+        }
+    }
+
+    pub(super) fn server_receives(&mut self, server: usize, run: Run) {
+        let delay = self.hop();
+        if !self.servers[server].alive {
+            self.back(&run, AttemptResult::NotSent, delay);
+            return;
+        }
+        if self.servers[server].leaving {
+            self.back(&run, AttemptResult::Declined { leaving: true }, delay);
+            return;
+        }
+        if let Some(run) = self.servers[server].receive(run) {
+            self.start(server, run);
+        }
+    }
+
+    fn start(&mut self, server: usize, run: Run) {
+        self.requests[run.request.0 as usize].runs += 1;
+        self.step(Step::Running, run.request);
+        if self.servers[server].alive {
+            let life = self.servers[server].life;
+            let time = self.servers[server].time_for(run.work);
+            self.at(self.now + time, Ev::Ran(server, life, run));
+        }
+    }
+
+    pub(super) fn server_ran(&mut self, server: usize, life: u32, run: Run) {
+        if self.servers[server].life != life {
+            return;
+        }
+        if let Some(next) = self.servers[server].finish(&run) {
+            self.start(server, next);
+        }
+        self.step(Step::Finished, run.request);
+        let intent = self.requests[run.request.0 as usize].intent as u64;
+        let body = Some(intent.to_le_bytes().to_vec());
+        let whole = AttemptResult::Whole { status: 200, record: body };
+        let delay = self.hop();
+        match self.plan.take_answer(run.request) {
+            Some(None) => {}
+            Some(Some((result, late))) => self.back(&run, result.unwrap_or(whole), delay + late),
+            None => self.back(&run, whole, delay),
+        }
+    }
+
+    pub fn kill_server(&mut self, server: usize) {
+        let lost = self.servers[server].kill();
+        for run in lost {
+            let delay = self.hop();
+            self.back(&run, AttemptResult::Failed, delay);
+        }
+    }
+
+    pub(super) fn share_event(&mut self, s: usize, from: usize, event: ShareBookEvent) {
+        if !self.schedulers[s].alive {
+            return;
+        }
+        let paused_until = self.schedulers[s].paused_until;
+        if self.now < paused_until {
+            self.at(paused_until, Ev::ToShares(s, from, event));
+            return;
+        }
+        let mut out = Vec::new();
+        let Scheduler { book, held, .. } = &mut self.schedulers[s];
+        book.step(self.now, event, held, &mut out);
+        for effect in out {
+            match effect {
+                ShareBookEffect::Grant { entry, grant } => {
+                    self.to_entry(s, entry, EntryEvent::SharesGranted { grant });
+                }
+                ShareBookEffect::Recall { entry, shard, .. } => {
+                    self.to_entry(s, entry, EntryEvent::SharesRecalled { shard });
+                }
+            }
+        }
+    }
+
+    pub(super) fn key_event(&mut self, s: usize, from: usize, event: KeyBookEvent) {
+        if !self.schedulers[s].alive {
+            return;
+        }
+        let paused_until = self.schedulers[s].paused_until;
+        if self.now < paused_until {
+            self.at(paused_until, Ev::ToKeys(s, from, event));
+            return;
+        }
+        let mut out = Vec::new();
+        let Scheduler { keys, held, .. } = &mut self.schedulers[s];
+        keys.step(self.now, event, held, &mut out);
+        for effect in out {
+            self.key_effect(s, effect);
+        }
+    }
+
+    fn key_effect(&mut self, s: usize, effect: KeyBookEffect) {
+        match effect {
+            KeyBookEffect::Journal { shard, entry, ticket } => {
+                let epoch = self.schedulers[s].held.shards.get(&shard).copied();
+                let epoch = epoch.unwrap_or_default();
+                let append = Append { scheduler: s, shard, epoch, entry, ticket };
+                self.at(self.now + LOG_HALF, Ev::LogApply(append));
+            }
+            KeyBookEffect::Answer { holder, permit, .. } => {
+                if permit == Permit::Granted {
+                    self.step(Step::PermitGiven, holder.request);
+                }
+                let event = EntryEvent::PermitAnswer { request: holder.request, permit };
+                self.to_entry(s, holder.entry, event);
+            }
+            KeyBookEffect::ReportDone { holder } => {
+                let event = EntryEvent::ReportDone { request: holder.request };
+                self.to_entry(s, holder.entry, event);
+            }
+        }
+    }
+
+    pub(super) fn log_apply(&mut self, append: Append) {
+        let s = append.scheduler;
+        if !self.schedulers[s].alive {
+            return;
+        }
+        if self.now < self.schedulers[s].paused_until {
+            self.at(self.schedulers[s].paused_until, Ev::LogApply(append));
+            return;
+        }
+        if !self.log.is_up(self.now) {
+            self.key_event(s, usize::MAX, KeyBookEvent::LogState { up: false });
+            self.at(self.now + LOG_AGAIN, Ev::LogApply(append));
+            return;
+        }
+        self.key_event(s, usize::MAX, KeyBookEvent::LogState { up: true });
+        self.log.append(&append);
+        let (step, holder) = match &append.entry {
+            KeyEntry::Intent { holder, .. } => (Step::IntentInLog, *holder),
+            KeyEntry::Outcome { holder, .. } => (Step::OutcomeInLog, *holder),
+        };
+        self.step(step, holder.request);
+        if self.log.lose_answers > 0 {
+            self.log.lose_answers -= 1;
+            self.at(self.now + LOG_AGAIN, Ev::LogApply(append));
+        } else {
+            self.at(self.now + LOG_HALF, Ev::LogAck(append));
+        }
+    }
+
+    pub(super) fn scheduler_tick(&mut self, s: usize) {
+        if !self.schedulers[s].alive {
+            return;
+        }
+        self.at(self.now + TICK, Ev::SchedTick(s));
+        if self.now < self.schedulers[s].paused_until {
+            return;
+        }
+        // The control stream is in the log: no read, no authority. A deposed owner reads that it
+        // is deposed.
+        let owners = &self.owners;
+        let deposed: Vec<ShardId> = self.schedulers[s]
+            .held
+            .shards
+            .iter()
+            .filter(|(shard, epoch)| owners.get(shard) != Some(&(s, **epoch)))
+            .map(|(shard, _)| *shard)
+            .collect();
+        if self.log.is_up(self.now) {
+            for shard in deposed {
+                self.schedulers[s].held.shards.remove(&shard);
+                self.share_event(s, usize::MAX, ShareBookEvent::Lost { shard });
+                self.key_event(s, usize::MAX, KeyBookEvent::Lost { shard });
+            }
+            self.schedulers[s].held.until = self.now + AUTHORITY;
+        }
+        self.share_event(s, usize::MAX, ShareBookEvent::Tick);
+        self.key_event(s, usize::MAX, KeyBookEvent::Tick);
+    }
+
+    /// The scheduler begins to act for a shard, after the wait for its predecessor.
+    pub(super) fn own(&mut self, s: usize, shard: ShardId, epoch: Epoch) {
+        if !self.schedulers[s].alive || self.owners.get(&shard) != Some(&(s, epoch)) {
+            return;
+        }
+        if !self.log.is_up(self.now) {
+            self.at(self.now + LOG_AGAIN, Ev::Own(s, shard, epoch));
+            return;
+        }
+        let (snapshot, entries) = self.log.read(shard);
+        let keys = &mut self.schedulers[s].keys;
+        keys.restore(shard, snapshot.unwrap_or_default());
+        for entry in &entries {
+            keys.replay(shard, entry);
+        }
+        let snapshot = keys.snapshot(self.now, shard);
+        self.log.snapshot(shard, epoch, snapshot);
+        let Held { shards, until } = &mut self.schedulers[s].held;
+        shards.insert(shard, epoch);
+        *until = self.now + AUTHORITY;
+        let had_owner = epoch > Epoch(1);
+        self.share_event(s, usize::MAX, ShareBookEvent::Owned { shard, epoch, had_owner });
+        self.key_event(s, usize::MAX, KeyBookEvent::Owned { shard, epoch });
+        self.tell_servers(shard);
+    }
+
+    /// Tells the owner of a rack shard which servers there are.
+    pub fn tell_servers(&mut self, shard: ShardId) {
+        let classes = self.config.classes.iter().map(|class| class.name.clone());
+        let classes: Vec<ClassName> = classes.collect();
+        let specs: Vec<ServerSpec> = self
+            .vms
+            .iter()
+            .filter(|record| shard_of_rack(&record.rack) == shard)
+            .map(|record| ServerSpec {
+                info: ServerInfo {
+                    vm: record.vm.clone(),
+                    addr: record.addr.clone(),
+                    data_centre: record.data_centre.clone(),
+                    state: record.state,
+                    classes: classes.iter().cloned().collect(),
+                },
+                slots: record.slots,
+                connections: record.connections,
+            })
+            .collect();
+        let (owner, _) = self.owners[&shard];
+        if !specs.is_empty() {
+            self.share_event(owner, usize::MAX, ShareBookEvent::Servers { shard, servers: specs });
+        }
+    }
+
+    /// Moves all shards of a scheduler to another one, as the control stream does it: claimed at
+    /// once, read by all within a second, acted on after the predecessor's authority has ended.
+    pub fn succeed(&mut self, s: usize, successor: usize) {
+        let moved = self.owners.iter_mut().filter(|(_, owner)| owner.0 == s);
+        let mut claimed = Vec::new();
+        for (shard, owner) in moved {
+            *owner = (successor, owner.1.next());
+            claimed.push((*shard, owner.1));
+        }
+        let acts = self.now + AUTHORITY + AUTHORITY / 50;
+        for (shard, epoch) in claimed {
+            self.at(acts, Ev::Own(successor, shard, epoch));
+        }
+        let owners = self.owner_list();
+        for i in 0..self.entries.len() {
+            let read = self.now + CONTROL_READ.mul_f64(self.rng.random_range(0.1..1.0));
+            let incarnation = self.entries[i].incarnation;
+            let event = EntryEvent::Owners { owners: owners.clone() };
+            self.at(read, Ev::ToEntry(i, incarnation, Box::new(event)));
+        }
+    }
+
+    pub fn kill_entry(&mut self, i: usize) {
+        let entry = &mut self.entries[i];
+        entry.alive = false;
+        entry.open.clear();
+        let incarnation = entry.incarnation;
+        let cut: Vec<RequestId> = (0..self.requests.len())
+            .filter(|r| {
+                let record = &self.requests[*r];
+                record.entry == i
+                    && record.incarnation == incarnation
+                    && record.arrived <= self.now
+                    && record.answers.is_empty()
+            })
+            .map(|r| RequestId(r as u64))
+            .collect();
+        for id in cut {
+            self.requests[id.0 as usize].cut_off = true;
+            self.caller_next(id);
+        }
+        self.at(self.now + Duration::from_secs(1), Ev::Restart(i));
+    }
+
+    /// The platform replaces the VM: a new incarnation that knows nothing.
+    pub(super) fn restart_entry(&mut self, i: usize) {
+        let incarnation = self.entries[i].incarnation + 1;
+        self.entries[i] = self.new_entry(i, incarnation);
+        self.introduce(i);
+    }
+}
