--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -11,6 +11,10 @@
 /// a screenful of them says no more than the first hundred.
 pub const MAX_FAULTS_SHOWN: usize = 100;
 
+/// How many faults are kept. Each costs a search for its line and column; a file of nothing but
+/// faults must not take minutes to be refused.
+pub const MAX_FAULTS: usize = 1_000;
+
 /// A place in a text, as editors count: from 1, columns in characters.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Position {
@@ -151,6 +155,11 @@
         /// The most allowed.
         limit: usize,
     },
+    /// An address that others are to call stands for any interface.
+    AnyInterface {
+        /// The address.
+        address: CompactString,
+    },
     /// Two listening addresses are the same.
     SameAddress {
         /// The address.
@@ -238,6 +247,11 @@
             FaultKind::TooMany { what, found, limit } => {
                 write!(f, "{found} {what}; at most {limit} are allowed: remove unused ones")
             }
+            FaultKind::AnyInterface { address } => write!(
+                f,
+                "{address} stands for any interface, and other processes are to call it; give the \
+                 VM's own IP number"
+            ),
             FaultKind::SameAddress { address } => {
                 write!(f, "{address} is listened on twice; give each its own port")
             }
@@ -271,9 +285,10 @@
             }
             write!(f, "{fault}")?;
         }
-        match self.0.len().checked_sub(MAX_FAULTS_SHOWN) {
-            None | Some(0) => Ok(()),
-            Some(more) => write!(f, "\nand {more} more; mend these first"),
+        match self.0.len().saturating_sub(MAX_FAULTS_SHOWN) {
+            0 => Ok(()),
+            more if self.0.len() < MAX_FAULTS => write!(f, "\nand {more} more; mend these first"),
+            more => write!(f, "\nand at least {more} more; mend these first"),
         }
     }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,6 +15,7 @@
 mod classes;
 mod diff;
 mod fault;
+mod job;
 mod nearest;
 mod reader;
 mod render;
@@ -25,9 +26,11 @@
     check::{CheckFault, MAX_CLASSES, MAX_TEAMS, Place, check_document},
     classes::parse_config,
     diff::diff,
-    fault::{Fault, FaultKind, Faults, MAX_FAULTS_SHOWN, Position},
-    reader::MAX_TEXT_BYTES,
-    render::render,
+    fault::{Fault, FaultKind, Faults, MAX_FAULTS, MAX_FAULTS_SHOWN, Position},
+    job::{JobFile, parse_job},
+    nearest::nearest,
+    reader::{MAX_TEXT_BYTES, read_text},
+    render::{render, render_compact},
     settings::{Limits, Listen, Settings, SettingsError, parse_settings, read_settings},
     units::{ByteSize, ParseUnitError, Percentile, Period},
 };
