--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -23,12 +23,12 @@
 /// are the gossip's chance, and end here before anyone suspects a living process.
 pub(crate) const PROBE_AFTER: Duration = Duration::from_millis(2_500);
 
-/// A process not heard of for this long is probed no more often than others.
-const PROBE_UNTIL: Duration = Duration::from_secs(10);
+/// A process not heard of for this long is suspected, and takes only every other heartbeat: the
+/// dead must not keep the living from hearing of each other.
+const PROBE_ONLY_UNTIL: Duration = Duration::from_secs(4);
 
-/// Answers to probes leave at most this often, or a dead node's silence would make the probes of
-/// 33 others a burst of answers.
-const ANSWER_EVERY: Duration = Duration::from_millis(100);
+/// A process not heard of for this long is probed no more often than others are.
+const PROBE_UNTIL: Duration = Duration::from_secs(10);
 
 /// The unit of [`Heard::age`], in milliseconds.
 const AGE_UNIT_MS: u64 = 100;
@@ -53,6 +53,8 @@
     pub in_touch: bool,
     /// The version of the configuration in force at the sender.
     pub config: ConfigVersion,
+    /// Whether this answers a heartbeat whose sender had lost sight of this process.
+    pub answer: bool,
     /// The schedulers that the sender has heard of lately.
     pub heard: Vec<Heard>,
 }
@@ -68,7 +70,6 @@
     rng: SmallRng,
     heard: BTreeMap<NodeId, Time>,
     next_at: Time,
-    answered_at: Option<Time>,
     probe_next: bool,
 }
 
@@ -79,7 +80,6 @@
             rng: SmallRng::seed_from_u64(seed),
             heard: BTreeMap::new(),
             next_at: Time::ZERO,
-            answered_at: None,
             probe_next: false,
         }
     }
@@ -123,14 +123,10 @@
             }
         }
         let limit = PROBE_AFTER.as_millis() as u64 / AGE_UNIT_MS;
-        let sees_me = |h: &&Heard| h.tag == tag(self.me.node) && u64::from(h.age) < limit;
-        let lost =
-            self.me.role == Role::Scheduler && heartbeat.heard.iter().find(sees_me).is_none();
-        let paced = self.answered_at.is_none_or(|at| now >= at + ANSWER_EVERY);
-        if lost && paced {
-            self.answered_at = Some(now);
-        }
-        lost && paced
+        let sees_me = |h: &Heard| h.tag == tag(self.me.node) && u64::from(h.age) < limit;
+        let lost = !heartbeat.heard.iter().any(sees_me);
+        // An answer is never answered: a peer that doesn't know this process yet would go on.
+        lost && !heartbeat.answer && self.me.role == Role::Scheduler
     }
 
     /// The process to send to now, if it is time.
@@ -146,12 +142,19 @@
         self.next_at = now + HEARTBEAT_EVERY.mul_f64(self.rng.random_range(0.9..1.1));
         let others: Vec<&NodeInfo> = members.filter(|info| info.node != self.me.node).collect();
         self.probe_next = !self.probe_next;
-        let lost: Vec<&NodeInfo> =
-            others.iter().copied().filter(|info| self.wants_probe(now, info)).collect();
-        if self.probe_next && !lost.is_empty() {
-            return lost.choose(&mut self.rng).copied();
+        let silence = |info: &NodeInfo| self.silence(now, info.node).unwrap_or_default();
+        let lost = others
+            .iter()
+            .copied()
+            .filter(|info| info.role == Role::Scheduler)
+            .filter(|info| (PROBE_AFTER..PROBE_UNTIL).contains(&silence(info)))
+            // The one with most time to lose first; one that is suspected already comes last.
+            .max_by_key(|info| (silence(info) < PROBE_ONLY_UNTIL, silence(info)));
+        let probe = |info: &NodeInfo| self.probe_next || silence(info) < PROBE_ONLY_UNTIL;
+        match lost.filter(|info| probe(info)) {
+            Some(info) => Some(info),
+            None => others.choose(&mut self.rng).copied(),
         }
-        others.choose(&mut self.rng).copied()
     }
 
     /// What this process tells others now.
@@ -169,7 +172,7 @@
                 Some(Heard { tag: tag(node), age })
             })
             .collect();
-        Heartbeat { from: self.me.node, in_touch, config, heard }
+        Heartbeat { from: self.me.node, in_touch, config, answer: false, heard }
     }
 
     fn hear(&mut self, node: NodeId, at: Time) {
@@ -177,11 +180,6 @@
             *heard = at.max(*heard);
         }
     }
-
-    fn wants_probe(&self, now: Time, info: &NodeInfo) -> bool {
-        let silence = self.silence(now, info.node).unwrap_or_default();
-        info.role == Role::Scheduler && (PROBE_AFTER..PROBE_UNTIL).contains(&silence)
-    }
 }
 
 impl Heartbeat {
--- a/crates/control/src/reducer/holdings.rs
+++ b/crates/control/src/reducer/holdings.rs
@@ -18,42 +18,28 @@
 /// when ten processes are replaced together nearly every shard moves.
 const BALANCE_AT_ONCE: usize = 4;
 
-/// A process takes part for this long before shards are moved to it: one that restarts in a loop
-/// would take shards away from an owner only to lose them.
-const BALANCE_STABLE: Duration = Duration::from_secs(10);
-
 #[derive(Clone, Debug)]
 pub(crate) struct Holdings {
     me: NodeId,
     owned: BTreeMap<ShardId, Epoch>,
     releasing: BTreeMap<ShardId, Epoch>,
-    joined_at: BTreeMap<NodeId, Time>,
     balance_at: Time,
 }
 
 impl Holdings {
     pub(crate) fn new(me: NodeId) -> Self {
-        Holdings {
-            me,
-            owned: BTreeMap::new(),
-            releasing: BTreeMap::new(),
-            joined_at: BTreeMap::new(),
-            balance_at: Time::ZERO,
-        }
+        Holdings { me, owned: BTreeMap::new(), releasing: BTreeMap::new(), balance_at: Time::ZERO }
     }
 
     /// Follows the state: says which shards became this process's, and which are lost.
-    pub(crate) fn follow(
-        &mut self,
-        now: Time,
-        state: Option<&ControlState>,
-        out: &mut Vec<ControlEffect>,
-    ) {
+    ///
+    /// A process that has given up its state, since the records it wanted next have expired, asks
+    /// for nothing here until it has found a snapshot. It keeps its shards without authority: a
+    /// shard that was lost and then owned again under the same epoch would be empty.
+    pub(crate) fn follow(&mut self, state: &ControlState, out: &mut Vec<ControlEffect>) {
         let is_mine = |shard: ShardId, epoch: Epoch| {
-            state.is_some_and(|state| {
-                let of = state.shard(shard);
-                of.owner() == Some(self.me) && of.epoch() == epoch
-            })
+            let of = state.shard(shard);
+            of.owner() == Some(self.me) && of.epoch() == epoch
         };
         self.releasing.retain(|shard, epoch| is_mine(*shard, *epoch));
         let lost: Vec<ShardId> = self
@@ -65,11 +51,6 @@
         for shard in lost {
             self.lose(shard, out);
         }
-        let Some(state) = state else { return };
-        self.joined_at.retain(|node, _| state.member(*node).is_some());
-        for info in state.schedulers() {
-            self.joined_at.entry(info.node).or_insert(now);
-        }
         for (shard, of) in state.shards() {
             let mine = of.owner() == Some(self.me) && of.phase() == Phase::Settled;
             let new = !self.owned.contains_key(&shard) && !self.releasing.contains_key(&shard);
@@ -105,23 +86,20 @@
         &mut self,
         now: Time,
         state: &ControlState,
-        live: &[NodeId],
+        candidates: &[NodeId],
         out: &mut Vec<ControlEffect>,
     ) {
-        let unsettled = state.shards().any(|(_, of)| of.phase() != Phase::Settled);
-        if now < self.balance_at || unsettled || !self.releasing.is_empty() {
+        if now < self.balance_at || !self.releasing.is_empty() {
+            return;
+        }
+        if state.shards().any(|(_, of)| of.phase() != Phase::Settled) {
             return;
         }
         self.balance_at = now + BALANCE_EVERY;
-        let stable = |node: NodeId| {
-            self.joined_at.get(&node).is_some_and(|at| now.since(*at) >= BALANCE_STABLE)
-        };
         let moving: Vec<ShardEpoch> = self
             .owned
             .iter()
-            .filter(|(shard, _)| {
-                preferred(**shard, live).is_some_and(|node| node != self.me && stable(node))
-            })
+            .filter(|(shard, _)| preferred(**shard, candidates) != Some(self.me))
             .map(|(shard, epoch)| ShardEpoch { shard: *shard, epoch: *epoch })
             .take(BALANCE_AT_ONCE)
             .collect();
--- a/crates/control/src/reducer/mod.rs
+++ b/crates/control/src/reducer/mod.rs
@@ -34,7 +34,7 @@
     },
     compact_str::CompactString,
     egretlb_log::{AppendOutcome, ReadOutcome},
-    egretlb_types::{Authority, Epoch, NodeId, ShardId, Ticket, Time},
+    egretlb_types::{Authority, Epoch, NodeId, Offset, ShardId, Ticket, Time},
     std::{fmt, sync::Arc, time::Duration},
 };
 
@@ -133,6 +133,11 @@
         self.fold.state()
     }
 
+    /// The offset that this process reads next: its state holds everything before it.
+    pub fn next(&self) -> Offset {
+        self.fold.next()
+    }
+
     /// The process that acts for the shard, as far as this process has read.
     pub fn owner_of(&self, shard: ShardId) -> Option<&NodeInfo> {
         self.state()?.owner_of(shard)
@@ -214,8 +219,8 @@
         if let Some(state) = self.fold.state() {
             self.gossip.follow(now, state);
             self.succession.follow(now, state);
+            self.holdings.follow(state, out);
         }
-        self.holdings.follow(now, self.fold.state(), out);
         if self.fold.since_snapshot() == 0 {
             self.upkeep.saw_snapshot(now);
         }
@@ -257,7 +262,7 @@
         }
         let sender = self.fold.state().and_then(|state| state.member(heartbeat.from));
         if let Some(to) = sender.cloned() {
-            let heartbeat = self.own_heartbeat(now);
+            let heartbeat = Heartbeat { answer: true, ..self.own_heartbeat(now) };
             out.push(ControlEffect::Heartbeat { to, heartbeat });
         }
     }
@@ -418,7 +423,7 @@
         let me = self.me();
         let Some(state) = self.fold.state() else { return };
         if !self.suspicion.few_heard() {
-            self.holdings.balance(now, state, self.suspicion.live(), out);
+            self.holdings.balance(now, state, self.suspicion.candidates(), out);
         }
         let gone = self.upkeep.due_prune(now, me, state, &self.gossip, &self.suspicion);
         if let Some(node) = gone {
--- a/crates/control/src/reducer/succession.rs
+++ b/crates/control/src/reducer/succession.rs
@@ -27,6 +27,9 @@
 /// A claimant that hasn't settled after this long, though it is heard, is stuck; another claims.
 const STUCK_AFTER: Duration = Duration::from_secs(30);
 
+/// How often all shards are looked through for lost owners; other events come more often.
+const LOOK_EVERY: Duration = Duration::from_millis(90);
+
 /// Where a take-over stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Stage {
@@ -52,6 +55,7 @@
     takeovers: BTreeMap<ShardId, Takeover>,
     claimed_since: BTreeMap<ShardId, (Epoch, Time)>,
     orphan_since: BTreeMap<ShardId, Time>,
+    look_at: Time,
 }
 
 impl Succession {
@@ -62,6 +66,7 @@
             takeovers: BTreeMap::new(),
             claimed_since: BTreeMap::new(),
             orphan_since: BTreeMap::new(),
+            look_at: Time::ZERO,
         }
     }
 
@@ -150,12 +155,17 @@
         state: &ControlState,
         suspicion: &Suspicion,
     ) -> ShardEpochs {
+        if now < self.look_at {
+            return ShardEpochs::new();
+        }
+        self.look_at = now + LOOK_EVERY;
+        let orphans: Vec<(ShardId, &ShardState)> = state
+            .shards()
+            .filter(|(shard, of)| self.is_orphan(now, *shard, of, suspicion))
+            .collect();
+        self.orphan_since.retain(|shard, _| orphans.iter().any(|(orphan, _)| orphan == shard));
         let mut claims = ShardEpochs::new();
-        for (shard, of) in state.shards() {
-            if !self.is_orphan(now, shard, of, suspicion) {
-                self.orphan_since.remove(&shard);
-                continue;
-            }
+        for (shard, of) in orphans {
             let since = *self.orphan_since.entry(shard).or_insert(now);
             if now >= since + self.delay(shard, of, suspicion) {
                 claims.push(ShardEpoch { shard, epoch: of.epoch().next() });
@@ -169,7 +179,7 @@
             None => true,
             Some(owner) if owner == self.me => false,
             Some(owner) if !suspicion.is_live(owner) => true,
-            Some(_) => self.is_stuck(now, shard),
+            Some(_) => of.phase() == Phase::Claimed && self.is_stuck(now, shard),
         }
     }
 
@@ -180,7 +190,7 @@
     fn delay(&self, shard: ShardId, of: &ShardState, suspicion: &Suspicion) -> Duration {
         let mine = rendezvous_score(shard, self.me);
         let better = suspicion
-            .live()
+            .candidates()
             .iter()
             .filter(|node| Some(**node) != of.owner() && rendezvous_score(shard, **node) > mine)
             .count();
@@ -201,7 +211,7 @@
     }
 }
 
-/// The process that the shard would go to if all were free: the live one with the highest score.
-pub(crate) fn preferred(shard: ShardId, live: &[NodeId]) -> Option<NodeId> {
-    live.iter().copied().max_by_key(|node| rendezvous_score(shard, *node))
+/// The process that the shard would go to if all were free: the one with the highest score.
+pub(crate) fn preferred(shard: ShardId, candidates: &[NodeId]) -> Option<NodeId> {
+    candidates.iter().copied().max_by_key(|node| rendezvous_score(shard, *node))
 }
--- a/crates/control/src/reducer/suspicion.rs
+++ b/crates/control/src/reducer/suspicion.rs
@@ -22,12 +22,18 @@
 /// cut between regions each process of the smaller side asks twice a minute.
 const DOUBT_AGAIN_AFTER: Duration = Duration::from_secs(30);
 
+/// A process that has joined is left out of account for this long, as long as there are older
+/// ones: it learns only now who is silent, and the others would wait for its claims. One that
+/// restarts in a loop would also take shards only to lose them.
+const NEW_FOR: Duration = Duration::from_secs(10);
+
 /// What is known of one process beside the gossip.
 #[derive(Clone, Debug, Default)]
 struct Signs {
     seen_in_log: Option<Time>,
     doubted: Option<Time>,
     gone: Option<Time>,
+    joined: Option<Time>,
 }
 
 /// The view of who is there, from gossip, the log and the VM list.
@@ -41,6 +47,7 @@
     signs: BTreeMap<NodeId, Signs>,
     few_heard: bool,
     live: Vec<NodeId>,
+    candidates: Vec<NodeId>,
 }
 
 impl Suspicion {
@@ -61,7 +68,9 @@
 
     /// Begins anew after this process was out of touch.
     pub(crate) fn forgive(&mut self) {
-        self.signs.clear();
+        for signs in self.signs.values_mut() {
+            *signs = Signs { joined: signs.joined, ..Signs::default() };
+        }
     }
 
     /// Looks at everyone once for this step.
@@ -80,6 +89,28 @@
         self.live = schedulers()
             .filter(|n| *n == me || !self.is_silent(now, *n, gossip) || !self.is_confirmed(now, *n))
             .collect();
+        self.find_candidates(now, me);
+    }
+
+    fn find_candidates(&mut self, now: Time, me: NodeId) {
+        for node in &self.live {
+            self.signs.entry(*node).or_default().joined.get_or_insert(now);
+        }
+        let is_old = |node: &NodeId| {
+            let joined = self.signs.get(node).and_then(|signs| signs.joined);
+            joined.is_some_and(|at| now >= at + NEW_FOR)
+        };
+        self.candidates = self.live.iter().copied().filter(is_old).collect();
+        if self.candidates.is_empty() {
+            self.candidates = self.live.clone();
+        } else if let Err(at) = self.candidates.binary_search(&me) {
+            self.candidates.insert(at, me);
+        }
+    }
+
+    /// The live schedulers that shards are meant for, this process among them.
+    pub(crate) fn candidates(&self) -> &[NodeId] {
+        &self.candidates
     }
 
     /// Whether this process hears no more than half of the schedulers, itself among them.
--- a/crates/log/src/journal/reader.rs
+++ b/crates/log/src/journal/reader.rs
@@ -104,6 +104,11 @@
         self.next
     }
 
+    /// Whose journal is read.
+    pub fn writer(&self) -> NodeId {
+        self.writer
+    }
+
     /// How many records couldn't be read; worth an alarm if there are any.
     pub fn unreadable(&self) -> u64 {
         self.unreadable
