Measure the books' memory, placements, takeovers and request keys

Memory is the growth of resident pages while one book grows. A first run gave 0 MB for 50,000 queued tasks: pages freed by the measurement before were used again, so books that were measured are kept now. Times under 4 ms came out as zero by the kernel's account, which follows its tick; single steps use the wall clock.

--- /dev/null
+++ b/crates/lab/src/experiments/books.rs
@@ -0,0 +1,338 @@
+//! Memory of the books of jobs and racks, the cost of a placement, and of taking jobs over.
+
+use {
+    crate::{
+        measure::{CpuClock, OpTimer, Series, resident_bytes},
+        models::{
+            class_name, document,
+            place::{Held, node_id, vm_list},
+        },
+        report::Report,
+    },
+    compact_str::format_compact,
+    egretlb_log::{EntryKind, JournalBatch, JournalEntry, JournalReader, ReadOutcome, Record},
+    egretlb_tasks::{
+        CallId, JobBook, JobEffect, JobEvent, JobSpec, RackBook, RackEffect, RackEvent,
+        WorkerAnswer, WorkerCall,
+        msg::{NodeMsg, Place, Want},
+    },
+    egretlb_types::{
+        Attempt, ClassName, Epoch, Fence, JobId, Megabytes, MilliCores, Offset, Resources,
+        SHARD_COUNT, Seq, ShardId, TaskId, Ticket, Time, VmId, shard_of_job,
+        worker::{RunningTask, TaskFence, WorkerReport},
+    },
+    std::{
+        mem,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Tasks that run on a worker at the target size: 17,200 over 1,300.
+const TASKS_PER_VM: usize = 13;
+
+/// Wants placed for each measurement of the placement's cost.
+const PLACED: u32 = 4_000;
+
+/// A batch class of the model's configuration.
+const BATCH: usize = 13;
+
+/// Runs the experiment.
+pub fn run(seed: u64) -> Report {
+    let mut report = Report::new("books", seed);
+    jobs(seed, &mut report);
+    racks(seed, &mut report);
+    placement(seed, &mut report);
+    takeover(seed, &mut report);
+    report
+}
+
+/// Keeps memory from being given back, where the next measurement would find it and grow by less.
+fn keep<T>(value: T) {
+    mem::forget(value);
+}
+
+fn all_shards() -> Vec<ShardId> {
+    (0..SHARD_COUNT).map(ShardId).collect()
+}
+
+fn size(cpu: u32, memory: u32) -> Resources {
+    Resources { cpu: MilliCores(cpu), memory: Megabytes(memory), ..Resources::default() }
+}
+
+/// A rack book that owns everything, with its VMs' reports answered.
+struct Racks {
+    book: RackBook,
+    held: Held,
+    now: Time,
+    tasks_per_vm: usize,
+}
+
+impl Racks {
+    fn new(seed: u64, tasks_per_vm: usize) -> Self {
+        let shards = all_shards();
+        let book = RackBook::builder().seed(seed).build();
+        let mut racks = Racks { book, held: Held::new(&shards), now: Time::ZERO, tasks_per_vm };
+        racks.step(RackEvent::Config { document: Arc::new(document(40, 25)) });
+        for shard in shards {
+            racks.step(RackEvent::Owned { shard, epoch: Held::EPOCH, released: true });
+        }
+        racks
+    }
+
+    fn step(&mut self, event: RackEvent) -> Vec<RackEffect> {
+        let mut out = Vec::new();
+        self.book.step(self.now, event, &self.held, &mut out);
+        out
+    }
+
+    /// Takes so many VMs and answers their first fresh reports.
+    fn take(&mut self, vms: usize) {
+        self.step(RackEvent::Vms { vms: vm_list(vms) });
+        for _ in 0..8 {
+            self.now = self.now + Duration::from_secs(1);
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        for effect in self.step(RackEvent::Tick) {
+            let RackEffect::CallWorker { vm, ticket, call, .. } = effect else { continue };
+            let answer = match call {
+                WorkerCall::Report => WorkerAnswer::Report(self.report(&vm)),
+                WorkerCall::Renew(_) => WorkerAnswer::Renew(Default::default()),
+                _ => continue,
+            };
+            self.step(RackEvent::WorkerAnswered { ticket, result: Ok(answer) });
+        }
+    }
+
+    fn report(&self, vm: &VmId) -> WorkerReport {
+        let running = |n: usize| RunningTask {
+            of: TaskFence {
+                task: TaskId { job: job_id(vm.as_str(), n), index: 0 },
+                fence: Fence { epoch: Epoch(1), attempt: Attempt(1) },
+            },
+            class: class_name(BATCH),
+            service: false,
+            resources: size(1_000, 2_000),
+            used: size(800, 1_500),
+            slowdown_permille: 1_000,
+        };
+        let running = (0..self.tasks_per_vm).map(running).collect();
+        WorkerReport { running, ..WorkerReport::default() }
+    }
+}
+
+fn job_id(prefix: &str, n: usize) -> JobId {
+    format_compact!("job-{prefix}-{n}").parse().expect("a name")
+}
+
+fn racks(seed: u64, report: &mut Report) {
+    let mut empty = Series::new("rack book, VMs that run nothing", "VMs", "MB");
+    let mut full = Series::new("rack book, 13 tasks on each VM", "VMs", "MB");
+    for (series, tasks) in [(&mut empty, 0), (&mut full, TASKS_PER_VM)] {
+        let mut racks = Racks::new(seed, tasks);
+        let before = resident_bytes();
+        for vms in [1_300, 2_600, 5_200, 10_400] {
+            racks.take(vms);
+            series.push(vms as f64, (resident_bytes() - before) / 1e6);
+        }
+        keep(racks);
+    }
+    report.series.extend([empty, full]);
+}
+
+fn placement(seed: u64, report: &mut Report) {
+    let mut cost = Series::new("processor time of a placement", "VMs", "us");
+    let mut tick = Series::new("processor time of a tick", "VMs", "us");
+    for vms in [65, 1_300, 5_000] {
+        let mut racks = Racks::new(seed, TASKS_PER_VM);
+        racks.take(vms);
+        let mut timer = OpTimer::new();
+        let mut granted = 0;
+        let mut spent = Duration::ZERO;
+        for n in 0..PLACED {
+            racks.now = racks.now + Duration::from_millis(50);
+            let msg = NodeMsg::Place(place(n));
+            let event = RackEvent::NodeMessage { from: node_id(1), msg };
+            let start = Instant::now();
+            let out = racks.step(event);
+            spent += start.elapsed();
+            timer.add(start.elapsed());
+            granted += out.iter().filter(|effect| is_grant(effect)).count();
+            if n % 20 == 0 {
+                racks.tick();
+            }
+        }
+        let cpu = CpuClock::start();
+        for _ in 0..100 {
+            racks.now = racks.now + Duration::from_millis(1);
+            racks.step(RackEvent::Tick);
+        }
+        tick.push(vms as f64, cpu.micros_each(100));
+        cost.push(vms as f64, spent.as_secs_f64() * 1e6 / f64::from(PLACED));
+        report.spreads.push(timer.spread("placement", vms as f64));
+        if vms == 1_300 {
+            report.fact("placements granted, 1300 VMs", granted as f64 / f64::from(PLACED), "");
+        }
+    }
+    report.series.extend([cost, tick]);
+}
+
+fn is_grant(effect: &RackEffect) -> bool {
+    use egretlb_tasks::msg::JobMsg;
+    matches!(effect, RackEffect::SendToJob { msg: JobMsg::Placed(p), .. } if !p.granted.is_empty())
+}
+
+fn place(n: u32) -> Place {
+    let want = Want {
+        task: TaskId { job: job_id("want", n as usize), index: 0 },
+        attempt: Attempt(1),
+        class: class_name(BATCH),
+        team: None,
+        resources: size(1_000, 2_000),
+        learned_size: false,
+        service: false,
+        lent: false,
+        reclaim: false,
+        avoid: Default::default(),
+        avoid_data_centres: Default::default(),
+    };
+    Place { shard: ShardId(0), round: Ticket(u64::from(n) + 1), wants: vec![want] }
+}
+
+/// A job book that owns everything and has room nowhere.
+struct Jobs {
+    book: JobBook,
+    held: Held,
+    now: Time,
+    entries: Vec<(ShardId, Vec<u8>)>,
+    submitted: usize,
+}
+
+impl Jobs {
+    fn new(seed: u64) -> Self {
+        let shards = all_shards();
+        let book = JobBook::builder().seed(seed).build();
+        let held = Held::new(&shards);
+        let mut jobs = Jobs { book, held, now: Time::ZERO, entries: Vec::new(), submitted: 0 };
+        jobs.step(JobEvent::Config { document: Arc::new(document(40, 25)) });
+        for shard in shards {
+            jobs.step(JobEvent::Owned { shard, epoch: Held::EPOCH });
+        }
+        jobs
+    }
+
+    fn step(&mut self, event: JobEvent) {
+        let mut out = Vec::new();
+        self.book.step(self.now, event, &self.held, &mut out);
+        for effect in out {
+            if let JobEffect::Journal { shard, entry, ticket } = effect {
+                self.entries.push((shard, postcard::to_stdvec(&entry).expect("entries encode")));
+                self.step(JobEvent::Journaled { ticket });
+            }
+        }
+    }
+
+    fn submit(&mut self, tasks: u32) {
+        self.submitted += 1;
+        let class: ClassName = class_name(BATCH);
+        let command = "reconcile --registry bogota --night 2026-01-31".into();
+        let job = job_id("batch", self.submitted);
+        let spec = JobSpec { job, class, tasks, command, resources: None };
+        self.step(JobEvent::Submit { call: CallId(self.submitted as u64), spec });
+    }
+}
+
+fn jobs(seed: u64, report: &mut Report) {
+    let mut memory = Series::new("job book, queued tasks", "tasks", "MB");
+    let mut snapshot = Series::new("snapshots of all job shards, queued tasks", "tasks", "kB");
+    let mut few = Series::new("job book, jobs of one task", "jobs", "MB");
+    let mut book = Jobs::new(seed);
+    let before = resident_bytes();
+    for tasks in [50_000, 100_000, 200_000, 400_000] {
+        while book.submitted * 25 < tasks {
+            book.submit(25);
+        }
+        book.entries.clear();
+        memory.push(tasks as f64, (resident_bytes() - before) / 1e6);
+        let len = |shard: &ShardId| {
+            postcard::to_stdvec(&book.book.snapshot(*shard)).map_or(0, |b| b.len())
+        };
+        let bytes: usize = all_shards().iter().map(len).sum();
+        snapshot.push(tasks as f64, bytes as f64 / 1e3);
+    }
+    keep(book);
+    let mut book = Jobs::new(seed);
+    let before = resident_bytes();
+    for jobs in [10_000, 20_000, 40_000, 80_000] {
+        while book.submitted < jobs {
+            book.submit(1);
+        }
+        book.entries.clear();
+        few.push(jobs as f64, (resident_bytes() - before) / 1e6);
+    }
+    keep(book);
+    report.series.extend([memory, snapshot, few]);
+}
+
+/// One shard is read back: a snapshot of its jobs, and as many changes as it has jobs.
+fn takeover(seed: u64, report: &mut Report) {
+    let mut read = Series::new("reading a shard's journal back", "tasks of the shard", "ms");
+    let mut fold = Series::new("restoring, replaying, owning a shard", "tasks of the shard", "ms");
+    let mut bytes = Series::new("journal read for a shard", "tasks of the shard", "kB");
+    for tasks in [1_000, 10_000, 40_000] {
+        let mut old = Jobs::new(seed);
+        let shard = fill_shard(&mut old, tasks);
+        let records = journal_of(&old, shard);
+        let total: usize = records.iter().map(|record| record.bytes.len()).sum();
+        bytes.push(tasks as f64, total as f64 / 1e3);
+        let start = Instant::now();
+        let mut reader = JournalReader::new(node_id(0), [(shard, Held::EPOCH)]);
+        let next = Offset(records.len() as u64);
+        reader.fold(ReadOutcome::Page { records, next, end: true });
+        let recovered = reader.recovered(shard, Held::EPOCH).expect("a snapshot").clone();
+        read.push(tasks as f64, start.elapsed().as_secs_f64() * 1e3);
+        let start = Instant::now();
+        let mut new = JobBook::builder().seed(seed).build();
+        new.restore(shard, postcard::from_bytes(&recovered.snapshot).expect("a snapshot"));
+        for change in &recovered.changes {
+            new.replay(shard, &postcard::from_bytes(change).expect("an entry"));
+        }
+        let held = Held::new(&[shard]);
+        let event = JobEvent::Owned { shard, epoch: Held::EPOCH };
+        new.step(Time::ZERO, event, &held, &mut Vec::new());
+        fold.push(tasks as f64, start.elapsed().as_secs_f64() * 1e3);
+    }
+    report.series.extend([read, fold, bytes]);
+}
+
+/// Submits jobs until one shard has so many tasks; returns it.
+fn fill_shard(jobs: &mut Jobs, tasks: usize) -> ShardId {
+    let shard = shard_of_job(&job_id("batch", 1));
+    let mut held = 0;
+    while held < tasks {
+        let next = job_id("batch", jobs.submitted + 1);
+        if shard_of_job(&next) == shard {
+            jobs.submit(25);
+            held += 25;
+        } else {
+            jobs.submitted += 1;
+        }
+    }
+    shard
+}
+
+fn journal_of(jobs: &Jobs, shard: ShardId) -> Vec<Record> {
+    let snapshot = postcard::to_stdvec(&jobs.book.snapshot(shard)).expect("snapshots encode");
+    let first = (EntryKind::Snapshot, snapshot);
+    let changes = jobs.entries.iter().filter(|(of, _)| *of == shard);
+    let changes = changes.map(|(_, body)| (EntryKind::Change, body.clone()));
+    let entry = |(kind, body)| JournalEntry { shard, epoch: Held::EPOCH, kind, body };
+    let record = |(n, entry)| {
+        let batch = JournalBatch { writer: node_id(0), seq: Seq(n + 1), entries: vec![entry] };
+        Record { offset: Offset(n), bytes: batch.encode() }
+    };
+    (0..).zip(std::iter::once(first).chain(changes).map(entry)).map(record).collect()
+}
--- /dev/null
+++ b/crates/lab/src/experiments/keys.rs
@@ -0,0 +1,114 @@
+//! What a request key costs its owner.
+//!
+//! Each key goes its usual way: an entry asks, the intent is journalled, the permit is granted, the
+//! outcome is reported and journalled, and the key is remembered for a day.
+
+use {
+    crate::{
+        measure::{CpuClock, Series, resident_bytes},
+        models::place::{Held, node_id},
+        report::Report,
+    },
+    compact_str::format_compact,
+    egretlb_requests::{
+        BodyHash, RequestId,
+        keys::{
+            KeyBook, KeyBookEffect, KeyBookEvent, KeyOutcome, OutcomeReport, PermitAsk,
+            PermitHolder, RecordedAnswer,
+        },
+    },
+    egretlb_types::{RequestKey, SHARD_COUNT, ShardId, Time, shard_of_key},
+    std::time::Duration,
+};
+
+/// How many keys are remembered, step by step. The book's bound for all shards is a million.
+const SIZES: [usize; 4] = [50_000, 100_000, 200_000, 400_000];
+
+/// The recorded answer's body in bytes.
+const ANSWER_BYTES: usize = 64;
+
+/// Runs the experiment.
+pub fn run(seed: u64) -> Report {
+    let mut report = Report::new("keys", seed);
+    let mut memory = Series::new("resident memory for keys", "keys", "MB");
+    let mut cost = Series::new("processor time of a key", "keys", "us");
+    let mut snapshot = Series::new("snapshots of all shards", "keys", "MB");
+    let all: Vec<_> = (0..SHARD_COUNT).map(ShardId).collect();
+    let mut book = Book::new(&all);
+    let before = resident_bytes();
+    let mut known = 0;
+    for size in SIZES {
+        let cpu = CpuClock::start();
+        for n in known..size {
+            book.remember(n, seed);
+        }
+        cost.push(size as f64, cpu.micros_each(size - known));
+        known = size;
+        memory.push(size as f64, (resident_bytes() - before) / 1e6);
+        snapshot.push(size as f64, book.snapshot_bytes(&all) as f64 / 1e6);
+    }
+    report.fact("journal bytes of a key", book.journal_bytes as f64 / known as f64, "B");
+    report.fact("journal entries of a key", book.entries as f64 / known as f64, "");
+    report.series.extend([memory, cost, snapshot]);
+    report
+}
+
+struct Book {
+    book: KeyBook,
+    held: Held,
+    now: Time,
+    out: Vec<KeyBookEffect>,
+    journal_bytes: usize,
+    entries: usize,
+}
+
+impl Book {
+    fn new(shards: &[ShardId]) -> Self {
+        let mut book = Book {
+            book: KeyBook::new(),
+            held: Held::new(shards),
+            now: Time::ZERO,
+            out: Vec::new(),
+            journal_bytes: 0,
+            entries: 0,
+        };
+        for shard in shards {
+            book.step(KeyBookEvent::Owned { shard: *shard, epoch: Held::EPOCH });
+        }
+        book
+    }
+
+    /// Takes one step and acknowledges what it journals.
+    fn step(&mut self, event: KeyBookEvent) {
+        self.book.step(self.now, event, &self.held, &mut self.out);
+        while let Some(effect) = self.out.pop() {
+            if let KeyBookEffect::Journal { entry, ticket, .. } = effect {
+                self.entries += 1;
+                self.journal_bytes += postcard::to_stdvec(&entry).map_or(0, |b| b.len());
+                let event = KeyBookEvent::Journaled { ticket };
+                self.book.step(self.now, event, &self.held, &mut self.out);
+            }
+        }
+    }
+
+    fn remember(&mut self, n: usize, seed: u64) {
+        self.now = self.now + Duration::from_millis(1);
+        let text = format_compact!("01890a5d-ac96-774b-{seed:04x}-{n:012x}");
+        let member = "mineria-andina".parse().expect("a name");
+        let key = RequestKey::new(member, &text).expect("a key");
+        let shard = shard_of_key(&key);
+        let holder = PermitHolder { entry: node_id(n % 17), request: RequestId(n as u64) };
+        let body = BodyHash(n as u64);
+        self.step(KeyBookEvent::Ask { ask: PermitAsk { shard, key: key.clone(), body, holder } });
+        let answer = RecordedAnswer { status: 200, body: Some(vec![b'x'; ANSWER_BYTES]) };
+        let report = OutcomeReport { shard, key, holder, outcome: KeyOutcome::Ran(answer) };
+        self.step(KeyBookEvent::Report { report });
+    }
+
+    fn snapshot_bytes(&self, shards: &[ShardId]) -> usize {
+        let len = |shard: &ShardId| {
+            postcard::to_stdvec(&self.book.snapshot(self.now, *shard)).map_or(0, |b| b.len())
+        };
+        shards.iter().map(len).sum()
+    }
+}
--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -3,8 +3,10 @@
 //! An experiment builds a small model around a real reducer, drives it with a seeded generator in
 //! virtual time, and measures the reducer alone. A model knows only what its reducer's border says.
 
+mod books;
 mod control;
 mod journal;
+mod keys;
 mod tasks;
 
 use crate::report::Report;
@@ -22,6 +24,11 @@
 
 /// All experiments.
 pub const ALL: &[Experiment] = &[
+    Experiment {
+        name: "books",
+        about: "memory of the books, cost of a placement and of a takeover, by VMs and tasks",
+        run: books::run,
+    },
     Experiment {
         name: "control",
         about: "heartbeats, reads, configuration changes and takeovers, by processes",
@@ -32,6 +39,11 @@
         about: "appends and bytes to the log, by starts and by owners",
         run: journal::run,
     },
+    Experiment {
+        name: "keys",
+        about: "memory, processor time and journal bytes of request keys, by keys",
+        run: keys::run,
+    },
     Experiment {
         name: "tasks",
         about: "books, messages and journals of tasks, and start delays, by workers",
