--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -5,6 +5,7 @@
 
 mod books;
 mod control;
+mod entry;
 mod journal;
 mod keys;
 mod tasks;
@@ -34,6 +35,11 @@
         about: "heartbeats, reads, configuration changes and takeovers, by processes",
         run: control::run,
     },
+    Experiment {
+        name: "entry",
+        about: "cost and memory of requests, traffic of shares, by requests and servers",
+        run: entry::run,
+    },
     Experiment {
         name: "journal",
         about: "appends and bytes to the log, by starts and by owners",
--- /dev/null
+++ b/crates/lab/src/models/requests.rs
@@ -0,0 +1,324 @@
+//! Entries, a grantor of shares and backend servers, in virtual time.
+//!
+//! A message between nodes arrives after 1 ms, a backend server answers after 20 ms on average
+//! (exponential). One grantor owns all racks. No message is lost.
+
+use {
+    crate::models::{
+        class_name,
+        place::{Held, node_id, vm_list},
+    },
+    egretlb_requests::{
+        AttemptId, BodyHash, Entry, EntryEffect, EntryEvent, EntryOptions, RequestId, ShareBook,
+        ShareBookEffect, ShareBookEvent,
+        entry::{Arrival, AttemptResult, ShardOwner, Verdict},
+        shares::{ServerInfo, ServerSpec},
+    },
+    egretlb_types::{
+        ClassName, ConfigDocument, NodeId, SHARD_COUNT, ShardId, Time, VmRecord, shard_of_rack,
+    },
+    rand::{SeedableRng, rngs::SmallRng},
+    rand_distr::{Distribution, Exp},
+    serde::Serialize,
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BinaryHeap},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+const TICK: Duration = Duration::from_millis(100);
+const PEER_DELAY: Duration = Duration::from_millis(1);
+const SERVICE_MEAN_S: f64 = 0.020;
+
+/// The node that grants.
+const GRANTOR: usize = 1_000;
+
+/// Classes that each backend server serves.
+const CLASSES_PER_SERVER: usize = 7;
+
+/// What happened since the last reset.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Time in the entries' steps.
+    pub entry_time: Duration,
+    /// Time in the grantor's steps.
+    pub grantor_time: Duration,
+    /// Requests that arrived.
+    pub arrived: u64,
+    /// Requests answered by a backend server.
+    pub answered: u64,
+    /// Requests refused or failed.
+    pub refused: u64,
+    /// Asks for shares.
+    pub asks: u64,
+    /// Their bytes in `postcard`.
+    pub ask_bytes: u64,
+    /// Bytes of the grants.
+    pub grant_bytes: u64,
+    /// Bytes of the loads reported to the owners of classes.
+    pub load_bytes: u64,
+}
+
+enum Event {
+    Tick,
+    Arrive,
+    Entry(EntryEvent),
+    Grantor(ShareBookEvent),
+}
+
+struct Due {
+    at: Time,
+    order: u64,
+    entry: usize,
+    event: Event,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// The entries and their surroundings.
+pub struct Requests {
+    now: Time,
+    order: u64,
+    rng: SmallRng,
+    entries: Vec<Entry>,
+    index: BTreeMap<NodeId, usize>,
+    grantor: ShareBook,
+    held: Held,
+    due: BinaryHeap<Reverse<Due>>,
+    gaps: Option<Exp<f64>>,
+    service: Exp<f64>,
+    class: ClassName,
+    next_request: u64,
+    counts: Counts,
+}
+
+impl Requests {
+    /// So many entries and backend servers; no request arrives yet.
+    pub fn new(entries: usize, servers: usize, document: Arc<ConfigDocument>, seed: u64) -> Self {
+        let shards: Vec<_> = (0..SHARD_COUNT).map(ShardId).collect();
+        let mut requests = Requests {
+            now: Time::ZERO,
+            order: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            entries: Vec::new(),
+            index: (0..entries).map(|n| (node_id(n), n)).collect(),
+            grantor: ShareBook::new(),
+            held: Held::new(&shards),
+            due: BinaryHeap::new(),
+            gaps: None,
+            service: Exp::new(1.0 / SERVICE_MEAN_S).expect("a rate"),
+            class: class_name(0),
+            next_request: 0,
+            counts: Counts::default(),
+        };
+        let list = vm_list(servers);
+        requests.own(&shards, &list);
+        for n in 0..entries {
+            requests.add_entry(n, &shards, &list, &document, seed);
+        }
+        requests
+    }
+
+    fn own(&mut self, shards: &[ShardId], list: &[VmRecord]) {
+        for shard in shards {
+            let (shard, epoch) = (*shard, Held::EPOCH);
+            self.grant(ShareBookEvent::Owned { shard, epoch, had_owner: false });
+            let here = list.iter().enumerate().filter(|(_, r)| shard_of_rack(&r.rack) == shard);
+            let servers = here.map(|(n, record)| spec(n, record)).collect();
+            self.grant(ShareBookEvent::Servers { shard, servers });
+        }
+    }
+
+    fn add_entry(
+        &mut self,
+        n: usize,
+        shards: &[ShardId],
+        list: &[VmRecord],
+        document: &Arc<ConfigDocument>,
+        seed: u64,
+    ) {
+        let data_centre = list[0].data_centre.clone();
+        let options = EntryOptions::new(node_id(n), data_centre, seed.wrapping_add(n as u64));
+        self.entries.push(Entry::new(options.queue_max(usize::MAX)));
+        let owner = |shard: &ShardId| ShardOwner {
+            shard: *shard,
+            node: node_id(GRANTOR),
+            epoch: Held::EPOCH,
+        };
+        self.entry(n, EntryEvent::Config { document: Arc::clone(document) });
+        self.entry(n, EntryEvent::Owners { owners: shards.iter().map(owner).collect() });
+        self.entry(n, EntryEvent::Vms { vms: list.to_vec() });
+        self.push(TICK.mul_f64((n + 1) as f64 / 18.0), n, Event::Tick);
+    }
+
+    /// From now on so many requests arrive at each entry in a second.
+    pub fn arrive(&mut self, per_s: f64) {
+        let first = self.gaps.is_none();
+        self.gaps = Exp::new(per_s).ok();
+        for n in 0..self.entries.len() {
+            if first {
+                self.push(TICK, n, Event::Arrive);
+            }
+        }
+    }
+
+    /// Goes on for `span`.
+    pub fn run(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.due.peek().is_some_and(|Reverse(due)| due.at < until) {
+            let Some(Reverse(due)) = self.due.pop() else { break };
+            self.now = due.at;
+            match due.event {
+                Event::Tick => {
+                    self.entry(due.entry, EntryEvent::Tick);
+                    self.push(TICK, due.entry, Event::Tick);
+                }
+                Event::Arrive => self.arrival(due.entry),
+                Event::Entry(event) => self.entry(due.entry, event),
+                Event::Grantor(event) => self.grant(event),
+            }
+        }
+        self.now = until;
+    }
+
+    /// One more request at the first entry, now.
+    pub fn one(&mut self) {
+        let arrival = self.new_arrival();
+        self.entry(0, EntryEvent::Arrived(arrival));
+    }
+
+    /// Forgets what was counted.
+    pub fn reset(&mut self) {
+        self.counts = Counts::default();
+    }
+
+    /// What was counted.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    fn push(&mut self, after: Duration, entry: usize, event: Event) {
+        self.order += 1;
+        let at = self.now + after;
+        self.due.push(Reverse(Due { at, order: self.order, entry, event }));
+    }
+
+    fn new_arrival(&mut self) -> Arrival {
+        self.next_request += 1;
+        self.counts.arrived += 1;
+        Arrival {
+            request: RequestId(self.next_request),
+            class: self.class.clone(),
+            deadline: None,
+            key: None,
+            body: BodyHash(self.next_request),
+            body_size: 200,
+        }
+    }
+
+    fn arrival(&mut self, entry: usize) {
+        let arrival = self.new_arrival();
+        self.entry(entry, EntryEvent::Arrived(arrival));
+        if let Some(gaps) = self.gaps {
+            let gap = Duration::from_secs_f64(gaps.sample(&mut self.rng));
+            self.push(gap, entry, Event::Arrive);
+        }
+    }
+
+    fn entry(&mut self, n: usize, event: EntryEvent) {
+        let mut out = Vec::new();
+        let start = Instant::now();
+        self.entries[n].step(self.now, event, &mut out);
+        self.counts.entry_time += start.elapsed();
+        for effect in out {
+            self.perform(n, effect);
+        }
+    }
+
+    fn perform(&mut self, n: usize, effect: EntryEffect) {
+        match effect {
+            EntryEffect::Send { attempt, .. } => {
+                let time = Duration::from_secs_f64(self.service.sample(&mut self.rng));
+                self.push(time, n, answered(attempt));
+            }
+            EntryEffect::AskShares { ask, .. } => {
+                self.counts.asks += 1;
+                self.counts.ask_bytes += len(&ask);
+                self.push(PEER_DELAY, n, Event::Grantor(ShareBookEvent::Ask { ask }));
+            }
+            EntryEffect::Answer { verdict: Verdict::PassOn { .. }, .. } => {
+                self.counts.answered += 1;
+            }
+            EntryEffect::Answer { .. } => self.counts.refused += 1,
+            EntryEffect::ReportLoad { class, load } => {
+                self.counts.load_bytes += len(&(class, load));
+            }
+            _ => {}
+        }
+    }
+
+    fn grant(&mut self, event: ShareBookEvent) {
+        let mut out = Vec::new();
+        let start = Instant::now();
+        self.grantor.step(self.now, event, &self.held, &mut out);
+        self.counts.grantor_time += start.elapsed();
+        for effect in out {
+            let (to, event) = match effect {
+                ShareBookEffect::Grant { entry, grant } => {
+                    self.counts.grant_bytes += len(&grant);
+                    (entry, EntryEvent::SharesGranted { grant })
+                }
+                ShareBookEffect::Recall { entry, shard, .. } => {
+                    (entry, EntryEvent::SharesRecalled { shard })
+                }
+            };
+            let to = self.index[&to];
+            self.push(PEER_DELAY, to, Event::Entry(event));
+        }
+    }
+}
+
+fn answered(attempt: AttemptId) -> Event {
+    let result = AttemptResult::Whole { status: 200, record: None };
+    Event::Entry(EntryEvent::Answered { attempt, result })
+}
+
+fn len(value: &impl Serialize) -> u64 {
+    postcard::to_stdvec(value).map_or(0, |bytes| bytes.len() as u64)
+}
+
+fn spec(n: usize, record: &VmRecord) -> ServerSpec {
+    // Every class that answers requests on some of the servers; the first one on all.
+    let others = (1..CLASSES_PER_SERVER).map(|k| class_name(2 * (1 + (n + 3 * k) % 19)));
+    ServerSpec {
+        info: ServerInfo {
+            vm: record.vm.clone(),
+            addr: record.addr.clone(),
+            data_centre: record.data_centre.clone(),
+            state: record.state,
+            classes: std::iter::once(class_name(0)).chain(others).collect(),
+        },
+        slots: record.slots,
+        connections: record.connections,
+    }
+}
