Prove the two books by a fault matrix, and shown failing without each protection

Found by the test of the report before a grant: a node that was asked for its room before it had taken its racks over said 'no VMs', was remembered as such for 20 s, and got no work meanwhile (two of six VMs idle with 24 tasks waiting). Such an answer is now asked for again after 2 s. The same stale answer could have made a submission refused as never fitting, which is final; sizes of VM are now remembered for ten minutes, and nothing is refused for its size in the first 30 s.

Ruled out: the index of free room and the sampling of nodes, by the trace of questions and answers.

--- a/crates/tasks/src/jobs/calls.rs
+++ b/crates/tasks/src/jobs/calls.rs
@@ -7,9 +7,7 @@
         job::Job,
         record::{JobEntry, JobRecord, JobSpec, is_service_job},
     },
-    egretlb_types::{
-        Authority, ClassKind, JobId, Resources, RetryAfter, ShardId, Time, shard_of_job,
-    },
+    egretlb_types::{Authority, ClassKind, JobId, RetryAfter, ShardId, Time, shard_of_job},
     std::time::Duration,
 };
 
@@ -71,7 +69,7 @@
             return Err(JobRefusal::Full { after: RetryAfter::from_wait(FULL_BACK) });
         }
         let record = self.record_of(spec, after)?;
-        if self.fits_nowhere(&record.resources) {
+        if self.fits_nowhere(now, &record.resources) {
             return Err(JobRefusal::NeverFits);
         }
         Ok(Some(record))
@@ -97,15 +95,6 @@
         })
     }
 
-    /// Whether every node is known and none has a VM that could hold it, even empty.
-    pub(super) fn fits_nowhere(&self, resources: &Resources) -> bool {
-        let never =
-            |room: &crate::msg::NodeRoom| !room.largest.is_empty() && !room.could_hold(resources);
-        let known = self.nodes.values().map(|node| node.room.as_ref());
-        // A node that knows no VM yet has just taken over and says nothing.
-        !self.nodes.is_empty() && known.into_iter().all(|room| room.is_some_and(never))
-    }
-
     fn accept(
         &mut self,
         now: Time,
--- a/crates/tasks/src/jobs/ends.rs
+++ b/crates/tasks/src/jobs/ends.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         JobAlarm, JobBook, JobEffect, JobEntry, Pending,
-        job::Waiting,
+        job::{Job, Waiting},
         record::{TaskLife, TaskResult},
     },
     crate::msg::{AttemptEnd, Ended, RackMsg},
@@ -17,6 +17,9 @@
 /// The most doublings of the wait.
 const RETRY_DOUBLINGS: u32 = 6;
 
+/// How often jobs that ended long ago are looked for.
+const FORGET_EVERY: Duration = Duration::from_secs(10);
+
 impl JobBook {
     pub(super) fn on_ended(
         &mut self,
@@ -124,19 +127,36 @@
         }
     }
 
-    /// Gives up what can never fit, and forgets what ended long ago.
+    /// Closes jobs that are over, and gives up what can never fit.
     pub(super) fn close_jobs(&mut self, now: Time, shard: ShardId, out: &mut Vec<JobEffect>) {
         let Some(kept) = self.shards.get(&shard) else { return };
         let open: Vec<JobId> = kept.open.iter().cloned().collect();
         for id in open {
             self.close_job(now, shard, &id, out);
         }
+    }
+
+    /// Forgets jobs whose status has been kept for long enough.
+    pub(super) fn forget_old_jobs(
+        &mut self,
+        now: Time,
+        auth: &dyn Authority,
+        out: &mut Vec<JobEffect>,
+    ) {
+        if now < self.forget_at {
+            return;
+        }
+        self.forget_at = now + FORGET_EVERY;
         let keep = self.limits.keep_ended;
-        let Some(kept) = self.shards.get(&shard) else { return };
-        let old = |job: &super::Job| job.over_since.is_some_and(|since| now.since(since) >= keep);
-        let old: Vec<JobId> =
-            kept.jobs.iter().filter(|(_, job)| old(job)).map(|(id, _)| id.clone()).collect();
-        for id in old {
+        let is_old = |job: &Job| job.over_since.is_some_and(|since| now.since(since) >= keep);
+        let mut old: Vec<(ShardId, JobId)> = Vec::new();
+        for (shard, kept) in &self.shards {
+            if self.held(now, *shard, auth).is_some() {
+                let jobs = kept.jobs.iter().filter(|(_, job)| is_old(job));
+                old.extend(jobs.map(|(id, _)| (*shard, id.clone())));
+            }
+        }
+        for (shard, id) in old {
             self.journal(shard, JobEntry::Forgot { job: id.clone() }, out);
             if let Some(kept) = self.shards.get_mut(&shard) {
                 kept.jobs.remove(&id);
--- a/crates/tasks/src/jobs/mod.rs
+++ b/crates/tasks/src/jobs/mod.rs
@@ -32,7 +32,7 @@
         shard_of_class, worker::TaskFence,
     },
     job::Job,
-    queue::NodeInfo,
+    queue::{NodeInfo, Sizes},
     rand::{SeedableRng, rngs::SmallRng},
     record::{JobRecord, ParkRule, fold},
     rounds::Round,
@@ -107,6 +107,8 @@
             next_ticket: Ticket(0),
             services: BTreeMap::new(),
             run_times: SizeTable::default(),
+            forget_at: Time::ZERO,
+            sizes: Sizes::default(),
         }
     }
 }
@@ -125,6 +127,8 @@
     services: BTreeMap<ClassName, Service>,
     /// Run times learned from ends, by class.
     run_times: SizeTable,
+    forget_at: Time,
+    sizes: Sizes,
 }
 
 impl JobBook {
@@ -228,8 +232,12 @@
     fn tick(&mut self, now: Time, auth: &dyn Authority, out: &mut Vec<JobEffect>) {
         self.give_up_calls(now, out);
         self.ask_rooms(now, out);
-        let shards: Vec<ShardId> = self.shards.keys().copied().collect();
         self.plan_services(now, auth, out);
+        self.forget_old_jobs(now, auth, out);
+        // Most of a node's shards have nothing to do at most times.
+        let busy = |kept: &Shard| !kept.open.is_empty() || !kept.rounds.is_empty();
+        let busy = self.shards.iter().filter(|(_, kept)| busy(kept));
+        let shards: Vec<ShardId> = busy.map(|(shard, _)| *shard).collect();
         for shard in shards {
             if self.held(now, shard, auth).is_some() {
                 self.expire_rounds(now, shard);
--- a/crates/tasks/src/jobs/queue.rs
+++ b/crates/tasks/src/jobs/queue.rs
@@ -23,6 +23,9 @@
 /// asking sooner would evict a second time for the same task.
 const RECLAIM_EVERY: Duration = Duration::from_secs(10);
 
+/// How long a size of VM is remembered: many times a succession.
+const SIZE_LIFE: Duration = Duration::from_secs(600);
+
 /// Before so much of a job's time has passed, in hundredths, it isn't at risk for lagging: it
 /// hasn't had its turn yet.
 const SETTLE_PERCENT: u32 = 25;
@@ -35,6 +38,35 @@
     pub(super) asked: Option<Time>,
 }
 
+impl NodeInfo {
+    /// Whether the node told of any VM. One that didn't has no racks, or has just taken some over.
+    pub(super) fn knows_vms(&self) -> bool {
+        self.room.as_ref().is_some_and(|room| !room.largest.is_empty())
+    }
+}
+
+/// The sizes of VM that nodes told of lately.
+///
+/// While a rack is being taken over nobody tells of its VMs. A size that is remembered for longer
+/// than that keeps a task from being told that it can never fit, which is final.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Sizes {
+    seen: Vec<(Resources, Time)>,
+    /// Since when something is known.
+    since: Option<Time>,
+}
+
+impl Sizes {
+    pub(super) fn note(&mut self, now: Time, room: &NodeRoom) {
+        self.since = self.since.or((!room.largest.is_empty()).then_some(now));
+        self.seen.retain(|(_, at)| now.since(*at) < SIZE_LIFE);
+        for size in &room.largest {
+            self.seen.retain(|(seen, _)| seen != size);
+            self.seen.push((*size, now));
+        }
+    }
+}
+
 /// How early a job is placed.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) enum Rank {
@@ -59,7 +91,7 @@
         let shard = *shard.0;
         let resend = self.limits.resend;
         for (id, node) in &mut self.nodes {
-            let every = if node.room.is_some() { ROOM_EVERY } else { resend };
+            let every = if node.knows_vms() { ROOM_EVERY } else { resend };
             if node.asked.is_some_and(|asked| now.since(asked) < every) {
                 continue;
             }
@@ -134,6 +166,13 @@
         planned
     }
 
+    /// Whether no VM known lately could hold it, even empty, and enough time has passed to know.
+    pub(super) fn fits_nowhere(&self, now: Time, resources: &Resources) -> bool {
+        let known = |since: Time| now.since(since) >= self.limits.never_fits_after;
+        self.sizes.since.is_some_and(known)
+            && self.sizes.seen.iter().all(|(size, _)| !resources.fits(size))
+    }
+
     fn ask_node(
         &mut self,
         now: Time,
@@ -189,7 +228,7 @@
             _ => self.limits.place_backoff,
         };
         let Some(job) = self.shards.get(&shard).and_then(|kept| kept.jobs.get(id)) else { return };
-        let never = self.fits_nowhere(&job.record.resources);
+        let never = self.fits_nowhere(now, &job.record.resources);
         let Some(job) = self.shards.get_mut(&shard).and_then(|kept| kept.jobs.get_mut(id)) else {
             return;
         };
--- a/crates/tasks/src/jobs/rounds.rs
+++ b/crates/tasks/src/jobs/rounds.rs
@@ -23,7 +23,7 @@
         auth: &dyn Authority,
         out: &mut Vec<JobEffect>,
     ) {
-        self.note_node(from, &placed);
+        self.note_node(now, from, &placed);
         let has_round = |kept: &super::Shard| kept.rounds.contains_key(&placed.round);
         let Some(shard) = self.shards.iter().find(|(_, kept)| has_round(kept)) else { return };
         let shard = *shard.0;
@@ -37,8 +37,9 @@
         }
     }
 
-    fn note_node(&mut self, from: NodeId, placed: &Placed) {
+    fn note_node(&mut self, now: Time, from: NodeId, placed: &Placed) {
         let Some(node) = self.nodes.get_mut(&from) else { return };
+        self.sizes.note(now, &placed.room);
         let NodeInfo { room, usage, .. } = node;
         *room = Some(placed.room.clone());
         for of_team in &placed.usage {
--- /dev/null
+++ b/crates/tasks/tests/support/world.rs
@@ -0,0 +1,820 @@
+//! The queue of everything that happens, and what the faults do to it.
+
+use {
+    super::{
+        checker::Checker,
+        faults::{
+            Cell, Fault, Step, step_of_call, step_of_entry, step_of_job, step_of_node, step_of_rack,
+        },
+        worker::{Behaviour, FakeWorker},
+    },
+    egretlb_tasks::{
+        CallError, CallId, Guard, JobBook, JobEffect, JobEntry, JobEvent, JobReply, JobSnapshot,
+        JobSpec, JobStatus, Limits, Protections, RackAlarm, RackBook, RackEffect, RackEvent,
+        WorkerAnswer, WorkerCall, job_shard_of_task,
+        msg::{JobMsg, NodeMsg, RackMsg},
+    },
+    egretlb_types::{
+        Authority, ClassName, ConfigDocument, Epoch, JobId, NodeId, SHARD_COUNT, ShardId, TaskId,
+        Ticket, Time, VmId, VmRecord, VmState, rendezvous_score, shard_of_job, shard_of_rack,
+    },
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::{
+        collections::{BTreeMap, HashMap, VecDeque},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// How long an owner may act after a read of the control stream.
+const AUTHORITY: Duration = Duration::from_secs(3);
+/// When a node that hasn't read counts as gone, and is succeeded.
+const GONE_AFTER: Duration = Duration::from_millis(1_500);
+/// When a call without an answer is given up.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+const TICK: Duration = Duration::from_millis(100);
+
+pub struct WorldOptions {
+    pub seed: u64,
+    pub nodes: usize,
+    pub vms: Vec<VmRecord>,
+    pub document: ConfigDocument,
+    pub classes: HashMap<ClassName, Behaviour>,
+    pub limits: Limits,
+    pub protections: Protections,
+    pub cells: Vec<Cell>,
+    pub learning: bool,
+}
+
+impl WorldOptions {
+    /// Limits shortened so that leases lapse within a test's few seconds.
+    pub fn quick_limits() -> Limits {
+        Limits {
+            lease: Duration::from_secs(6),
+            renew_every: Duration::from_secs(2),
+            call_life: Duration::from_secs(1),
+            clock_margin: Duration::from_millis(300),
+            dark_renewal: Duration::from_secs(10),
+            poll_max: Duration::from_secs(2),
+            ask_running: Duration::from_secs(5),
+            probe_every: Duration::from_secs(5),
+            ..Limits::default()
+        }
+    }
+}
+
+struct Node {
+    id: NodeId,
+    alive: bool,
+    paused_until: Time,
+    cut_until: Time,
+    jobs: JobBook,
+    racks: RackBook,
+    /// What this node believes it owns.
+    view: BTreeMap<ShardId, Epoch>,
+    held_until: Time,
+    read_at: Time,
+    /// Entries on their way to the log, with the epochs under which they were made.
+    journal: VecDeque<(ShardId, Epoch, JobEntry, Ticket)>,
+}
+
+/// Shares what a node believes with its books.
+struct View<'a>(&'a BTreeMap<ShardId, Epoch>, Time);
+
+impl Authority for View<'_> {
+    fn epoch_if_held(&self, now: Time, shard: ShardId) -> Option<Epoch> {
+        self.0.get(&shard).copied().filter(|_| now < self.1)
+    }
+}
+
+#[derive(Clone, Copy)]
+struct Owner {
+    node: usize,
+    epoch: Epoch,
+    claimed: Time,
+    settled: bool,
+}
+
+#[derive(Default)]
+struct ShardLog {
+    epoch: Epoch,
+    snapshot: JobSnapshot,
+    entries: Vec<JobEntry>,
+}
+
+#[derive(Clone)]
+enum Item {
+    Tick(usize),
+    Control,
+    Job(usize, JobEvent),
+    Rack(usize, RackEvent),
+    ToRack(ShardId, RackMsg),
+    ToJob(usize, ShardId, JobMsg),
+    Call { node: usize, vm: VmId, ticket: Ticket, call: WorkerCall, fate: CallFate },
+    Flush(usize),
+    Perform(usize, Vec<JobEffect>, Vec<RackEffect>),
+    Leave(VmId),
+    Unlist(VmId),
+}
+
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum CallFate {
+    Answered,
+    AnswerLost,
+    AnswerLate,
+}
+
+pub struct World {
+    pub now: Time,
+    pub options: WorldOptions,
+    pub workers: BTreeMap<VmId, FakeWorker>,
+    pub checker: Checker,
+    pub replies: Vec<(Time, CallId, JobReply)>,
+    pub rack_alarms: Vec<(Time, RackAlarm)>,
+    pub job_alarms: Vec<(Time, egretlb_tasks::JobAlarm)>,
+    pub struck: u32,
+    rng: SmallRng,
+    queue: BTreeMap<(Time, u64), Item>,
+    seq: u64,
+    nodes: Vec<Node>,
+    owners: Vec<Owner>,
+    log: BTreeMap<ShardId, ShardLog>,
+    log_down_until: Time,
+    log_late_until: Time,
+    reports_late_until: Time,
+    list_stale_until: Time,
+    list: Vec<VmRecord>,
+    cells: Vec<(Cell, bool)>,
+    lose_next: HashMap<Step2, u32>,
+    next_call: u64,
+    jobs: Vec<JobSpec>,
+    pub appended: u64,
+}
+
+type Step2 = u8;
+
+impl World {
+    pub fn new(options: WorldOptions) -> Self {
+        let rng = SmallRng::seed_from_u64(options.seed);
+        let nodes = (0..options.nodes).map(|i| new_node(i, &options)).collect();
+        let workers =
+            options.vms.iter().map(|vm| (vm.vm.clone(), FakeWorker::new(vm.clone()))).collect();
+        let owner = |shard: u16| {
+            let best = (0..options.nodes)
+                .max_by_key(|i| rendezvous_score(ShardId(shard), NodeId(*i as u64)));
+            Owner { node: best.unwrap(), epoch: Epoch(1), claimed: Time::ZERO, settled: false }
+        };
+        let mut world = World {
+            now: Time::from_secs(100),
+            owners: (0..SHARD_COUNT).map(owner).collect(),
+            list: options.vms.clone(),
+            cells: options.cells.iter().map(|cell| (*cell, false)).collect(),
+            options,
+            workers,
+            checker: Checker::default(),
+            replies: Vec::new(),
+            rack_alarms: Vec::new(),
+            job_alarms: Vec::new(),
+            struck: 0,
+            rng,
+            queue: BTreeMap::new(),
+            seq: 0,
+            nodes,
+            log: BTreeMap::new(),
+            log_down_until: Time::ZERO,
+            log_late_until: Time::ZERO,
+            reports_late_until: Time::ZERO,
+            list_stale_until: Time::ZERO,
+            lose_next: HashMap::new(),
+            next_call: 0,
+            jobs: Vec::new(),
+            appended: 0,
+        };
+        let document = Arc::new(world.options.document.clone());
+        let ids: Vec<NodeId> = world.nodes.iter().map(|node| node.id).collect();
+        for i in 0..world.nodes.len() {
+            let (config, nodes) = (Arc::clone(&document), ids.clone());
+            world.push(Duration::ZERO, Item::Job(i, JobEvent::Config { document: config }));
+            let config = Arc::clone(&document);
+            world.push(Duration::ZERO, Item::Rack(i, RackEvent::Config { document: config }));
+            world.push(Duration::ZERO, Item::Job(i, JobEvent::Nodes { nodes }));
+            let offset = Duration::from_millis(7 * i as u64);
+            world.push(offset, Item::Tick(i));
+            world.push(offset, Item::Flush(i));
+        }
+        world.push(Duration::ZERO, Item::Control);
+        world
+    }
+
+    /// Lets time pass until everybody settles, counted from now.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((at, _), item) = entry.remove_entry();
+            self.now = at;
+            self.take(item);
+        }
+        self.now = end;
+    }
+
+    pub fn submit(&mut self, spec: JobSpec) -> CallId {
+        let shard = shard_of_job(&spec.job);
+        if !self.jobs.contains(&spec) {
+            self.jobs.push(spec.clone());
+        }
+        let call = self.call_id();
+        self.push(Duration::ZERO, Item::Job(self.owner(shard), JobEvent::Submit { call, spec }));
+        call
+    }
+
+    pub fn cancel(&mut self, job: JobId) -> CallId {
+        let call = self.call_id();
+        let owner = self.owner(shard_of_job(&job));
+        self.push(Duration::ZERO, Item::Job(owner, JobEvent::Cancel { call, job }));
+        call
+    }
+
+    pub fn load(&mut self, class: &ClassName, load: egretlb_types::ClassLoad) {
+        let owner = self.owner(egretlb_types::shard_of_class(class));
+        let event = JobEvent::Load { from: NodeId(99), class: class.clone(), load };
+        self.push(Duration::ZERO, Item::Job(owner, event));
+    }
+
+    pub fn status(&mut self, job: &JobId) -> Option<JobStatus> {
+        let call = self.call_id();
+        let owner = self.owner(job_shard_of_task(&TaskId { job: job.clone(), index: 0 }));
+        let event = JobEvent::Status { call, job: job.clone() };
+        self.step_job(owner, event);
+        self.replies.iter().rev().find_map(|(_, of, reply)| match reply {
+            JobReply::Status(status) if *of == call => Some(status.clone()),
+            _ => None,
+        })
+    }
+
+    pub fn reply(&self, call: CallId) -> Option<&JobReply> {
+        self.replies.iter().find(|(_, of, _)| *of == call).map(|(_, _, reply)| reply)
+    }
+
+    pub fn leave(&mut self, vm: &str, after: Duration) {
+        self.push(after, Item::Leave(vm.parse().unwrap()));
+    }
+
+    /// Reports take half a second for a while.
+    pub fn delay_reports(&mut self, span: Duration) {
+        self.reports_late_until = self.now + span;
+    }
+
+    pub fn kill_worker(&mut self, vm: &VmId) {
+        let Some(worker) = self.workers.get_mut(vm) else { return };
+        worker.die(&mut self.checker);
+        self.push(Duration::from_secs(5), Item::Unlist(vm.clone()));
+    }
+
+    pub fn room(&self, node: usize) -> Vec<egretlb_tasks::VmSummary> {
+        self.nodes[node].racks.summary()
+    }
+
+    /// Tells the checker the final state of each accepted job.
+    pub fn finish(&mut self) {
+        for worker in self.workers.values_mut() {
+            worker.advance(self.now, &self.options.classes, &mut self.checker);
+        }
+        let jobs: Vec<JobSpec> = self.jobs.clone();
+        for spec in jobs {
+            if !self.checker.accepted.contains(&spec.job) {
+                continue;
+            }
+            let status = self.status(&spec.job);
+            let over = status.as_ref().is_some_and(|status| status.over);
+            let done = status.map_or(0, |status| status.counts.done);
+            self.checker.final_state(self.now, &spec.job, over, done, spec.tasks);
+        }
+    }
+
+    fn call_id(&mut self) -> CallId {
+        self.next_call += 1;
+        CallId(self.next_call)
+    }
+
+    fn owner(&self, shard: ShardId) -> usize {
+        self.owners[shard.0 as usize].node
+    }
+
+    fn push(&mut self, after: Duration, item: Item) {
+        self.seq += 1;
+        self.queue.insert((self.now + after, self.seq), item);
+    }
+
+    fn jitter(&mut self, least: u64, most: u64) -> Duration {
+        Duration::from_micros(self.rng.random_range(least * 1_000..=most * 1_000))
+    }
+
+    fn take(&mut self, item: Item) {
+        let target = match &item {
+            Item::Tick(n) | Item::Job(n, _) | Item::Rack(n, _) | Item::Flush(n) => Some(*n),
+            Item::Perform(n, ..) => Some(*n),
+            Item::ToRack(shard, _) => Some(self.owner(*shard)),
+            Item::ToJob(_, shard, _) => Some(self.owner(*shard)),
+            _ => None,
+        };
+        if let Some(node) = target.map(|n| &self.nodes[n]) {
+            if !node.alive {
+                return;
+            }
+            if self.now < node.paused_until {
+                let after = node.paused_until.since(self.now);
+                return self.push(after, item);
+            }
+        }
+        match item {
+            Item::Tick(n) => {
+                self.push(TICK, Item::Tick(n));
+                self.step_job(n, JobEvent::Tick);
+                self.step_rack(n, RackEvent::Tick);
+            }
+            Item::Control => self.control(),
+            Item::Job(n, event) => self.step_job(n, event),
+            Item::Rack(n, event) => self.step_rack(n, event),
+            Item::ToRack(shard, msg) => {
+                let n = self.owner(shard);
+                self.step_rack(n, RackEvent::RackMessage { shard, msg });
+            }
+            Item::ToJob(from, shard, msg) => {
+                let (n, from) = (self.owner(shard), self.nodes[from].id);
+                self.step_job(n, JobEvent::Message { from, msg });
+            }
+            Item::Call { node, vm, ticket, call, fate } => {
+                self.worker_call(node, vm, ticket, call, fate);
+            }
+            Item::Flush(n) => self.flush(n),
+            Item::Perform(n, jobs, racks) => {
+                self.perform_jobs(n, jobs);
+                self.perform_racks(n, racks);
+            }
+            Item::Leave(vm) => {
+                for record in self.list.iter_mut().filter(|record| record.vm == vm) {
+                    record.state = VmState::Leaving;
+                }
+            }
+            Item::Unlist(vm) => self.list.retain(|record| record.vm != vm),
+        }
+    }
+
+    fn step_job(&mut self, n: usize, event: JobEvent) {
+        let now = self.now;
+        let Node { jobs, view, held_until, .. } = &mut self.nodes[n];
+        let mut out = Vec::new();
+        jobs.step(now, event, &View(view, *held_until), &mut out);
+        self.perform_jobs(n, out);
+    }
+
+    fn step_rack(&mut self, n: usize, event: RackEvent) {
+        let now = self.now;
+        let Node { racks, view, held_until, .. } = &mut self.nodes[n];
+        let mut out = Vec::new();
+        racks.step(now, event, &View(view, *held_until), &mut out);
+        self.perform_racks(n, out);
+    }
+
+    /// Whether the node can go on performing effects now; if not, they are kept for later.
+    fn frozen(&mut self, n: usize, jobs: &[JobEffect], racks: &[RackEffect]) -> bool {
+        let node = &self.nodes[n];
+        if node.alive && self.now < node.paused_until {
+            let after = node.paused_until.since(self.now);
+            self.push(after, Item::Perform(n, jobs.to_vec(), racks.to_vec()));
+        }
+        !self.nodes[n].alive || self.now < self.nodes[n].paused_until
+    }
+
+    fn perform_jobs(&mut self, n: usize, effects: Vec<JobEffect>) {
+        for (i, effect) in effects.iter().enumerate() {
+            if self.frozen(n, &effects[i..], &[]) {
+                return;
+            }
+            self.perform_job(n, effect.clone());
+        }
+    }
+
+    fn perform_job(&mut self, n: usize, effect: JobEffect) {
+        match effect {
+            JobEffect::Journal { shard, entry, ticket } => {
+                let epoch = self.nodes[n].view.get(&shard).copied().unwrap_or_default();
+                if let Some(step) = step_of_entry(&entry) {
+                    let task = entry.job().clone();
+                    self.hook(step, Some(n), Some(shard), None, Some(&task));
+                }
+                self.nodes[n].journal.push_back((shard, epoch, entry, ticket));
+            }
+            JobEffect::Reply { call, reply } => {
+                if let JobReply::Accepted { job } = &reply {
+                    self.checker.accepted.insert(job.clone());
+                }
+                self.replies.push((self.now, call, reply));
+            }
+            JobEffect::SendToNode { node, msg } => {
+                let to = node.0 as usize;
+                let step = step_of_node(&msg);
+                let from = self.nodes[n].id;
+                let event = RackEvent::NodeMessage { from, msg };
+                self.send(step, n, None, None, Item::Rack(to, event));
+            }
+            JobEffect::SendToRack { shard, msg } => {
+                let vm = vm_of(&msg);
+                let item = Item::ToRack(shard, msg.clone());
+                self.send(Some(step_of_rack(&msg)), n, Some(shard), Some(vm), item);
+            }
+            JobEffect::Alarm(alarm) => self.job_alarms.push((self.now, alarm)),
+        }
+    }
+
+    fn perform_racks(&mut self, n: usize, effects: Vec<RackEffect>) {
+        for (i, effect) in effects.iter().enumerate() {
+            if self.frozen(n, &[], &effects[i..]) {
+                return;
+            }
+            self.perform_rack(n, effect.clone());
+        }
+    }
+
+    fn perform_rack(&mut self, n: usize, effect: RackEffect) {
+        match effect {
+            RackEffect::CallWorker { vm, ticket, call, guard, .. } => {
+                self.call_worker(n, vm, ticket, call, guard);
+            }
+            RackEffect::SendToJob { shard, msg } => {
+                let (step, task) = step_of_job(&msg);
+                let vm = task.and_then(|task| self.vm_running(&task));
+                self.send(Some(step), n, Some(shard), vm, Item::ToJob(n, shard, msg));
+            }
+            RackEffect::Backends { .. } => {}
+            RackEffect::Alarm(alarm) => self.rack_alarms.push((self.now, alarm)),
+        }
+    }
+
+    fn vm_running(&self, task: &TaskId) -> Option<VmId> {
+        let runs = |worker: &&FakeWorker| worker.running.contains_key(task);
+        self.workers.values().find(runs).map(|worker| worker.record.vm.clone())
+    }
+
+    fn call_worker(&mut self, n: usize, vm: VmId, ticket: Ticket, call: WorkerCall, guard: Guard) {
+        let node = &self.nodes[n];
+        let passes = match guard {
+            Guard::None => true,
+            Guard::Before(until) => self.now < until,
+            Guard::Authority(shard) => {
+                let view = View(&node.view, node.held_until);
+                let off = !self.options.protections.authority;
+                off || view.epoch_if_held(self.now, shard).is_some()
+            }
+        };
+        if !passes {
+            return self.answer(n, Duration::ZERO, ticket, Err(CallError::NotSent));
+        }
+        let rack = self.options.vms.iter().find(|r| r.vm == vm).map(|r| shard_of_rack(&r.rack));
+        let asked = self.hook(step_of_call(&call), Some(n), rack, Some(&vm), None);
+        // The answer to the same call, as a step of its own.
+        let told = match call {
+            WorkerCall::Start(_) => self.hook(Step::StartAnswer, Some(n), rack, Some(&vm), None),
+            WorkerCall::Stop(_) => self.hook(Step::StopAnswer, Some(n), rack, Some(&vm), None),
+            _ => Fate::Deliver,
+        };
+        let delay = self.jitter(1, 5);
+        let late_report = matches!(call, WorkerCall::Report) && self.now < self.reports_late_until;
+        let (after, fate) = match (asked, told) {
+            (Fate::Lose, _) => {
+                return self.answer(n, CALL_TIMEOUT, ticket, Err(CallError::Unknown));
+            }
+            // Taken up by the worker long after the caller has given it up, within a call's life.
+            (Fate::Late | Fate::VeryLate, _) => (Duration::from_millis(950), CallFate::AnswerLost),
+            (_, Fate::Lose) => (delay, CallFate::AnswerLost),
+            (_, Fate::Late | Fate::VeryLate) => (delay, CallFate::AnswerLate),
+            _ if late_report => (delay, CallFate::AnswerLate),
+            _ => (delay, CallFate::Answered),
+        };
+        self.push(after, Item::Call { node: n, vm, ticket, call, fate });
+        if after > CALL_TIMEOUT {
+            self.answer(n, CALL_TIMEOUT, ticket, Err(CallError::Unknown));
+        }
+    }
+
+    fn answer(
+        &mut self,
+        n: usize,
+        after: Duration,
+        ticket: Ticket,
+        result: Result<WorkerAnswer, CallError>,
+    ) {
+        self.push(after, Item::Rack(n, RackEvent::WorkerAnswered { ticket, result }));
+    }
+
+    fn worker_call(
+        &mut self,
+        n: usize,
+        vm: VmId,
+        ticket: Ticket,
+        call: WorkerCall,
+        fate: CallFate,
+    ) {
+        let now = self.now;
+        for worker in self.workers.values_mut() {
+            worker.advance(now, &self.options.classes, &mut self.checker);
+        }
+        let Some(worker) = self.workers.get_mut(&vm) else { return };
+        if !worker.alive {
+            return self.answer(n, Duration::from_millis(2), ticket, Err(CallError::NotSent));
+        }
+        if now < worker.cut_until {
+            return self.answer(n, CALL_TIMEOUT, ticket, Err(CallError::Unknown));
+        }
+        let answer = worker.handle(now, &call, &self.options.classes, &mut self.checker);
+        let delay = self.jitter(1, 5);
+        match fate {
+            CallFate::Answered => self.answer(n, delay, ticket, Ok(answer)),
+            CallFate::AnswerLate => self.answer(n, Duration::from_millis(450), ticket, Ok(answer)),
+            CallFate::AnswerLost => self.answer(n, CALL_TIMEOUT, ticket, Err(CallError::Unknown)),
+        }
+    }
+
+    fn send(
+        &mut self,
+        step: Option<Step>,
+        n: usize,
+        shard: Option<ShardId>,
+        vm: Option<VmId>,
+        item: Item,
+    ) {
+        let fate = match step {
+            Some(step) => self.hook(step, Some(n), shard, vm.as_ref(), None),
+            None => Fate::Deliver,
+        };
+        let delay = self.jitter(1, 10);
+        match fate {
+            Fate::Deliver => self.push(delay, item),
+            Fate::Lose => {}
+            Fate::Late => self.push(Duration::from_secs(9), item),
+            Fate::VeryLate => self.push(Duration::from_secs(33), item),
+            Fate::Twice => {
+                self.push(delay, item.clone());
+                self.push(Duration::from_secs(7), item);
+            }
+        }
+    }
+
+    /// Gives the faults their chance at a step, and says what becomes of the message.
+    fn hook(
+        &mut self,
+        step: Step,
+        node: Option<usize>,
+        shard: Option<ShardId>,
+        vm: Option<&VmId>,
+        job: Option<&JobId>,
+    ) -> Fate {
+        let losing = self.lose_next.get_mut(&(step as u8)).filter(|left| **left > 0);
+        let mut fate = match losing {
+            Some(left) => {
+                *left -= 1;
+                Fate::Lose
+            }
+            None => Fate::Deliver,
+        };
+        for i in 0..self.cells.len() {
+            let (cell, fired) = &mut self.cells[i];
+            if *fired || cell.step != step {
+                continue;
+            }
+            if cell.after > 0 {
+                cell.after -= 1;
+                continue;
+            }
+            *fired = true;
+            self.struck += 1;
+            let fault = cell.fault;
+            let struck = self.strike(fault, step, node, shard, vm, job);
+            fate = if struck == Fate::Deliver { fate } else { struck };
+        }
+        fate
+    }
+
+    fn strike(
+        &mut self,
+        fault: Fault,
+        step: Step,
+        node: Option<usize>,
+        shard: Option<ShardId>,
+        vm: Option<&VmId>,
+        job: Option<&JobId>,
+    ) -> Fate {
+        let vm = vm.cloned().unwrap_or_else(|| self.options.vms[0].vm.clone());
+        let rack = self.options.vms.iter().find(|r| r.vm == vm).map(|r| shard_of_rack(&r.rack));
+        let rack_owner = rack.map_or(0, |rack| self.owner(rack));
+        let job_owner = job.map(|job| self.owner(shard_of_job(job))).or(match step {
+            Step::Placed | Step::StartedMessage | Step::EndedMessage => {
+                shard.map(|shard| self.owner(shard))
+            }
+            _ => node,
+        });
+        let job_owner = job_owner.unwrap_or(0);
+        let pause = self.now + Duration::from_secs(12);
+        match fault {
+            Fault::KillJobOwner => self.kill(job_owner),
+            Fault::KillRackOwner => self.kill(rack_owner),
+            Fault::PauseJobOwner => self.nodes[job_owner].paused_until = pause,
+            Fault::PauseRackOwner => self.nodes[rack_owner].paused_until = pause,
+            Fault::CutJobOwnerFromLog => self.nodes[job_owner].cut_until = pause,
+            Fault::CutRackOwnerFromLog => self.nodes[rack_owner].cut_until = pause,
+            Fault::Lose => return Fate::Lose,
+            Fault::LoseFiveTimes => {
+                self.lose_next.insert(step as u8, 4);
+                return Fate::Lose;
+            }
+            Fault::DelayLong => return Fate::Late,
+            Fault::DelayHalfAMinute => return Fate::VeryLate,
+            Fault::Duplicate => return Fate::Twice,
+            Fault::VmDies => self.kill_worker(&vm),
+            Fault::VmCut => self.cut(&vm),
+            Fault::VmCutAndRackOwnerKilled => {
+                self.cut(&vm);
+                self.kill(rack_owner);
+            }
+            Fault::ReportsLate => self.reports_late_until = pause,
+            Fault::LogDown => self.log_down_until = self.now + Duration::from_secs(8),
+            Fault::LogAnswersLate => self.log_late_until = self.now + Duration::from_secs(6),
+            Fault::CancelWave => {
+                for job in self.jobs.clone() {
+                    self.cancel(job.job);
+                }
+            }
+            Fault::BadWorker => {
+                if let Some(worker) = self.workers.get_mut(&vm) {
+                    worker.fails_all = true;
+                }
+            }
+            Fault::VmListStale => self.list_stale_until = pause,
+        }
+        Fate::Deliver
+    }
+
+    fn cut(&mut self, vm: &VmId) {
+        self.checker.vm_harmed(vm);
+        if let Some(worker) = self.workers.get_mut(vm) {
+            worker.cut_until = self.now + Duration::from_secs(25);
+        }
+    }
+
+    pub fn kill_rack_owner(&mut self, rack: &str) {
+        let owner = self.owner(shard_of_rack(&rack.parse().unwrap()));
+        self.kill(owner);
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        if self.nodes.iter().filter(|node| node.alive).count() > 2 {
+            self.nodes[n].alive = false;
+        }
+    }
+
+    fn control(&mut self) {
+        self.push(Duration::from_millis(500), Item::Control);
+        let now = self.now;
+        if now < self.log_down_until {
+            return;
+        }
+        for n in 0..self.nodes.len() {
+            let node = &mut self.nodes[n];
+            if node.alive && now >= node.paused_until && now >= node.cut_until {
+                node.read_at = now;
+                node.held_until = now + AUTHORITY;
+                self.take_view(n);
+                if now >= self.list_stale_until {
+                    let vms = self.list.clone();
+                    self.step_rack(n, RackEvent::Vms { vms });
+                }
+            }
+        }
+        let fresh: Vec<usize> = (0..self.nodes.len())
+            .filter(|n| self.nodes[*n].alive && now.since(self.nodes[*n].read_at) < GONE_AFTER)
+            .collect();
+        for shard in 0..SHARD_COUNT {
+            self.succeed(ShardId(shard), &fresh);
+        }
+    }
+
+    /// Ends the shards that the node no longer owns.
+    fn take_view(&mut self, n: usize) {
+        let lost: Vec<ShardId> = self.nodes[n]
+            .view
+            .iter()
+            .filter(|(shard, epoch)| {
+                let owner = self.owners[shard.0 as usize];
+                owner.node != n || owner.epoch != **epoch
+            })
+            .map(|(shard, _)| *shard)
+            .collect();
+        for shard in lost {
+            self.nodes[n].view.remove(&shard);
+            self.step_job(n, JobEvent::Lost { shard });
+            self.step_rack(n, RackEvent::Lost { shard });
+        }
+        let nodes = self.nodes.iter().filter(|node| node.alive).map(|node| node.id).collect();
+        self.step_job(n, JobEvent::Nodes { nodes });
+    }
+
+    fn succeed(&mut self, shard: ShardId, fresh: &[usize]) {
+        let now = self.now;
+        let owner = self.owners[shard.0 as usize];
+        if !fresh.contains(&owner.node) {
+            let best = fresh.iter().max_by_key(|n| rendezvous_score(shard, NodeId(**n as u64)));
+            let Some(best) = best else { return };
+            let epoch = owner.epoch.next();
+            let claim = Owner { node: *best, epoch, claimed: now, settled: false };
+            self.owners[shard.0 as usize] = claim;
+            return;
+        }
+        let first = owner.epoch == Epoch(1);
+        let waited = first || now.since(owner.claimed) >= AUTHORITY + Duration::from_millis(200);
+        if owner.settled || !waited {
+            return;
+        }
+        self.owners[shard.0 as usize].settled = true;
+        let n = owner.node;
+        let kept = self.log.entry(shard).or_default();
+        kept.epoch = owner.epoch;
+        let node = &mut self.nodes[n];
+        node.jobs.restore(shard, std::mem::take(&mut kept.snapshot));
+        for entry in kept.entries.drain(..) {
+            node.jobs.replay(shard, &entry);
+        }
+        kept.snapshot = node.jobs.snapshot(shard);
+        node.view.insert(shard, owner.epoch);
+        let epoch = owner.epoch;
+        self.step_job(n, JobEvent::Owned { shard, epoch });
+        self.step_rack(n, RackEvent::Owned { shard, epoch, released: first });
+        let vms = self.list.clone();
+        self.step_rack(n, RackEvent::Vms { vms });
+    }
+
+    /// Appends what waits in a node's journal, in order.
+    fn flush(&mut self, n: usize) {
+        self.push(Duration::from_millis(40), Item::Flush(n));
+        if self.now < self.log_down_until || self.now < self.nodes[n].cut_until {
+            return;
+        }
+        let late = self.now < self.log_late_until;
+        self.appended += u64::from(!self.nodes[n].journal.is_empty());
+        while let Some((shard, epoch, entry, ticket)) = self.nodes[n].journal.pop_front() {
+            let kept = self.log.entry(shard).or_default();
+            if epoch >= kept.epoch {
+                kept.entries.push(entry);
+            }
+            let least = if late { 1_000 } else { 5 };
+            let delay = self.jitter(least, least + 15);
+            self.push(delay, Item::Job(n, JobEvent::Journaled { ticket }));
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fate {
+    Deliver,
+    Lose,
+    Late,
+    VeryLate,
+    Twice,
+}
+
+fn vm_of(msg: &RackMsg) -> VmId {
+    match msg {
+        RackMsg::Start(start) => start.vm.clone(),
+        RackMsg::Stop(stop) => stop.vm.clone(),
+        RackMsg::AckEnded { vm, .. } => vm.clone(),
+    }
+}
+
+fn new_node(i: usize, options: &WorldOptions) -> Node {
+    let seed = options.seed.wrapping_mul(31).wrapping_add(i as u64);
+    let jobs = JobBook::builder()
+        .limits(options.limits.clone())
+        .protections(options.protections)
+        .seed(seed)
+        .build();
+    let racks = RackBook::builder()
+        .limits(options.limits.clone())
+        .protections(options.protections)
+        .learning(options.learning)
+        .seed(seed + 1)
+        .build();
+    Node {
+        id: NodeId(i as u64),
+        alive: true,
+        paused_until: Time::ZERO,
+        cut_until: Time::ZERO,
+        jobs,
+        racks,
+        view: BTreeMap::new(),
+        held_until: Time::ZERO,
+        read_at: Time::ZERO,
+        journal: VecDeque::new(),
+    }
+}
