--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -63,12 +63,29 @@
     (node.0 as u32).to_le_bytes()
 }
 
+/// What this process knows of another one.
+#[derive(Clone, Copy, Debug)]
+struct Sight {
+    /// The last sign of life, its own or told by others.
+    heard: Option<Time>,
+    /// Its silence counts from here at the earliest. Not told to others: a process that was just
+    /// pruned, or that one returning process excuses, would seem alive to everyone.
+    excused: Time,
+}
+
+impl Sight {
+    fn last(&self) -> Time {
+        self.heard.map_or(self.excused, |heard| heard.max(self.excused))
+    }
+}
+
 /// Who was heard when.
 #[derive(Clone, Debug)]
 pub(crate) struct Gossip {
     me: NodeInfo,
     rng: SmallRng,
-    heard: BTreeMap<NodeId, Time>,
+    sights: BTreeMap<NodeId, Sight>,
+    received: Option<Time>,
     next_at: Time,
     probe_next: bool,
 }
@@ -78,46 +95,56 @@
         Gossip {
             me,
             rng: SmallRng::seed_from_u64(seed),
-            heard: BTreeMap::new(),
+            sights: BTreeMap::new(),
+            received: None,
             next_at: Time::ZERO,
             probe_next: false,
         }
     }
 
-    /// Follows the membership; a new process counts as heard now.
+    /// Follows the membership; a new process is excused for its silence before.
     pub(crate) fn follow(&mut self, now: Time, state: &ControlState) {
-        self.heard.retain(|node, _| state.member(*node).is_some());
+        self.sights.retain(|node, _| state.member(*node).is_some());
         for info in state.members().filter(|info| info.node != self.me.node) {
-            self.heard.entry(info.node).or_insert(now);
+            self.sights.entry(info.node).or_insert(Sight { heard: None, excused: now });
         }
     }
 
     /// Everyone gets time to be heard again: this process was out of touch itself.
-    pub(crate) fn forgive(&mut self, now: Time) {
-        for at in self.heard.values_mut() {
-            *at = now;
+    pub(crate) fn excuse(&mut self, now: Time) {
+        for sight in self.sights.values_mut() {
+            sight.excused = now;
         }
     }
 
     /// How long nothing was heard of the process; `None` if it doesn't take part.
     pub(crate) fn silence(&self, now: Time, node: NodeId) -> Option<Duration> {
-        self.heard.get(&node).map(|at| now.since(*at))
+        self.sights.get(&node).map(|sight| now.since(sight.last()))
     }
 
     /// When the process was last heard of.
     pub(crate) fn heard_at(&self, node: NodeId) -> Option<Time> {
-        self.heard.get(&node).copied()
+        self.sights.get(&node).and_then(|sight| sight.heard)
+    }
+
+    /// Whether any process's heartbeat arrived here within `span`, or there is no other one.
+    ///
+    /// One that is cut off finds its peers silent one after the other, and would take the first
+    /// for dead while it still seems to hear most of them.
+    pub(crate) fn is_reached(&self, now: Time, span: Duration) -> bool {
+        self.sights.is_empty() || self.received.is_some_and(|at| now.since(at) <= span)
     }
 
     /// Takes a heartbeat. `true` if the sender has lost sight of this process and should get an
     /// answer at once.
     pub(crate) fn receive(&mut self, now: Time, heartbeat: &Heartbeat) -> bool {
+        self.received = Some(now);
         if heartbeat.in_touch {
             self.hear(heartbeat.from, now);
         }
         for heard in &heartbeat.heard {
             let age = Duration::from_millis(u64::from(heard.age) * AGE_UNIT_MS);
-            let node = self.heard.keys().find(|node| tag(**node) == heard.tag).copied();
+            let node = self.sights.keys().find(|node| tag(**node) == heard.tag).copied();
             if let Some(node) = node {
                 self.hear(node, now - age);
             }
@@ -166,7 +193,7 @@
         schedulers: impl Iterator<Item = &'a NodeInfo>,
     ) -> Heartbeat {
         let heard = schedulers
-            .filter_map(|info| Some((info.node, self.silence(now, info.node)?)))
+            .filter_map(|info| Some((info.node, now.since(self.heard_at(info.node)?))))
             .filter_map(|(node, silence)| {
                 let age = u8::try_from((silence.as_millis() as u64).div_ceil(AGE_UNIT_MS)).ok()?;
                 Some(Heard { tag: tag(node), age })
@@ -176,8 +203,8 @@
     }
 
     fn hear(&mut self, node: NodeId, at: Time) {
-        if let Some(heard) = self.heard.get_mut(&node) {
-            *heard = at.max(*heard);
+        if let Some(sight) = self.sights.get_mut(&node) {
+            sight.heard = sight.heard.max(Some(at));
         }
     }
 }
--- a/crates/control/src/reducer/mod.rs
+++ b/crates/control/src/reducer/mod.rs
@@ -42,6 +42,10 @@
 /// together see one another first, or the first would claim every shard.
 const CLAIM_AFTER: Duration = Duration::from_secs(1);
 
+/// A process that hears most others claims only if a heartbeat reached it within this time; some
+/// two arrive each second.
+const REACHED_WITHIN: Duration = Duration::from_secs(1);
+
 /// Shards without an owner for this long raise an alarm.
 const UNSERVED_ALARM_AFTER: Duration = Duration::from_secs(30);
 
@@ -216,8 +220,8 @@
         if self.reads.reached_end(now, counted) {
             // Nobody could be heard of as in touch while this process, or the log, was away.
             // Without this pause all would claim everything when the log comes back.
-            self.gossip.forgive(now);
-            self.suspicion.forgive();
+            self.gossip.excuse(now);
+            self.suspicion.excuse();
         }
     }
 
@@ -425,6 +429,7 @@
     fn may_claim(&self, now: Time) -> bool {
         self.member_since.is_some_and(|since| now >= since + CLAIM_AFTER)
             && self.reads.in_touch_for(now) >= CLAIM_AFTER
+            && (self.suspicion.few_heard() || self.gossip.is_reached(now, REACHED_WITHIN))
     }
 
     fn keep_up(&mut self, now: Time, out: &mut Vec<ControlEffect>) {
--- a/crates/control/src/reducer/succession.rs
+++ b/crates/control/src/reducer/succession.rs
@@ -22,7 +22,7 @@
 const RANK_DELAY: Duration = Duration::from_secs(3);
 
 /// A process that hears few others waits this much longer, for the many that hear each other.
-const FEW_HEARD_DELAY: Duration = Duration::from_secs(5);
+const FEW_HEARD_DELAY: Duration = Duration::from_secs(2);
 
 /// A claimant that hasn't settled after this long, though it is heard, is stuck; another claims.
 const STUCK_AFTER: Duration = Duration::from_secs(30);
--- a/crates/control/src/reducer/suspicion.rs
+++ b/crates/control/src/reducer/suspicion.rs
@@ -27,6 +27,10 @@
 /// restarts in a loop would also take shards only to lose them.
 const NEW_FOR: Duration = Duration::from_secs(10);
 
+/// Processes that joined within this time of the oldest were started with it, and none of them
+/// is new to the others. Without this the first to be ten seconds old took nearly every shard.
+const TOGETHER: Duration = Duration::from_secs(5);
+
 /// What is known of one process beside the gossip.
 #[derive(Clone, Debug, Default)]
 struct Signs {
@@ -67,7 +71,7 @@
     }
 
     /// Begins anew after this process was out of touch.
-    pub(crate) fn forgive(&mut self) {
+    pub(crate) fn excuse(&mut self) {
         for signs in self.signs.values_mut() {
             *signs = Signs { joined: signs.joined, ..Signs::default() };
         }
@@ -96,16 +100,13 @@
         for node in &self.live {
             self.signs.entry(*node).or_default().joined.get_or_insert(now);
         }
+        let joined = |node: &NodeId| self.signs.get(node).and_then(|signs| signs.joined);
+        let oldest = self.live.iter().filter_map(joined).min().unwrap_or(now);
         let is_old = |node: &NodeId| {
-            let joined = self.signs.get(node).and_then(|signs| signs.joined);
-            joined.is_some_and(|at| now >= at + NEW_FOR)
+            let at = joined(node).unwrap_or(now);
+            *node == me || now >= at + NEW_FOR || at <= oldest + TOGETHER
         };
         self.candidates = self.live.iter().copied().filter(is_old).collect();
-        if self.candidates.is_empty() {
-            self.candidates = self.live.clone();
-        } else if let Err(at) = self.candidates.binary_search(&me) {
-            self.candidates.insert(at, me);
-        }
     }
 
     /// The live schedulers that shards are meant for, this process among them.
@@ -146,7 +147,8 @@
             .collect()
     }
 
-    /// Whether the process has been silent for `limit` and isn't taken for living.
+    /// Whether the process has been silent for `limit`, in the log too, and isn't taken for living.
+    /// One that is cut off from its peers shows itself in the log, and is not to be removed.
     pub(crate) fn is_gone_for(
         &self,
         now: Time,
@@ -155,7 +157,9 @@
         limit: Duration,
     ) -> bool {
         let silent = gossip.silence(now, info.node).is_some_and(|silence| silence >= limit);
-        silent && (info.role == Role::Entry || !self.is_live(info.node))
+        let seen = self.signs.get(&info.node).and_then(|signs| signs.seen_in_log);
+        let seen_lately = seen.is_some_and(|at| now < at + limit);
+        silent && !seen_lately && (info.role == Role::Entry || !self.is_live(info.node))
     }
 
     fn is_silent(&self, now: Time, node: NodeId, gossip: &Gossip) -> bool {
--- a/crates/control/tests/support/faults.rs
+++ b/crates/control/tests/support/faults.rs
@@ -58,6 +58,8 @@
     LogDown,
     /// The log takes seconds for each answer.
     LogSlow,
+    /// The log's answers reach the process seconds late, and its peers hear nothing of it.
+    LateAnswers,
     /// Appends take effect and their answers are lost.
     AnswerLost,
     /// Appends take effect seconds after they were given up.
@@ -71,7 +73,7 @@
 }
 
 impl Fault {
-    pub const ALL: [Fault; 12] = [
+    pub const ALL: [Fault; 13] = [
         Fault::Kill,
         Fault::Pause,
         Fault::CutFromLog,
@@ -79,6 +81,7 @@
         Fault::CutOff,
         Fault::LogDown,
         Fault::LogSlow,
+        Fault::LateAnswers,
         Fault::AnswerLost,
         Fault::AppendLate,
         Fault::Expired,
--- a/crates/control/tests/support/world.rs
+++ b/crates/control/tests/support/world.rs
@@ -88,6 +88,7 @@
     pub heartbeats: u64,
     pub log_down_until: u64,
     pub log_slow_until: u64,
+    pub journals_down: bool,
     options: Options,
     rng: SmallRng,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
@@ -112,6 +113,7 @@
             heartbeats: 0,
             log_down_until: 0,
             log_slow_until: 0,
+            journals_down: false,
             rng: SmallRng::seed_from_u64(options.seed),
             queue: BinaryHeap::new(),
             jobs: BTreeMap::new(),
@@ -284,6 +286,11 @@
         if self.now < self.log_slow_until { 1_250 * MS } else { HALF_WAY }
     }
 
+    fn way_back(&self, node: usize) -> u64 {
+        let late = self.now < self.nodes[node].late_answers_until;
+        if late { 4 * SEC } else { self.half_way() }
+    }
+
     fn log_is_cut(&self, node: usize) -> bool {
         self.now < self.log_down_until || self.now < self.nodes[node].log_cut_until
     }
@@ -296,9 +303,10 @@
         reply: Reply,
         incarnation: u32,
     ) {
-        let cut = self.log_is_cut(node);
+        let down = self.journals_down && *stream != StreamName::control();
+        let cut = down || self.log_is_cut(node);
         let outcome = if cut { ReadOutcome::Unavailable } else { self.log.read(stream, from) };
-        let at = self.now + if cut { TIMEOUT } else { self.half_way() };
+        let at = self.now + if cut { TIMEOUT } else { self.way_back(node) };
         let delivery = match reply {
             Reply::ControlRead { sent } => {
                 Delivery::Control(ControlEvent::ReadDone { sent, outcome })
@@ -324,7 +332,8 @@
         let late = of.late_appends > 0 && !matches!(reply, Reply::Nobody);
         let lost = of.lose_answers > 0;
         of.late_appends -= u32::from(late);
-        let (outcome, after) = if self.log_is_cut(node) {
+        let down = self.journals_down && stream != StreamName::control();
+        let (outcome, after) = if down || self.log_is_cut(node) {
             (AppendOutcome::NotAppended(NotAppendedReason::Unreachable), TIMEOUT)
         } else if late {
             let again = Job::Append { node, stream, bytes, reply: Reply::Nobody };
@@ -333,7 +342,7 @@
             return;
         } else {
             let offset = self.log.append(&stream, &bytes);
-            (AppendOutcome::Appended(offset), self.half_way())
+            (AppendOutcome::Appended(offset), self.way_back(node))
         };
         self.nodes[node].lose_answers -= u32::from(lost);
         let outcome = if lost { AppendOutcome::Unknown } else { outcome };
@@ -516,6 +525,10 @@
             }
             Fault::LogDown => self.log_down_until = now + 8 * SEC,
             Fault::LogSlow => self.log_slow_until = now + 10 * SEC,
+            Fault::LateAnswers => {
+                self.nodes[node].late_answers_until = now + 12 * SEC;
+                self.nodes[node].peers_cut_until = now + 12 * SEC;
+            }
             Fault::AnswerLost => self.nodes[node].lose_answers = 3,
             Fault::AppendLate => self.nodes[node].late_appends = 3,
             Fault::Expired => self.expire_control(node),
