--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -1,6 +1,6 @@
 //! Heartbeats: who was heard when, spread from process to process.
 //!
-//! Each process sends to two others a second, chosen at random, and says whom it has heard of
+//! Each scheduler sends to two others a second, chosen at random, and says whom it has heard of
 //! lately. Sending to all would cost 33 x 220 bytes a second at 17 + 17 processes, three times a
 //! node's whole budget for control. All of this is a hint: it decides who claims when, never who
 //! may act.
@@ -16,8 +16,15 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// Time between two heartbeats of a process.
-pub(crate) const HEARTBEAT_EVERY: Duration = Duration::from_millis(500);
+/// Time between two heartbeats of a scheduler.
+const SCHEDULER_EVERY: Duration = Duration::from_millis(500);
+
+/// Time between two heartbeats of an entry, whose silence matters to nobody for minutes.
+const ENTRY_EVERY: Duration = Duration::from_millis(1_000);
+
+/// The share of a scheduler's heartbeats that goes to any process, for the version of the
+/// configuration that it tells; the others go to schedulers, who alone claim shards.
+const TO_ANYONE: f64 = 0.125;
 
 /// A process not heard of for this long is asked directly, and answers at once: most silences
 /// are the gossip's chance, and end here before anyone suspects a living process.
@@ -166,7 +173,9 @@
             return None;
         }
         // A jitter, so that processes started together don't send together for ever.
-        self.next_at = now + HEARTBEAT_EVERY.mul_f64(self.rng.random_range(0.9..1.1));
+        let is_entry = self.me.role == Role::Entry;
+        let every = if is_entry { ENTRY_EVERY } else { SCHEDULER_EVERY };
+        self.next_at = now + every.mul_f64(self.rng.random_range(0.9..1.1));
         let others: Vec<&NodeInfo> = members.filter(|info| info.node != self.me.node).collect();
         self.probe_next = !self.probe_next;
         let silence = |info: &NodeInfo| self.silence(now, info.node).unwrap_or_default();
@@ -180,8 +189,18 @@
         let probe = |info: &NodeInfo| self.probe_next || silence(info) < PROBE_ONLY_UNTIL;
         match lost.filter(|info| probe(info)) {
             Some(info) => Some(info),
-            None => others.choose(&mut self.rng).copied(),
+            None => self.choose(&others),
+        }
+    }
+
+    fn choose<'a>(&mut self, others: &[&'a NodeInfo]) -> Option<&'a NodeInfo> {
+        let is_scheduler = |info: &&&NodeInfo| info.role == Role::Scheduler;
+        let schedulers: Vec<&NodeInfo> = others.iter().filter(is_scheduler).copied().collect();
+        let to_anyone = self.me.role == Role::Scheduler && self.rng.random_bool(TO_ANYONE);
+        if to_anyone || schedulers.is_empty() {
+            return others.choose(&mut self.rng).copied();
         }
+        schedulers.choose(&mut self.rng).copied()
     }
 
     /// What this process tells others now.
--- a/crates/control/tests/support/world.rs
+++ b/crates/control/tests/support/world.rs
@@ -89,6 +89,7 @@
     pub log_down_until: u64,
     pub log_slow_until: u64,
     pub journals_down: bool,
+    pub watched_changes: bool,
     options: Options,
     rng: SmallRng,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
@@ -114,6 +115,7 @@
             log_down_until: 0,
             log_slow_until: 0,
             journals_down: false,
+            watched_changes: true,
             rng: SmallRng::seed_from_u64(options.seed),
             queue: BinaryHeap::new(),
             jobs: BTreeMap::new(),
@@ -657,7 +659,7 @@
     /// Each owner changes each of its watched shards some three times a second.
     fn write_changes(&mut self, node: usize) {
         let now = self.local(node);
-        if self.nodes[node].change_at > self.now {
+        if self.nodes[node].change_at > self.now || !self.watched_changes {
             return;
         }
         self.nodes[node].change_at = self.now + 300 * MS;
