--- a/crates/control/src/reducer/mod.rs
+++ b/crates/control/src/reducer/mod.rs
@@ -25,7 +25,7 @@
             holdings::Holdings,
             in_force::ConfigHolder,
             proposals::Proposals,
-            reads::Reads,
+            reads::{LEASE, Reads},
             succession::Succession,
             suspicion::Suspicion,
             upkeep::StreamUpkeep,
@@ -34,7 +34,7 @@
     },
     compact_str::CompactString,
     egretlb_log::{AppendOutcome, ReadOutcome},
-    egretlb_types::{Authority, Epoch, NodeId, ShardId, Ticket, Time},
+    egretlb_types::{Authority, Epoch, NodeId, Offset, ShardId, Ticket, Time},
     std::{fmt, sync::Arc, time::Duration},
 };
 
@@ -42,6 +42,10 @@
 /// together see one another first, or the first would claim every shard.
 const CLAIM_AFTER: Duration = Duration::from_secs(1);
 
+/// A process that hears most others claims only if a heartbeat reached it within this time; some
+/// two arrive each second.
+const REACHED_WITHIN: Duration = Duration::from_secs(1);
+
 /// Shards without an owner for this long raise an alarm.
 const UNSERVED_ALARM_AFTER: Duration = Duration::from_secs(30);
 
@@ -133,6 +137,11 @@
         self.fold.state()
     }
 
+    /// The offset that this process reads next: its state holds everything before it.
+    pub fn next(&self) -> Offset {
+        self.fold.next()
+    }
+
     /// The process that acts for the shard, as far as this process has read.
     pub fn owner_of(&self, shard: ShardId) -> Option<&NodeInfo> {
         self.state()?.owner_of(shard)
@@ -148,6 +157,14 @@
         self.reads.is_in_touch(now)
     }
 
+    /// Until when this process may act for the shard, unless it reads the log again before; `None`
+    /// if it may not now. The runtime checks its clock against it right before an unsafe call: a
+    /// process that was paused in between must notice.
+    pub fn authority_until(&self, now: Time, shard: ShardId) -> Option<Time> {
+        self.epoch_if_held(now, shard)?;
+        self.reads.fresh().map(|sent| sent + LEASE)
+    }
+
     /// The alarms that are on.
     pub fn alarms(&self) -> impl Iterator<Item = Alarm> {
         self.alarms.raised()
@@ -203,8 +220,8 @@
         if self.reads.reached_end(now, counted) {
             // Nobody could be heard of as in touch while this process, or the log, was away.
             // Without this pause all would claim everything when the log comes back.
-            self.gossip.forgive(now);
-            self.suspicion.forgive();
+            self.gossip.excuse(now);
+            self.suspicion.excuse();
         }
     }
 
@@ -214,8 +231,8 @@
         if let Some(state) = self.fold.state() {
             self.gossip.follow(now, state);
             self.succession.follow(now, state);
+            self.holdings.follow(state, out);
         }
-        self.holdings.follow(now, self.fold.state(), out);
         if self.fold.since_snapshot() == 0 {
             self.upkeep.saw_snapshot(now);
         }
@@ -257,7 +274,7 @@
         }
         let sender = self.fold.state().and_then(|state| state.member(heartbeat.from));
         if let Some(to) = sender.cloned() {
-            let heartbeat = self.own_heartbeat(now);
+            let heartbeat = Heartbeat { answer: true, ..self.own_heartbeat(now) };
             out.push(ControlEffect::Heartbeat { to, heartbeat });
         }
     }
@@ -339,7 +356,7 @@
     }
 
     fn watch(&mut self, now: Time, in_touch: bool, out: &mut Vec<ControlEffect>) {
-        let long = self.reads.out_of_touch_for(now) >= reads::LEASE;
+        let long = self.reads.out_of_touch_for(now) >= LEASE;
         self.alarms.set(Alarm::LogOutOfReach, !in_touch && long, out);
         let few = in_touch && self.suspicion.few_heard();
         self.alarms.set(Alarm::FewPeersHeard, few, out);
@@ -412,13 +429,14 @@
     fn may_claim(&self, now: Time) -> bool {
         self.member_since.is_some_and(|since| now >= since + CLAIM_AFTER)
             && self.reads.in_touch_for(now) >= CLAIM_AFTER
+            && (self.suspicion.few_heard() || self.gossip.is_reached(now, REACHED_WITHIN))
     }
 
     fn keep_up(&mut self, now: Time, out: &mut Vec<ControlEffect>) {
         let me = self.me();
         let Some(state) = self.fold.state() else { return };
         if !self.suspicion.few_heard() {
-            self.holdings.balance(now, state, self.suspicion.live(), out);
+            self.holdings.balance(now, state, self.suspicion.candidates(), out);
         }
         let gone = self.upkeep.due_prune(now, me, state, &self.gossip, &self.suspicion);
         if let Some(node) = gone {
--- a/crates/control/src/reducer/suspicion.rs
+++ b/crates/control/src/reducer/suspicion.rs
@@ -22,12 +22,22 @@
 /// cut between regions each process of the smaller side asks twice a minute.
 const DOUBT_AGAIN_AFTER: Duration = Duration::from_secs(30);
 
+/// A process that has joined is left out of account for this long, as long as there are older
+/// ones: it learns only now who is silent, and the others would wait for its claims. One that
+/// restarts in a loop would also take shards only to lose them.
+const NEW_FOR: Duration = Duration::from_secs(10);
+
+/// Processes that joined within this time of the oldest were started with it, and none of them
+/// is new to the others. Without this the first to be ten seconds old took nearly every shard.
+const TOGETHER: Duration = Duration::from_secs(5);
+
 /// What is known of one process beside the gossip.
 #[derive(Clone, Debug, Default)]
 struct Signs {
     seen_in_log: Option<Time>,
     doubted: Option<Time>,
     gone: Option<Time>,
+    joined: Option<Time>,
 }
 
 /// The view of who is there, from gossip, the log and the VM list.
@@ -41,6 +51,7 @@
     signs: BTreeMap<NodeId, Signs>,
     few_heard: bool,
     live: Vec<NodeId>,
+    candidates: Vec<NodeId>,
 }
 
 impl Suspicion {
@@ -60,8 +71,10 @@
     }
 
     /// Begins anew after this process was out of touch.
-    pub(crate) fn forgive(&mut self) {
-        self.signs.clear();
+    pub(crate) fn excuse(&mut self) {
+        for signs in self.signs.values_mut() {
+            *signs = Signs { joined: signs.joined, ..Signs::default() };
+        }
     }
 
     /// Looks at everyone once for this step.
@@ -80,6 +93,25 @@
         self.live = schedulers()
             .filter(|n| *n == me || !self.is_silent(now, *n, gossip) || !self.is_confirmed(now, *n))
             .collect();
+        self.find_candidates(now, me);
+    }
+
+    fn find_candidates(&mut self, now: Time, me: NodeId) {
+        for node in &self.live {
+            self.signs.entry(*node).or_default().joined.get_or_insert(now);
+        }
+        let joined = |node: &NodeId| self.signs.get(node).and_then(|signs| signs.joined);
+        let oldest = self.live.iter().filter_map(joined).min().unwrap_or(now);
+        let is_old = |node: &NodeId| {
+            let at = joined(node).unwrap_or(now);
+            *node == me || now >= at + NEW_FOR || at <= oldest + TOGETHER
+        };
+        self.candidates = self.live.iter().copied().filter(is_old).collect();
+    }
+
+    /// The live schedulers that shards are meant for, this process among them.
+    pub(crate) fn candidates(&self) -> &[NodeId] {
+        &self.candidates
     }
 
     /// Whether this process hears no more than half of the schedulers, itself among them.
@@ -115,7 +147,8 @@
             .collect()
     }
 
-    /// Whether the process has been silent for `limit` and isn't taken for living.
+    /// Whether the process has been silent for `limit`, in the log too, and isn't taken for living.
+    /// One that is cut off from its peers shows itself in the log, and is not to be removed.
     pub(crate) fn is_gone_for(
         &self,
         now: Time,
@@ -124,7 +157,9 @@
         limit: Duration,
     ) -> bool {
         let silent = gossip.silence(now, info.node).is_some_and(|silence| silence >= limit);
-        silent && (info.role == Role::Entry || !self.is_live(info.node))
+        let seen = self.signs.get(&info.node).and_then(|signs| signs.seen_in_log);
+        let seen_lately = seen.is_some_and(|at| now < at + limit);
+        silent && !seen_lately && (info.role == Role::Entry || !self.is_live(info.node))
     }
 
     fn is_silent(&self, now: Time, node: NodeId, gossip: &Gossip) -> bool {
--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -3,7 +3,9 @@
 //! An experiment builds a small model around a real reducer, drives it with a seeded generator in
 //! virtual time, and measures the reducer alone. A model knows only what its reducer's border says.
 
+mod control;
 mod journal;
+mod tasks;
 
 use crate::report::Report;
 
@@ -19,11 +21,23 @@
 }
 
 /// All experiments.
-pub const ALL: &[Experiment] = &[Experiment {
-    name: "journal",
-    about: "appends and bytes to the log, by starts and by owners",
-    run: journal::run,
-}];
+pub const ALL: &[Experiment] = &[
+    Experiment {
+        name: "control",
+        about: "heartbeats, reads, configuration changes and takeovers, by processes",
+        run: control::run,
+    },
+    Experiment {
+        name: "journal",
+        about: "appends and bytes to the log, by starts and by owners",
+        run: journal::run,
+    },
+    Experiment {
+        name: "tasks",
+        about: "books, messages and journals of tasks, and start delays, by workers",
+        run: tasks::run,
+    },
+];
 
 /// The experiment of the name.
 pub fn find(name: &str) -> Option<&'static Experiment> {
--- /dev/null
+++ b/crates/lab/src/models/mod.rs
@@ -0,0 +1,12 @@
+//! Small models of what the reducers meet.
+
+mod classes;
+mod cluster;
+pub mod place;
+mod world;
+
+pub use crate::models::{
+    classes::{class_name, document},
+    cluster::{Cluster, Traffic},
+    world::{Totals, World},
+};
