Let only the project's own events into the log, each in one write

At -v a library logged some nine lines for every peer call; of libraries only warnings are let through now. Notices were one quoted value; they are an event with its pairs. A line was written in several pieces, so that two processes with one standard error wrote into each other's lines (seen in a test's output).

--- a/crates/net/src/runtime/io.rs
+++ b/crates/net/src/runtime/io.rs
@@ -15,11 +15,13 @@
     egretlb_control::{NodeInfo, Role},
     egretlb_log::{AppendOutcome, LogService, StreamName},
     egretlb_node::{Delivery, NodeEffect, NodeEvent, Notice, PeerMessage},
-    egretlb_telemetry::{AppendResult, CommonMetrics},
+    egretlb_telemetry::{AppendResult, CommonMetrics, log_event},
     egretlb_types::{NodeId, Time},
+    log::Level,
     rand::{Rng, SeedableRng, rngs::StdRng},
     smallvec::SmallVec,
     std::{
+        fmt::Display,
         net::SocketAddr,
         sync::Arc,
         thread::{self, JoinHandle},
@@ -274,15 +276,23 @@
     }
 }
 
-/// Logs a notice. Its text is one of the project's own, with its pairs in the line's form already.
+/// Logs a notice. Its text is pairs of values without blanks, the first of which names the event.
 fn note(notice: &Notice) {
-    if notice.is_alarm() {
-        log::warn!(notice:% = notice; "alarm");
+    let level = if notice.is_alarm() {
+        Level::Warn
     } else if notice.is_detail() {
-        log::debug!(notice:% = notice; "notice");
+        Level::Debug
     } else {
-        log::info!(notice:% = notice; "notice");
-    }
+        Level::Info
+    };
+    let text = notice.to_string();
+    let words = text.split_whitespace();
+    let pairs: Vec<(&str, &str)> =
+        words.map(|word| word.split_once('=').unwrap_or(("text", word))).collect();
+    let event = pairs.first().map_or("notice", |(_, event)| *event);
+    let pairs: Vec<(&str, &dyn Display)> =
+        pairs.iter().skip(1).map(|(key, value)| (*key, value as &dyn Display)).collect();
+    log_event(level, event, &pairs);
 }
 
 /// Receives until something happens, at most until `wake_at`.
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -16,12 +16,14 @@
 
 use {
     compact_str::CompactString,
+    fern::Output,
     log::{
         Level, LevelFilter, Record,
         kv::{Key, Value, VisitSource},
     },
     std::{
-        fmt::{self, Write},
+        fmt::{self, Write as _},
+        io::{Write as _, stderr},
         time::SystemTime,
     },
 };
@@ -85,7 +87,11 @@
 
 impl std::error::Error for InitError {}
 
-/// Sends the events of this process to its standard error.
+/// What the targets of the project's own events begin with.
+const OWN_TARGETS: &str = "egretlb";
+
+/// Sends the events of this process to its standard error. Libraries log in a form of their own, some
+/// of them several lines for each call, so of theirs only warnings are let through.
 ///
 /// # Errors
 ///
@@ -94,10 +100,11 @@
     let LogOptions { node, level } = options;
     fern::Dispatch::new()
         .level(level)
+        .filter(|meta| meta.level() <= Level::Warn || meta.target().starts_with(OWN_TARGETS))
         .format(move |out, _, record| {
             out.finish(format_args!("{}", format_line(SystemTime::now(), &node, record)));
         })
-        .chain(std::io::stderr())
+        .chain(Output::call(write_line))
         .apply()
         .map_err(|_| InitError::AlreadySet)
 }
@@ -116,6 +123,14 @@
     log::logger().log(&record.args(args).build());
 }
 
+/// Writes a line and its end in one piece. Standard error has no buffer: were they written apart,
+/// two processes with one terminal or pipe would write into each other's lines.
+fn write_line(record: &Record<'_>) {
+    let line = format!("{}\n", record.args());
+    // Where standard error is gone there is nobody to be told.
+    let _ = stderr().lock().write_all(line.as_bytes());
+}
+
 /// The line for one event, without its end.
 pub fn format_line(now: SystemTime, node: &str, record: &Record<'_>) -> String {
     let mut line = Line(String::with_capacity(160));
