Prove at the daemons' processes that bad input is refused, and count requests

The counters of requests, refusals and retries were declared and never moved. Tried by hand before: after 22 s of 503 the refusal counter stood at nothing.

--- /dev/null
+++ b/crates/daemons/tests/bad_input.rs
@@ -0,0 +1,204 @@
+//! Bad input to the daemons' processes: each gets a clear error, nothing of it runs, and good
+//! requests are served before and after.
+
+mod support;
+
+use {
+    egretlb_api::{CONFIG, JOBS, METRICS},
+    egretlb_standins::worker::What,
+    std::{
+        fs,
+        io::{ErrorKind, Read, Write},
+        net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+        path::PathBuf,
+        process::{Command, Output},
+        time::Duration,
+    },
+    support::{CLASSES, System, header},
+};
+
+/// Far above what anything here takes; reached only when an answer never comes.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Sends the bytes, ends the sending, and gives all that comes back. A server that closes with
+/// bytes unread resets the connection; what came before counts.
+fn exchange(addr: SocketAddr, bytes: impl AsRef<[u8]>, ends: bool) -> String {
+    let mut stream = TcpStream::connect(addr).expect("the daemon listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    // The server may refuse and close before it has read everything.
+    let _ = stream.write_all(bytes.as_ref());
+    if ends {
+        let _ = stream.shutdown(Shutdown::Write);
+    }
+    let mut answer = Vec::new();
+    match stream.read_to_end(&mut answer) {
+        Err(e) if e.kind() != ErrorKind::ConnectionReset => panic!("no answer: {e}"),
+        _ => String::from_utf8_lossy(&answer).to_ascii_lowercase(),
+    }
+}
+
+/// One HTTP request with these further header lines, on a connection of its own.
+fn post(addr: SocketAddr, path: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    let text = format!(
+        "POST {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nX-Request-Id: bad\r\n\
+         Content-Length: {length}\r\n{headers}\r\n{body}"
+    );
+    exchange(addr, text, false)
+}
+
+#[track_caller]
+fn says(answer: &str, status: u16, text: &str) {
+    let start = format!("http/1.1 {status} ");
+    assert!(answer.starts_with(&start), "expected {status}: {answer:?}");
+    assert!(answer.contains(&text.to_ascii_lowercase()), "expected {text:?}: {answer:?}");
+}
+
+/// The same for an entry's answer to a caller, which must say that nothing ran.
+#[track_caller]
+fn refused(answer: &str, status: u16, text: &str) {
+    says(answer, status, text);
+    assert!(answer.contains("egretlb-ran: no"), "{answer:?}");
+}
+
+/// Nothing bad reached a backend server, and good requests still do.
+fn nothing_lost(system: &System) {
+    let answer = system.request(0, "check", "good", &[]).expect("an answer");
+    assert_eq!(answer.status, 200);
+    assert_eq!(header(&answer, "egretlb-ran"), Some("yes"));
+    let history = system.workers.iter().flat_map(|worker| worker.history());
+    let bad = history.filter(|h| matches!(&h.what, What::RequestBegan { id, .. } if id == "bad"));
+    assert_eq!(bad.count(), 0);
+}
+
+#[test]
+fn callers() {
+    // Callers send what no service should see: names and keys that can't be, bodies that are too
+    // large or cut short, heads without end. A user notices if one of them takes the entry down, is
+    // run in part, or is told something untrue about having run.
+    let system = System::start(1, 1, 1);
+    system.apply(CLASSES);
+    system.wait_for_service(0, "check");
+    let entry = system.entries[0].callers.expect("an entry");
+    let to = |path: &str, headers: &str| post(entry, path, headers, "x");
+
+    refused(&to("/serve/no-such/x", ""), 404, "unknown class");
+    refused(&to("/serve/a%20b/x", ""), 404, "isn't allowed");
+    refused(&to("/other", ""), 404, "/serve/{class}/{path}");
+    refused(&to("/serve/merge/x", ""), 404, "unknown class");
+    let long = format!("Idempotency-Key: {}\r\n", "k".repeat(129));
+    refused(&to("/serve/filing/x", &long), 400, "at most 128 bytes");
+    refused(&to("/serve/filing/x", "Idempotency-Key: a b\r\n"), 400, "isn't allowed");
+    refused(&to("/serve/filing/x", "Idempotency-Key:\r\n"), 400, "empty");
+    let two = "Idempotency-Key: a\r\nIdempotency-Key: b\r\n";
+    refused(&to("/serve/filing/x", two), 400, "send one");
+    refused(&to("/serve/check/x", "Egretlb-Deadline-Ms: soon\r\n"), 400, "give milliseconds");
+
+    let large = "b".repeat(1_000_001);
+    refused(&post(entry, "/serve/check/x", "", &large), 413, "larger than 1000000 bytes");
+    let head = "POST /serve/check/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: bad\r\n";
+    let short = exchange(entry, format!("{head}Content-Length: 10\r\n\r\nabc"), true);
+    assert!(short.is_empty() || !short.starts_with("http/1.1 2"), "{short:?}");
+    for bad in ["Content-Length: ten\r\n", "Content-Length: 1\r\nContent-Length: 2\r\n"] {
+        let answer = exchange(entry, format!("{head}{bad}\r\nxx"), true);
+        says(&answer, 400, "");
+    }
+    let endless = format!("{head}X-Padding: {}\r\n\r\n", "p".repeat(9_000));
+    let answer = exchange(entry, endless, true);
+    assert!(answer.is_empty() || answer.starts_with("http/1.1 400 "), "{answer:?}");
+    says(&exchange(entry, "not HTTP at all\r\n\r\n", true), 400, "");
+
+    nothing_lost(&system);
+    let metrics = get_text(system.operators(), METRICS);
+    // Two named a class that doesn't answer requests; the others weren't requests of any class.
+    for line in [
+        "egretlb_refusals_total{reason=\"unknown_class\"} 2",
+        "egretlb_refusal_latency_seconds_count",
+        "egretlb_requests_total{class=\"check\",outcome=\"answered\"}",
+    ] {
+        assert!(metrics.contains(line), "{line} isn't in {metrics}");
+    }
+    assert!(!metrics.contains("no-such"), "a caller's text is no label");
+}
+
+fn get_text(addr: SocketAddr, path: &str) -> String {
+    exchange(addr, format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"), false)
+}
+
+#[test]
+fn operators() {
+    let system = System::start(1, 1, 0);
+    let operators = system.operators();
+    let to = |path: &str, body: &str| post(operators, path, "", body);
+    says(&to(JOBS, "{\"job\": "), 400, "the body isn't what this call takes");
+    says(&to(JOBS, "{\"job\": \"a b\"}"), 400, "isn't allowed");
+    let job = |extra: &str, tasks: u32, command: &str| {
+        format!(
+            "{{\"job\": \"j\", \"class\": \"merge\", \"tasks\": {tasks}, \"command\": \
+             \"{command}\"{extra}}}"
+        )
+    };
+    says(&to(JOBS, &job(", \"priority\": 9", 1, "x")), 400, "priority");
+    says(&to(JOBS, &job("", 0, "x")), 422, "a job has 1 to 10000 tasks");
+    says(&to(JOBS, &job("", 1, &"c".repeat(2_000))), 422, "at most 1024 bytes");
+    says(&to("/jobs/a%20b", ""), 400, "the job id");
+    says(&to("/no-such", ""), 404, "no such call");
+    says(&to(CONFIG, "[]"), 400, "the body isn't what this call takes");
+
+    // A script that skips the command's check proposes a class of a team that doesn't exist.
+    let faulty = r#"{"proposal": "0000000000000001", "base": null, "by": "x", "document":
+        {"teams": [], "classes": [{"name": "c", "member": "m", "team": "t", "kind":
+        {"Batch": {"amount": 1, "period": {"secs": 60, "nanos": 0}, "task": {"cpu": 1, "memory": 1},
+        "run_time": {"secs": 1, "nanos": 0}, "urgent": false}}}]}}"#;
+    says(&to(CONFIG, faulty), 422, "classes[0].team: no team is named t");
+}
+
+/// A settings file for one run.
+fn settings(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).expect("the target folder takes a file");
+    path
+}
+
+fn run(program: &str, args: &[&str]) -> Output {
+    Command::new(program).args(args).output().expect("the daemon's program starts")
+}
+
+#[track_caller]
+fn ends(output: &Output, code: i32, text: &str) {
+    let err = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(code), "{err}");
+    assert!(err.contains(text), "expected {text:?}: {err:?}");
+}
+
+#[test]
+fn starting() {
+    // An operator starts a daemon with a wrong command line, a wrong file, or while another process
+    // has the address. It must end at once, say which, and say what to do.
+    let entry = env!("CARGO_BIN_EXE_egretlb-entry");
+    let scheduler = env!("CARGO_BIN_EXE_egretlb-scheduler");
+    ends(&run(entry, &[]), 2, "no settings file is named");
+    ends(&run(entry, &["--sttings", "x"]), 2, "unknown option --sttings");
+    ends(&run(entry, &["a", "b"]), 2, "unexpected argument b");
+    ends(&run(scheduler, &["no-such.jsonc"]), 3, "no-such.jsonc: No such file");
+
+    let faulty = settings("faulty.jsonc", "{\n  \"name\": 7,\n  \"datacentre\": \"a\"\n}");
+    let output = run(scheduler, &["--check", faulty.to_str().expect("text")]);
+    ends(&output, 3, "faulty.jsonc:2:11: found a number");
+    ends(&output, 3, "faulty.jsonc:3:3: unknown field \"datacentre\"; did you mean");
+
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = taken.local_addr().expect("an address");
+    let good = |callers: &str| {
+        format!(
+            r#"{{ "name": "n", "data_centre": "d", "log_service": ["127.0.0.1:1"],
+                 "vm_list": "127.0.0.1:1", "listen": {{ {callers}
+                 "operators": "{addr}", "peers": "127.0.0.1:0" }} }}"#
+        )
+    };
+    let path = settings("taken.jsonc", &good(""));
+    let path = path.to_str().expect("text");
+    assert_eq!(run(scheduler, &["--check", path]).status.code(), Some(0));
+    ends(&run(scheduler, &[path]), 4, &format!("can't listen on {addr} (listen.operators)"));
+    ends(&run(entry, &[path]), 4, "add listen.callers");
+}
--- a/crates/net/src/runtime/callers.rs
+++ b/crates/net/src/runtime/callers.rs
@@ -14,6 +14,7 @@
         AttemptId, BodyHash, RECORDED_BODY_MAX, RequestId,
         entry::{AttemptResult, ErrorReason, Verdict},
     },
+    egretlb_telemetry::{EntryMetrics, Outcome},
     egretlb_types::{
         ClassName, NotRunReason, Ran, RequestKey, RetryAfter,
         worker::{DECLINED_HEADER, DECLINED_LEAVING},
@@ -28,11 +29,12 @@
     std::{
         collections::HashMap,
         hash::Hasher,
+        mem,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU64, Ordering},
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -62,6 +64,7 @@
 struct Waiting {
     req: Arc<CallerRequest>,
     tx: Sender<Final>,
+    sent: bool,
     /// Whole answers by sending; only one of them is passed on.
     answers: Vec<(AttemptId, HttpAnswer)>,
 }
@@ -81,14 +84,17 @@
     fn begin(&self, req: CallerRequest) -> (RequestId, Receiver<Final>) {
         let id = RequestId(self.next.fetch_add(1, Ordering::Relaxed) + 1);
         let (tx, rx) = channel::bounded(1);
-        let waiting = Waiting { req: Arc::new(req), tx, answers: Vec::new() };
+        let waiting = Waiting { req: Arc::new(req), tx, sent: false, answers: Vec::new() };
         self.lock().insert(id, waiting);
         (id, rx)
     }
 
-    /// What is to be sent for the request, while it is in progress.
-    pub(super) fn get(&self, id: RequestId) -> Option<Arc<CallerRequest>> {
-        self.lock().get(&id).map(|waiting| Arc::clone(&waiting.req))
+    /// What is to be sent for the request, while it is in progress, and whether it was sent before.
+    pub(super) fn send(&self, id: RequestId) -> Option<(Arc<CallerRequest>, bool)> {
+        let mut table = self.lock();
+        let waiting = table.get_mut(&id)?;
+        let again = mem::replace(&mut waiting.sent, true);
+        Some((Arc::clone(&waiting.req), again))
     }
 
     /// Keeps a whole answer until the reducer says whether to pass it on.
@@ -128,25 +134,53 @@
     max_body: usize,
     requests: &Requests,
     tx: &Sender<EntryNodeEvent>,
+    metrics: &EntryMetrics,
 ) -> Response<Body> {
+    let arrived = Instant::now();
     let (arrival, call) = match read_request(req, max_body) {
         Ok(read) => read,
         Err(bad) => return refuse_bad(&bad),
     };
     let (request, rx) = requests.begin(call);
+    let class = arrival.class.clone();
     let arrival = CallerArrival { request, ..arrival };
     if tx.send(EntryNodeEvent::Arrived(arrival)).is_err() {
         requests.forget(request);
+        metrics.refused(NotRunReason::ShuttingDown, arrived.elapsed());
         let retry_after = RetryAfter::from_wait(Duration::ZERO);
         return refuse(NotRunReason::ShuttingDown, retry_after);
     }
-    match rx.recv() {
+    let last = rx.recv();
+    count(metrics, &class, last.as_ref().ok(), arrived.elapsed());
+    match last {
         Ok(Final::PassOn(answer)) => pass_on(*answer),
         Ok(Final::Verdict(verdict)) => answer_verdict(*verdict),
         Err(_) => error_answer(ErrorReason::Broken, Ran::Unknown, None),
     }
 }
 
+/// Counts how a request ended. One of an unknown class has no series of its own: the class is the
+/// caller's text, and each new text would take memory for good.
+fn count(metrics: &EntryMetrics, class: &ClassName, last: Option<&Final>, took: Duration) {
+    let verdict = match last {
+        Some(Final::PassOn(_)) => return metrics.ended(class, Outcome::Answered, took),
+        Some(Final::Verdict(verdict)) => &**verdict,
+        None => return metrics.ended(class, Outcome::Failed, took),
+    };
+    match verdict {
+        Verdict::Refuse { reason, .. } => {
+            metrics.refused(*reason, took);
+            if *reason != NotRunReason::UnknownClass {
+                metrics.ended(class, Outcome::Refused, took);
+            }
+        }
+        Verdict::PassOn { .. } | Verdict::Error { .. } => {
+            metrics.ended(class, Outcome::Failed, took);
+        }
+        Verdict::Recorded(_) => metrics.ended(class, Outcome::Answered, took),
+    }
+}
+
 /// Reads and checks what a caller sent; an answer at once if it can't be taken.
 fn read_request(
     req: &mut Request<Body>,
--- a/crates/net/src/runtime/entry.rs
+++ b/crates/net/src/runtime/entry.rs
@@ -33,6 +33,7 @@
     io: Io<EntryNodeEvent>,
     rx: Receiver<EntryNodeEvent>,
     requests: Requests,
+    metrics: Arc<EntryMetrics>,
     gauges: EntryGauges,
     drain_limit: Duration,
     stop_by: Option<Time>,
@@ -49,7 +50,7 @@
     let metrics = Arc::new(EntryMetrics::new());
     let peers = listen_to_peers(&rt, settings, tx.clone())?;
     let http = serve_operators(settings, tx.clone(), replies.clone(), &metrics)?;
-    let callers = serve_callers(addr, settings, tx.clone(), requests.clone())?;
+    let callers = serve_callers(addr, settings, tx.clone(), requests.clone(), &metrics)?;
     let info = node_info(node, Role::Entry, settings, peers, http.addr());
     let clock = Clock::start();
     let common = metrics.common().clone();
@@ -60,6 +61,7 @@
         io,
         rx,
         requests,
+        metrics: Arc::clone(&metrics),
         gauges: EntryGauges::new(metrics),
         drain_limit: settings.limits.drain.as_duration(),
         stop_by: None,
@@ -96,10 +98,12 @@
     settings: &Settings,
     tx: Sender<EntryNodeEvent>,
     requests: Requests,
+    metrics: &Arc<EntryMetrics>,
 ) -> Result<HttpServer, StartError> {
+    let metrics = Arc::clone(metrics);
     let limits = settings.limits;
     let max_body = usize::try_from(limits.max_body.0).unwrap_or(usize::MAX);
-    let handler = move |req: &mut _| callers::handle(req, max_body, &requests, &tx);
+    let handler = move |req: &mut _| callers::handle(req, max_body, &requests, &tx, &metrics);
     let connections = limits.max_connections as usize;
     HttpServer::start(
         addr.ip(),
@@ -155,7 +159,10 @@
     fn perform_request(&self, effect: RequestEffect) {
         match effect {
             RequestEffect::Send { request, attempt, addr, timeout } => {
-                let Some(req) = self.requests.get(request) else { return };
+                let Some((req, again)) = self.requests.send(request) else { return };
+                if again {
+                    self.metrics.retried();
+                }
                 let requests = self.requests.clone();
                 self.io.run(move || {
                     let called = send(&req, &addr, timeout);
