--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -44,6 +44,11 @@
         /// The epoch of [`ControlEffect::Recover`].
         epoch: Epoch,
     },
+    /// Nothing of this node's journal before `from` is needed for the shards that it owns.
+    JournalLive {
+        /// The oldest record needed.
+        from: Offset,
+    },
     /// An operator proposes a configuration.
     Propose {
         /// Drawn at random by the operator's command.
@@ -73,6 +78,8 @@
     pub node: NodeId,
     /// The epoch of its entries.
     pub epoch: Epoch,
+    /// Where to begin to read the journal.
+    pub start: Offset,
 }
 
 /// How a proposal ended for the operator.
@@ -183,7 +190,7 @@
         /// The epoch.
         epoch: Epoch,
     },
-    /// This node's term for the shard is over.
+    /// This node's term for the shard is over, or its claim was overtaken before it settled.
     ShardLost {
         /// The shard.
         shard: ShardId,
--- a/crates/control/src/record.rs
+++ b/crates/control/src/record.rs
@@ -148,6 +148,13 @@
         /// The encoded [`crate::ControlState`].
         state: Vec<u8>,
     },
+    /// A successor of `owner` needs nothing of its journal before `from`.
+    Mark {
+        /// The owner of the journal.
+        owner: NodeId,
+        /// The oldest record of it that is needed.
+        from: Offset,
+    },
 }
 
 impl ControlRecord {
@@ -171,6 +178,7 @@
             | ControlRecord::Settled { owner, .. }
             | ControlRecord::Release { owner, .. } => Some(*owner),
             ControlRecord::Doubt { by, .. } => Some(*by),
+            ControlRecord::Mark { owner, .. } => Some(*owner),
             ControlRecord::Leave { .. }
             | ControlRecord::Propose { .. }
             | ControlRecord::Snapshot { .. } => None,
--- a/crates/control/src/reducer/gate.rs
+++ b/crates/control/src/reducer/gate.rs
@@ -34,6 +34,7 @@
     Snapshot,
     Leave,
     Prune,
+    Mark,
     Propose(ProposalId),
 }
 
--- a/crates/control/src/reducer/mod.rs
+++ b/crates/control/src/reducer/mod.rs
@@ -112,9 +112,8 @@
             }
             ControlEvent::HeartbeatReceived(heartbeat) => self.heartbeat(now, &heartbeat, out),
             ControlEvent::VmGone { addr } => self.vm_gone(now, &addr),
-            ControlEvent::RecoveryDone { shard, epoch } => {
-                self.succession.recovered(shard, epoch);
-            }
+            ControlEvent::RecoveryDone { shard, epoch } => self.recovered(shard, epoch, out),
+            ControlEvent::JournalLive { from } => self.upkeep.journal_live(from),
             ControlEvent::Propose { id, base, by, document } => {
                 self.propose(now, id, base, by, document, out);
             }
@@ -170,6 +169,12 @@
         self.alarms.raised()
     }
 
+    /// The epoch under which this process is taking the shard over. What is read back for any
+    /// other epoch came too late, and must not replace what was read back since.
+    pub fn takeover_epoch(&self, shard: ShardId) -> Option<Epoch> {
+        self.succession.epoch(shard)
+    }
+
     /// How many shards this process owns, and how many it is taking over.
     pub fn shard_counts(&self) -> (usize, usize) {
         (self.holdings.len(), self.succession.takeovers())
@@ -230,7 +235,7 @@
         let was_in_touch = self.reads.is_in_touch(now);
         if let Some(state) = self.fold.state() {
             self.gossip.follow(now, state);
-            self.succession.follow(now, state);
+            self.succession.follow(now, state, out);
             self.holdings.follow(state, out);
         }
         if self.fold.since_snapshot() == 0 {
@@ -317,6 +322,15 @@
         }
     }
 
+    /// A snapshot that is durable after its claim was overtaken is of no use, and must not be kept
+    /// alive in the journal.
+    fn recovered(&mut self, shard: ShardId, epoch: Epoch, out: &mut Vec<ControlEffect>) {
+        self.succession.recovered(shard, epoch);
+        if self.succession.epoch(shard).is_none() && self.holdings.epoch(shard).is_none() {
+            out.push(ControlEffect::ShardLost { shard, epoch });
+        }
+    }
+
     fn shut_down(&mut self, out: &mut Vec<ControlEffect>) {
         if self.running == Running::Up {
             self.running = Running::Leaving;
@@ -439,9 +453,14 @@
             self.holdings.balance(now, state, self.suspicion.candidates(), out);
         }
         let gone = self.upkeep.due_prune(now, me, state, &self.gossip, &self.suspicion);
+        let owns = |shard| self.holdings.epoch(shard).is_some();
+        let mark = self.upkeep.due_mark(now, me, state, owns);
         if let Some(node) = gone {
             self.append(now, Purpose::Prune, &ControlRecord::Leave { node }, out);
         }
+        if let Some(from) = mark {
+            self.append(now, Purpose::Mark, &ControlRecord::Mark { owner: me, from }, out);
+        }
         if self.upkeep.wants_snapshot(now, me, &self.fold, self.suspicion.live())
             && let Some(record) = self.fold.snapshot()
         {
--- a/crates/control/src/reducer/succession.rs
+++ b/crates/control/src/reducer/succession.rs
@@ -72,14 +72,27 @@
 
     /// Follows the state right after a read was folded: this is the moment at which this process
     /// reads its own claims back, and from which it waits.
-    pub(crate) fn follow(&mut self, now: Time, state: &ControlState) {
+    pub(crate) fn follow(&mut self, now: Time, state: &ControlState, out: &mut Vec<ControlEffect>) {
         for (shard, of) in state.shards() {
             if of.phase() == Phase::Claimed {
                 self.follow_claimed(now, shard, of);
             } else {
                 self.claimed_since.remove(&shard);
-                self.takeovers.remove(&shard);
             }
+            self.drop_ended(shard, of, out);
+        }
+    }
+
+    /// Ends a take-over that has settled, or was overtaken by another claim.
+    fn drop_ended(&mut self, shard: ShardId, of: &ShardState, out: &mut Vec<ControlEffect>) {
+        let mine = of.owner() == Some(self.me);
+        if mine && of.phase() == Phase::Claimed {
+            return;
+        }
+        let Some(takeover) = self.takeovers.remove(&shard) else { return };
+        let settled = mine && of.phase() == Phase::Settled && of.epoch() == takeover.epoch;
+        if !settled {
+            out.push(ControlEffect::ShardLost { shard, epoch: takeover.epoch });
         }
     }
 
@@ -89,7 +102,6 @@
             self.claimed_since.insert(shard, (epoch, now));
         }
         if of.owner() != Some(self.me) {
-            self.takeovers.remove(&shard);
             return;
         }
         if self.takeovers.get(&shard).is_none_or(|takeover| takeover.epoch != epoch) {
@@ -124,11 +136,19 @@
             out.push(ControlEffect::Recover {
                 shard: *shard,
                 epoch: takeover.epoch,
-                from: from.map(|(node, epoch)| Predecessor { node, epoch }),
+                from: from.map(|(node, epoch)| {
+                    let start = state.journal_start(node);
+                    Predecessor { node, epoch, start }
+                }),
             });
         }
     }
 
+    /// The epoch under which this process is taking the shard over.
+    pub(crate) fn epoch(&self, shard: ShardId) -> Option<Epoch> {
+        self.takeovers.get(&shard).map(|takeover| takeover.epoch)
+    }
+
     /// The shard's snapshot is durable under the epoch.
     pub(crate) fn recovered(&mut self, shard: ShardId, epoch: Epoch) {
         let of_epoch = |takeover: &&mut Takeover| {
--- a/crates/control/src/reducer/upkeep.rs
+++ b/crates/control/src/reducer/upkeep.rs
@@ -6,9 +6,9 @@
         gossip::Gossip,
         record::{NodeInfo, Role},
         reducer::suspicion::Suspicion,
-        state::ControlState,
+        state::{ControlState, ShardState},
     },
-    egretlb_types::{NodeId, Time},
+    egretlb_types::{NodeId, Offset, ShardId, Time},
     std::time::Duration,
 };
 
@@ -24,8 +24,16 @@
 /// An entry is heard directly only, by each scheduler every 17 s on average at 17 + 17 processes.
 const ENTRY_GONE_AFTER: Duration = Duration::from_secs(600);
 
+/// Time between two marks of a process's own journal.
+const MARK_EVERY: Duration = Duration::from_secs(60);
+
+/// A mark is worth a record if it saves a successor this many records.
+const MARK_AHEAD: u64 = 256;
+
 #[derive(Clone, Debug)]
 pub(crate) struct StreamUpkeep {
+    mark: Option<Offset>,
+    mark_at: Time,
     retention: Duration,
     snapshot_at: Option<Time>,
     due_since: Option<Time>,
@@ -34,7 +42,14 @@
 
 impl StreamUpkeep {
     pub(crate) fn new(retention: Duration) -> Self {
-        StreamUpkeep { retention, snapshot_at: None, due_since: None, gone_since: None }
+        StreamUpkeep {
+            mark: None,
+            mark_at: Time::ZERO,
+            retention,
+            snapshot_at: None,
+            due_since: None,
+            gone_since: None,
+        }
     }
 
     /// A snapshot was read, or this process began to read.
@@ -60,6 +75,35 @@
         now >= since + turn(me, live)
     }
 
+    /// The journal's writer says from where on its journal is needed.
+    pub(crate) fn journal_live(&mut self, from: Offset) {
+        self.mark = Some(from);
+    }
+
+    /// The mark to append now.
+    ///
+    /// The writer knows only the shards that are owned. Of one that was given up and isn't settled
+    /// elsewhere yet, the successor still needs what may lie before the mark: while there is one,
+    /// none is made.
+    pub(crate) fn due_mark(
+        &mut self,
+        now: Time,
+        me: NodeId,
+        state: &ControlState,
+        owns: impl Fn(ShardId) -> bool,
+    ) -> Option<Offset> {
+        let mark = self.mark.filter(|_| now >= self.mark_at)?;
+        if mark.0 < state.journal_start(me).0 + MARK_AHEAD {
+            return None;
+        }
+        let mine = |of: &ShardState| of.last_settled().is_some_and(|(node, _)| node == me);
+        if state.shards().any(|(shard, of)| mine(of) && !owns(shard)) {
+            return None;
+        }
+        self.mark_at = now + MARK_EVERY;
+        Some(mark)
+    }
+
     /// A process to be removed now.
     pub(crate) fn due_prune(
         &mut self,
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -52,6 +52,7 @@
     members: BTreeMap<NodeId, NodeInfo>,
     shards: Vec<ShardState>,
     config: ConfigState,
+    marks: BTreeMap<NodeId, Offset>,
 }
 
 impl Default for ControlState {
@@ -60,6 +61,7 @@
             members: BTreeMap::new(),
             shards: vec![ShardState::default(); usize::from(SHARD_COUNT)],
             config: ConfigState::default(),
+            marks: BTreeMap::new(),
         }
     }
 }
@@ -76,9 +78,7 @@
             ControlRecord::Join(info) => self.join(info),
             ControlRecord::Leave { node } => self.leave(*node),
             ControlRecord::Claim { owner, shards } => self.claim(*owner, shards),
-            ControlRecord::Settled { owner, shards } => self.each(shards, |state, epoch| {
-                state.settle(*owner, epoch.epoch).then_some(Change::Settled(*owner, epoch))
-            }),
+            ControlRecord::Settled { owner, shards } => self.settle(*owner, shards),
             ControlRecord::Release { owner, shards } => self.each(shards, |state, epoch| {
                 state.release(*owner, epoch.epoch).then_some(Change::Released(*owner, epoch))
             }),
@@ -93,6 +93,10 @@
                 };
                 self.config.propose(*id, *base, accepted, validator)
             }
+            ControlRecord::Mark { owner, from } => {
+                self.mark(*owner, *from);
+                Changes::new()
+            }
             // Readers that hold the state need no snapshot of it.
             ControlRecord::Snapshot { .. } => Changes::new(),
         }
@@ -132,6 +136,11 @@
         self.member(state.owner()?)
     }
 
+    /// Where to begin in the journal of a predecessor.
+    pub fn journal_start(&self, node: NodeId) -> Offset {
+        self.marks.get(&node).copied().unwrap_or_default()
+    }
+
     /// The configuration.
     pub fn config(&self) -> &ConfigState {
         &self.config
@@ -173,6 +182,27 @@
         })
     }
 
+    fn settle(&mut self, owner: NodeId, shards: &[ShardEpoch]) -> Changes {
+        let changes = self.each(shards, |state, epoch| {
+            state.settle(owner, epoch.epoch).then_some(Change::Settled(owner, epoch))
+        });
+        // A mark is needed for as long as a shard's last entries are in that journal.
+        let shards = &self.shards;
+        let is_needed = |node: &NodeId| {
+            let of_node =
+                |of: &ShardState| of.last_settled().is_some_and(|(last, _)| last == *node);
+            shards.iter().any(of_node)
+        };
+        self.marks.retain(|node, _| is_needed(node));
+        changes
+    }
+
+    /// A late copy of an earlier mark changes nothing.
+    fn mark(&mut self, owner: NodeId, from: Offset) {
+        let mark = self.marks.entry(owner).or_default();
+        *mark = from.max(*mark);
+    }
+
     fn each(
         &mut self,
         shards: &[ShardEpoch],
--- a/crates/control/tests/protections.rs
+++ b/crates/control/tests/protections.rs
@@ -66,10 +66,9 @@
         world.kill(0);
         world.run_while(20 * SEC, |world| world.nodes[1].waits_since.is_some());
         // The journal can't be read or written, while the control stream still is.
-        world.journals_down = true;
+        world.nodes[1].journals_cut_until = world.now + 5 * SEC;
         world.run_until(world.now + 5 * SEC);
         world.kill(1);
-        world.journals_down = false;
         world.run_until(world.now + 30 * SEC);
     };
     let violations = without(switched_off(|p| p.snapshot_first = false), script);
--- a/crates/control/tests/support/world.rs
+++ b/crates/control/tests/support/world.rs
@@ -22,6 +22,7 @@
         cmp::Reverse,
         collections::{BTreeMap, BinaryHeap},
         sync::Arc,
+        time::Duration,
     },
 };
 
@@ -40,12 +41,14 @@
     pub entries: usize,
     pub protections: Protections,
     pub dedupe: bool,
+    pub journal_retention: Duration,
 }
 
 impl Options {
     pub fn new(seed: u64, schedulers: usize) -> Self {
         let protections = Protections::default();
-        Options { seed, schedulers, entries: 1, protections, dedupe: true }
+        let journal_retention = Duration::from_secs(24 * 3600);
+        Options { seed, schedulers, entries: 1, protections, dedupe: true, journal_retention }
     }
 }
 
@@ -88,7 +91,6 @@
     pub heartbeats: u64,
     pub log_down_until: u64,
     pub log_slow_until: u64,
-    pub journals_down: bool,
     pub watched_changes: bool,
     options: Options,
     rng: SmallRng,
@@ -114,7 +116,6 @@
             heartbeats: 0,
             log_down_until: 0,
             log_slow_until: 0,
-            journals_down: false,
             watched_changes: true,
             rng: SmallRng::seed_from_u64(options.seed),
             queue: BinaryHeap::new(),
@@ -153,7 +154,8 @@
         let options = ControlOptions::new(info.clone(), self.rng.random())
             .protections(self.options.protections);
         let control = Control::new(options, Arc::new(validate));
-        let journal = JournalWriter::new(WriterOptions::new(node, self.rng.random()));
+        let writer = WriterOptions::new(node, self.rng.random());
+        let journal = JournalWriter::new(writer.retention(self.options.journal_retention));
         SimNode::new(info, incarnation, control, journal)
     }
 
@@ -293,8 +295,10 @@
         if late { 4 * SEC } else { self.half_way() }
     }
 
-    fn log_is_cut(&self, node: usize) -> bool {
-        self.now < self.log_down_until || self.now < self.nodes[node].log_cut_until
+    fn is_cut(&self, node: usize, stream: &StreamName) -> bool {
+        let of = &self.nodes[node];
+        let journal = *stream != StreamName::control() && self.now < of.journals_cut_until;
+        journal || self.now < self.log_down_until || self.now < of.log_cut_until
     }
 
     fn read_at_log(
@@ -305,8 +309,7 @@
         reply: Reply,
         incarnation: u32,
     ) {
-        let down = self.journals_down && *stream != StreamName::control();
-        let cut = down || self.log_is_cut(node);
+        let cut = self.is_cut(node, stream);
         let outcome = if cut { ReadOutcome::Unavailable } else { self.log.read(stream, from) };
         let at = self.now + if cut { TIMEOUT } else { self.way_back(node) };
         let delivery = match reply {
@@ -334,8 +337,7 @@
         let late = of.late_appends > 0 && !matches!(reply, Reply::Nobody);
         let lost = of.lose_answers > 0;
         of.late_appends -= u32::from(late);
-        let down = self.journals_down && stream != StreamName::control();
-        let (outcome, after) = if down || self.log_is_cut(node) {
+        let (outcome, after) = if self.is_cut(node, &stream) {
             (AppendOutcome::NotAppended(NotAppendedReason::Unreachable), TIMEOUT)
         } else if late {
             let again = Job::Append { node, stream, bytes, reply: Reply::Nobody };
@@ -602,7 +604,8 @@
             self.write_snapshot(node, shard, epoch, Vec::new());
             return;
         };
-        let mut reader = JournalReader::new(from.node, [(shard, from.epoch)]);
+        let mut reader =
+            JournalReader::new(from.node, [(shard, from.epoch)]).starting_at(from.start);
         if !self.options.dedupe {
             reader = reader.without_dedupe();
         }
@@ -611,7 +614,7 @@
         let job = app.next;
         app.recoveries.insert(job, Recovery { shard, epoch, from: from.epoch, reader });
         let stream = StreamName::journal(from.node);
-        self.send_read(node, stream, Offset(0), Reply::Recovery { job });
+        self.send_read(node, stream, from.start, Reply::Recovery { job });
     }
 
     fn recovery_page(&mut self, node: usize, job: u64, outcome: ReadOutcome) {
@@ -627,6 +630,10 @@
         }
         let Recovery { shard, epoch, from, reader } =
             self.nodes[node].app.recoveries.remove(&job).unwrap();
+        let control = self.nodes[node].control.as_ref().unwrap();
+        if control.takeover_epoch(shard) != Some(epoch) {
+            return;
+        }
         match reader.recovered(shard, from) {
             Ok(recovered) => {
                 let mut entries = decode(&recovered.snapshot);
@@ -676,6 +683,9 @@
             let ticket = of.app.ticket(Waiter::Change { shard, epoch, id });
             of.journal.push(change_entry(shard, epoch, id), ticket).unwrap();
         }
+        if let Some(from) = self.nodes[node].journal.live_from() {
+            self.step(node, ControlEvent::JournalLive { from });
+        }
         for shard in self.nodes[node].journal.snapshots_due(now) {
             let of = &mut self.nodes[node];
             let Some(app) = of.app.shards.get(&shard) else { continue };
--- a/crates/lab/src/models/cluster.rs
+++ b/crates/lab/src/models/cluster.rs
@@ -294,5 +294,6 @@
         ControlRecord::Doubt { .. } => "doubt",
         ControlRecord::Propose { .. } => "propose",
         ControlRecord::Snapshot { .. } => "snapshot",
+        ControlRecord::Mark { .. } => "mark",
     }
 }
--- a/crates/log/src/journal/reader.rs
+++ b/crates/log/src/journal/reader.rs
@@ -92,6 +92,12 @@
         }
     }
 
+    /// Begins at `start`, before which the writer said that nothing is needed.
+    pub fn starting_at(mut self, start: Offset) -> Self {
+        self.next = start;
+        self
+    }
+
     /// For tests of the checker only: applies records that were appended twice a second time.
     #[doc(hidden)]
     pub fn without_dedupe(mut self) -> Self {
--- a/crates/log/src/journal/upkeep.rs
+++ b/crates/log/src/journal/upkeep.rs
@@ -5,7 +5,7 @@
 //! succession, when it is too late.
 
 use {
-    egretlb_types::{NodeId, ShardId, Time, rendezvous_score},
+    egretlb_types::{NodeId, Offset, ShardId, Time, rendezvous_score},
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -23,8 +23,15 @@
 /// writing snapshots is then at most this fraction of all that is written.
 const LENGTH_FACTOR: u64 = 4;
 
+/// The whole journal may grow by this much over a snapshot, whichever shards it is about, in
+/// bytes: a successor reads from the oldest snapshot on. At 250 starts a second over 17 owners it
+/// is some 15 minutes of journal.
+const JOURNAL_MAX: u64 = 4 * 1024 * 1024;
+
 #[derive(Clone, Debug)]
 struct ShardUpkeep {
+    snapshot_at: Offset,
+    written_before: u64,
     snapshot_sent: Time,
     snapshot_len: u64,
     changes_len: u64,
@@ -36,19 +43,31 @@
 pub(crate) struct Upkeep {
     node: NodeId,
     retention: Duration,
+    written: u64,
     shards: BTreeMap<ShardId, ShardUpkeep>,
 }
 
 impl Upkeep {
     pub(crate) fn new(node: NodeId, retention: Duration) -> Self {
-        Upkeep { node, retention, shards: BTreeMap::new() }
+        Upkeep { node, retention, written: 0, shards: BTreeMap::new() }
+    }
+
+    /// A record is durable.
+    pub(crate) fn wrote(&mut self, len: usize) {
+        self.written += len as u64;
     }
 
-    /// A snapshot first sent at `sent` is durable. The log counts retention from the append,
-    /// which wasn't earlier.
-    pub(crate) fn snapshot(&mut self, shard: ShardId, sent: Time, len: usize) {
-        let snapshot_len = len as u64;
-        let fresh = ShardUpkeep { snapshot_sent: sent, snapshot_len, changes_len: 0, asked: None };
+    /// A snapshot first sent at `sent` is durable in the record at `at`. The log counts retention
+    /// from the append, which wasn't earlier.
+    pub(crate) fn snapshot(&mut self, shard: ShardId, sent: Time, at: Offset, len: usize) {
+        let fresh = ShardUpkeep {
+            snapshot_at: at,
+            written_before: self.written,
+            snapshot_sent: sent,
+            snapshot_len: len as u64,
+            changes_len: 0,
+            asked: None,
+        };
         self.shards.insert(shard, fresh);
     }
 
@@ -58,6 +77,11 @@
         }
     }
 
+    /// The oldest record that a successor needs.
+    pub(crate) fn live_from(&self) -> Option<Offset> {
+        self.shards.values().map(|upkeep| upkeep.snapshot_at).min()
+    }
+
     pub(crate) fn forget(&mut self, shard: ShardId) {
         self.shards.remove(&shard);
     }
@@ -74,19 +98,23 @@
         let length_limit = LENGTH_FLOOR.max(upkeep.snapshot_len * LENGTH_FACTOR);
         now.since(upkeep.snapshot_sent) >= self.due_after(shard)
             || upkeep.changes_len > length_limit
+            || self.written - upkeep.written_before > JOURNAL_MAX
     }
 
     /// The shards whose snapshot should be pushed now; each is named once until it is asked again.
     pub(crate) fn due(&mut self, now: Time) -> Vec<ShardId> {
         let outstanding = |u: &ShardUpkeep| u.asked.is_some_and(|at| now.since(at) < ASK_AGAIN);
         let asked = self.shards.values().filter(|u| outstanding(u)).count();
-        let due: Vec<ShardId> = self
+        let mut due: Vec<(Option<Time>, ShardId)> = self
             .shards
             .iter()
             .filter(|(shard, u)| !outstanding(u) && self.is_due(now, **shard, u))
-            .map(|(shard, _)| *shard)
-            .take(ASKED_AT_ONCE.saturating_sub(asked))
+            .map(|(shard, u)| (u.asked, *shard))
             .collect();
+        // One that was asked for in vain must not keep the others from their turn.
+        due.sort();
+        let due: Vec<ShardId> =
+            due.into_iter().map(|(_, s)| s).take(ASKED_AT_ONCE.saturating_sub(asked)).collect();
         for shard in &due {
             if let Some(upkeep) = self.shards.get_mut(shard) {
                 upkeep.asked = Some(now);
--- a/crates/log/src/journal/writer.rs
+++ b/crates/log/src/journal/writer.rs
@@ -8,7 +8,7 @@
         },
         service::AppendOutcome,
     },
-    egretlb_types::{NodeId, Seq, ShardId, Ticket, Time},
+    egretlb_types::{NodeId, Offset, Seq, ShardId, Ticket, Time},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     smallvec::SmallVec,
     std::{collections::VecDeque, fmt, time::Duration},
@@ -232,8 +232,8 @@
         let Some(mut in_flight) = self.in_flight.take_if(|f| f.seq == seq) else {
             return Answered::default();
         };
-        if let AppendOutcome::Appended(_) = outcome {
-            return self.settle(&in_flight);
+        if let AppendOutcome::Appended(at) = outcome {
+            return self.settle(&in_flight, at);
         }
         in_flight.retry_at = Some(now + self.backoff(in_flight.failures));
         in_flight.failures += 1;
@@ -251,6 +251,12 @@
         self.upkeep.forget(shard);
     }
 
+    /// The oldest record of the journal that a successor of this node needs: the oldest among the
+    /// newest snapshots of its shards. `None` while it has no shard.
+    pub fn live_from(&self) -> Option<Offset> {
+        self.upkeep.live_from()
+    }
+
     /// Whether appends fail now: how often in a row the append under way has failed.
     pub fn failures(&self) -> u32 {
         self.in_flight.as_ref().map_or(0, |f| f.failures)
@@ -304,12 +310,13 @@
         JournalAppend { seq, bytes }
     }
 
-    fn settle(&mut self, in_flight: &InFlight) -> Answered {
+    fn settle(&mut self, in_flight: &InFlight, at: Offset) -> Answered {
         let mut answered = Answered::default();
+        self.upkeep.wrote(in_flight.bytes.len());
         for entry in &in_flight.entries {
             match entry.kind {
                 EntryKind::Snapshot => {
-                    self.upkeep.snapshot(entry.shard, in_flight.first_sent, entry.len);
+                    self.upkeep.snapshot(entry.shard, in_flight.first_sent, at, entry.len);
                 }
                 EntryKind::Change => self.upkeep.change(entry.shard, entry.len),
             }
--- a/crates/node/src/scheduler/journal.rs
+++ b/crates/node/src/scheduler/journal.rs
@@ -6,7 +6,7 @@
     egretlb_log::{
         AppendOutcome, EntryKind, JournalEntry, JournalWriter, PushError, WriterOptions,
     },
-    egretlb_types::{Epoch, NodeId, Seq, ShardId, Ticket, Time},
+    egretlb_types::{Epoch, NodeId, Offset, Seq, ShardId, Ticket, Time},
     std::collections::{BTreeMap, VecDeque},
 };
 
@@ -79,6 +79,11 @@
         self.writer.forget(shard);
     }
 
+    /// The oldest record of the journal that a successor needs.
+    pub(super) fn live_from(&self) -> Option<Offset> {
+        self.writer.live_from()
+    }
+
     pub(super) fn snapshots_due(&mut self, now: Time) -> Vec<ShardId> {
         let mut due = self.writer.snapshots_due(now);
         due.retain(|shard| self.owned.contains_key(shard));
--- a/crates/node/src/scheduler/mod.rs
+++ b/crates/node/src/scheduler/mod.rs
@@ -147,6 +147,9 @@
         self.books.log_state(now, self.journal.is_up(), self.core.control(), out);
         self.books.tick(now, self.core.control(), out);
         self.recovery.tick(now, out);
+        if let Some(from) = self.journal.live_from() {
+            self.step_control(now, ControlEvent::JournalLive { from }, out);
+        }
         for shard in self.journal.snapshots_due(now) {
             let snapshot = self.books.snapshot(now, shard);
             self.journal.refresh(shard, &snapshot, out);
@@ -235,6 +238,10 @@
     /// nothing is decided, so a third owner never reads a late entry of the first.
     fn take_over(&mut self, now: Time, recovered: recovery::Recovered, out: &mut Out) {
         let recovery::Recovered { shard, epoch, past, lost } = recovered;
+        if self.core.control().takeover_epoch(shard) != Some(epoch) {
+            // Overtaken while it was read: it must not replace what was read back since.
+            return;
+        }
         if let Some(lost) = lost {
             out.notice(Notice::ShardStateLost(lost));
         }
--- a/crates/node/src/scheduler/recovery.rs
+++ b/crates/node/src/scheduler/recovery.rs
@@ -4,7 +4,7 @@
     super::{Out, SchedulerEffect},
     egretlb_control::Predecessor,
     egretlb_log::{self as log, JournalReader, ReadOutcome, ReadStep, RecoverError},
-    egretlb_types::{Epoch, NodeId, ShardId, Time},
+    egretlb_types::{Epoch, NodeId, Offset, ShardId, Time},
     std::{
         collections::{BTreeMap, VecDeque},
         fmt,
@@ -50,6 +50,7 @@
     shard: ShardId,
     epoch: Epoch,
     from: Epoch,
+    start: Offset,
 }
 
 #[derive(Debug)]
@@ -86,8 +87,9 @@
                 self.done.push_back(Recovered { shard, epoch, past: None, lost: None });
             }
             Some(predecessor) => {
-                let wanted = Wanted { shard, epoch, from: predecessor.epoch };
-                self.gathered.entry(predecessor.node).or_default().push(wanted);
+                let Predecessor { node, epoch: from, start } = predecessor;
+                let wanted = Wanted { shard, epoch, from, start };
+                self.gathered.entry(node).or_default().push(wanted);
             }
         }
     }
@@ -113,7 +115,9 @@
     fn start_gathered(&mut self, out: &mut Out) {
         for (node, wanted) in std::mem::take(&mut self.gathered) {
             self.next = JournalRun(self.next.0 + 1);
-            let reader = JournalReader::new(node, wanted.iter().map(|w| (w.shard, w.from)));
+            let start = wanted.iter().map(|w| w.start).min().unwrap_or_default();
+            let reader = JournalReader::new(node, wanted.iter().map(|w| (w.shard, w.from)))
+                .starting_at(start);
             let from = reader.next();
             self.runs.insert(self.next, Run { node, reader, wanted, again_at: None });
             out.own.push(SchedulerEffect::ReadJournal { run: self.next, node, from });
@@ -151,7 +155,7 @@
 impl Run {
     fn finish(self) -> impl Iterator<Item = Recovered> {
         let Run { reader, wanted, .. } = self;
-        wanted.into_iter().map(move |Wanted { shard, epoch, from }| {
+        wanted.into_iter().map(move |Wanted { shard, epoch, from, .. }| {
             let (past, lost) = match reader.recovered(shard, from) {
                 Ok(recovered) => (Some(recovered.clone()), None),
                 Err(error) => (None, Some(error)),
