Ask a node without known VMs again soon

Cause: a scheduler that has just taken racks over tells a room without VMs. Ruled out: shards that moved (none had a second epoch), shares (granted within 0.6 s of the start).

Library logs below warnings are dropped, and notices are logged as pairs of their own.

--- a/crates/net/src/runtime/io.rs
+++ b/crates/net/src/runtime/io.rs
@@ -15,8 +15,9 @@
     egretlb_control::{NodeInfo, Role},
     egretlb_log::{AppendOutcome, LogService, StreamName},
     egretlb_node::{Delivery, NodeEffect, NodeEvent, Notice, PeerMessage},
-    egretlb_telemetry::{AppendResult, CommonMetrics},
+    egretlb_telemetry::{AppendResult, CommonMetrics, log_pairs},
     egretlb_types::{NodeId, Time},
+    log::Level,
     rand::{Rng, SeedableRng, rngs::StdRng},
     smallvec::SmallVec,
     std::{
@@ -274,15 +275,14 @@
     }
 }
 
-/// Logs a notice. Its text is one of the project's own, with its pairs in the line's form already.
+/// Logs a notice: alarms as warnings, and what comes by the hundred only when asked for.
 fn note(notice: &Notice) {
-    if notice.is_alarm() {
-        log::warn!(notice:% = notice; "alarm");
-    } else if notice.is_detail() {
-        log::debug!(notice:% = notice; "notice");
-    } else {
-        log::info!(notice:% = notice; "notice");
-    }
+    let level = match notice {
+        notice if notice.is_alarm() => Level::Warn,
+        notice if notice.is_detail() => Level::Debug,
+        _ => Level::Info,
+    };
+    log_pairs(level, notice);
 }
 
 /// Receives until something happens, at most until `wake_at`.
--- a/crates/tasks/src/jobs/calls.rs
+++ b/crates/tasks/src/jobs/calls.rs
@@ -99,11 +99,9 @@
 
     /// Whether every node is known and none has a VM that could hold it, even empty.
     pub(super) fn fits_nowhere(&self, resources: &Resources) -> bool {
-        let never =
-            |room: &crate::msg::NodeRoom| !room.largest.is_empty() && !room.could_hold(resources);
-        let known = self.nodes.values().map(|node| node.room.as_ref());
-        // A node that knows no VM yet has just taken over and says nothing.
-        !self.nodes.is_empty() && known.into_iter().all(|room| room.is_some_and(never))
+        let never = |room: &crate::msg::NodeRoom| room.never_holds(resources);
+        let mut known = self.nodes.values().map(|node| node.room.as_ref());
+        !self.nodes.is_empty() && known.all(|room| room.is_some_and(never))
     }
 
     fn accept(
--- a/crates/tasks/src/jobs/queue.rs
+++ b/crates/tasks/src/jobs/queue.rs
@@ -59,7 +59,8 @@
         let shard = *shard.0;
         let resend = self.limits.resend;
         for (id, node) in &mut self.nodes {
-            let every = if node.room.is_some() { ROOM_EVERY } else { resend };
+            let told = node.room.as_ref().is_some_and(|room| room.vms > 0);
+            let every = if told { ROOM_EVERY } else { resend };
             if node.asked.is_some_and(|asked| now.since(asked) < every) {
                 continue;
             }
@@ -169,7 +170,7 @@
         let resources = &job.record.resources;
         let may = |(node, info): &(&NodeId, &NodeInfo)| {
             !job.full.contains(node)
-                && info.room.as_ref().is_none_or(|room| room.could_hold(resources))
+                && !info.room.as_ref().is_some_and(|room| room.never_holds(resources))
         };
         let nodes: Vec<(&NodeId, &NodeInfo)> = self.nodes.iter().filter(may).collect();
         if nodes.is_empty() {
--- a/crates/tasks/src/msg.rs
+++ b/crates/tasks/src/msg.rs
@@ -132,6 +132,14 @@
 }
 
 impl NodeRoom {
+    /// Whether `want` fits none of the node's VMs, even empty ones.
+    ///
+    /// A node that knows no VM yet has just taken racks over and says nothing. Taken for a no, it
+    /// isn't asked again until its room is told anew, and nothing starts on its racks for 20 s.
+    pub fn never_holds(&self, want: &Resources) -> bool {
+        !self.largest.is_empty() && !self.could_hold(want)
+    }
+
     /// Whether `want` would fit an empty VM.
     pub fn could_hold(&self, want: &Resources) -> bool {
         self.largest.iter().any(|size| want.fits(size))
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -94,6 +94,8 @@
     let LogOptions { node, level } = options;
     fern::Dispatch::new()
         .level(level)
+        // Libraries log each message that they send; what operators follow are our own events.
+        .filter(|meta| meta.level() <= Level::Warn || meta.target().starts_with("egretlb"))
         .format(move |out, _, record| {
             out.finish(format_args!("{}", format_line(SystemTime::now(), &node, record)));
         })
@@ -116,6 +118,22 @@
     log::logger().log(&record.args(args).build());
 }
 
+/// Logs an event whose `Display` is already `event=name key=value ...`, as the reducers' notices
+/// have it: their values hold no blanks. It becomes a line like any other.
+pub fn log_pairs(level: Level, event: &impl fmt::Display) {
+    let text = event.to_string();
+    let mut pairs = text.split_whitespace().filter_map(|word| word.split_once('='));
+    let name = pairs.next().map_or("notice", |(_, name)| name);
+    let values: Vec<(&str, &str)> = pairs.collect();
+    let logger = log::logger();
+    let args = format_args!("{name}");
+    let record =
+        Record::builder().level(level).target("egretlb").args(args).key_values(&values).build();
+    if logger.enabled(record.metadata()) {
+        logger.log(&record);
+    }
+}
+
 /// The line for one event, without its end.
 pub fn format_line(now: SystemTime, node: &str, record: &Record<'_>) -> String {
     let mut line = Line(String::with_capacity(160));
