--- a/crates/requests/src/entry/outcome.rs
+++ b/crates/requests/src/entry/outcome.rs
@@ -36,7 +36,7 @@
         self.close(now, &attempt, &result);
         let owed = self.requests.get(&attempt.request).is_some_and(|req| req.caller_waits);
         if !owed && !self.opts.protections.match_answers {
-            return self.pass_to_anybody(id, &attempt, out);
+            return self.pass_to_anybody(id, out);
         }
         let Some(request) = self.requests.get_mut(&attempt.request) else { return };
         request.attempts.retain(|open| *open != id);
@@ -73,6 +73,14 @@
             let target = state.service.as_ref().map_or(Duration::MAX, |service| service.target);
             state.limit.record(now, took, target);
         }
+        // What is open beyond a share that was taken back is free for others once it is known to
+        // have ended.
+        let server = self.servers.get(attempt.server);
+        if server.open > server.share
+            && let Some(grantor) = self.grantors.get_mut(server.shard)
+        {
+            grantor.hurry = true;
+        }
         self.fairness.ended(attempt.member, attempt.expected, took);
         if let AttemptResult::Declined { leaving: true } = result {
             let until = self.servers.said_leaving(attempt.server, now);
@@ -224,11 +232,11 @@
     }
 
     /// What happens without [`crate::Protections::match_answers`]: a late answer goes to whoever
-    /// waits for the same server.
-    fn pass_to_anybody(&mut self, id: AttemptId, late: &Attempt, out: &mut Vec<EntryEffect>) {
+    /// waits.
+    fn pass_to_anybody(&mut self, id: AttemptId, out: &mut Vec<EntryEffect>) {
         let waits = |attempt: &&Attempt| {
             let request = self.requests.get(&attempt.request);
-            attempt.server == late.server && request.is_some_and(|request| request.caller_waits)
+            request.is_some_and(|request| request.caller_waits)
         };
         let other = self.attempts.values().find(waits).map(|attempt| attempt.request);
         if let Some(request) = other {
