--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -125,13 +125,9 @@
     let mut pairs = text.split_whitespace().filter_map(|word| word.split_once('='));
     let name = pairs.next().map_or("notice", |(_, name)| name);
     let values: Vec<(&str, &str)> = pairs.collect();
-    let logger = log::logger();
-    let args = format_args!("{name}");
-    let record =
-        Record::builder().level(level).target("egretlb").args(args).key_values(&values).build();
-    if logger.enabled(record.metadata()) {
-        logger.log(&record);
-    }
+    let values: Vec<(&str, &dyn fmt::Display)> =
+        values.iter().map(|(key, value)| (*key, value as &dyn fmt::Display)).collect();
+    log_event(level, name, &values);
 }
 
 /// The line for one event, without its end.
