--- a/crates/tasks/tests/node_room.rs
+++ b/crates/tasks/tests/node_room.rs
@@ -43,14 +43,23 @@
     ConfigDocument { classes: vec![class], ..ConfigDocument::default() }
 }
 
-/// The question for room of tasks among the effects, if there is one.
-fn place(effects: &[JobEffect]) -> Option<Place> {
-    effects.iter().find_map(|effect| match effect {
-        JobEffect::SendToNode { msg: NodeMsg::Place(place), .. } if !place.wants.is_empty() => {
-            Some(place.clone())
-        }
+/// The questions for room among the effects.
+fn places(effects: &[JobEffect]) -> Vec<Place> {
+    let place = |effect: &JobEffect| match effect {
+        JobEffect::SendToNode { msg: NodeMsg::Place(place), .. } => Some(place.clone()),
         _ => None,
-    })
+    };
+    effects.iter().filter_map(place).collect()
+}
+
+/// The room of a node that hears of its first VM a second after it took its racks over.
+fn room(now: Time) -> NodeRoom {
+    let mut room = NodeRoom::default();
+    if now >= Time::from_secs(1) {
+        room.vms = 1;
+        room.add_size(&task_size());
+    }
+    room
 }
 
 // A scheduler has just taken over the racks and has heard of none of their VMs yet when a job's
@@ -88,16 +97,19 @@
                 step(&mut book, now, JobEvent::Journaled { ticket: *ticket });
             }
         }
-        let Some(place) = place(&effects) else { continue };
-        asked_at.push(now);
-        let placed = Placed {
-            round: place.round,
-            granted: Vec::new(),
-            refused: place.wants.iter().map(|want| want.task.clone()).collect(),
-            room: NodeRoom::default(),
-            usage: Vec::new(),
-        };
-        step(&mut book, now, JobEvent::Message { from: NODE, msg: JobMsg::Placed(placed) });
+        for place in places(&effects) {
+            if !place.wants.is_empty() {
+                asked_at.push(now);
+            }
+            let placed = Placed {
+                round: place.round,
+                granted: Vec::new(),
+                refused: place.wants.iter().map(|want| want.task.clone()).collect(),
+                room: room(now),
+                usage: Vec::new(),
+            };
+            step(&mut book, now, JobEvent::Message { from: NODE, msg: JobMsg::Placed(placed) });
+        }
     }
     assert!(asked_at.len() >= 2, "asked only at {asked_at:?}");
 }
