--- a/crates/net/src/runtime/io.rs
+++ b/crates/net/src/runtime/io.rs
@@ -15,12 +15,13 @@
     egretlb_control::{NodeInfo, Role},
     egretlb_log::{AppendOutcome, LogService, StreamName},
     egretlb_node::{Delivery, NodeEffect, NodeEvent, Notice, PeerMessage},
-    egretlb_telemetry::{AppendResult, CommonMetrics, log_pairs},
+    egretlb_telemetry::{AppendResult, CommonMetrics, log_event},
     egretlb_types::{NodeId, Time},
     log::Level,
     rand::{Rng, SeedableRng, rngs::StdRng},
     smallvec::SmallVec,
     std::{
+        fmt::Display,
         net::SocketAddr,
         sync::Arc,
         thread::{self, JoinHandle},
@@ -275,14 +276,23 @@
     }
 }
 
-/// Logs a notice: alarms as warnings, and what comes by the hundred only when asked for.
+/// Logs a notice. Its text is pairs of values without blanks, the first of which names the event.
 fn note(notice: &Notice) {
-    let level = match notice {
-        notice if notice.is_alarm() => Level::Warn,
-        notice if notice.is_detail() => Level::Debug,
-        _ => Level::Info,
+    let level = if notice.is_alarm() {
+        Level::Warn
+    } else if notice.is_detail() {
+        Level::Debug
+    } else {
+        Level::Info
     };
-    log_pairs(level, notice);
+    let text = notice.to_string();
+    let words = text.split_whitespace();
+    let pairs: Vec<(&str, &str)> =
+        words.map(|word| word.split_once('=').unwrap_or(("text", word))).collect();
+    let event = pairs.first().map_or("notice", |(_, event)| *event);
+    let pairs: Vec<(&str, &dyn Display)> =
+        pairs.iter().skip(1).map(|(key, value)| (*key, value as &dyn Display)).collect();
+    log_event(level, event, &pairs);
 }
 
 /// Receives until something happens, at most until `wake_at`.
