--- a/crates/control/src/reducer/mod.rs
+++ b/crates/control/src/reducer/mod.rs
@@ -241,12 +241,18 @@
         if self.fold.since_snapshot() == 0 {
             self.upkeep.saw_snapshot(now);
         }
+        if !was_in_touch {
+            self.succession.take_stuck();
+        }
         // What was read while catching up happened some time ago, and shows nobody alive now.
         if was_in_touch {
             for author in &folded.authors {
                 self.suspicion.seen_in_log(now, *author);
             }
             self.follow_doubts(now, folded);
+            for node in self.succession.take_stuck() {
+                self.suspicion.stuck(now, node);
+            }
         }
         let current = self.fold.state().map(|state| state.config().current());
         if let Some(current) = current.filter(|c| c.version != self.config.in_force().version) {
--- a/crates/control/src/reducer/succession.rs
+++ b/crates/control/src/reducer/succession.rs
@@ -47,13 +47,22 @@
     stage: Stage,
 }
 
+/// A claim that hasn't settled, and when it was read.
+#[derive(Clone, Copy, Debug)]
+struct ClaimSeen {
+    epoch: Epoch,
+    owner: Option<NodeId>,
+    since: Time,
+}
+
 /// The shards that this process claimed and doesn't act for yet, and those nobody acts for.
 #[derive(Clone, Debug)]
 pub(crate) struct Succession {
     me: NodeId,
     protections: Protections,
     takeovers: BTreeMap<ShardId, Takeover>,
-    claimed_since: BTreeMap<ShardId, (Epoch, Time)>,
+    claims: BTreeMap<ShardId, ClaimSeen>,
+    stuck: Vec<NodeId>,
     orphan_since: BTreeMap<ShardId, Time>,
     look_at: Time,
 }
@@ -64,7 +73,8 @@
             me,
             protections,
             takeovers: BTreeMap::new(),
-            claimed_since: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            stuck: Vec::new(),
             orphan_since: BTreeMap::new(),
             look_at: Time::ZERO,
         }
@@ -74,10 +84,11 @@
     /// reads its own claims back, and from which it waits.
     pub(crate) fn follow(&mut self, now: Time, state: &ControlState, out: &mut Vec<ControlEffect>) {
         for (shard, of) in state.shards() {
+            self.note_stuck(now, shard, of);
             if of.phase() == Phase::Claimed {
                 self.follow_claimed(now, shard, of);
             } else {
-                self.claimed_since.remove(&shard);
+                self.claims.remove(&shard);
             }
             self.drop_ended(shard, of, out);
         }
@@ -98,8 +109,8 @@
 
     fn follow_claimed(&mut self, now: Time, shard: ShardId, of: &ShardState) {
         let epoch = of.epoch();
-        if self.claimed_since.get(&shard).is_none_or(|(seen, _)| *seen != epoch) {
-            self.claimed_since.insert(shard, (epoch, now));
+        if self.claims.get(&shard).is_none_or(|seen| seen.epoch != epoch) {
+            self.claims.insert(shard, ClaimSeen { epoch, owner: of.owner(), since: now });
         }
         if of.owner() != Some(self.me) {
             return;
@@ -111,10 +122,24 @@
         }
     }
 
+    /// Notes a claimant that was overtaken because it didn't settle in time.
+    fn note_stuck(&mut self, now: Time, shard: ShardId, of: &ShardState) {
+        let overtaken = |seen: &&ClaimSeen| {
+            seen.epoch != of.epoch() && now >= seen.since + STUCK_AFTER && seen.owner != of.owner()
+        };
+        let stuck = self.claims.get(&shard).filter(overtaken).and_then(|seen| seen.owner);
+        self.stuck.extend(stuck);
+    }
+
+    /// The claimants that were overtaken since this was asked last.
+    pub(crate) fn take_stuck(&mut self) -> Vec<NodeId> {
+        std::mem::take(&mut self.stuck)
+    }
+
     /// Forgets everything: this process has no state any more.
     pub(crate) fn clear(&mut self) {
         self.takeovers.clear();
-        self.claimed_since.clear();
+        self.claims.clear();
         self.orphan_since.clear();
     }
 
@@ -204,7 +229,7 @@
     }
 
     fn is_stuck(&self, now: Time, shard: ShardId) -> bool {
-        self.claimed_since.get(&shard).is_some_and(|(_, since)| now >= *since + STUCK_AFTER)
+        self.claims.get(&shard).is_some_and(|seen| now >= seen.since + STUCK_AFTER)
     }
 
     fn delay(&self, shard: ShardId, of: &ShardState, suspicion: &Suspicion) -> Duration {
@@ -214,6 +239,9 @@
             .iter()
             .filter(|node| Some(**node) != of.owner() && rendezvous_score(shard, **node) > mine)
             .count();
+        // One that isn't meant to have shards comes after all that are.
+        let is_candidate = suspicion.candidates().contains(&self.me);
+        let better = if is_candidate { better } else { suspicion.candidates().len() };
         let rank = RANK_DELAY * u32::try_from(better).unwrap_or(u32::MAX);
         if suspicion.few_heard() { rank + FEW_HEARD_DELAY } else { rank }
     }
@@ -221,8 +249,7 @@
     /// Whether any shard has had no settled owner for `limit`.
     pub(crate) fn any_unserved_for(&self, now: Time, limit: Duration) -> bool {
         let long = |since: &Time| now.since(*since) >= limit;
-        self.orphan_since.values().any(long)
-            || self.claimed_since.values().any(|(_, since)| long(since))
+        self.orphan_since.values().any(long) || self.claims.values().any(|seen| long(&seen.since))
     }
 
     /// How many shards this process is taking over.
--- a/crates/control/src/reducer/suspicion.rs
+++ b/crates/control/src/reducer/suspicion.rs
@@ -31,6 +31,10 @@
 /// is new to the others. Without this the first to be ten seconds old took nearly every shard.
 const TOGETHER: Duration = Duration::from_secs(5);
 
+/// A claimant that hung until another one claimed its shard isn't meant to have shards for this
+/// long. Balancing would otherwise move the shard back to it at once, to hang again.
+const STUCK_FOR: Duration = Duration::from_secs(600);
+
 /// What is known of one process beside the gossip.
 #[derive(Clone, Debug, Default)]
 struct Signs {
@@ -38,6 +42,7 @@
     doubted: Option<Time>,
     gone: Option<Time>,
     joined: Option<Time>,
+    stuck: Option<Time>,
 }
 
 /// The view of who is there, from gossip, the log and the VM list.
@@ -63,6 +68,10 @@
         self.signs.entry(node).or_default().doubted = Some(now);
     }
 
+    pub(crate) fn stuck(&mut self, now: Time, node: NodeId) {
+        self.signs.entry(node).or_default().stuck = Some(now);
+    }
+
     pub(crate) fn vm_gone(&mut self, now: Time, addr: &str, state: &ControlState) {
         let at_addr = |info: &&NodeInfo| host(&info.peer_addr) == addr;
         for info in state.members().filter(at_addr) {
@@ -73,7 +82,7 @@
     /// Begins anew after this process was out of touch.
     pub(crate) fn excuse(&mut self) {
         for signs in self.signs.values_mut() {
-            *signs = Signs { joined: signs.joined, ..Signs::default() };
+            *signs = Signs { joined: signs.joined, stuck: signs.stuck, ..Signs::default() };
         }
     }
 
@@ -106,10 +115,18 @@
             let at = joined(node).unwrap_or(now);
             *node == me || now >= at + NEW_FOR || at <= oldest + TOGETHER
         };
-        self.candidates = self.live.iter().copied().filter(is_old).collect();
+        let is_stuck = |node: &NodeId| {
+            let stuck = self.signs.get(node).and_then(|signs| signs.stuck);
+            stuck.is_some_and(|at| now < at + STUCK_FOR)
+        };
+        let meant = |node: &NodeId| is_old(node) && !is_stuck(node);
+        self.candidates = self.live.iter().copied().filter(meant).collect();
+        if self.candidates.is_empty() {
+            self.candidates = self.live.clone();
+        }
     }
 
-    /// The live schedulers that shards are meant for, this process among them.
+    /// The live schedulers that shards are meant for.
     pub(crate) fn candidates(&self) -> &[NodeId] {
         &self.candidates
     }
--- a/crates/control/tests/outages.rs
+++ b/crates/control/tests/outages.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use {
-    egretlb_control::{Alarm, ConfigVersion, Control, ControlEvent, Role},
+    egretlb_control::{Alarm, ConfigVersion, Control, ControlEvent, ControlRecord, Role},
     egretlb_log::StreamName,
     egretlb_types::{Epoch, Offset},
     support::{Options, SEC, World},
@@ -150,5 +150,26 @@
     world.run_until(world.now + 10 * SEC);
     assert!(control(&world, node).alarms().any(|alarm| alarm == Alarm::StateLost));
     assert_eq!(control(&world, node).shard_counts(), (0, 0));
+    // The processes that still run write the next snapshot in time, and it lets the new one in.
+    let (next, state) = (control(&world, 0).next(), control(&world, 0).state().unwrap().encode());
+    let snapshot = ControlRecord::Snapshot { next, state };
+    world.log.append(&StreamName::control(), &snapshot.encode());
+    world.run_until(world.now + 5 * SEC);
+    assert!(control(&world, node).alarms().all(|alarm| alarm != Alarm::StateLost));
+    assert_eq!(control(&world, node).state(), control(&world, 0).state());
+    assert_clean(&mut world);
+}
+
+/// A claimant reads the control stream, is heard by its peers, and can't read or write a journal.
+/// Its shards have nobody to act for them. The others see that it doesn't settle, and claim them.
+#[test]
+fn stuck_claimant() {
+    let mut world = World::new(Options::new(27, 3));
+    world.run_until(20 * SEC);
+    world.nodes[1].journals_cut_until = world.now + 300 * SEC;
+    world.kill(0);
+    let took = world.run_while(90 * SEC, |world| world.unserved() == 0);
+    println!("owners {took:?} us after a death with a stuck claimant");
+    assert!(took.is_some_and(|took| took < 60 * SEC));
     assert_clean(&mut world);
 }
