--- a/crates/daemons/tests/support/mod.rs
+++ b/crates/daemons/tests/support/mod.rs
@@ -18,6 +18,7 @@
     egretlb_types::{Megabytes, MilliCores, Offset, Resources, VmId, VmRecord, VmState},
     oxhttp::model::{HeaderName, HeaderValue, Method},
     std::{
+        collections::BTreeMap,
         fs,
         io::{BufRead, BufReader},
         net::SocketAddr,
@@ -150,6 +151,12 @@
         system
     }
 
+    /// What each worker can hold.
+    pub fn capacities(&self) -> BTreeMap<VmId, Resources> {
+        let vm = |n| format!("w-{n}").parse().expect("a valid name");
+        (0..self.workers.len()).map(|n| (vm(n), capacity())).collect()
+    }
+
     /// Starts one more daemon's process.
     pub fn spawn(&self, role: Role) -> Daemon {
         let settings = self.settings_file(role);
@@ -251,14 +258,7 @@
         id: &str,
         headers: &[(&'static str, &str)],
     ) -> Result<HttpAnswer, CallFailure> {
-        let callers = self.entries[entry].callers.expect("an entry");
-        let all = [("x-request-id", id)].into_iter().chain(headers.iter().copied());
-        let headers = all.map(|(name, value)| {
-            let value = HeaderValue::from_str(value).expect("a header value");
-            (HeaderName::from_static(name), value)
-        });
-        let url = format!("http://{callers}/serve/{class}/x");
-        call(Method::POST, url, headers, id.as_bytes().to_vec(), CALL_LIMIT)
+        send(self.entries[entry].callers.expect("an entry"), class, id, headers)
     }
 
     /// Waits until an entry answers requests of the class.
@@ -270,6 +270,22 @@
     }
 }
 
+/// Sends a request with its id as body.
+pub fn send(
+    callers: SocketAddr,
+    class: &str,
+    id: &str,
+    headers: &[(&'static str, &str)],
+) -> Result<HttpAnswer, CallFailure> {
+    let all = [("x-request-id", id)].into_iter().chain(headers.iter().copied());
+    let headers = all.map(|(name, value)| {
+        let value = HeaderValue::from_str(value).expect("a header value");
+        (HeaderName::from_static(name), value)
+    });
+    let url = format!("http://{callers}/serve/{class}/x");
+    call(Method::POST, url, headers, id.as_bytes().to_vec(), CALL_LIMIT)
+}
+
 /// Asks until there is an answer.
 pub fn eventually<T>(what: &str, mut ask: impl FnMut() -> Option<T>) -> T {
     let deadline = Instant::now() + PATIENCE;
