--- a/crates/daemons/tests/process_faults.rs
+++ b/crates/daemons/tests/process_faults.rs
@@ -8,7 +8,7 @@
     egretlb_standins::{
         checker::{Answer, History, Told},
         log::LogFaults,
-        worker::{Served, WorkerFaults, body_hash},
+        worker::{Served, What, WorkerFaults, body_hash},
     },
     egretlb_types::Ran,
     oxhttp::model::StatusCode,
@@ -35,6 +35,15 @@
     });
 }
 
+/// Waits until a worker runs the request.
+fn wait_for_request(system: &System, id: &str) {
+    let began = |what: &What| matches!(what, What::RequestBegan { id: of, .. } if of == id);
+    eventually("the request runs", || {
+        let mut happened = system.workers.iter().flat_map(|worker| worker.history());
+        happened.any(|happening| began(&happening.what)).then_some(())
+    });
+}
+
 /// What the workers recorded, with what callers were told.
 fn history(system: &System, told: Vec<Told>) -> History {
     let happenings = system.workers.iter().flat_map(|worker| worker.history()).collect();
@@ -180,14 +189,10 @@
     system.wait_for_service(1, "filing");
     let callers = system.entries[0].callers;
     let filing = thread::spawn(move || {
-        let headers = [("idempotency-key", "claim-7"), ("x-service-ms", "2000")];
+        let headers = [("idempotency-key", "claim-7"), ("x-service-ms", "6000")];
         support::send(callers.expect("an entry"), "filing", "claim-7", &headers)
     });
-    eventually("the filing runs", || {
-        let began = |what: &egretlb_standins::worker::What| matches!(what, egretlb_standins::worker::What::RequestBegan { id, .. } if id == "claim-7");
-        let history: Vec<_> = system.workers.iter().flat_map(|w| w.history()).collect();
-        history.iter().any(|h| began(&h.what)).then_some(())
-    });
+    wait_for_request(&system, "claim-7");
     system.entries[0].child.kill().expect("the process runs");
     assert!(filing.join().expect("no panic").is_err(), "the connection broke");
 
