Count starts, evictions, lost attempts and what VMs hold

Half of the scheduler's metrics were declared and never moved. Those that can be read off the reducers now move; waits for a start and tasks by state can't be read off cheaply, so their names are gone until they can.

--- a/crates/net/src/runtime/gauges.rs
+++ b/crates/net/src/runtime/gauges.rs
@@ -3,7 +3,7 @@
 use {
     egretlb_control::Control,
     egretlb_node::{EntryNode, Scheduler},
-    egretlb_telemetry::{CommonMetrics, EntryMetrics, SchedulerMetrics, Shares},
+    egretlb_telemetry::{CommonMetrics, EntryMetrics, SchedulerMetrics, Shares, VmCounts},
     egretlb_types::{Offset, Time},
     std::{sync::Arc, time::Duration},
 };
@@ -39,8 +39,13 @@
         let age = now.since(read_sent.unwrap_or(Time::ZERO));
         self.metrics.set_ownership(owned, age);
         let vms = scheduler.vms();
-        let quarantined = vms.iter().filter(|vm| vm.quarantined).count();
-        self.metrics.set_vms(vms.len(), quarantined);
+        self.metrics.set_vms(VmCounts {
+            known: vms.len(),
+            quarantined: vms.iter().filter(|vm| vm.quarantined).count(),
+            lost: vms.iter().filter(|vm| vm.lost).count(),
+            tasks: vms.iter().map(|vm| vm.attempts as usize).sum(),
+        });
+        self.metrics.set_journal(scheduler.journal_held_bytes(), scheduler.journal_failures());
     }
 }
 
--- a/crates/net/src/runtime/scheduler.rs
+++ b/crates/net/src/runtime/scheduler.rs
@@ -20,9 +20,10 @@
     egretlb_control::Role,
     egretlb_log::StreamName,
     egretlb_node::{
-        NodeEvent, Scheduler, SchedulerEffect, SchedulerEvent, SchedulerOptions, WorkerCallGuard,
+        NodeEffect, NodeEvent, Notice, Scheduler, SchedulerEffect, SchedulerEvent,
+        SchedulerOptions, WorkerCallGuard,
     },
-    egretlb_tasks::{CallError, WorkerAnswer, WorkerCall},
+    egretlb_tasks::{CallError, JobAlarm, RackAlarm, WorkerAnswer, WorkerCall},
     egretlb_telemetry::SchedulerMetrics,
     egretlb_types::Time,
     std::{sync::Arc, time::Duration},
@@ -36,6 +37,7 @@
     scheduler: Scheduler,
     io: Io<SchedulerEvent>,
     rx: Receiver<SchedulerEvent>,
+    metrics: Arc<SchedulerMetrics>,
     gauges: SchedulerGauges,
     stop_by: Option<Time>,
 }
@@ -55,8 +57,8 @@
     let io = Io::new(clock, node, settings, &rt, tx.clone(), replies, common);
     let options = SchedulerOptions { info, seed: node.0, seeds: seeds(settings) };
     let scheduler = Scheduler::new(options);
-    let gauges = SchedulerGauges::new(metrics);
-    let daemon = Loop { scheduler, io, rx, gauges, stop_by: None };
+    let gauges = SchedulerGauges::new(Arc::clone(&metrics));
+    let daemon = Loop { scheduler, io, rx, metrics, gauges, stop_by: None };
     let operators = http.addr();
     let drains = vec![http.drain().clone()];
     let thread = spawn_loop("egretlb-scheduler", move || daemon.run(&http))?;
@@ -106,7 +108,24 @@
         }
     }
 
+    /// Counts what an effect shows to have happened.
+    fn count(&self, effect: &SchedulerEffect) {
+        match effect {
+            SchedulerEffect::CallWorker { call: WorkerCall::Start(_), .. } => {
+                self.metrics.start_asked();
+            }
+            SchedulerEffect::Node(NodeEffect::Notice(notice)) => match notice {
+                Notice::Rack(RackAlarm::Evicting { .. }) => self.metrics.evicted(),
+                Notice::Job(JobAlarm::AttemptLost { .. }) => self.metrics.attempt_lost(),
+                Notice::Job(JobAlarm::TaskParked { .. }) => self.metrics.parked(),
+                _ => {}
+            },
+            _ => {}
+        }
+    }
+
     fn perform(&self, effect: SchedulerEffect) -> bool {
+        self.count(&effect);
         match effect {
             SchedulerEffect::Node(effect) => return self.io.perform(effect),
             SchedulerEffect::AppendJournal { seq, bytes } => {
--- a/crates/node/src/scheduler/mod.rs
+++ b/crates/node/src/scheduler/mod.rs
@@ -101,6 +101,16 @@
         self.books.racks().summary()
     }
 
+    /// Bytes of journal entries that the log hasn't acknowledged.
+    pub fn journal_held_bytes(&self) -> usize {
+        self.journal.held_bytes()
+    }
+
+    /// Appends to the journal that failed in a row.
+    pub fn journal_failures(&self) -> u32 {
+        self.journal.failures()
+    }
+
     fn node_event(&mut self, now: Time, event: NodeEvent, out: &mut Out) {
         match event {
             NodeEvent::Tick => self.tick(now, out),
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -13,6 +13,6 @@
     logs::{InitError, LogOptions, format_line, init, log_event},
     metrics::{
         AppendResult, CommonMetrics, EntryMetrics, METRICS_CONTENT_TYPE, Outcome, SchedulerMetrics,
-        Shares, TaskPhase,
+        Shares, VmCounts,
     },
 };
--- a/crates/telemetry/src/metrics/labels.rs
+++ b/crates/telemetry/src/metrics/labels.rs
@@ -52,33 +52,6 @@
     }
 }
 
-/// Where a task is in its life.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum TaskPhase {
-    /// Waiting for a VM.
-    Queued,
-    /// Being started.
-    Starting,
-    /// Running.
-    Running,
-    /// Being stopped, with or without a checkpoint.
-    Stopping,
-    /// Set aside, since it failed on several VMs or can never fit.
-    Parked,
-}
-
-impl EncodeLabelValue for TaskPhase {
-    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), fmt::Error> {
-        encoder.write_str(match self {
-            TaskPhase::Queued => "queued",
-            TaskPhase::Starting => "starting",
-            TaskPhase::Running => "running",
-            TaskPhase::Stopping => "stopping",
-            TaskPhase::Parked => "parked",
-        })
-    }
-}
-
 /// Why a request was refused.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(super) struct Reason(pub(super) NotRunReason);
@@ -134,8 +107,3 @@
 pub(super) struct ByAppendResult {
     pub(super) result: AppendResult,
 }
-
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-pub(super) struct ByTaskPhase {
-    pub(super) state: TaskPhase,
-}
--- a/crates/telemetry/src/metrics/mod.rs
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -22,8 +22,8 @@
 pub use self::{
     common::CommonMetrics,
     entry::{EntryMetrics, Shares},
-    labels::{AppendResult, Outcome, TaskPhase},
-    scheduler::SchedulerMetrics,
+    labels::{AppendResult, Outcome},
+    scheduler::{SchedulerMetrics, VmCounts},
 };
 
 /// The content type of what `render` of the metrics gives.
--- a/crates/telemetry/src/metrics/scheduler.rs
+++ b/crates/telemetry/src/metrics/scheduler.rs
@@ -1,18 +1,27 @@
 //! What a scheduler measures.
 
 use {
-    super::{
-        CommonMetrics, SecondsGauge,
-        labels::{ByTaskPhase, TaskPhase},
-        latencies, new_registry, render_registry, set_seconds,
-    },
+    super::{CommonMetrics, SecondsGauge, new_registry, render_registry, set_seconds},
     prometheus_client::{
-        metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+        metrics::{counter::Counter, gauge::Gauge},
         registry::{Registry, Unit},
     },
     std::time::Duration,
 };
 
+/// The VMs of a scheduler's racks.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct VmCounts {
+    /// All of them.
+    pub known: usize,
+    /// Those in quarantine, as they failed what they were given.
+    pub quarantined: usize,
+    /// Those out of reach whose leases must have lapsed.
+    pub lost: usize,
+    /// Tasks that they hold: running, being started or being stopped.
+    pub tasks: usize,
+}
+
 /// The metrics of a scheduler.
 #[derive(Debug)]
 pub struct SchedulerMetrics {
@@ -20,16 +29,16 @@
     common: CommonMetrics,
     shards_owned: Gauge,
     authority_age: SecondsGauge,
-    journal_lag: SecondsGauge,
-    journal_waiting: Gauge,
-    tasks: Family<ByTaskPhase, Gauge>,
+    journal_held: Gauge,
+    journal_failures: Gauge,
     starts: Counter,
-    start_delay: Histogram,
-    urgent_start_delay: Histogram,
     evictions: Counter,
     lost_attempts: Counter,
-    vms_quarantined: Gauge,
+    parked: Counter,
     vms_known: Gauge,
+    vms_quarantined: Gauge,
+    vms_lost: Gauge,
+    vm_tasks: Gauge,
 }
 
 impl SchedulerMetrics {
@@ -42,19 +51,20 @@
             common,
             shards_owned: Gauge::default(),
             authority_age: SecondsGauge::default(),
-            journal_lag: SecondsGauge::default(),
-            journal_waiting: Gauge::default(),
-            tasks: Family::default(),
+            journal_held: Gauge::default(),
+            journal_failures: Gauge::default(),
             starts: Counter::default(),
-            start_delay: latencies(),
-            urgent_start_delay: latencies(),
             evictions: Counter::default(),
             lost_attempts: Counter::default(),
-            vms_quarantined: Gauge::default(),
+            parked: Counter::default(),
             vms_known: Gauge::default(),
+            vms_quarantined: Gauge::default(),
+            vms_lost: Gauge::default(),
+            vm_tasks: Gauge::default(),
         };
         metrics.register_ownership();
         metrics.register_tasks();
+        metrics.register_vms();
         metrics
     }
 
@@ -72,33 +82,24 @@
             self.authority_age.clone(),
         );
         registry.register_with_unit(
-            "journal_lag",
-            "Age of the oldest journal entry that isn't acknowledged by the log",
-            Unit::Seconds,
-            self.journal_lag.clone(),
+            "journal_held",
+            "Journal entries that the log hasn't acknowledged",
+            Unit::Bytes,
+            self.journal_held.clone(),
         );
         registry.register(
-            "journal_waiting_entries",
-            "Journal entries that aren't acknowledged by the log",
-            self.journal_waiting.clone(),
+            "journal_failures",
+            "Appends to the journal that failed in a row",
+            self.journal_failures.clone(),
         );
     }
 
     fn register_tasks(&mut self) {
         let registry = &mut self.registry;
-        registry.register("tasks", "Tasks of the owned jobs by state", self.tasks.clone());
-        registry.register("task_starts", "Starts asked of VMs", self.starts.clone());
-        registry.register_with_unit(
-            "task_start_delay",
-            "Time from a task's submission or eviction to its start",
-            Unit::Seconds,
-            self.start_delay.clone(),
-        );
-        registry.register_with_unit(
-            "urgent_start_delay",
-            "The same for tasks of urgent classes",
-            Unit::Seconds,
-            self.urgent_start_delay.clone(),
+        registry.register(
+            "task_starts_asked",
+            "Starts asked of VMs, those asked again included",
+            self.starts.clone(),
         );
         registry.register(
             "evictions",
@@ -110,12 +111,31 @@
             "Starts that ended with their VM or with their lease",
             self.lost_attempts.clone(),
         );
+        registry.register(
+            "parked_tasks",
+            "Tasks set aside, since they failed on several VMs",
+            self.parked.clone(),
+        );
+    }
+
+    fn register_vms(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("vms_known", "VMs of the owned racks", self.vms_known.clone());
         registry.register(
             "vms_quarantined",
             "VMs that get no tasks since they failed what they started",
             self.vms_quarantined.clone(),
         );
-        registry.register("vms_known", "VMs of the owned racks", self.vms_known.clone());
+        registry.register(
+            "vms_lost",
+            "VMs out of reach whose leases must have lapsed",
+            self.vms_lost.clone(),
+        );
+        registry.register(
+            "vm_tasks",
+            "Tasks that the VMs of the owned racks hold: running, being started or stopped",
+            self.vm_tasks.clone(),
+        );
     }
 
     /// What both daemons measure.
@@ -129,25 +149,26 @@
         set_seconds(&self.authority_age, authority_age);
     }
 
-    /// So many journal entries wait for the log, the oldest for so long.
-    pub fn set_journal(&self, waiting: usize, lag: Duration) {
-        self.journal_waiting.set(waiting as i64);
-        set_seconds(&self.journal_lag, lag);
+    /// So many bytes of journal entries wait for the log, after so many failures in a row.
+    pub fn set_journal(&self, held_bytes: usize, failures: u32) {
+        self.journal_held.set(held_bytes as i64);
+        self.journal_failures.set(i64::from(failures));
     }
 
-    /// So many tasks are in the state.
-    pub fn set_tasks(&self, state: TaskPhase, tasks: usize) {
-        self.tasks.get_or_create(&ByTaskPhase { state }).set(tasks as i64);
+    /// The VMs of the owned racks.
+    pub fn set_vms(&self, vms: VmCounts) {
+        self.vms_known.set(vms.known as i64);
+        self.vms_quarantined.set(vms.quarantined as i64);
+        self.vms_lost.set(vms.lost as i64);
+        self.vm_tasks.set(vms.tasks as i64);
     }
 
-    /// A task was started, so long after its submission or eviction.
-    pub fn started(&self, urgent: bool, delay: Duration) {
+    /// A VM is asked to start a task.
+    pub fn start_asked(&self) {
         self.starts.inc();
-        let histogram = if urgent { &self.urgent_start_delay } else { &self.start_delay };
-        histogram.observe(delay.as_secs_f64());
     }
 
-    /// A task was evicted.
+    /// A task is being evicted.
     pub fn evicted(&self) {
         self.evictions.inc();
     }
@@ -157,10 +178,9 @@
         self.lost_attempts.inc();
     }
 
-    /// Of so many VMs, so many are in quarantine.
-    pub fn set_vms(&self, known: usize, quarantined: usize) {
-        self.vms_known.set(known as i64);
-        self.vms_quarantined.set(quarantined as i64);
+    /// A task was set aside.
+    pub fn parked(&self) {
+        self.parked.inc();
     }
 
     /// All metrics as OpenMetrics text.
