--- a/crates/lab/src/experiments/mod.rs
+++ b/crates/lab/src/experiments/mod.rs
@@ -9,6 +9,7 @@
 mod journal;
 mod keys;
 mod tasks;
+mod wire;
 
 use crate::report::Report;
 
@@ -55,6 +56,11 @@
         about: "books, messages and journals of tasks, and start delays, by workers",
         run: tasks::run,
     },
+    Experiment {
+        name: "wire",
+        about: "bytes of calls with their headers, by reads, bodies and workers",
+        run: wire::run,
+    },
 ];
 
 /// The experiment of the name.
