Bound a whole answer's time, measure load over sockets, name one library

Cause: the HTTP library's time-out is of each read, so an answer that trickles would hold its thread and share without end; a send of a request that had ended meanwhile told the reducer nothing and would have held its share for good.

--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,25 @@
+//! The program `egretlb-load`.
+
+use {
+    egretlb_load::{Exit, Parsed, help, parse, report, run},
+    std::{env, process::ExitCode},
+};
+
+fn main() -> ExitCode {
+    let exit = match parse(env::args_os().skip(1).collect()) {
+        Ok(Parsed::Help) => {
+            print!("{}", help());
+            Exit::Done
+        }
+        Ok(Parsed::Run(load)) => {
+            let seen = run(&load);
+            print!("{}", report(&seen, load.json));
+            if seen.answered == 0 { Exit::NothingAnswered } else { Exit::Done }
+        }
+        Err(message) => {
+            eprintln!("egretlb-load: {message}; see egretlb-load --help");
+            Exit::Usage
+        }
+    };
+    exit.into()
+}
--- a/crates/net/src/http/client.rs
+++ b/crates/net/src/http/client.rs
@@ -15,12 +15,15 @@
     std::{
         fmt,
         io::{self, ErrorKind, Read},
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
 /// The largest answer that is read, in bytes; a larger one is given up on.
-const ANSWER_MAX_BYTES: u64 = 64 * 1024 * 1024;
+const ANSWER_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+/// How much is read at once.
+const READ_BYTES: usize = 16 * 1024;
 
 /// Why a call has no whole answer.
 #[derive(Debug)]
@@ -80,8 +83,9 @@
         .body(Body::from(body))
         .map_err(|e| CallFailure::NotSent(io::Error::new(ErrorKind::InvalidInput, e)))?;
     let client = Client::new().with_global_timeout(timeout);
+    let begun = Instant::now();
     let answer = client.request(req).map_err(classify)?;
-    whole(answer)
+    whole(answer, begun, timeout)
 }
 
 /// Only errors that a connect alone can give prove that nothing left; a time-out may be of either.
@@ -100,7 +104,14 @@
 ///
 /// An answer that is ended by the closing of its connection looks the same whole and cut short
 /// (and `oxhttp` reads it as empty), so it is never passed off as whole.
-fn whole(answer: Response<Body>) -> Result<HttpAnswer, CallFailure> {
+///
+/// The library's time-out is of each read: an answer that trickles in a byte at a time would hold
+/// its thread and its share of the backend server for hours. So the whole is bounded, too.
+fn whole(
+    answer: Response<Body>,
+    begun: Instant,
+    timeout: Duration,
+) -> Result<HttpAnswer, CallFailure> {
     let status = answer.status();
     let bodyless = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
     let framed = answer.headers().contains_key(CONTENT_LENGTH)
@@ -108,13 +119,18 @@
     if !framed && !bodyless {
         return Err(CallFailure::Truncated { status: status.as_u16() });
     }
-    let (parts, body) = answer.into_parts();
-    let mut buf = Vec::new();
-    let read = body.take(ANSWER_MAX_BYTES + 1).read_to_end(&mut buf);
-    if read.is_err() || buf.len() as u64 > ANSWER_MAX_BYTES {
-        return Err(CallFailure::Truncated { status: status.as_u16() });
+    let (parts, mut body) = answer.into_parts();
+    let mut whole = Vec::new();
+    let mut chunk = vec![0; READ_BYTES];
+    loop {
+        match body.read(&mut chunk) {
+            Ok(0) => return Ok(HttpAnswer { status, headers: parts.headers, body: whole }),
+            Ok(n) if whole.len() + n <= ANSWER_MAX_BYTES && begun.elapsed() <= timeout => {
+                whole.extend_from_slice(&chunk[..n]);
+            }
+            Ok(_) | Err(_) => return Err(CallFailure::Truncated { status: status.as_u16() }),
+        }
     }
-    Ok(HttpAnswer { status, headers: parts.headers, body: buf })
 }
 
 /// Posts `message` as JSON and reads the answer's JSON.
--- a/crates/net/src/runtime/entry.rs
+++ b/crates/net/src/runtime/entry.rs
@@ -22,6 +22,7 @@
     egretlb_node::{
         EntryNode, EntryNodeEffect, EntryNodeEvent, EntryNodeOptions, NodeEvent, RequestEffect,
     },
+    egretlb_requests::entry::AttemptResult,
     egretlb_telemetry::EntryMetrics,
     egretlb_types::Time,
     oxhttp::model::{HeaderName, HeaderValue},
@@ -159,7 +160,13 @@
     fn perform_request(&self, effect: RequestEffect) {
         match effect {
             RequestEffect::Send { request, attempt, addr, timeout } => {
-                let Some((req, again)) = self.requests.send(request) else { return };
+                let Some((req, again)) = self.requests.send(request) else {
+                    // Told all the same: without it the reducer would hold the share for good.
+                    let result = AttemptResult::NotSent;
+                    // A send fails only while the process ends.
+                    let _ = self.io.tx.send(EntryNodeEvent::Answered { attempt, result });
+                    return;
+                };
                 if again {
                     self.metrics.retried();
                 }
