--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -134,12 +134,12 @@
         self.sights.get(&node).and_then(|sight| sight.heard)
     }
 
-    /// Whether any process's heartbeat arrived here within `span`, or there is no other one.
+    /// Whether any process's heartbeat arrived here within `span`.
     ///
     /// One that is cut off finds its peers silent one after the other, and would take the first
     /// for dead while it still seems to hear most of them.
     pub(crate) fn is_reached(&self, now: Time, span: Duration) -> bool {
-        self.sights.is_empty() || self.received.is_some_and(|at| now.since(at) <= span)
+        self.received.is_some_and(|at| now.since(at) <= span)
     }
 
     /// Takes a heartbeat. `true` if the sender has lost sight of this process and should get an
--- a/crates/control/tests/outages.rs
+++ b/crates/control/tests/outages.rs
@@ -173,3 +173,20 @@
     assert!(took.is_some_and(|took| took < 60 * SEC));
     assert_clean(&mut world);
 }
+
+/// A system of one scheduler and one entry. The entry's VM is gone, and the scheduler is replaced
+/// in an orderly way. The new one hears nobody, and there is nobody else to serve the shards.
+#[test]
+fn alone_with_the_dead() {
+    let mut world = World::new(Options::new(28, 1));
+    world.run_until(10 * SEC);
+    world.kill(1);
+    world.step(0, ControlEvent::Shutdown);
+    world.run_until(15 * SEC);
+    assert!(world.nodes[0].control.is_none());
+    world.restart(0);
+    let took = world.run_while(60 * SEC, |world| world.unserved() == 0);
+    println!("owners {took:?} us after the start of the only scheduler");
+    assert!(took.is_some_and(|took| took < 5 * SEC));
+    assert_clean(&mut world);
+}
