--- a/crates/load/src/callers.rs
+++ b/crates/load/src/callers.rs
@@ -17,6 +17,9 @@
 /// Digits kept of each time.
 const DIGITS: u8 = 3;
 
+/// The longest time that is told apart, in microseconds: ten minutes.
+const MICROS_MAX: u64 = 600_000_000;
+
 /// What the callers saw.
 #[derive(Debug)]
 pub struct Seen {
@@ -40,7 +43,7 @@
 
 impl Seen {
     fn new() -> Self {
-        let empty = || Histogram::new(DIGITS).expect("a valid number of digits");
+        let empty = || Histogram::new_with_max(MICROS_MAX, DIGITS).expect("valid bounds");
         Seen {
             answered: 0,
             refused: 0,
