--- /dev/null
+++ b/crates/node/tests/support/world.rs
@@ -0,0 +1,515 @@
+//! The world around some schedulers.
+
+use {
+    egretlb_config::parse_config,
+    egretlb_control::{NodeInfo, Role},
+    egretlb_log::{AppendOutcome, NotAppendedReason, ReadOutcome, Record, StreamName},
+    egretlb_node::{
+        CallTicket, Delivery, NodeEffect, NodeEvent, OperatorReply, OperatorRequest, Scheduler,
+        SchedulerEffect, SchedulerEvent, SchedulerOptions, WorkerCallGuard,
+    },
+    egretlb_standins::{
+        checker::History,
+        log::{LogSettings, LogState},
+        worker::{WorkerSettings, WorkerState},
+    },
+    egretlb_tasks::{CallError, WorkerAnswer, WorkerCall},
+    egretlb_types::{
+        Megabytes, MilliCores, NodeId, Offset, Resources, Time, VmId, VmRecord, VmState,
+    },
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Tasks of the job that each test submits.
+pub const JOB_TASKS: u32 = 6;
+
+const JOB: &str = "recall-1";
+const TICK: Duration = Duration::from_millis(100);
+const WORKERS: usize = 3;
+
+const CLASSES: &str = r#"{
+  "teams": [{ "name": "all", "member": "firm", "quota": { "cpu": "90000m", "memory": "90000MB" } }],
+  "classes": [{ "name": "merge", "member": "firm", "team": "all",
+      "batch": { "amount": 100, "within": "1h", "run_time": "3s", "urgent": true,
+                 "task": { "cpu": "1000m", "memory": "1000MB" } } }],
+}"#;
+
+/// What can go wrong with one scheduler, or with the log for all of them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WorldFault {
+    /// The process is gone for good; an empty one takes its place a second later.
+    Kill,
+    /// The process stands still for longer than authority lasts, and then goes on.
+    Pause,
+    /// It reaches everything but the log.
+    CutFromLog,
+    /// It reaches everything but its peers.
+    CutFromPeers,
+    /// It reaches everything but the workers.
+    CutFromWorkers,
+    /// It ends gracefully; an empty one takes its place.
+    Shutdown,
+    /// Nobody reaches the log.
+    LogDown,
+    /// Appends take effect and lose their answers, for everyone.
+    AnswersLost,
+}
+
+impl WorldFault {
+    /// All of them.
+    pub const ALL: [WorldFault; 8] = [
+        WorldFault::Kill,
+        WorldFault::Pause,
+        WorldFault::CutFromLog,
+        WorldFault::CutFromPeers,
+        WorldFault::CutFromWorkers,
+        WorldFault::Shutdown,
+        WorldFault::LogDown,
+        WorldFault::AnswersLost,
+    ];
+
+    /// How long it lasts: longer than authority and the wait that follows it.
+    const LASTS: Duration = Duration::from_secs(8);
+}
+
+struct Node {
+    scheduler: Scheduler,
+    addr: String,
+    paused_until: Time,
+    cut: Option<(WorldFault, Time)>,
+    next_tick: Time,
+    gone: bool,
+}
+
+impl Node {
+    fn is_cut(&self, now: Time, from: WorldFault) -> bool {
+        self.cut.is_some_and(|(fault, until)| fault == from && now < until)
+    }
+}
+
+/// Something on its way, with the node that it goes to.
+enum Traffic {
+    Event(SchedulerEvent),
+    Append {
+        stream: StreamName,
+        bytes: Vec<u8>,
+        answer: Box<dyn Fn(AppendOutcome) -> SchedulerEvent>,
+    },
+    Read {
+        stream: StreamName,
+        from: Offset,
+        answer: Box<dyn Fn(ReadOutcome) -> SchedulerEvent>,
+    },
+    Call {
+        addr: String,
+        call: WorkerCall,
+        ticket: egretlb_types::Ticket,
+    },
+}
+
+/// Schedulers, a log and workers, in virtual time.
+pub struct World {
+    pub now: Time,
+    rng: SmallRng,
+    nodes: Vec<Node>,
+    log: LogState,
+    log_down_until: Time,
+    answers_lost_until: Time,
+    workers: Vec<WorkerState>,
+    traffic: BTreeMap<(Time, u64), (usize, Traffic)>,
+    next: u64,
+    replies: BTreeMap<CallTicket, OperatorReply>,
+    /// Acknowledged submissions.
+    accepted: bool,
+}
+
+fn capacity() -> Resources {
+    Resources { cpu: MilliCores(4_000), memory: Megabytes(8_000), ..Resources::default() }
+}
+
+fn vm(n: usize) -> VmId {
+    format!("w-{n}").parse().expect("a valid name")
+}
+
+impl World {
+    /// Some schedulers that have just started.
+    pub fn new(schedulers: usize, seed: u64) -> Self {
+        let settings = |n| WorkerSettings::new(vm(n), capacity());
+        let mut world = World {
+            now: Time::from_secs(1),
+            rng: SmallRng::seed_from_u64(seed),
+            nodes: Vec::new(),
+            log: LogState::new(LogSettings::default()),
+            log_down_until: Time::ZERO,
+            answers_lost_until: Time::ZERO,
+            workers: (0..WORKERS).map(|n| WorkerState::new(settings(n))).collect(),
+            traffic: BTreeMap::new(),
+            next: 0,
+            replies: BTreeMap::new(),
+            accepted: false,
+        };
+        for _ in 0..schedulers {
+            world.add_scheduler();
+        }
+        world
+    }
+
+    fn add_scheduler(&mut self) {
+        let id = NodeId(self.rng.random::<u64>() >> 11);
+        let addr = format!("10.0.0.{}:7000", self.nodes.len());
+        let info = NodeInfo {
+            node: id,
+            role: Role::Scheduler,
+            data_centre: "dc-1".parse().expect("a valid name"),
+            peer_addr: addr.as_str().into(),
+            http_addr: addr.as_str().into(),
+        };
+        let options = SchedulerOptions { info, seed: id.0, seeds: Default::default() };
+        let scheduler = Scheduler::new(options);
+        self.nodes.push(Node {
+            scheduler,
+            addr,
+            paused_until: Time::ZERO,
+            cut: None,
+            next_tick: self.now,
+            gone: false,
+        });
+    }
+
+    fn records(&self) -> Vec<VmRecord> {
+        let record = |n| VmRecord {
+            vm: vm(n),
+            addr: format!("worker-{n}").into(),
+            data_centre: "dc-1".parse().expect("a valid name"),
+            rack: format!("rack-{n}").parse().expect("a valid name"),
+            state: VmState::Live,
+            capacity: capacity(),
+            slots: 8,
+            connections: 64,
+        };
+        (0..self.workers.len()).map(record).collect()
+    }
+
+    /// A node that can be asked: not gone, not paused.
+    fn any_node(&self) -> usize {
+        let able = |node: &Node| !node.gone && node.paused_until <= self.now;
+        self.nodes.iter().rposition(able).expect("some scheduler is up")
+    }
+
+    fn ask(&mut self, call: CallTicket, request: OperatorRequest) {
+        let node = self.any_node();
+        self.step(node, NodeEvent::Operator { call, request }.into());
+    }
+
+    /// Runs until `done`, at most for `limit`. Returns whether it came to that.
+    pub fn run_until(&mut self, limit: Duration, mut done: impl FnMut(&mut World) -> bool) -> bool {
+        let end = self.now + limit;
+        while self.now < end {
+            if done(self) {
+                return true;
+            }
+            self.advance(Duration::from_millis(50));
+        }
+        done(self)
+    }
+
+    /// Lets time pass.
+    pub fn advance(&mut self, span: Duration) {
+        let end = self.now + span;
+        loop {
+            let tick = self
+                .nodes
+                .iter()
+                .filter(|n| !n.gone)
+                .map(|n| n.next_tick.max(n.paused_until))
+                .min();
+            let traffic = self.traffic.keys().next().map(|(at, _)| *at);
+            let Some(at) = [tick, traffic].into_iter().flatten().min().filter(|at| *at <= end)
+            else {
+                break;
+            };
+            self.now = self.now.max(at);
+            if traffic == Some(at) {
+                let (_, (node, traffic)) = self.traffic.pop_first().expect("just seen");
+                self.arrive(node, traffic);
+            } else {
+                self.tick();
+            }
+        }
+        self.now = end;
+    }
+
+    fn tick(&mut self) {
+        for ix in 0..self.nodes.len() {
+            let node = &mut self.nodes[ix];
+            if node.gone || node.next_tick > self.now || node.paused_until > self.now {
+                continue;
+            }
+            node.next_tick = self.now + TICK;
+            self.step(ix, NodeEvent::Tick.into());
+            let second = self.now.as_micros() / 1_000_000;
+            if second != (self.now - TICK).as_micros() / 1_000_000 {
+                let vms = self.records();
+                self.step(ix, NodeEvent::Vms(vms).into());
+            }
+        }
+    }
+
+    fn send(&mut self, node: usize, traffic: Traffic) {
+        let delay = Duration::from_micros(self.rng.random_range(300..3_000));
+        self.send_after(node, delay, traffic);
+    }
+
+    fn send_after(&mut self, node: usize, delay: Duration, traffic: Traffic) {
+        self.next += 1;
+        self.traffic.insert((self.now + delay, self.next), (node, traffic));
+    }
+
+    fn arrive(&mut self, ix: usize, traffic: Traffic) {
+        match traffic {
+            Traffic::Event(event) => {
+                let node = &self.nodes[ix];
+                if node.gone {
+                    return;
+                }
+                if node.paused_until > self.now {
+                    let wait = node.paused_until.since(self.now);
+                    return self.send_after(ix, wait, Traffic::Event(event));
+                }
+                self.step(ix, event);
+            }
+            Traffic::Append { stream, bytes, answer } => {
+                let outcome = self.append(ix, &stream, bytes);
+                self.send(ix, Traffic::Event(answer(outcome)));
+            }
+            Traffic::Read { stream, from, answer } => {
+                let outcome = self.read(ix, &stream, from);
+                self.send(ix, Traffic::Event(answer(outcome)));
+            }
+            Traffic::Call { addr, call, ticket } => {
+                let result = self.call(ix, &addr, call);
+                self.send(ix, Traffic::Event(SchedulerEvent::WorkerAnswered { ticket, result }));
+            }
+        }
+    }
+
+    fn log_reached(&self, ix: usize) -> bool {
+        self.now >= self.log_down_until && !self.nodes[ix].is_cut(self.now, WorldFault::CutFromLog)
+    }
+
+    fn append(&mut self, ix: usize, stream: &StreamName, bytes: Vec<u8>) -> AppendOutcome {
+        if !self.log_reached(ix) {
+            return AppendOutcome::NotAppended(NotAppendedReason::Unreachable);
+        }
+        let appended = self.log.append(self.now, stream.as_str(), bytes);
+        if self.now < self.answers_lost_until {
+            return AppendOutcome::Unknown;
+        }
+        match appended {
+            Ok(appended) => AppendOutcome::Appended(Offset(appended.offset)),
+            Err(_) => AppendOutcome::NotAppended(NotAppendedReason::Refused),
+        }
+    }
+
+    fn read(&mut self, ix: usize, stream: &StreamName, from: Offset) -> ReadOutcome {
+        if !self.log_reached(ix) {
+            return ReadOutcome::Unavailable;
+        }
+        match self.log.read(self.now, stream.as_str(), from.0, 1 << 20) {
+            Ok(page) => {
+                let record = |r: egretlb_standins::log::Record| Record {
+                    offset: Offset(r.offset),
+                    bytes: r.data,
+                };
+                let records = page.records.into_iter().map(record).collect();
+                ReadOutcome::Page { records, next: Offset(page.next), end: page.end }
+            }
+            Err(gone) => ReadOutcome::Gone { oldest: Offset(gone.oldest) },
+        }
+    }
+
+    fn call(&mut self, ix: usize, addr: &str, call: WorkerCall) -> Result<WorkerAnswer, CallError> {
+        if self.nodes[ix].is_cut(self.now, WorldFault::CutFromWorkers) {
+            return Err(CallError::NotSent);
+        }
+        let n: usize = addr.strip_prefix("worker-").and_then(|n| n.parse().ok()).expect("a worker");
+        let (now, worker) = (self.now, &mut self.workers[n]);
+        Ok(match call {
+            WorkerCall::Start(start) => WorkerAnswer::Start(worker.start(now, start)),
+            WorkerCall::Renew(renew) => WorkerAnswer::Renew(worker.renew(now, renew)),
+            WorkerCall::Stop(stop) => WorkerAnswer::Stop(worker.stop(now, stop)),
+            WorkerCall::Throttle(throttle) => WorkerAnswer::Stop(worker.throttle(now, throttle)),
+            WorkerCall::Report => WorkerAnswer::Report(worker.report(now)),
+        })
+    }
+
+    fn step(&mut self, ix: usize, event: SchedulerEvent) {
+        let mut effects = Vec::new();
+        self.nodes[ix].scheduler.step(self.now, event, &mut effects);
+        for effect in effects {
+            self.perform(ix, effect);
+        }
+    }
+
+    fn perform(&mut self, ix: usize, effect: SchedulerEffect) {
+        match effect {
+            SchedulerEffect::Node(effect) => self.perform_node(ix, effect),
+            SchedulerEffect::AppendJournal { seq, bytes } => {
+                let stream = StreamName::journal(self.nodes[ix].scheduler.node());
+                let answer =
+                    Box::new(move |outcome| SchedulerEvent::JournalAppended { seq, outcome });
+                self.send(ix, Traffic::Append { stream, bytes, answer });
+            }
+            SchedulerEffect::ReadJournal { run, node, from } => {
+                let stream = StreamName::journal(node);
+                let answer = Box::new(move |outcome| SchedulerEvent::JournalRead { run, outcome });
+                self.send(ix, Traffic::Read { stream, from, answer });
+            }
+            SchedulerEffect::CallWorker { addr, ticket, call, guard } => {
+                let may = match guard {
+                    WorkerCallGuard::None => true,
+                    WorkerCallGuard::Before(until) => self.now < until,
+                    WorkerCallGuard::Refused(_) => false,
+                };
+                if may {
+                    self.send(ix, Traffic::Call { addr: addr.to_string(), call, ticket });
+                } else {
+                    let result = Err(CallError::NotSent);
+                    self.send(
+                        ix,
+                        Traffic::Event(SchedulerEvent::WorkerAnswered { ticket, result }),
+                    );
+                }
+            }
+        }
+    }
+
+    fn perform_node(&mut self, ix: usize, effect: NodeEffect) {
+        match effect {
+            NodeEffect::ReadControl { from } => {
+                let sent = self.now;
+                let answer =
+                    Box::new(move |outcome| NodeEvent::ControlRead { sent, outcome }.into());
+                self.send(ix, Traffic::Read { stream: StreamName::control(), from, answer });
+            }
+            NodeEffect::AppendControl { ticket, bytes } => {
+                let answer =
+                    Box::new(move |outcome| NodeEvent::ControlAppended { ticket, outcome }.into());
+                self.send(ix, Traffic::Append { stream: StreamName::control(), bytes, answer });
+            }
+            NodeEffect::Send { addr, message } => {
+                let from = self.nodes[ix].scheduler.node();
+                let cut = |node: &Node| node.is_cut(self.now, WorldFault::CutFromPeers);
+                let to = self.nodes.iter().position(|n| !n.gone && *n.addr == *addr);
+                let reached = to.filter(|to| !cut(&self.nodes[ix]) && !cut(&self.nodes[*to]));
+                match reached {
+                    Some(to) => {
+                        let event = NodeEvent::Peer { from, message: *message };
+                        self.send(to, Traffic::Event(event.into()));
+                    }
+                    None => {
+                        let delivery = Delivery::NeverSent;
+                        let event = NodeEvent::Undelivered { message, delivery };
+                        self.send(ix, Traffic::Event(event.into()));
+                    }
+                }
+            }
+            NodeEffect::Reply { call, reply } => {
+                self.replies.insert(call, reply);
+            }
+            NodeEffect::Notice(_) => {}
+            NodeEffect::Exit => {
+                self.nodes[ix].gone = true;
+                self.add_scheduler();
+            }
+        }
+    }
+
+    /// The scheduler that owns most, which a fault hurts most.
+    fn victim(&self) -> usize {
+        let owned = |ix: &usize| self.nodes[*ix].scheduler.control().shard_counts().0;
+        let live = (0..self.nodes.len()).filter(|ix| !self.nodes[*ix].gone);
+        live.max_by_key(owned).expect("some scheduler is up")
+    }
+
+    /// Lets a fault begin now.
+    pub fn inject(&mut self, fault: WorldFault) {
+        let (ix, until) = (self.victim(), self.now + WorldFault::LASTS);
+        match fault {
+            WorldFault::Kill => {
+                self.nodes[ix].gone = true;
+                self.add_scheduler();
+            }
+            WorldFault::Pause => self.nodes[ix].paused_until = until,
+            WorldFault::CutFromLog | WorldFault::CutFromPeers | WorldFault::CutFromWorkers => {
+                self.nodes[ix].cut = Some((fault, until));
+            }
+            WorldFault::Shutdown => self.step(ix, NodeEvent::Shutdown.into()),
+            WorldFault::LogDown => self.log_down_until = until,
+            WorldFault::AnswersLost => self.answers_lost_until = until,
+        }
+    }
+
+    /// Puts the classes in force.
+    pub fn configure(&mut self) {
+        let document = parse_config(CLASSES).expect("no faults");
+        let call = CallTicket(1);
+        let proposal = egretlb_api::ProposalId(7);
+        let propose =
+            egretlb_api::ProposeConfig { proposal, base: None, document, by: "test".into() };
+        let in_force = self.run_until(Duration::from_secs(30), |world| {
+            let request = OperatorRequest::Propose(Box::new(propose.clone()));
+            world.ask(call, request);
+            world.advance(Duration::from_secs(2));
+            matches!(
+                world.replies.remove(&call),
+                Some(OperatorReply::Propose(egretlb_api::ProposeAnswer::Accepted { .. }))
+            )
+        });
+        assert!(in_force, "the configuration wasn't accepted");
+    }
+
+    /// Submits the job, as often as it takes.
+    pub fn submit(&mut self) {
+        let submit = egretlb_api::SubmitJob {
+            job: JOB.parse().expect("a valid name"),
+            class: "merge".parse().expect("a valid name"),
+            tasks: JOB_TASKS,
+            command: "merge run=3s checkpoint=500ms".into(),
+            resources: None,
+        };
+        let call = CallTicket(2);
+        if !self.accepted {
+            self.ask(call, OperatorRequest::Submit(submit));
+        }
+    }
+
+    /// How many tasks of the job are done, as far as somebody answers.
+    pub fn done(&mut self) -> Option<u32> {
+        if let Some(OperatorReply::Submit(answer)) = self.replies.remove(&CallTicket(2)) {
+            self.accepted |= answer == egretlb_api::SubmitAnswer::Accepted;
+        }
+        let call = CallTicket(3);
+        let answer = match self.replies.remove(&call) {
+            Some(OperatorReply::Job(egretlb_api::JobAnswer::Found { job })) => Some(job.tasks.done),
+            _ => None,
+        };
+        self.ask(call, OperatorRequest::Job(JOB.parse().expect("a valid name")));
+        answer
+    }
+
+    /// Whether the submission was acknowledged.
+    pub fn accepted(&self) -> bool {
+        self.accepted
+    }
+
+    /// What the workers recorded.
+    pub fn history(&mut self) -> History {
+        let now = self.now;
+        self.workers.iter_mut().for_each(|worker| worker.advance(now));
+        let happenings = self.workers.iter().flat_map(|w| w.history().to_vec()).collect();
+        let capacities = (0..self.workers.len()).map(|n| (vm(n), capacity())).collect();
+        History { happenings, capacities, ..History::default() }
+    }
+}
