--- a/crates/lab/src/models/cluster.rs
+++ b/crates/lab/src/models/cluster.rs
@@ -4,6 +4,7 @@
 //! message is lost.
 
 use {
+    crate::models::timeline::Timeline,
     compact_str::{CompactString, format_compact},
     egretlb_config::parse_config,
     egretlb_control::{
@@ -13,8 +14,7 @@
     egretlb_log::{AppendOutcome, ReadOutcome, Record},
     egretlb_types::{DataCentre, NodeId, Offset, SHARD_COUNT, ShardId, Time},
     std::{
-        cmp::Reverse,
-        collections::{BTreeMap, BinaryHeap},
+        collections::BTreeMap,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -44,41 +44,13 @@
     pub heartbeat_max: u64,
 }
 
-struct Due {
-    at: Time,
-    order: u64,
-    node: usize,
-    event: ControlEvent,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 /// The processes and their log.
 pub struct Cluster {
     now: Time,
-    order: u64,
     nodes: Vec<Option<Control>>,
     index: BTreeMap<NodeId, usize>,
     stream: Vec<Record>,
-    due: BinaryHeap<Reverse<Due>>,
+    due: Timeline<(usize, ControlEvent)>,
     traffic: Traffic,
     in_force: Vec<ConfigVersion>,
     cpu: Duration,
@@ -96,11 +68,10 @@
     pub fn new(schedulers: usize, seed: u64) -> Self {
         let mut cluster = Cluster {
             now: Time::ZERO,
-            order: 0,
             nodes: Vec::new(),
             index: BTreeMap::new(),
             stream: Vec::new(),
-            due: BinaryHeap::new(),
+            due: Timeline::new(),
             traffic: Traffic::default(),
             in_force: vec![ConfigVersion::NONE; 2 * schedulers],
             cpu: Duration::ZERO,
@@ -123,10 +94,9 @@
     /// Goes on for `span`.
     pub fn run(&mut self, span: Duration) {
         let until = self.now + span;
-        while self.due.peek().is_some_and(|Reverse(due)| due.at < until) {
-            let Some(Reverse(due)) = self.due.pop() else { break };
-            self.now = due.at;
-            self.step(due.node, due.event);
+        while let Some((at, (node, event))) = self.due.pop_before(until) {
+            self.now = at;
+            self.step(node, event);
         }
         self.now = until;
     }
@@ -208,8 +178,7 @@
     }
 
     fn push(&mut self, at: Time, node: usize, event: ControlEvent) {
-        self.order += 1;
-        self.due.push(Reverse(Due { at, order: self.order, node, event }));
+        self.due.push(at, (node, event));
     }
 
     fn step(&mut self, node: usize, event: ControlEvent) {
--- a/crates/lab/src/models/mod.rs
+++ b/crates/lab/src/models/mod.rs
@@ -4,6 +4,7 @@
 mod cluster;
 pub mod place;
 mod requests;
+mod timeline;
 mod world;
 
 pub use crate::models::{
--- a/crates/lab/src/models/requests.rs
+++ b/crates/lab/src/models/requests.rs
@@ -7,6 +7,7 @@
     crate::models::{
         class_name,
         place::{Held, node_id, vm_list},
+        timeline::Timeline,
     },
     egretlb_requests::{
         AttemptId, BodyHash, Entry, EntryEffect, EntryEvent, EntryOptions, RequestId, ShareBook,
@@ -21,8 +22,7 @@
     rand_distr::{Distribution, Exp},
     serde::Serialize,
     std::{
-        cmp::Reverse,
-        collections::{BTreeMap, BinaryHeap},
+        collections::BTreeMap,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -68,43 +68,15 @@
     Grantor(ShareBookEvent),
 }
 
-struct Due {
-    at: Time,
-    order: u64,
-    entry: usize,
-    event: Event,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        self.order == other.order
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 /// The entries and their surroundings.
 pub struct Requests {
     now: Time,
-    order: u64,
     rng: SmallRng,
     entries: Vec<Entry>,
     index: BTreeMap<NodeId, usize>,
     grantor: ShareBook,
     held: Held,
-    due: BinaryHeap<Reverse<Due>>,
+    due: Timeline<(usize, Event)>,
     gaps: Option<Exp<f64>>,
     service: Exp<f64>,
     class: ClassName,
@@ -118,13 +90,12 @@
         let shards: Vec<_> = (0..SHARD_COUNT).map(ShardId).collect();
         let mut requests = Requests {
             now: Time::ZERO,
-            order: 0,
             rng: SmallRng::seed_from_u64(seed),
             entries: Vec::new(),
             index: (0..entries).map(|n| (node_id(n), n)).collect(),
             grantor: ShareBook::new(),
             held: Held::new(&shards),
-            due: BinaryHeap::new(),
+            due: Timeline::new(),
             gaps: None,
             service: Exp::new(1.0 / SERVICE_MEAN_S).expect("a rate"),
             class: class_name(0),
@@ -185,16 +156,15 @@
     /// Goes on for `span`.
     pub fn run(&mut self, span: Duration) {
         let until = self.now + span;
-        while self.due.peek().is_some_and(|Reverse(due)| due.at < until) {
-            let Some(Reverse(due)) = self.due.pop() else { break };
-            self.now = due.at;
-            match due.event {
+        while let Some((at, (n, event))) = self.due.pop_before(until) {
+            self.now = at;
+            match event {
                 Event::Tick => {
-                    self.entry(due.entry, EntryEvent::Tick);
-                    self.push(TICK, due.entry, Event::Tick);
+                    self.entry(n, EntryEvent::Tick);
+                    self.push(TICK, n, Event::Tick);
                 }
-                Event::Arrive => self.arrival(due.entry),
-                Event::Entry(event) => self.entry(due.entry, event),
+                Event::Arrive => self.arrival(n),
+                Event::Entry(event) => self.entry(n, event),
                 Event::Grantor(event) => self.grant(event),
             }
         }
@@ -218,9 +188,7 @@
     }
 
     fn push(&mut self, after: Duration, entry: usize, event: Event) {
-        self.order += 1;
-        let at = self.now + after;
-        self.due.push(Reverse(Due { at, order: self.order, entry, event }));
+        self.due.push(self.now + after, (entry, event));
     }
 
     fn new_arrival(&mut self) -> Arrival {
--- a/crates/lab/src/models/world.rs
+++ b/crates/lab/src/models/world.rs
@@ -7,7 +7,10 @@
 use {
     crate::{
         measure::OpTimer,
-        models::place::{Held, node_id, owner, shards_of, vm_list},
+        models::{
+            place::{Held, node_id, owner, shards_of, vm_list},
+            timeline::Timeline,
+        },
     },
     egretlb_log::{AppendOutcome, EntryKind, JournalEntry, JournalWriter, WriterOptions},
     egretlb_standins::worker::{WorkerSettings, WorkerState},
@@ -22,8 +25,7 @@
     rand::{Rng, SeedableRng, rngs::SmallRng},
     serde::Serialize,
     std::{
-        cmp::Reverse,
-        collections::{BTreeMap, BinaryHeap},
+        collections::BTreeMap,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -80,33 +82,6 @@
     Call { ticket: Ticket, vm: VmId, call: WorkerCall },
 }
 
-struct Due {
-    at: Time,
-    order: u64,
-    node: usize,
-    event: Event,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        self.order == other.order
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 struct Node {
     jobs: JobBook,
     racks: RackBook,
@@ -117,13 +92,12 @@
 /// The nodes, their workers and the time.
 pub struct World {
     now: Time,
-    order: u64,
     rng: SmallRng,
     nodes: Vec<Node>,
     index: BTreeMap<NodeId, usize>,
     owners: Vec<usize>,
     workers: BTreeMap<VmId, WorkerState>,
-    due: BinaryHeap<Reverse<Due>>,
+    due: Timeline<(usize, Event)>,
     submitted: BTreeMap<JobId, Time>,
     urgent: BTreeMap<ClassName, OpTimer>,
     others: OpTimer,
@@ -141,13 +115,12 @@
         };
         let mut world = World {
             now: Time::ZERO,
-            order: 0,
             rng: SmallRng::seed_from_u64(seed),
             nodes: Vec::new(),
             index: (0..nodes).map(|n| (node_id(n), n)).collect(),
             owners: (0..egretlb_types::SHARD_COUNT).map(|s| owner(ShardId(s), nodes)).collect(),
             workers: list.iter().map(worker).collect(),
-            due: BinaryHeap::new(),
+            due: Timeline::new(),
             submitted: BTreeMap::new(),
             urgent: BTreeMap::new(),
             others: OpTimer::new(),
@@ -192,10 +165,9 @@
     /// Goes on for `span`.
     pub fn run(&mut self, span: Duration) {
         let until = self.now + span;
-        while self.due.peek().is_some_and(|Reverse(due)| due.at < until) {
-            let Some(Reverse(due)) = self.due.pop() else { break };
-            self.now = due.at;
-            self.step(due.node, due.event);
+        while let Some((at, (node, event))) = self.due.pop_before(until) {
+            self.now = at;
+            self.step(node, event);
         }
         self.now = until;
     }
@@ -245,8 +217,7 @@
     }
 
     fn push(&mut self, at: Time, node: usize, event: Event) {
-        self.order += 1;
-        self.due.push(Reverse(Due { at, order: self.order, node, event }));
+        self.due.push(at, (node, event));
     }
 
     fn step(&mut self, node: usize, event: Event) {
--- a/crates/standins/src/worker/mod.rs
+++ b/crates/standins/src/worker/mod.rs
@@ -18,6 +18,7 @@
 mod command;
 mod faults;
 mod history;
+mod running;
 mod serve;
 mod server;
 mod state;
