--- a/crates/net/src/runtime/entry.rs
+++ b/crates/net/src/runtime/entry.rs
@@ -50,7 +50,9 @@
     let requests = Requests::default();
     let metrics = Arc::new(EntryMetrics::new());
     let peers = listen_to_peers(&rt, settings, tx.clone())?;
-    let http = serve_operators(settings, tx.clone(), replies.clone(), &metrics)?;
+    let rendered = Arc::clone(&metrics);
+    let render = move || rendered.render();
+    let http = operators::serve(settings, tx.clone(), replies.clone(), render)?;
     let callers = serve_callers(addr, settings, tx.clone(), requests.clone(), &metrics)?;
     let info = node_info(node, Role::Entry, settings, peers, http.addr());
     let clock = Clock::start();
@@ -79,21 +81,6 @@
     Ok(Running { node, callers, operators, peers, shutdown, drains, thread, _rt: rt })
 }
 
-fn serve_operators(
-    settings: &Settings,
-    tx: Sender<EntryNodeEvent>,
-    replies: Replies,
-    metrics: &Arc<EntryMetrics>,
-) -> Result<HttpServer, StartError> {
-    let metrics = Arc::clone(metrics);
-    let render = move || metrics.render();
-    operators::serve(settings, tx, replies, render).map_err(|error| StartError::Listen {
-        field: "operators",
-        addr: settings.listen.operators,
-        error,
-    })
-}
-
 fn serve_callers(
     addr: SocketAddr,
     settings: &Settings,
--- a/crates/net/src/runtime/operators.rs
+++ b/crates/net/src/runtime/operators.rs
@@ -1,6 +1,7 @@
 //! Operators' calls over HTTP.
 
 use {
+    super::error::StartError,
     crate::http::{BadRequest, HttpServer, read_body, respond, respond_json},
     compact_str::CompactString,
     crossbeam::channel::{self, Sender},
@@ -11,11 +12,12 @@
     egretlb_config::Settings,
     egretlb_node::{CallTicket, NodeEvent, OperatorReply, OperatorRequest},
     egretlb_telemetry::METRICS_CONTENT_TYPE,
-    oxhttp::model::{Body, Method, Request, Response, StatusCode, header::CONTENT_TYPE},
+    oxhttp::model::{
+        Body, HeaderValue, Method, Request, Response, StatusCode, header::CONTENT_TYPE,
+    },
     serde::de::DeserializeOwned,
     std::{
         collections::HashMap,
-        io,
         sync::{
             Arc, Mutex, PoisonError,
             atomic::{AtomicU64, Ordering},
@@ -79,7 +81,7 @@
     tx: Sender<E>,
     replies: Replies,
     render_metrics: impl Fn() -> String + Send + Sync + 'static,
-) -> io::Result<HttpServer> {
+) -> Result<HttpServer, StartError> {
     let addr = settings.listen.operators;
     let handler = move |req: &mut Request<Body>| match route(req) {
         Ok(Routed::Ask(request)) => match replies.ask(&tx, request) {
@@ -91,17 +93,15 @@
         },
         Ok(Routed::Alive) => respond(StatusCode::OK, [], "alive\n"),
         Ok(Routed::Metrics) => {
-            let content_type = (CONTENT_TYPE, METRICS_CONTENT_TYPE.to_owned());
             let mut metrics = respond(StatusCode::OK, [], render_metrics());
-            metrics.headers_mut().remove(CONTENT_TYPE);
-            if let Ok(value) = content_type.1.parse() {
-                metrics.headers_mut().insert(content_type.0, value);
-            }
+            let content_type = HeaderValue::from_static(METRICS_CONTENT_TYPE);
+            metrics.headers_mut().insert(CONTENT_TYPE, content_type);
             metrics
         }
         Err(bad) => api_error(bad.status, bad.text),
     };
     HttpServer::start(addr.ip(), addr.port(), IDLE_LIMIT, CONNECTIONS_MAX, handler)
+        .map_err(|error| StartError::Listen { field: "operators", addr, error })
 }
 
 enum Routed {
--- a/crates/net/src/runtime/scheduler.rs
+++ b/crates/net/src/runtime/scheduler.rs
@@ -15,7 +15,7 @@
         http::{CallFailure, HttpServer},
         platform::WorkerClient,
     },
-    crossbeam::channel::{self, Receiver, Sender},
+    crossbeam::channel::{self, Receiver},
     egretlb_config::Settings,
     egretlb_control::Role,
     egretlb_log::StreamName,
@@ -50,7 +50,9 @@
     let replies = Replies::default();
     let metrics = Arc::new(SchedulerMetrics::new());
     let peers = listen_to_peers(&rt, settings, tx.clone())?;
-    let http = serve_operators(settings, tx.clone(), replies.clone(), &metrics)?;
+    let rendered = Arc::clone(&metrics);
+    let render = move || rendered.render();
+    let http = operators::serve(settings, tx.clone(), replies.clone(), render)?;
     let info = node_info(node, Role::Scheduler, settings, peers, http.addr());
     let clock = Clock::start();
     let common = metrics.common().clone();
@@ -67,21 +69,6 @@
     Ok(Running { node, callers: None, operators, peers, shutdown, drains, thread, _rt: rt })
 }
 
-fn serve_operators(
-    settings: &Settings,
-    tx: Sender<SchedulerEvent>,
-    replies: Replies,
-    metrics: &Arc<SchedulerMetrics>,
-) -> Result<HttpServer, StartError> {
-    let metrics = Arc::clone(metrics);
-    let render = move || metrics.render();
-    operators::serve(settings, tx, replies, render).map_err(|error| StartError::Listen {
-        field: "operators",
-        addr: settings.listen.operators,
-        error,
-    })
-}
-
 impl Loop {
     fn run(mut self, http: &HttpServer) -> Stopped {
         let mut tick_at = Time::ZERO;
