--- a/crates/requests/src/entry/arrive.rs
+++ b/crates/requests/src/entry/arrive.rs
@@ -119,6 +119,7 @@
             keyed,
             phase: Phase::AwaitsPermit,
             attempts: SmallVec::new(),
+            sends: 0,
             caller_waits: true,
             may_have_run: false,
             hedge_at: None,
--- a/crates/requests/src/entry/budget.rs
+++ b/crates/requests/src/entry/budget.rs
@@ -1,9 +1,9 @@
 //! How much may be sent a second time.
 
-/// What each first sending adds: a tenth, so that retries and hedges together stay under a tenth
-/// of the load whatever fails. Three blind retries would quadruple the load of servers that are
+/// What each first sending adds: a little under a tenth, so that retries and hedges together, with
+/// the tokens that a class begins with, stay under a tenth of the load whatever fails. Three blind retries would quadruple the load of servers that are
 /// failing because of load.
-const EARNED: f64 = 0.1;
+const EARNED: f64 = 0.09;
 
 /// The most that is saved up: a class that was quiet for long may not flood a failing server.
 const MOST: f64 = 10.0;
--- a/crates/requests/src/entry/dispatch.rs
+++ b/crates/requests/src/entry/dispatch.rs
@@ -37,7 +37,6 @@
                 let state = self.classes.get_mut(class);
                 let waiting = !state.queue.is_empty();
                 state.drain.sent(now, waiting);
-                state.budget.earn();
             }
             self.send(now, next.request, next.server, out);
         }
@@ -91,6 +90,11 @@
         let ends_at = now + timeout + END_GRACE;
         request.phase = Phase::Open;
         request.attempts.push(attempt);
+        // A retry that had to wait earns nothing either, or retries would pay for themselves.
+        if request.sends == 0 {
+            state.budget.earn();
+        }
+        request.sends += 1;
         if request.idempotent && request.hedge_at.is_none() {
             let at = now + state.hedge_after();
             request.hedge_at = Some(at);
--- a/crates/requests/src/entry/request.rs
+++ b/crates/requests/src/entry/request.rs
@@ -41,6 +41,8 @@
     pub(super) keyed: Option<Box<Keyed>>,
     pub(super) phase: Phase,
     pub(super) attempts: SmallVec<[AttemptId; 2]>,
+    /// How often it was sent.
+    pub(super) sends: u32,
     /// Whether a final answer is still owed.
     pub(super) caller_waits: bool,
     /// Whether bytes of it may have reached a backend server.
--- a/crates/requests/src/keys/book.rs
+++ b/crates/requests/src/keys/book.rs
@@ -1,13 +1,15 @@
 //! The owner's book of keys.
 
 use {
-    super::message::{
-        KeyEntry, KeyOutcome, KeyRecord, KeySnapshot, OutcomeReport, Permit, PermitAsk,
-        PermitHolder,
+    super::{
+        message::{
+            KeyEntry, KeyOutcome, KeyRecord, KeySnapshot, OutcomeReport, Permit, PermitAsk,
+            PermitHolder,
+        },
+        state::{KeyState, Phase, ShardKeys, Since},
     },
     crate::{
-        ids::BodyHash,
-        limits::{IN_DOUBT_AFTER, KEY_RETENTION, MAX_KEYS_PER_SHARD, PERMIT_WAIT},
+        limits::{KEY_RETENTION, MAX_KEYS_PER_SHARD, PERMIT_WAIT},
         protections::Protections,
     },
     egretlb_types::{Authority, Epoch, RequestKey, ShardId, Ticket, Time},
@@ -92,45 +94,6 @@
     },
 }
 
-/// When something was recorded, as far as this process knows.
-#[derive(Clone, Copy, Debug)]
-enum Since {
-    /// On this process's clock.
-    At(Time),
-    /// This long before the shard was taken over, at least.
-    Age(Duration),
-}
-
-#[derive(Clone, Debug)]
-enum Phase {
-    /// The intent isn't known to be in the log yet; its holder waits.
-    Intending { ticket: Ticket },
-    /// The permit was given, or may have been.
-    Permitted,
-    /// The outcome is known, or known to stay unknown.
-    Ended(KeyOutcome),
-}
-
-#[derive(Clone, Debug)]
-struct KeyState {
-    body: BodyHash,
-    holder: PermitHolder,
-    phase: Phase,
-    since: Since,
-}
-
-#[derive(Debug, Default)]
-struct ShardKeys {
-    epoch: Option<Epoch>,
-    keys: BTreeMap<RequestKey, KeyState>,
-    /// Permits that wait for their intents.
-    intents: BTreeMap<Ticket, RequestKey>,
-    /// Reports that wait for their outcomes to be in the log.
-    reports: BTreeMap<Ticket, PermitHolder>,
-    /// Holders that have given up before their ask came, and when they said so.
-    given_up: BTreeMap<PermitHolder, Time>,
-}
-
 /// Remembers the keys of all shards that this process owns.
 #[derive(Debug)]
 pub struct KeyBook {
@@ -459,32 +422,3 @@
         ticket
     }
 }
-
-impl KeyState {
-    /// What an ask for this key is answered, or `None` if the ask is to be taken as new or is the
-    /// holder's own ask come twice.
-    fn answer(&self, now: Time, ask: &PermitAsk, protections: Protections) -> Option<Permit> {
-        let own = self.holder == ask.holder;
-        if self.body != ask.body {
-            return Some(Permit::OtherBody);
-        }
-        match &self.phase {
-            Phase::Intending { .. } if own => None,
-            Phase::Intending { .. } => Some(Permit::InProgress),
-            Phase::Permitted if own => Some(Permit::Granted),
-            Phase::Permitted if self.overdue(now) => {
-                protections.keep_in_doubt.then_some(Permit::InDoubt)
-            }
-            Phase::Permitted => Some(Permit::InProgress),
-            Phase::Ended(KeyOutcome::Ran(answer)) => Some(Permit::Recorded(answer.clone())),
-            Phase::Ended(KeyOutcome::Unknown) => {
-                protections.keep_in_doubt.then_some(Permit::InDoubt)
-            }
-            Phase::Ended(KeyOutcome::NotRun) => None,
-        }
-    }
-
-    fn overdue(&self, now: Time) -> bool {
-        matches!(self.since, Since::At(at) if now.since(at) >= IN_DOUBT_AFTER)
-    }
-}
--- a/crates/requests/src/keys/mod.rs
+++ b/crates/requests/src/keys/mod.rs
@@ -6,6 +6,7 @@
 
 mod book;
 mod message;
+mod state;
 
 pub use self::{
     book::{KeyBook, KeyBookEffect, KeyBookEvent},
--- a/crates/requests/src/shares/book.rs
+++ b/crates/requests/src/shares/book.rs
@@ -37,7 +37,8 @@
         shard: ShardId,
         /// The epoch of the ownership.
         epoch: Epoch,
-        /// Whether anybody owned the shard before and may have granted shares.
+        /// Whether anybody owned the shard before and may have granted shares; only the very first
+        /// epoch of a shard has none.
         had_owner: bool,
     },
     /// This process doesn't own the shard any more.
@@ -45,7 +46,8 @@
         /// The shard.
         shard: ShardId,
     },
-    /// All backend servers of the shard's racks, with the classes that they serve.
+    /// All backend servers of the shard's racks, with the classes that they serve. No ask is
+    /// answered before this was told; after [`ShareBookEvent::Lost`] it is to be told anew.
     Servers {
         /// The shard.
         shard: ShardId,
--- a/crates/requests/tests/support/servers.rs
+++ b/crates/requests/tests/support/servers.rs
@@ -23,6 +23,8 @@
     pub slots: usize,
     pub alive: bool,
     pub leaving: bool,
+    /// Every answer is cut off.
+    pub truncates: bool,
     /// How many times longer than elsewhere everything takes.
     pub slow: f64,
     /// With more at once than this, everything takes longer: by the square of the excess.
@@ -44,6 +46,7 @@
             slots,
             alive: true,
             leaving: false,
+            truncates: false,
             slow: 1.0,
             thrashes_above: usize::MAX,
             running: Vec::new(),
--- a/crates/requests/tests/support/world/performing.rs
+++ b/crates/requests/tests/support/world/performing.rs
@@ -159,6 +159,7 @@
         let body = Some(intent.to_le_bytes().to_vec());
         let whole = AttemptResult::Whole { status: 200, record: body };
         let delay = self.hop();
+        let whole = if self.servers[server].truncates { AttemptResult::Truncated } else { whole };
         match self.plan.take_answer(run.request) {
             Some(None) => {}
             Some(Some((result, late))) => self.back(&run, result.unwrap_or(whole), delay + late),
