--- a/crates/requests/src/keys/book.rs
+++ b/crates/requests/src/keys/book.rs
@@ -12,7 +12,7 @@
         limits::{KEY_RETENTION, MAX_KEYS_PER_SHARD, PERMIT_WAIT},
         protections::Protections,
     },
-    egretlb_types::{Authority, Epoch, RequestKey, ShardId, Ticket, Time},
+    egretlb_types::{Authority, Epoch, ShardId, Ticket, Time},
     std::{collections::BTreeMap, time::Duration},
 };
 
