Read the VM list whole only when it has changed

Ruled out: asking more seldom, since a leaving VM must get nothing new within a few seconds. The question now carries the ETag of the last answer.

--- a/crates/lab/src/experiments/wire.rs
+++ b/crates/lab/src/experiments/wire.rs
@@ -11,7 +11,7 @@
     egretlb_log::{LogService, StreamName},
     egretlb_net::{
         peers::{PeerSender, listen},
-        platform::{HttpLog, read_vms},
+        platform::{HttpLog, VmListClient},
     },
     egretlb_standins::{
         log::{LogSettings, start_log},
@@ -148,18 +148,29 @@
 }
 
 fn vm_lists(report: &mut Report) -> io::Result<()> {
-    let mut bytes = Series::new("bytes of reading the VM list", "workers", "B");
+    let mut whole = Series::new("bytes of reading the VM list first", "workers", "B");
+    let mut again = Series::new("bytes of reading it again unchanged", "workers", "B");
     for workers in [65, 325, 1_300] {
         let vms = start_vms(vm_list(workers), 0)?;
         let relay = Relay::start(vms.addr())?;
         let mut timer = OpTimer::new();
         let before = relay.count();
         for _ in 0..VM_READS {
-            timer.time(|| read_vms(relay.addr)).map_err(io::Error::other)?;
+            timer.time(|| VmListClient::new(relay.addr).read()).map_err(io::Error::other)?;
         }
-        bytes.push(workers as f64, (relay.count() - before) as f64 / VM_READS as f64);
-        report.spreads.push(timer.spread("reading the VM list", workers as f64));
+        let read = relay.count();
+        whole.push(workers as f64, (read - before) as f64 / VM_READS as f64);
+        report.spreads.push(timer.spread("reading the VM list first", workers as f64));
+        let client = VmListClient::new(relay.addr);
+        client.read().map_err(io::Error::other)?;
+        let (before, mut timer) = (relay.count(), OpTimer::new());
+        for _ in 0..VM_READS {
+            timer.time(|| client.read()).map_err(io::Error::other)?;
+        }
+        again.push(workers as f64, (relay.count() - before) as f64 / VM_READS as f64);
+        report.spreads.push(timer.spread("reading it again unchanged", workers as f64));
     }
-    report.series.push(bytes);
+    report.series.push(whole);
+    report.series.push(again);
     Ok(())
 }
--- a/crates/net/src/platform/mod.rs
+++ b/crates/net/src/platform/mod.rs
@@ -6,6 +6,6 @@
 
 pub use self::{
     log::HttpLog,
-    vms::read_vms,
+    vms::VmListClient,
     worker::{WorkerClient, worker_url},
 };
--- a/crates/net/src/runtime/io.rs
+++ b/crates/net/src/runtime/io.rs
@@ -6,7 +6,7 @@
         clock::Clock,
         http::Drain,
         peers::{self, Fate, PeerSender, Received},
-        platform::{HttpLog, read_vms},
+        platform::{HttpLog, VmListClient},
         pool::Pool,
     },
     compact_str::{CompactString, ToCompactString},
@@ -166,7 +166,7 @@
     pub(super) replies: Replies,
     pub(super) metrics: CommonMetrics,
     peers: PeerSender,
-    vm_list: SocketAddr,
+    vm_list: VmListClient,
     vms_at: Time,
 }
 
@@ -188,7 +188,7 @@
             replies,
             metrics,
             peers: PeerSender::new(rt.handle().clone(), node),
-            vm_list: settings.vm_list,
+            vm_list: VmListClient::new(settings.vm_list),
             vms_at: Time::ZERO,
         }
     }
@@ -206,8 +206,8 @@
             return;
         }
         self.vms_at = now + VMS_EVERY;
-        let (addr, tx) = (self.vm_list, self.tx.clone());
-        self.pool.run(move || match read_vms(addr) {
+        let (list, tx) = (self.vm_list.clone(), self.tx.clone());
+        self.pool.run(move || match list.read() {
             Ok(vms) => drop(tx.send(NodeEvent::Vms(vms).into())),
             Err(error) => log::debug!(error:% = error; "vm_list_unavailable"),
         });
--- a/crates/standins/src/vms/mod.rs
+++ b/crates/standins/src/vms/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! | call | body | answer |
 //! |---|---|---|
-//! | `GET /vms` | none | 200 a list of [`VmRecord`] as it was `lag_ms` ago |
+//! | `GET /vms` | none | 200 a list of [`VmRecord`] as it was `lag_ms` ago, with its `ETag`; 304 if the caller has it |
 //! | `POST /vms` | a list of [`VmRecord`] | 200; replaces the list |
 //! | `PUT /vms/{vm}` | a [`VmRecord`] | 200; sets one |
 //! | `DELETE /vms/{vm}` | none | 200; takes one out |
--- a/crates/standins/src/vms/server.rs
+++ b/crates/standins/src/vms/server.rs
@@ -7,7 +7,9 @@
         vms::{VmList, VmListFaults},
     },
     egretlb_types::{VmId, VmRecord},
+    siphasher::sip::SipHasher13,
     std::{
+        hash::Hasher,
         io,
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -64,7 +66,7 @@
     match change(call, shared) {
         Some(Ok(())) => Reply::text(200, ""),
         Some(Err(reply)) => reply,
-        None => list(shared),
+        None => list(call, shared),
     }
 }
 
@@ -86,7 +88,26 @@
     Some(result)
 }
 
-fn list(shared: &Mutex<Shared>) -> Reply {
+/// The tag of an answer: another list has another one.
+fn tag(body: &[u8]) -> String {
+    let mut hasher = SipHasher13::new();
+    hasher.write(body);
+    format!("\"{:016x}\"", hasher.finish())
+}
+
+/// Adds the answer's tag; a caller who has the same list already gets no body.
+fn tagged(call: &Call, reply: Reply) -> Reply {
+    let Reply::Whole { status, media_type, mut headers, body } = reply else { return reply };
+    let tag = tag(&body);
+    let same = call.header("if-none-match") == Some(tag.as_str());
+    headers.push(("etag", tag));
+    match same {
+        true => Reply::Whole { status: 304, media_type, headers, body: Vec::new() },
+        false => Reply::Whole { status, media_type, headers, body },
+    }
+}
+
+fn list(call: &Call, shared: &Mutex<Shared>) -> Reply {
     let (reply, delay) = {
         let shared = lock(shared);
         if shared.faults.down {
@@ -96,5 +117,5 @@
         (Reply::json(&shared.list.seen(wall_clock(), lag)), shared.faults.delay_ms)
     };
     thread::sleep(Duration::from_millis(delay));
-    reply
+    tagged(call, reply)
 }
