Don't pass an unrecorded answer off as an empty one

Cause: a repeat of a keyed request whose first answer was above 256 bytes got its status with an empty body, which a caller takes for the whole answer. It now gets 409 with Egretlb-Ran: yes and the first answer's status in words. repeated_long_answer shows it over processes.

--- a/crates/daemons/tests/process_faults.rs
+++ b/crates/daemons/tests/process_faults.rs
@@ -205,6 +205,32 @@
     system.entries.remove(0);
 }
 
+// A filing's answer is longer than what is kept of it, and the caller sends the filing again since
+// the answer got lost on its side. It must learn that it ran, and mustn't take an empty answer for
+// the whole one.
+#[test]
+fn repeated_long_answer() {
+    let system = configured(2, 2);
+    system.wait_for_service(0, "filing");
+    system.wait_for_service(1, "filing");
+    let headers = [("idempotency-key", "claim-9"), ("x-answer-bytes", "1000")];
+    let first = system.request(0, "filing", "claim-9", &headers).expect("an answer");
+    assert_eq!(first.status, StatusCode::OK);
+    let again = eventually("the outcome is recorded", || {
+        let again = system.request(1, "filing", "claim-9", &headers).ok()?;
+        (header(&again, "retry-after").is_none()).then_some(again)
+    });
+    assert_eq!(again.status, StatusCode::CONFLICT);
+    assert_eq!(header(&again, "egretlb-ran"), Some("yes"));
+    let told = Told {
+        id: "claim-9".into(),
+        idempotent: false,
+        hash: body_hash(b"claim-9"),
+        answer: Answer::Error(Ran::Yes),
+    };
+    assert_holds(&system, vec![told]);
+}
+
 // An entry is told to end while a caller waits for a slow answer. The caller gets it whole, and a
 // new caller is told at once that its request wasn't run.
 #[test]
--- a/crates/net/src/runtime/callers.rs
+++ b/crates/net/src/runtime/callers.rs
@@ -13,6 +13,7 @@
     egretlb_requests::{
         AttemptId, BodyHash, RECORDED_BODY_MAX, RequestId,
         entry::{AttemptResult, ErrorReason, Verdict},
+        keys::RecordedAnswer,
     },
     egretlb_telemetry::{EntryMetrics, Outcome},
     egretlb_types::{
@@ -317,16 +318,27 @@
     with_headers(passed, Ran::Yes, None)
 }
 
+/// The answer that was recorded with a request's key. One that was too long to be recorded can't
+/// be given again: an empty body under its status would pass for the whole answer.
+fn repeat_recorded(recorded: RecordedAnswer) -> Response<Body> {
+    let RecordedAnswer { status, body } = recorded;
+    let Some(body) = body else {
+        let text = format!(
+            "it ran before and answered with status {status}; that answer was too long to be kept, \
+             and it isn't run again\n"
+        );
+        return with_headers(respond(StatusCode::CONFLICT, [], text), Ran::Yes, None);
+    };
+    let mut answer = Response::new(Body::from(body));
+    *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    with_headers(answer, Ran::Yes, None)
+}
+
 fn answer_verdict(verdict: Verdict) -> Response<Body> {
     match verdict {
         // Its answer was kept until now, or the reducer wouldn't have said so.
         Verdict::PassOn { .. } => error_answer(ErrorReason::Broken, Ran::Yes, None),
-        Verdict::Recorded(recorded) => {
-            let status = StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::OK);
-            let mut answer = Response::new(Body::from(recorded.body.unwrap_or_default()));
-            *answer.status_mut() = status;
-            with_headers(answer, Ran::Yes, None)
-        }
+        Verdict::Recorded(recorded) => repeat_recorded(recorded),
         Verdict::Refuse { reason, retry_after } => refuse(reason, retry_after),
         Verdict::Error { reason, ran, retry_after } => error_answer(reason, ran, Some(retry_after)),
     }
