Exit with a code of its own after a crash

Cause: a panic on the reducer's thread ended the process with exit code 0, as if it had been asked to end; a supervisor that starts only failed processes again would have left the VM without one. Follows from the code; no test, since nothing from outside makes the reducer panic.

--- a/crates/daemons/src/args.rs
+++ b/crates/daemons/src/args.rs
@@ -94,4 +94,5 @@
   2  the command line is wrong
   3  the settings can't be read or have faults
   4  can't start, for example since an address is in use
+  5  crashed, which is a fault of egretlb; start it again
 ";
--- a/crates/daemons/src/lib.rs
+++ b/crates/daemons/src/lib.rs
@@ -38,6 +38,8 @@
     Settings = 3,
     /// It can't start, for example since an address is in use.
     CantStart = 4,
+    /// It crashed: a fault of egretlb. Whoever supervises it must start it again.
+    Crashed = 5,
 }
 
 impl From<Exit> for ExitCode {
@@ -103,6 +105,11 @@
 }
 
 fn finish(stopped: Stopped) -> Exit {
-    log::info!(cut_off = stopped.cut_off; "ended");
-    if stopped.cut_off == 0 { Exit::Done } else { Exit::CutOff }
+    let Stopped { cut_off, crashed } = stopped;
+    if crashed {
+        log::error!(cut_off; "crashed");
+        return Exit::Crashed;
+    }
+    log::info!(cut_off; "ended");
+    if cut_off == 0 { Exit::Done } else { Exit::CutOff }
 }
--- a/crates/daemons/src/signals.rs
+++ b/crates/daemons/src/signals.rs
@@ -28,7 +28,7 @@
             if asked {
                 let cut_off = running.in_progress();
                 log::warn!(cut_off; "ended_by_second_signal");
-                return Stopped { cut_off };
+                return Stopped { cut_off, crashed: false };
             }
             asked = true;
             log::info!("shutting_down");
--- a/crates/net/src/runtime/io.rs
+++ b/crates/net/src/runtime/io.rs
@@ -49,6 +49,8 @@
 pub struct Stopped {
     /// Requests that were still in progress when the limit ran out, and were cut off.
     pub cut_off: usize,
+    /// Whether the daemon's thread panicked: a fault of egretlb, which its log tells of.
+    pub crashed: bool,
 }
 
 /// A running daemon.
@@ -101,7 +103,8 @@
 
     /// Waits until the daemon has ended.
     pub fn join(self) -> Stopped {
-        self.thread.join().unwrap_or_default()
+        let cut_off = self.in_progress();
+        self.thread.join().unwrap_or(Stopped { cut_off, crashed: true })
     }
 }
 
@@ -312,5 +315,5 @@
 /// Waits until the answers under way are written, at most `limit`.
 pub(super) fn drain(drains: &[&Drain], limit: Duration) -> Stopped {
     let cut_off = drains.iter().map(|drain| drain.wait(limit)).sum();
-    Stopped { cut_off }
+    Stopped { cut_off, crashed: false }
 }
