Call a configuration's version the same in logs and dumps as in the command

Seen by hand: the command said version 6, both daemons' logs and dumps 7. Also shows at the process that callers who never end a request are cut off while others are answered.

--- a/crates/daemons/tests/bad_input.rs
+++ b/crates/daemons/tests/bad_input.rs
@@ -8,10 +8,10 @@
     egretlb_standins::worker::What,
     std::{
         fs,
-        io::{ErrorKind, Read, Write},
+        io::{BufRead, BufReader, ErrorKind, Read, Write},
         net::{Shutdown, SocketAddr, TcpListener, TcpStream},
         path::PathBuf,
-        process::{Command, Output},
+        process::{Child, Command, Output, Stdio},
         time::Duration,
     },
     support::{CLASSES, System, header},
@@ -153,6 +153,54 @@
     says(&to(CONFIG, faulty), 422, "classes[0].team: no team is named t");
 }
 
+/// A daemon's process that ends with the test.
+struct Started(Child);
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        // A process that has ended already is no failure.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[test]
+fn slow_callers() {
+    // Callers on a bad line, or bad ones, begin a request and never end it. Each holds a connection
+    // until the time-out of the settings; others must be answered meanwhile, and the connections
+    // must come back. Without the time-out the entry would soon take nobody any more.
+    let text = r#"{ "name": "n", "data_centre": "d", "log_service": ["127.0.0.1:1"],
+        "vm_list": "127.0.0.1:1", "limits": { "caller_timeout": "300ms", "max_connections": 50 },
+        "listen": { "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0" } }"#;
+    let mut command = Command::new(env!("CARGO_BIN_EXE_egretlb-entry"));
+    command.args(["-q", "-q"]).arg(settings("slow.jsonc", text)).stdout(Stdio::piped());
+    let mut entry = Started(command.spawn().expect("the daemon's program starts"));
+    let stdout = entry.0.stdout.take().expect("a pipe");
+    let mut line = String::new();
+    BufReader::new(stdout).read_line(&mut line).expect("the daemon tells its addresses");
+    let callers = line.split_whitespace().find_map(|word| word.strip_prefix("callers="));
+    let callers: SocketAddr = callers.and_then(|text| text.parse().ok()).expect("an address");
+
+    let head = "POST /serve/check/x HTTP/1.1\r\nHost: x\r\n";
+    let starts = [head.to_owned(), format!("{head}Content-Length: 10\r\n\r\na")];
+    let slow = starts.iter().cycle().take(40).map(|start| {
+        let mut stream = TcpStream::connect(callers).expect("the daemon listens");
+        stream.write_all(start.as_bytes()).expect("a connection");
+        stream
+    });
+    let slow: Vec<TcpStream> = slow.collect();
+    // More than the connections allowed: some of these wait until slow ones are cut off.
+    for _ in 0..20 {
+        refused(&post(callers, "/serve/check/x", "", "x"), 404, "unknown class");
+    }
+    for mut stream in slow {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer);
+        assert!(!answer.starts_with("HTTP/1.1 2"), "{answer:?}");
+    }
+}
+
 /// A settings file for one run.
 fn settings(name: &str, text: &str) -> PathBuf {
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -10,7 +10,7 @@
     crate::{
         node::{
             Delivery, NodeCore, NodeEffect, NodeEvent, Notice, OperatorReply, OperatorRequest,
-            Outbox, PeerTaken,
+            Outbox, PeerTaken, version_of,
         },
         peer::PeerMessage,
     },
@@ -291,7 +291,7 @@
             "node": control.info().node.to_string(),
             "role": "entry",
             "data_centre": control.info().data_centre,
-            "config_version": control.in_force().version.0,
+            "config_version": version_of(control.in_force().version),
             "in_touch_with_log": control.is_in_touch(now),
             "alarms": alarms,
             "requests": self.entry.dump(),
--- a/crates/node/src/node/convert.rs
+++ b/crates/node/src/node/convert.rs
@@ -12,7 +12,7 @@
 pub(super) const CALL_AGAIN: Duration = Duration::from_secs(5);
 
 /// The version as operators see it: the offset of the proposal.
-pub(super) fn version_of(version: ConfigVersion) -> Option<Offset> {
+pub(crate) fn version_of(version: ConfigVersion) -> Option<Offset> {
     version.0.checked_sub(1).map(Offset)
 }
 
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -7,12 +7,13 @@
 mod notice;
 mod outbox;
 
+pub(crate) use self::{
+    convert::version_of,
+    core::{NodeCore, PeerTaken},
+    outbox::Outbox,
+};
 pub use self::{
     core::PEER_CONFIG_MAX_BYTES,
     event::{CallTicket, Delivery, NodeEffect, NodeEvent, OperatorReply, OperatorRequest},
     notice::Notice,
 };
-pub(crate) use self::{
-    core::{NodeCore, PeerTaken},
-    outbox::Outbox,
-};
--- a/crates/node/src/node/notice.rs
+++ b/crates/node/src/node/notice.rs
@@ -1,6 +1,7 @@
 //! What operators should know of, as one log line each.
 
 use {
+    super::convert::version_of,
     egretlb_control::{Alarm, ConfigVersion},
     egretlb_log::RecoverError,
     egretlb_tasks::{JobAlarm, RackAlarm},
@@ -75,9 +76,11 @@
 impl fmt::Display for Notice {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Notice::ConfigInForce(version) => {
-                write!(f, "event=config_in_force version={version}")
-            }
+            // As the command and the metrics have it, so that an operator can look for a version.
+            Notice::ConfigInForce(version) => match version_of(*version) {
+                Some(version) => write!(f, "event=config_in_force version={version}"),
+                None => write!(f, "event=config_in_force version=none"),
+            },
             Notice::ShardOwned { shard, epoch } => {
                 write!(f, "event=shard_owned shard={shard} epoch={epoch}")
             }
--- a/crates/node/src/scheduler/dump.rs
+++ b/crates/node/src/scheduler/dump.rs
@@ -2,6 +2,7 @@
 
 use {
     super::Scheduler,
+    crate::node::version_of,
     egretlb_types::{SHARD_COUNT, ShardId, Time},
     serde_json::{Value, json},
 };
@@ -34,7 +35,7 @@
             "node": control.info().node.to_string(),
             "role": "scheduler",
             "data_centre": control.info().data_centre,
-            "config_version": control.in_force().version.0,
+            "config_version": version_of(control.in_force().version),
             "in_touch_with_log": control.is_in_touch(now),
             "alarms": alarms,
             "shards": { "owned": owned, "taking_over": taking_over,
