Find classes by name, and stop the replicas of removed ones

Ranking searched all classes for each waiting job and usage for each class in use at each question: linear in the classes of a configuration, of which there may be thousands. The jobs' book now keeps an index, the racks' book sums use up by team twice a second.

A class removed while its shard changed owner kept its replicas for ever: only the owner that had started them knew of the service. Any owner now stops them (removed_class_is_stopped).

--- a/crates/tasks/examples/measure.rs
+++ b/crates/tasks/examples/measure.rs
@@ -45,7 +45,9 @@
         urgent();
     }
     if all || what == "interference" {
-        println!("deployment     learning  done  evictions  missed_pm  replicas  batch_starts");
+        println!(
+            "deployment     learning  done  evictions  missed_pm  quarters_pm  replicas  starts"
+        );
         for (name, vms, capacity) in [
             ("65x30c125GB", 65, resources(30.0, 125.0, 0)),
             ("50x64c250GB", 50, resources(64.0, 250.0, 0)),
@@ -241,7 +243,7 @@
     world.run(Duration::from_secs(10));
     let cores = f64::from(capacity.cpu.0) / 1_000.0 * count as f64;
     let tasks_a_step = (cores / 2.0 * 0.66 / 60.0 * 2.0) as u32;
-    let (mut missed, mut asked) = (0_u64, 0_u64);
+    let mut quarters = [(0_u64, 0_u64); 4];
     for step in 0..STEPS {
         if step == STEPS / 2 {
             world.options.classes = suffering("gazette");
@@ -249,8 +251,9 @@
         let class = if step % 2 == 0 { "titles" } else { "gazette" };
         world.submit(spec(&format!("{class}{step}"), class, tasks_a_step));
         let (bad, all) = service_load(&mut world);
-        missed += bad;
-        asked += all;
+        let quarter = &mut quarters[(step * 4 / STEPS) as usize];
+        quarter.0 += bad;
+        quarter.1 += all;
         world.run(Duration::from_secs(2));
     }
     let checks: HashSet<ClassName> = HashSet::from(["checks".parse().unwrap()]);
@@ -261,10 +264,14 @@
         .filter(|run| checks.contains(&run.start.class))
         .count();
     let done: u64 = world.workers.values().map(|worker| worker.done).sum();
+    let permille = |missed: u64, asked: u64| missed * 1_000 / asked.max(1);
+    let missed = quarters.iter().map(|(missed, _)| missed).sum();
+    let asked = quarters.iter().map(|(_, asked)| asked).sum();
     println!(
-        "{name:13}  {learning:8}  {done:5}  {:9}  {:9.1}  {replicas:8}  {}",
+        "{name:13}  {learning:8}  {done:5}  {:9}  {:9}  {:?}  {replicas:8}  {}",
         world.checker.evictions,
-        missed as f64 * 1_000.0 / asked.max(1) as f64,
+        permille(missed, asked),
+        quarters.map(|(missed, asked)| permille(missed, asked)),
         world.checker.starts
     );
     assert!(world.checker.violations.is_empty(), "{:?}", world.checker.violations.first());
--- a/crates/tasks/src/jobs/calls.rs
+++ b/crates/tasks/src/jobs/calls.rs
@@ -76,10 +76,10 @@
     }
 
     fn record_of(&self, spec: &JobSpec, after: RetryAfter) -> Result<JobRecord, JobRefusal> {
-        let Some(document) = &self.document else { return Err(JobRefusal::NoConfig { after }) };
-        let Some(class) = document.class(&spec.class) else {
-            return Err(JobRefusal::UnknownClass);
-        };
+        if self.document.is_none() {
+            return Err(JobRefusal::NoConfig { after });
+        }
+        let class = self.class(&spec.class).ok_or(JobRefusal::UnknownClass)?;
         let ClassKind::Batch { task, run_time, .. } = &class.kind else {
             return Err(JobRefusal::NotBatch);
         };
--- a/crates/tasks/src/jobs/mod.rs
+++ b/crates/tasks/src/jobs/mod.rs
@@ -28,8 +28,8 @@
         msg::JobMsg,
     },
     egretlb_types::{
-        Authority, ClassName, ConfigDocument, Epoch, JobId, NodeId, ShardId, TaskId, Ticket, Time,
-        shard_of_class, worker::TaskFence,
+        Authority, ClassName, ClassSpec, ConfigDocument, Epoch, JobId, NodeId, ShardId, TaskId,
+        Ticket, Time, shard_of_class, worker::TaskFence,
     },
     job::Job,
     queue::{NodeInfo, Sizes},
@@ -101,6 +101,8 @@
             protections: self.protections,
             rng: SmallRng::seed_from_u64(self.seed),
             document: None,
+            classes: HashMap::new(),
+            plan_services_at: Time::ZERO,
             nodes: BTreeMap::new(),
             shards: BTreeMap::new(),
             pending: HashMap::new(),
@@ -120,6 +122,10 @@
     protections: Protections,
     rng: SmallRng,
     document: Option<Arc<ConfigDocument>>,
+    /// Where each class stands in the document: with thousands of classes a search through all
+    /// of them for each waiting job would cost more than placing it.
+    classes: HashMap<ClassName, usize>,
+    plan_services_at: Time,
     nodes: BTreeMap<NodeId, NodeInfo>,
     shards: BTreeMap<ShardId, Shard>,
     pending: HashMap<Ticket, Pending>,
@@ -148,7 +154,7 @@
         match event {
             JobEvent::Owned { shard, epoch } => self.own(now, shard, epoch),
             JobEvent::Lost { shard } => self.lose(shard, out),
-            JobEvent::Config { document } => self.document = Some(document),
+            JobEvent::Config { document } => self.take_config(document),
             JobEvent::Tick => self.tick(now, auth, out),
             JobEvent::Nodes { nodes } => self.take_nodes(nodes),
             JobEvent::Submit { call, spec } => self.submit(now, call, spec, auth, out),
@@ -180,6 +186,17 @@
         JobSnapshot { jobs: owned.chain(kept.replayed.values().cloned()).collect() }
     }
 
+    fn take_config(&mut self, document: Arc<ConfigDocument>) {
+        let names = document.classes.iter().enumerate();
+        self.classes = names.map(|(at, class)| (class.name.clone(), at)).collect();
+        self.document = Some(document);
+    }
+
+    /// The class of the name, in the configuration in force.
+    fn class(&self, name: &ClassName) -> Option<&ClassSpec> {
+        self.document.as_ref()?.classes.get(*self.classes.get(name)?)
+    }
+
     fn park_rule(&self) -> ParkRule {
         ParkRule { vms: self.limits.parked_after_vms, fails: self.limits.parked_after_fails }
     }
--- a/crates/tasks/src/jobs/queue.rs
+++ b/crates/tasks/src/jobs/queue.rs
@@ -272,7 +272,7 @@
     }
 
     fn batch_target(&self, job: &Job) -> Option<BatchTarget> {
-        let class = self.document.as_ref()?.class(&job.record.spec.class)?;
+        let class = self.class(&job.record.spec.class)?;
         let ClassKind::Batch { amount, period, urgent, .. } = class.kind else { return None };
         // A job larger than the class's amount has as many periods as it needs.
         let periods = job.record.spec.tasks.div_ceil(amount.max(1)).max(1);
--- a/crates/tasks/src/jobs/services.rs
+++ b/crates/tasks/src/jobs/services.rs
@@ -50,7 +50,6 @@
 pub(super) struct Service {
     loads: BTreeMap<NodeId, (Time, ClassLoad)>,
     pub(super) wanted: u32,
-    planned_at: Option<Time>,
     grown_at: Option<Time>,
     idle_since: Option<Time>,
     missing: bool,
@@ -131,6 +130,11 @@
         out: &mut Vec<JobEffect>,
     ) {
         let Some(document) = self.document.clone() else { return };
+        if now < self.plan_services_at {
+            return;
+        }
+        self.plan_services_at = now + PLAN_EVERY;
+        self.retire_services(now);
         for class in &document.classes {
             let shard = shard_of_class(&class.name);
             let is_service = matches!(class.kind, ClassKind::Latency { .. });
@@ -138,10 +142,24 @@
                 self.plan_service(now, shard, class, out);
             }
         }
-        let gone = |name: &&ClassName| document.class(name).is_none();
-        let gone: Vec<ClassName> = self.services.keys().filter(gone).cloned().collect();
-        for class in gone {
-            self.retire_service(now, &class);
+    }
+
+    /// Stops the replicas of classes that the configuration no longer has, also those that an
+    /// earlier owner started.
+    fn retire_services(&mut self, now: Time) {
+        let classes = &self.classes;
+        self.services.retain(|class, _| classes.contains_key(class));
+        for kept in self.shards.values_mut() {
+            for id in &kept.open {
+                let Some(job) = kept.jobs.get_mut(id) else { continue };
+                if !job.record.service || classes.contains_key(&job.record.spec.class) {
+                    continue;
+                }
+                for active in job.active.values_mut().filter(|active| !active.stop) {
+                    active.stop = true;
+                    active.send_at = now;
+                }
+            }
         }
     }
 
@@ -161,11 +179,7 @@
             }
             return;
         };
-        let service = self.services.entry(class.name.clone()).or_default();
-        if service.planned_at.is_some_and(|at| now.since(at) < PLAN_EVERY) {
-            return;
-        }
-        service.planned_at = Some(now);
+        self.services.entry(class.name.clone()).or_default();
         self.make_service_job(now, shard, &id, class, replica, out);
         let running = self.replicas(shard, &id);
         let least = if spread { 2 } else { 1 };
@@ -287,18 +301,4 @@
             out.push(JobEffect::Alarm(alarm));
         }
     }
-
-    /// A class that the configuration no longer has: its replicas are stopped.
-    fn retire_service(&mut self, now: Time, class: &ClassName) {
-        self.services.remove(class);
-        let shard = shard_of_class(class);
-        let Some(id) = service_job(class) else { return };
-        let Some(job) = self.shards.get_mut(&shard).and_then(|kept| kept.jobs.get_mut(&id)) else {
-            return;
-        };
-        for active in job.active.values_mut() {
-            active.stop = true;
-            active.send_at = now;
-        }
-    }
 }
--- a/crates/tasks/src/racks/mod.rs
+++ b/crates/tasks/src/racks/mod.rs
@@ -28,8 +28,8 @@
         msg::{JobMsg, NodeMsg, NodeRoom, RackMsg, ReservationId},
     },
     egretlb_types::{
-        Authority, ClassName, ConfigDocument, Epoch, Resources, ShardId, TaskId, Ticket, Time,
-        VmId, VmRecord, shard_of_rack, worker::TaskFence,
+        Authority, ClassName, ConfigDocument, Epoch, Resources, ShardId, TaskId, TeamName, Ticket,
+        Time, VmId, VmRecord, shard_of_rack, worker::TaskFence,
     },
     index::RoomIndex,
     pressure::Pressure,
@@ -153,8 +153,8 @@
     next_ticket: Ticket,
     backends_changed: BTreeSet<ShardId>,
     pressure: Pressure,
-    /// What each class holds, as last summed up.
-    usage: BTreeMap<ClassName, Resources>,
+    /// What each team's batch work holds, as last summed up.
+    usage: BTreeMap<TeamName, Resources>,
     /// The room of all VMs, as last summed up.
     room: NodeRoom,
     sum_up_at: Time,
--- a/crates/tasks/src/racks/place.rs
+++ b/crates/tasks/src/racks/place.rs
@@ -6,7 +6,7 @@
         vm::{Reserved, Vm},
     },
     crate::msg::{Grant, JobMsg, Place, Placed, ReservationId, TeamUsage, Want},
-    egretlb_types::{Authority, ClassKind, Resources, TeamName, Time, VmId},
+    egretlb_types::{Authority, ClassName, Resources, TeamName, Time, VmId},
     std::collections::BTreeMap,
 };
 
@@ -216,13 +216,8 @@
         if held.is_empty() {
             return Vec::new();
         }
-        for (class, sum) in &self.usage {
-            let Some(class) = self.document.class(class) else { continue };
-            // A quota bounds batch work: services take what their targets need.
-            let batch = matches!(class.kind, ClassKind::Batch { .. });
-            if let Some(total) = held.get_mut(&class.team).filter(|_| batch) {
-                *total = total.plus(sum);
-            }
+        for (team, held) in &mut held {
+            *held = self.usage.get(*team).copied().unwrap_or_default();
         }
         let usage = |(team, held): (&TeamName, Resources)| TeamUsage { team: team.clone(), held };
         held.into_iter().map(usage).collect()
@@ -234,14 +229,19 @@
     /// question, so that a question's cost doesn't grow with the VMs.
     pub(super) fn sum_up(&mut self) {
         self.room = self.count_room();
-        self.usage.clear();
-        for on in self.vms.values().flat_map(|vm| vm.attempts.values()) {
-            if !self.usage.contains_key(&on.class) {
-                self.usage.insert(on.class.clone(), Resources::default());
-            }
-            if let Some(sum) = self.usage.get_mut(&on.class) {
-                *sum = sum.plus(&on.resources);
+        let mut by_class: BTreeMap<&ClassName, Resources> = BTreeMap::new();
+        for on in self.vms.values().flat_map(|vm| vm.attempts.values()).filter(|on| !on.service) {
+            let sum = by_class.entry(&on.class).or_default();
+            *sum = sum.plus(&on.resources);
+        }
+        // A quota bounds batch work: services take what their targets need.
+        let mut usage: BTreeMap<TeamName, Resources> = BTreeMap::new();
+        for (class, sum) in by_class {
+            if let Some(class) = self.document.class(class) {
+                let total = usage.entry(class.team.clone()).or_default();
+                *total = total.plus(&sum);
             }
         }
+        self.usage = usage;
     }
 }
--- a/crates/tasks/tests/node_room.rs
+++ b/crates/tasks/tests/node_room.rs
@@ -105,6 +105,7 @@
                 round: place.round,
                 granted: Vec::new(),
                 refused: place.wants.iter().map(|want| want.task.clone()).collect(),
+                reclaiming: 0,
                 room: room(now),
                 usage: Vec::new(),
             };
--- a/crates/tasks/tests/services.rs
+++ b/crates/tasks/tests/services.rs
@@ -102,3 +102,13 @@
     assert!(world.status(&service_job(&class()).unwrap()).is_some());
     assert_eq!(world.checker.violations, Vec::<String>::new());
 }
+
+// A class is removed from the configuration. Its replicas would go on holding room for ever.
+#[test]
+fn removed_class_is_stopped() {
+    let mut world = world();
+    assert_eq!(replicas(&world).len(), 2);
+    world.configure(document(Vec::new()));
+    world.run(SECOND * 10);
+    assert_eq!(replicas(&world).len(), 0);
+}
--- a/crates/tasks/tests/support/world.rs
+++ b/crates/tasks/tests/support/world.rs
@@ -190,13 +190,10 @@
             jobs: Vec::new(),
             appended: 0,
         };
-        let document = Arc::new(world.options.document.clone());
+        world.configure(world.options.document.clone());
         let ids: Vec<NodeId> = world.nodes.iter().map(|node| node.id).collect();
         for i in 0..world.nodes.len() {
-            let (config, nodes) = (Arc::clone(&document), ids.clone());
-            world.push(Duration::ZERO, Item::Job(i, JobEvent::Config { document: config }));
-            let config = Arc::clone(&document);
-            world.push(Duration::ZERO, Item::Rack(i, RackEvent::Config { document: config }));
+            let nodes = ids.clone();
             world.push(Duration::ZERO, Item::Job(i, JobEvent::Nodes { nodes }));
             let offset = Duration::from_millis(7 * i as u64);
             world.push(offset, Item::Tick(i));
@@ -206,6 +203,17 @@
         world
     }
 
+    /// Puts a configuration in force at every node.
+    pub fn configure(&mut self, document: ConfigDocument) {
+        let document = Arc::new(document);
+        for i in 0..self.nodes.len() {
+            let config = JobEvent::Config { document: Arc::clone(&document) };
+            self.push(Duration::ZERO, Item::Job(i, config));
+            let config = RackEvent::Config { document: Arc::clone(&document) };
+            self.push(Duration::ZERO, Item::Rack(i, config));
+        }
+    }
+
     /// Lets time pass until everybody settles, counted from now.
     pub fn run(&mut self, span: Duration) {
         let end = self.now + span;
