--- a/crates/tasks/src/racks/lease.rs
+++ b/crates/tasks/src/racks/lease.rs
@@ -16,6 +16,11 @@
     },
 };
 
+/// The most doublings of the wait before an end is told again. In a log outage no job's owner can
+/// acknowledge ends; all that end in an hour, told every two seconds, would be hundreds of messages
+/// a second.
+const TELL_DOUBLINGS: u32 = 3;
+
 impl RackBook {
     /// The latest end of a lease that a call made now may grant.
     pub(super) fn bound_of_call(&self, now: Time) -> Time {
@@ -109,7 +114,8 @@
             if closed.acked || now < closed.send_at {
                 continue;
             }
-            closed.send_at = now + resend;
+            closed.send_at = now + resend * 2_u32.pow(closed.sends.min(TELL_DOUBLINGS));
+            closed.sends += 1;
             let ended = Ended {
                 vm: id.clone(),
                 rack,
--- a/crates/tasks/src/racks/start.rs
+++ b/crates/tasks/src/racks/start.rs
@@ -124,6 +124,7 @@
         if let Some(closed) = vm.closed.get_mut(of) {
             closed.acked = false;
             closed.send_at = now;
+            closed.sends = 0;
             self.tell_ends(now, id, out);
             return false;
         }
--- a/crates/tasks/src/racks/vm.rs
+++ b/crates/tasks/src/racks/vm.rs
@@ -75,6 +75,8 @@
     pub(super) at: Time,
     pub(super) acked: bool,
     pub(super) send_at: Time,
+    /// How often it was told so far.
+    pub(super) sends: u32,
 }
 
 /// How a VM has treated what it was given.
@@ -225,7 +227,7 @@
             return false;
         }
         let suspect = self.note_health(of, &how);
-        let closed = Closed { how, suspect, ran, at: now, acked: false, send_at: now };
+        let closed = Closed { how, suspect, ran, at: now, acked: false, send_at: now, sends: 0 };
         self.closed.insert(of.clone(), closed);
         self.recount();
         true
