--- a/crates/net/src/runtime/io.rs
+++ b/crates/net/src/runtime/io.rs
@@ -6,7 +6,7 @@
         clock::Clock,
         http::Drain,
         peers::{self, Fate, PeerSender, Received},
-        platform::{HttpLog, read_vms},
+        platform::{HttpLog, VmListClient},
         pool::Pool,
     },
     compact_str::{CompactString, ToCompactString},
@@ -49,6 +49,8 @@
 pub struct Stopped {
     /// Requests that were still in progress when the limit ran out, and were cut off.
     pub cut_off: usize,
+    /// Whether the daemon's thread panicked: a fault of egretlb, which its log tells of.
+    pub crashed: bool,
 }
 
 /// A running daemon.
@@ -101,7 +103,8 @@
 
     /// Waits until the daemon has ended.
     pub fn join(self) -> Stopped {
-        self.thread.join().unwrap_or_default()
+        let cut_off = self.in_progress();
+        self.thread.join().unwrap_or(Stopped { cut_off, crashed: true })
     }
 }
 
@@ -166,7 +169,7 @@
     pub(super) replies: Replies,
     pub(super) metrics: CommonMetrics,
     peers: PeerSender,
-    vm_list: SocketAddr,
+    vm_list: VmListClient,
     vms_at: Time,
 }
 
@@ -188,7 +191,7 @@
             replies,
             metrics,
             peers: PeerSender::new(rt.handle().clone(), node),
-            vm_list: settings.vm_list,
+            vm_list: VmListClient::new(settings.vm_list),
             vms_at: Time::ZERO,
         }
     }
@@ -206,8 +209,8 @@
             return;
         }
         self.vms_at = now + VMS_EVERY;
-        let (addr, tx) = (self.vm_list, self.tx.clone());
-        self.pool.run(move || match read_vms(addr) {
+        let (list, tx) = (self.vm_list.clone(), self.tx.clone());
+        self.pool.run(move || match list.read() {
             Ok(vms) => drop(tx.send(NodeEvent::Vms(vms).into())),
             Err(error) => log::debug!(error:% = error; "vm_list_unavailable"),
         });
@@ -312,5 +315,5 @@
 /// Waits until the answers under way are written, at most `limit`.
 pub(super) fn drain(drains: &[&Drain], limit: Duration) -> Stopped {
     let cut_off = drains.iter().map(|drain| drain.wait(limit)).sum();
-    Stopped { cut_off }
+    Stopped { cut_off, crashed: false }
 }
