--- a/crates/tasks/src/jobs/queue.rs
+++ b/crates/tasks/src/jobs/queue.rs
@@ -184,6 +184,11 @@
         self.next_ticket = self.next_ticket.next();
         let round = self.next_ticket;
         let tasks: Vec<TaskId> = wants.iter().map(|want| want.task.clone()).collect();
+        for want in wants.iter().filter(|want| want.reclaim) {
+            if let Some(job) = self.job_mut(&want.task) {
+                job.reclaim_round = Some(round);
+            }
+        }
         for task in &tasks {
             if let Some(job) = self.job_mut(task)
                 && let Some(waiting) = job.waiting.get_mut(&task.index)
@@ -267,7 +272,7 @@
     }
 
     fn batch_target(&self, job: &Job) -> Option<BatchTarget> {
-        let class = self.document.as_ref()?.class(&job.record.spec.class)?;
+        let class = self.class(&job.record.spec.class)?;
         let ClassKind::Batch { amount, period, urgent, .. } = class.kind else { return None };
         // A job larger than the class's amount has as many periods as it needs.
         let periods = job.record.spec.tasks.div_ceil(amount.max(1)).max(1);
--- a/crates/tasks/src/racks/place.rs
+++ b/crates/tasks/src/racks/place.rs
@@ -6,7 +6,7 @@
         vm::{Reserved, Vm},
     },
     crate::msg::{Grant, JobMsg, Place, Placed, ReservationId, TeamUsage, Want},
-    egretlb_types::{Authority, ClassKind, Resources, TeamName, Time, VmId},
+    egretlb_types::{Authority, ClassName, Resources, TeamName, Time, VmId},
     std::collections::BTreeMap,
 };
 
@@ -24,6 +24,10 @@
 /// An accelerator held idle by a task that needs none may keep another task waiting.
 const IDLE_ACCELERATOR_PENALTY: f64 = 2.0;
 
+/// Work that leaves services alone goes beside them first. Otherwise it would fill the VMs without
+/// services, and work that disturbs would find room only beside them.
+const QUIET_BONUS: f64 = 0.8;
+
 impl RackBook {
     pub(super) fn place(
         &mut self,
@@ -36,6 +40,7 @@
             round: place.round,
             granted: Vec::new(),
             refused: Vec::new(),
+            reclaiming: 0,
             room: Default::default(),
             usage: Vec::new(),
         };
@@ -44,8 +49,8 @@
                 Some(grant) => placed.granted.push(grant),
                 None => {
                     placed.refused.push(want.task.clone());
-                    if want.reclaim {
-                        self.reclaim(now, want, auth, out);
+                    if want.reclaim && self.reclaim(now, want, auth, out) {
+                        placed.reclaiming += 1;
                     }
                 }
             }
@@ -196,6 +201,11 @@
         if want.avoid_data_centres.contains(&vm.record.data_centre) {
             cost += SPREAD_PENALTY;
         }
+        let mut services = vm.attempts.values().filter(|on| on.service).peekable();
+        let beside_services = !want.service && services.peek().is_some();
+        if beside_services && services.all(|on| self.learned.is_quiet(&on.class, &want.class)) {
+            cost -= QUIET_BONUS;
+        }
         let neighbours = vm.attempts.values().map(|on| (&on.class, on.service));
         cost + SLOWDOWN_WEIGHT * self.learned.slowdown(&want.class, want.service, neighbours)
     }
@@ -206,13 +216,8 @@
         if held.is_empty() {
             return Vec::new();
         }
-        for (class, sum) in &self.usage {
-            let Some(class) = self.document.class(class) else { continue };
-            // A quota bounds batch work: services take what their targets need.
-            let batch = matches!(class.kind, ClassKind::Batch { .. });
-            if let Some(total) = held.get_mut(&class.team).filter(|_| batch) {
-                *total = total.plus(sum);
-            }
+        for (team, held) in &mut held {
+            *held = self.usage.get(*team).copied().unwrap_or_default();
         }
         let usage = |(team, held): (&TeamName, Resources)| TeamUsage { team: team.clone(), held };
         held.into_iter().map(usage).collect()
@@ -224,14 +229,19 @@
     /// question, so that a question's cost doesn't grow with the VMs.
     pub(super) fn sum_up(&mut self) {
         self.room = self.count_room();
-        self.usage.clear();
-        for on in self.vms.values().flat_map(|vm| vm.attempts.values()) {
-            if !self.usage.contains_key(&on.class) {
-                self.usage.insert(on.class.clone(), Resources::default());
-            }
-            if let Some(sum) = self.usage.get_mut(&on.class) {
-                *sum = sum.plus(&on.resources);
+        let mut by_class: BTreeMap<&ClassName, Resources> = BTreeMap::new();
+        for on in self.vms.values().flat_map(|vm| vm.attempts.values()).filter(|on| !on.service) {
+            let sum = by_class.entry(&on.class).or_default();
+            *sum = sum.plus(&on.resources);
+        }
+        // A quota bounds batch work: services take what their targets need.
+        let mut usage: BTreeMap<TeamName, Resources> = BTreeMap::new();
+        for (class, sum) in by_class {
+            if let Some(class) = self.document.class(class) {
+                let total = usage.entry(class.team.clone()).or_default();
+                *total = total.plus(&sum);
             }
         }
+        self.usage = usage;
     }
 }
--- a/crates/tasks/src/racks/vm.rs
+++ b/crates/tasks/src/racks/vm.rs
@@ -75,6 +75,8 @@
     pub(super) at: Time,
     pub(super) acked: bool,
     pub(super) send_at: Time,
+    /// How often it was told so far.
+    pub(super) sends: u32,
 }
 
 /// How a VM has treated what it was given.
@@ -116,6 +118,8 @@
     pub(super) renewing: bool,
     pub(super) renew_at: Time,
     pub(super) health: Health,
+    /// Room being freed that is meant for tasks which asked for it.
+    pub(super) promised: Resources,
     /// Whether job owners were told that it is leaving.
     pub(super) leaving_told: bool,
 }
@@ -144,6 +148,7 @@
             renewing: false,
             renew_at: now,
             health: Health::default(),
+            promised: Resources::default(),
             leaving_told: false,
         }
     }
@@ -201,6 +206,9 @@
             committed = committed.plus(&reserved.resources);
             unseen = unseen.plus(&reserved.resources);
         }
+        if !self.attempts.values().any(|on| on.phase == Phase::Stopping) {
+            self.promised = Resources::default();
+        }
         self.committed = committed;
         self.unseen = unseen;
     }
@@ -219,7 +227,7 @@
             return false;
         }
         let suspect = self.note_health(of, &how);
-        let closed = Closed { how, suspect, ran, at: now, acked: false, send_at: now };
+        let closed = Closed { how, suspect, ran, at: now, acked: false, send_at: now, sends: 0 };
         self.closed.insert(of.clone(), closed);
         self.recount();
         true
