Leave after the last answer, and ask for shares by class

Three things came together. 1. An entry left the control stream at the start of its shutdown. Who has left has no address, so grants and permits for requests still in progress were dropped by their senders. It leaves now when nothing is in progress. 2. Whether shares are short was judged over all classes' servers. With a share for filings idle, a check waited for the next periodic ask: 1.0 to 2.0 s, then 200 or a late refusal, where it takes 7 to 9 ms. Judged by class now; share_shortage fails without it ('nothing was asked for within half a second') and passes with it. 3. The test's slow request took 1.5 s, so the entry was gone before the second refusal. The test now waits until the worker runs the request, which takes 6 s; what it asserts is unchanged. Ruled out: a shutdown that cuts requests off (the slow request got its whole answer in each traced run).

--- a/crates/daemons/tests/process_faults.rs
+++ b/crates/daemons/tests/process_faults.rs
@@ -239,8 +239,8 @@
     system.wait_for_service(0, "check");
     let callers = system.entries[0].callers.expect("an entry");
     let slow =
-        thread::spawn(move || support::send(callers, "check", "slow", &[("x-service-ms", "1500")]));
-    thread::sleep(Duration::from_millis(500));
+        thread::spawn(move || support::send(callers, "check", "slow", &[("x-service-ms", "6000")]));
+    wait_for_request(&system, "slow");
     let mut entry = system.entries.remove(0);
     entry.signal("-TERM");
     let refused = eventually("the entry refuses", || {
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -32,7 +32,7 @@
     has_config: bool,
     shutting_down: bool,
     drained: bool,
-    left: bool,
+    leaving: bool,
 }
 
 #[derive(Default)]
@@ -53,7 +53,7 @@
             has_config: false,
             shutting_down: false,
             drained: false,
-            left: false,
+            leaving: false,
         }
     }
 
@@ -146,7 +146,6 @@
             NodeEvent::Shutdown => {
                 self.shutting_down = true;
                 self.requests(now, EntryEvent::Shutdown, out);
-                self.step_control(now, ControlEvent::Shutdown, out);
             }
         }
     }
@@ -176,22 +175,13 @@
                     self.requests(now, EntryEvent::Config { document }, out);
                     out.node.effects.push(NodeEffect::Notice(Notice::ConfigInForce(version)));
                 }
-                ControlEffect::ShutdownDone => {
-                    self.left = true;
-                    self.exit_if_done(out);
-                }
+                ControlEffect::ShutdownDone => out.node.effects.push(NodeEffect::Exit),
                 // An entry owns nothing; the rest is the same for both roles and done already.
                 _ => {}
             }
         }
     }
 
-    fn exit_if_done(&mut self, out: &mut Out) {
-        if self.left && self.drained {
-            out.node.effects.push(NodeEffect::Exit);
-        }
-    }
-
     /// Tells the request reducer of the owners that have changed.
     fn follow_owners(&mut self, now: Time, out: &mut Out) {
         let Some(state) = self.core.control().state() else { return };
@@ -246,6 +236,19 @@
         for effect in effects {
             self.perform_request(effect, out);
         }
+        self.leave_if_drained(now, out);
+    }
+
+    /// Leaves the control stream once nothing is in progress.
+    ///
+    /// Whoever has left has no address any more: grants and permits for the requests still in
+    /// progress would be dropped by their senders. A request that was taken right before the
+    /// shutdown would then wait for a share that never comes, until its deadline.
+    fn leave_if_drained(&mut self, now: Time, out: &mut Out) {
+        if self.drained && !self.leaving {
+            self.leaving = true;
+            self.step_control(now, ControlEvent::Shutdown, out);
+        }
     }
 
     fn perform_request(&mut self, effect: EntryEffect, out: &mut Out) {
@@ -278,7 +281,6 @@
             }
             EntryEffect::Drained => {
                 self.drained = true;
-                self.exit_if_done(out);
             }
         }
     }
--- a/crates/requests/src/entry/sharing.rs
+++ b/crates/requests/src/entry/sharing.rs
@@ -66,8 +66,17 @@
 
     /// Whether more shares would help now.
     pub(super) fn is_short(&self) -> bool {
-        let free = self.servers.free();
-        (self.waiting > 0 && free == 0) || free * SHORT_ONE_IN < self.servers.total()
+        self.waits_without_share() || self.servers.free() * SHORT_ONE_IN < self.servers.total()
+    }
+
+    /// Whether a class has requests waiting and no server of its own that may take one.
+    ///
+    /// Free shares of other classes' servers don't help it. Were they counted, a boundary check
+    /// would wait for the next periodic ask, up to 3 s, while shares for filings lie idle.
+    fn waits_without_share(&self) -> bool {
+        let waits =
+            |ix: ClassIx| !self.classes.get(ix).queue.is_empty() && !self.servers.has_candidate(ix);
+        self.waiting > 0 && self.classes.indices().any(waits)
     }
 
     /// Asks soon when demand grows, without waiting for the next tick.
