Let an entry's clock run slow in the tests of shares

Within the margin of 1% no server gets more than its slots; with a clock 70% slow the checker notices. The cut from the owners lasts 25 s instead of 15, longer than a lapsed share is kept aside: with 15 s a lease that was far too long had ended with the cut, and nothing was noticed.

--- a/crates/requests/tests/share_limits.rs
+++ b/crates/requests/tests/share_limits.rs
@@ -71,6 +71,17 @@
     assert_eq!(overloads(LONG, DIES, &faults, Protections::default()), Vec::<String>::new());
 }
 
+/// The clock of an entry that is cut off from its grantor runs slow, so that it takes its lease for
+/// longer than it is. Within the margin no worker gets too much; far beyond it the checker notices.
+#[test]
+fn clocks_run_apart() {
+    let faults = [Fault::AsksLost];
+    let within = Around { slow_clock_permille: 9, ..BUSY };
+    assert_eq!(overloads(within, SENT, &faults, Protections::default()), Vec::<String>::new());
+    let beyond = Around { slow_clock_permille: 700, ..BUSY };
+    assert_ne!(overloads(beyond, SENT, &faults, Protections::default()), Vec::<String>::new());
+}
+
 /// Everything at once: load, late messages, a dead grantor and a dead entry.
 #[test]
 fn all_of_it_together() {
--- a/crates/requests/tests/support/faults.rs
+++ b/crates/requests/tests/support/faults.rs
@@ -64,7 +64,7 @@
 }
 
 const PAUSE: Duration = Duration::from_secs(12);
-const CUT: Duration = Duration::from_secs(15);
+const CUT: Duration = Duration::from_secs(25);
 const LOG_OUTAGE: Duration = Duration::from_secs(15);
 const DETECTION: Duration = Duration::from_millis(500);
 const TRIES: usize = 30;
@@ -258,10 +258,13 @@
     pub gap_ms: u64,
     /// What the other requests take, in milliseconds.
     pub work_ms: (u64, u64),
+    /// How much slower the first entry's clock runs than all others, in thousandths.
+    pub slow_clock_permille: i64,
 }
 
 /// Light load, a network that behaves.
-pub const CALM: Around = Around { jitter: Duration::ZERO, gap_ms: 60, work_ms: (60, 240) };
+pub const CALM: Around =
+    Around { jitter: Duration::ZERO, gap_ms: 60, work_ms: (60, 240), slow_clock_permille: 0 };
 
 /// Runs one request of `kind` that meets `faults`, among some others.
 pub fn run_cell(kind: Kind, faults: &[(Step, Fault)], protections: Protections, seed: u64) -> Cell {
@@ -303,6 +306,7 @@
 ) -> World {
     let mut world = World::new(small_setup(protections, seed));
     world.jitter = around.jitter;
+    world.entries[0].clock_permille = -around.slow_clock_permille;
     background(&mut world, around);
     let start = Time::from_secs(102);
     let target = world.request(start, record(&mut world_rng(seed), kind, 1_000_000, start, 0));
--- a/crates/requests/tests/support/world/mod.rs
+++ b/crates/requests/tests/support/world/mod.rs
@@ -86,6 +86,8 @@
     pub open: HashMap<AttemptId, Run>,
     woken_at: Option<Time>,
     pub drained: bool,
+    /// How much faster its clock runs than the others', in thousandths.
+    pub clock_permille: i64,
 }
 
 #[derive(Debug)]
@@ -127,6 +129,27 @@
     }
 }
 
+/// When every clock showed the same.
+const CLOCKS_SET: u64 = 100_000_000;
+
+impl EntrySim {
+    /// What the entry's own clock shows.
+    pub fn clock(&self, now: Time) -> Time {
+        scaled(now, 1_000 + self.clock_permille, 1_000)
+    }
+
+    /// When the entry's clock shows `at`, rounded up.
+    pub fn world_time(&self, at: Time) -> Time {
+        let time = scaled(at, 1_000, 1_000 + self.clock_permille);
+        if self.clock_permille == 0 { time } else { time + Duration::from_micros(1) }
+    }
+}
+
+fn scaled(time: Time, times: i64, over: i64) -> Time {
+    let since = time.as_micros() as i64 - CLOCKS_SET as i64;
+    Time::from_micros((CLOCKS_SET as i64 + since * times / over) as u64)
+}
+
 pub struct World {
     pub now: Time,
     queue: BinaryHeap<Reverse<Due>>,
@@ -245,6 +268,7 @@
             open: HashMap::new(),
             woken_at: None,
             drained: false,
+            clock_permille: 0,
         }
     }
 
@@ -387,14 +411,15 @@
             return;
         }
         let mut out = Vec::new();
-        self.entries[i].reducer.step(self.now, *event, &mut out);
+        let now = self.entries[i].clock(self.now);
+        self.entries[i].reducer.step(now, *event, &mut out);
         for effect in out {
             self.entry_effect(i, effect);
         }
         if !self.lives(i, incarnation) {
             return;
         }
-        let wake = self.entries[i].reducer.wake_at();
+        let wake = self.entries[i].reducer.wake_at().map(|at| self.entries[i].world_time(at));
         if let Some(at) = wake
             && self.entries[i].woken_at.is_none_or(|woken| at < woken)
         {
--- a/crates/requests/tests/support/world/performing.rs
+++ b/crates/requests/tests/support/world/performing.rs
@@ -88,6 +88,7 @@
         self.entries[i].open.insert(attempt, run);
         // A process paused between the decision and the first byte looks at the time again.
         let starts = self.now.max(self.entries[i].paused_until);
+        let send_by = self.entries[i].world_time(send_by);
         if starts > send_by && self.setup.protections.lapse_shares {
             self.end_attempt(i, attempt, AttemptResult::NotSent);
             return;
