Keep learned sizes from growing by their own margin

Cause: tasks that use all they are given measure what they were given. The margin now lifts no higher than the declaration; above it the measured peak itself is committed. greedy_tasks_stay_as_declared fails without the change and passes with it; the other learning tests are unchanged.

--- a/crates/tasks/src/learn/sizes.rs
+++ b/crates/tasks/src/learn/sizes.rs
@@ -18,7 +18,8 @@
 /// Ended tasks of a class before its learned run time is used.
 const RUN_TIME_AFTER: u32 = 3;
 
-/// What is committed on top of the learned peak, in thousandths: measurements miss short peaks.
+/// What is committed for a learned peak below the declaration, in thousandths of it: measurements
+/// miss short peaks.
 const MARGIN_PERMILLE: u64 = 1_200;
 
 /// No commitment falls below this share of the declaration, in thousandths.
@@ -54,6 +55,15 @@
     }
 }
 
+/// The smaller of the two in each part.
+fn least(a: &Resources, b: &Resources) -> Resources {
+    Resources {
+        cpu: a.cpu.min(b.cpu),
+        memory: a.memory.min(b.memory),
+        accelerators: a.accelerators.min(b.accelerators),
+    }
+}
+
 impl SizeTable {
     /// A running task's use was measured.
     pub fn note_use(&mut self, class: &ClassName, used: &Resources) {
@@ -86,9 +96,12 @@
     /// What to commit for a task of the class.
     pub fn size(&self, class: &ClassName, declared: &Resources) -> Resources {
         let Some(size) = self.classes.get(class) else { return *declared };
-        let learned = scale(&size.peak, MARGIN_PERMILLE);
         let mut committed = if size.ended >= SHRINK_AFTER {
-            learned.max(&scale(declared, FLOOR_PERMILLE))
+            // The margin lifts no higher than the declaration. A task that uses all it is given
+            // would otherwise be given a fifth more each time, without end: its use then says what
+            // it was given and not what it needs.
+            let with_margin = least(&scale(&size.peak, MARGIN_PERMILLE), declared);
+            size.peak.max(&with_margin).max(&scale(declared, FLOOR_PERMILLE))
         } else {
             declared.max(&size.peak)
         };
--- a/crates/tasks/tests/learning.rs
+++ b/crates/tasks/tests/learning.rs
@@ -57,6 +57,21 @@
     assert_eq!(sizes.run_time(&class("titles")), Some(Duration::from_secs(60)));
 }
 
+// The tasks of a class use all they are given, as a batch does that takes every processor it can.
+// If each peak were given with a margin on top, the class would grow by a fifth with each
+// generation until a task fills a VM, and the batch starves.
+#[test]
+fn greedy_tasks_stay_as_declared() {
+    let mut sizes = SizeTable::default();
+    let declared = resources(1.0, 1.0, 0);
+    for _ in 0..200 {
+        let given = sizes.size(&class("titles"), &declared);
+        sizes.note_use(&class("titles"), &given);
+        sizes.note_end(&class("titles"), &given, Duration::from_secs(1), TaskEnd::Done);
+    }
+    assert_eq!(sizes.size(&class("titles"), &declared), declared);
+}
+
 // Two classes always run beside a service, in changing numbers, and one of them disturbs it. The
 // reports don't say which; moving the wrong one would cost evictions and help nobody.
 #[test]
