--- a/crates/net/src/http/server.rs
+++ b/crates/net/src/http/server.rs
@@ -161,7 +161,7 @@
             ReadBodyError::TooLarge { limit } => {
                 write!(
                     f,
-                    "the body is larger than {limit} bytes; send less or raise max_body_bytes"
+                    "the body is larger than {limit} bytes; send less or raise limits.max_body"
                 )
             }
             ReadBodyError::Broken(error) => {
