Refuse what arrives behind an entry's last step

Cause: reading one request's way. Between the reducer's end and the process's, an arrival was put into a channel that nobody read: its caller was held, and the process waited for it until the drain's limit and then ended with exit code 1. The channel is closed now, and what is left in the table is refused as not run. Follows from the code; the window is too short for a test over processes.

--- a/crates/net/src/runtime/callers.rs
+++ b/crates/net/src/runtime/callers.rs
@@ -137,6 +137,19 @@
         let _ = waiting.tx.send(last);
     }
 
+    /// Refuses what is left when the reducer has ended with nothing in progress: these requests
+    /// came behind its last step. Nobody would answer them, and each would hold its caller, and the
+    /// end of the process, until the drain's limit.
+    pub(super) fn refuse_rest(&self) {
+        for (_, waiting) in self.lock().drain() {
+            let reason = NotRunReason::ShuttingDown;
+            let retry_after = RetryAfter::from_wait(Duration::ZERO);
+            let verdict = Box::new(Verdict::Refuse { reason, retry_after });
+            // The handler waits as long as the request is in the table.
+            let _ = waiting.tx.send(Final::Verdict(verdict));
+        }
+    }
+
     /// Drops a request that nobody waits for.
     pub(super) fn forget(&self, id: RequestId) {
         self.lock().remove(&id);
--- a/crates/net/src/runtime/entry.rs
+++ b/crates/net/src/runtime/entry.rs
@@ -131,6 +131,11 @@
             if done || overdue {
                 // What the reducer has answered is still being written to slow callers.
                 let left = self.stop_by.map_or(Duration::ZERO, |by| by.since(now));
+                // From here on an arrival finds nobody who takes it, and refuses itself.
+                drop(self.rx);
+                if done {
+                    self.requests.refuse_rest();
+                }
                 return drain(&[callers.drain(), operators.drain()], left.max(TICK));
             }
         }
