--- /dev/null
+++ b/crates/egretlbd/src/main.rs
@@ -0,0 +1,109 @@
+//! The daemon of each entry VM.
+
+use {
+    egretlb_platform::{JsonFormats, LogStore, RpcWorkers, Settings, SettingsError},
+    egretlb_runtime::{Listeners, Node, NodeOptions, run},
+    egretlb_telemetry::LogOptions,
+    egretlb_workflow::Limits,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::{fmt, io, net::SocketAddr, process::ExitCode, rc::Rc},
+    tokio::{
+        net::TcpListener,
+        runtime::Builder,
+        signal::unix::{SignalKind, signal},
+        task::LocalSet,
+    },
+};
+
+/// Why the daemon can't start.
+#[derive(Debug)]
+enum StartError {
+    /// The settings have faults.
+    Settings(SettingsError),
+    /// An address can't be listened on.
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// What the system said.
+        error: io::Error,
+    },
+    /// The system refused what the daemon needs.
+    System(io::Error),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StartError::Settings(error) => write!(f, "{error}"),
+            StartError::Listen { addr, error } => {
+                write!(f, "can't listen on {addr}: {error}; free the address or change it")
+            }
+            StartError::System(error) => write!(f, "can't start: {error}; check the limits"),
+        }
+    }
+}
+
+/// Exit codes. Scripts rely on them: none changes its meaning.
+mod exit {
+    pub(super) const SETTINGS: u8 = 3;
+    pub(super) const CANT_START: u8 = 4;
+}
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("egretlbd: {error}");
+            let settings = matches!(error, StartError::Settings(_));
+            ExitCode::from(if settings { exit::SETTINGS } else { exit::CANT_START })
+        }
+    }
+}
+
+fn start() -> Result<(), StartError> {
+    let settings = Settings::read().map_err(StartError::Settings)?;
+    if let Err(error) = egretlb_telemetry::init(LogOptions::new(&settings.node_name)) {
+        eprintln!("egretlbd: {error}");
+    }
+    let runtime =
+        Builder::new_current_thread().enable_all().build().map_err(StartError::System)?;
+    LocalSet::new().block_on(&runtime, serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), StartError> {
+    let listeners = Listeners {
+        clients: listen(settings.listen.clients).await?,
+        ready: listen(settings.listen.ready).await?,
+    };
+    let limits = Limits {
+        max_lease: settings.max_lease(),
+        retention: settings.retention() * 2,
+        ..Limits::default()
+    };
+    let options =
+        NodeOptions { name: settings.node_name.clone(), incarnation: SmallRng::from_os_rng().random(), limits };
+    let store = Rc::new(LogStore::new(settings.store.addr));
+    let node = Node::new(options, store, Rc::new(RpcWorkers::default()), Rc::new(JsonFormats));
+    let mut term = signal(SignalKind::terminate()).map_err(StartError::System)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::System)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(StartError::System)?;
+    tokio::task::spawn_local(async move {
+        // Nothing that this program uses changes in the file while it runs.
+        while hangup.recv().await.is_some() {
+            log::info!("settings_unchanged");
+        }
+    });
+    log::info!(version = env!("CARGO_PKG_VERSION"); "started");
+    run(node, listeners, async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    })
+    .await;
+    Ok(())
+}
+
+async fn listen(addr: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(addr).await.map_err(|error| StartError::Listen { addr, error })
+}
--- /dev/null
+++ b/crates/runtime/src/border.rs
@@ -0,0 +1,234 @@
+//! What the runtime needs of the platform. Its adapter implements these traits and decides nothing.
+
+use {
+    bytes::Bytes,
+    compact_str::CompactString,
+    egretlb_types::{Epoch, Offset, Seq},
+    egretlb_workflow::{
+        AppendResult, DirectoryChange, HoldResult, Record, RouteTable, RoutesError, RunId,
+        SpecError, StartResult, State, StopResult, TaskId, WorkerId, Workflow,
+    },
+    futures::future::LocalBoxFuture,
+    std::{fmt, net::SocketAddr, time::Duration},
+};
+
+/// A topic of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Topic {
+    /// The system's own records.
+    Work,
+    /// What the operator publishes.
+    Operator,
+    /// The workers' entries.
+    Directory,
+}
+
+impl fmt::Display for Topic {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Topic::Work => "work",
+            Topic::Operator => "operator",
+            Topic::Directory => "directory",
+        })
+    }
+}
+
+/// A record as the store returns it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Stored {
+    /// Its offset.
+    pub offset: Offset,
+    /// Its key.
+    pub key: Bytes,
+    /// Its value; empty if the key is dropped.
+    pub value: Bytes,
+}
+
+/// What a read returned.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ReadResult {
+    /// Records in order, perhaps none.
+    Records {
+        /// The records.
+        records: Vec<Stored>,
+        /// Where the partition ended.
+        end: Offset,
+    },
+    /// Records from the offset on were forgotten: the newest ones must be read.
+    Forgotten,
+    /// No answer, or none that can be used.
+    Failed,
+}
+
+/// A page of the newest record of each key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum NewestResult {
+    /// A page.
+    Page {
+        /// The records.
+        records: Vec<Stored>,
+        /// Where the partition ended.
+        end: Offset,
+        /// Whether another page follows the last key of this one.
+        more: bool,
+    },
+    /// No answer, or none that can be used.
+    Failed,
+}
+
+/// Who appends under an epoch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Fence {
+    /// The leader's epoch: the store rejects a lower one than it has seen.
+    pub epoch: Epoch,
+    /// The append's number under it, so that a repetition isn't appended twice.
+    pub seq: Seq,
+}
+
+/// An append to the system's own records.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Append {
+    /// The records; all are appended or none.
+    pub records: Vec<Record>,
+    /// Set for what only a leader appends.
+    pub fence: Option<Fence>,
+    /// Append only if the partition ends here.
+    pub at: Option<Offset>,
+}
+
+/// The platform's store.
+pub trait Store {
+    /// Appends to the system's own records.
+    fn append<'a>(&'a self, append: &'a Append) -> LocalBoxFuture<'a, AppendResult>;
+
+    /// Reads records from an offset on, waiting up to `wait` for the first.
+    fn read(&self, topic: Topic, from: Offset, wait: Duration) -> LocalBoxFuture<'_, ReadResult>;
+
+    /// Reads a page of the newest records, the first or the one after a key.
+    fn newest(&self, topic: Topic, after: Option<Bytes>) -> LocalBoxFuture<'_, NewestResult>;
+}
+
+/// A poll of a worker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HoldCall {
+    /// The incarnation that is meant.
+    pub worker: WorkerId,
+    /// Where it takes orders.
+    pub addr: SocketAddr,
+    /// The fencing token.
+    pub epoch: Epoch,
+    /// Ends up to here may be forgotten.
+    pub recorded: u64,
+    /// The end of the leases on the worker's clock in milliseconds.
+    pub until_ms: Option<u64>,
+    /// How long the answer may wait for the next end, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// A start of a task.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StartCall<'a> {
+    /// The incarnation that is meant.
+    pub worker: &'a WorkerId,
+    /// Where it takes orders.
+    pub addr: SocketAddr,
+    /// The fencing token.
+    pub epoch: Epoch,
+    /// The task.
+    pub task: TaskId,
+    /// The number of the start.
+    pub run: RunId,
+    /// Handed to the task.
+    pub payload: &'a str,
+    /// The end of the lease on the worker's clock in milliseconds.
+    pub until_ms: u64,
+    /// The checkpoint to resume from; empty for none.
+    pub saved: &'a str,
+}
+
+/// A stop of a run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StopCall {
+    /// The incarnation that is meant.
+    pub worker: WorkerId,
+    /// Where it takes orders.
+    pub addr: SocketAddr,
+    /// The fencing token.
+    pub epoch: Epoch,
+    /// The task.
+    pub task: TaskId,
+    /// The number of the start.
+    pub run: RunId,
+}
+
+/// The workers.
+pub trait Workers {
+    /// Asks what runs and what ended.
+    fn hold(&self, call: HoldCall) -> LocalBoxFuture<'_, HoldResult>;
+
+    /// Starts a task.
+    fn start<'a>(&'a self, call: StartCall<'a>) -> LocalBoxFuture<'a, StartResult>;
+
+    /// Stops a run, or keeps it from starting.
+    fn stop(&self, call: StopCall) -> LocalBoxFuture<'_, StopResult>;
+}
+
+/// What the operator published.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OperatorChange {
+    /// A configuration.
+    Routes(RouteTable),
+    /// Something else that has no meaning here.
+    Other,
+}
+
+/// Why an entry of the directory can't be read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DirectoryError {
+    /// What the reader said.
+    pub detail: CompactString,
+}
+
+impl fmt::Display for DirectoryError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a worker's entry can't be read: {}; the worker gets no work", self.detail)
+    }
+}
+
+impl std::error::Error for DirectoryError {}
+
+/// The formats of clients, operator and directory.
+pub trait Formats {
+    /// A client's workflow.
+    ///
+    /// # Errors
+    ///
+    /// The body can't be read, or the workflow breaks a limit.
+    fn workflow(&self, body: &[u8]) -> Result<Workflow, SpecError>;
+
+    /// The body that tells a client a workflow's state.
+    fn state(&self, state: State) -> Bytes;
+
+    /// The body that tells a client how many workflows wait.
+    fn pending(&self, count: usize) -> Bytes;
+
+    /// The body that tells a client what was wrong.
+    fn fault(&self, message: &str) -> Bytes;
+
+    /// How long a client waits for its answer, if it says so.
+    fn deadline(&self, headers: &http::HeaderMap) -> Option<Duration>;
+
+    /// What the operator published under a key.
+    ///
+    /// # Errors
+    ///
+    /// The value can't be read.
+    fn operator(&self, key: &[u8], value: &[u8]) -> Result<OperatorChange, RoutesError>;
+
+    /// What a worker's entry says.
+    ///
+    /// # Errors
+    ///
+    /// The entry can't be read.
+    fn directory(&self, key: &[u8], value: &[u8]) -> Result<DirectoryChange, DirectoryError>;
+}
--- /dev/null
+++ b/crates/runtime/src/clients.rs
@@ -0,0 +1,171 @@
+//! Clients' requests.
+
+use {
+    crate::{append::Stored, node::Node},
+    egretlb_http::{Request, Response},
+    egretlb_types::Time,
+    egretlb_workflow::{Key, Record, Route, State, Submission, WorkflowId},
+    http::Method,
+    std::{rc::Rc, time::Duration},
+    tokio::time::timeout,
+};
+
+/// When a client that was refused should come back: by then the process is up to date again, or the
+/// balancer sends the client elsewhere.
+const RETRY_AFTER_SECS: u32 = 1;
+
+/// How long a request for a workflow that isn't known waits for the records to be read past its
+/// arrival. They are read several times a second; a client that has just been told of its acceptance
+/// by another process mustn't be told that its workflow doesn't exist.
+const CATCH_UP: Duration = Duration::from_millis(900);
+
+/// Part of the client's own deadline that is used for catching up, in percent.
+const CATCH_UP_PERCENT: u32 = 60;
+
+/// The answers' statuses.
+mod status {
+    pub(super) const OK: u16 = 200;
+    pub(super) const BAD_REQUEST: u16 = 400;
+    pub(super) const NOT_FOUND: u16 = 404;
+    pub(super) const METHOD_NOT_ALLOWED: u16 = 405;
+    pub(super) const GONE: u16 = 410;
+    pub(super) const TOO_LARGE: u16 = 413;
+    pub(super) const UNAVAILABLE: u16 = 503;
+    pub(super) const TIMEOUT: u16 = 504;
+}
+
+fn refuse() -> Response {
+    Response { retry_after: Some(RETRY_AFTER_SECS), ..Response::empty(status::UNAVAILABLE) }
+}
+
+/// Answers a client.
+pub(crate) async fn answer(node: Rc<Node>, req: Request) -> Response {
+    let arrived = node.clock().now();
+    let route = {
+        let core = node.core();
+        let Some(routes) = &core.routes else { return refuse() };
+        routes.find(&req.host, &req.path).cloned()
+    };
+    let Some(route) = route else { return Response::empty(status::NOT_FOUND) };
+    let rest = &req.path[route.prefix.len()..];
+    if rest.is_empty() && req.method == Method::GET {
+        return pending(&node, &route);
+    }
+    let id: WorkflowId = match rest.parse() {
+        Ok(id) => id,
+        Err(error) => return fault(&node, status::BAD_REQUEST, &error),
+    };
+    match req.method {
+        Method::POST => submit(&node, &route, id, &req).await,
+        Method::GET => show(&node, id, arrived, &req).await,
+        Method::DELETE => cancel(&node, id, arrived, &req).await,
+        _ => Response::empty(status::METHOD_NOT_ALLOWED),
+    }
+}
+
+fn fault(node: &Node, status: u16, error: &dyn std::fmt::Display) -> Response {
+    let body = node.formats().fault(&error.to_string());
+    Response { body, ..Response::empty(status) }
+}
+
+fn pending(node: &Node, route: &Route) -> Response {
+    let now = node.clock().now();
+    let core = node.core();
+    if !core.is_fresh(now) {
+        return refuse();
+    }
+    let body = node.formats().pending(core.ledger.pending(&route.name));
+    Response { body, ..Response::empty(status::OK) }
+}
+
+async fn submit(node: &Rc<Node>, route: &Route, id: WorkflowId, req: &Request) -> Response {
+    let Some(body) = &req.body else { return Response::empty(status::TOO_LARGE) };
+    let workflow = match node.formats().workflow(body).and_then(|w| w.check().map(|()| w)) {
+        Ok(workflow) => workflow,
+        Err(error) => return fault(node, status::BAD_REQUEST, &error),
+    };
+    if node.core().ledger.get(id).is_some() {
+        return Response::empty(status::OK);
+    }
+    let submission = Submission {
+        route: route.name.clone(),
+        service: route.service.clone(),
+        priority: route.priority,
+        max_attempts: route.max_attempts,
+        stretch_permille: route.stretch_permille,
+        slack_ms: route.slack_ms,
+        taken_ms: node.clock().wall_ms(),
+        workflow,
+    };
+    let stored = node.appender.append(Record::new(Key::Submission(id), &submission)).await;
+    log::info!(workflow:% = id, route:% = route.name, stored:? = stored; "submitted");
+    match stored {
+        Stored::Yes => {
+            node.accepted(id);
+            Response::empty(status::OK)
+        }
+        // It certainly never runs, so the client may be told so.
+        Stored::No => refuse(),
+        // It may run: the client asks again with the same id.
+        Stored::Unknown => Response::empty(status::TIMEOUT),
+    }
+}
+
+async fn show(node: &Rc<Node>, id: WorkflowId, arrived: Time, req: &Request) -> Response {
+    match find(node, id, arrived, req).await {
+        Found::State(state) => {
+            Response { body: node.formats().state(state), ..Response::empty(status::OK) }
+        }
+        Found::Nothing => Response::empty(status::GONE),
+        Found::Unknown => refuse(),
+    }
+}
+
+async fn cancel(node: &Rc<Node>, id: WorkflowId, arrived: Time, req: &Request) -> Response {
+    match find(node, id, arrived, req).await {
+        Found::State(State::Ended(_)) => return Response::empty(status::OK),
+        Found::State(State::Queued | State::Running) => {}
+        Found::Nothing => return Response::empty(status::GONE),
+        Found::Unknown => return refuse(),
+    }
+    let stored = node.appender.append(Record::new(Key::Cancel(id), &true)).await;
+    log::info!(workflow:% = id, stored:? = stored; "cancelled");
+    match stored {
+        Stored::Yes => Response::empty(status::OK),
+        Stored::No => refuse(),
+        Stored::Unknown => Response::empty(status::TIMEOUT),
+    }
+}
+
+/// What is known of a workflow.
+enum Found {
+    State(State),
+    /// There is none: the records are read past the request's arrival.
+    Nothing,
+    /// The records can't be read far enough.
+    Unknown,
+}
+
+async fn find(node: &Rc<Node>, id: WorkflowId, arrived: Time, req: &Request) -> Found {
+    let own = node.formats().deadline(&req.headers).unwrap_or(CATCH_UP);
+    let patience = CATCH_UP.min(own * CATCH_UP_PERCENT / 100);
+    let look = async {
+        loop {
+            let read = node.reads.notified();
+            {
+                let core = node.core();
+                if let Some(entry) = core.ledger.get(id) {
+                    return Found::State(entry.state());
+                }
+                if core.accepted.contains(&id) {
+                    return Found::State(State::Queued);
+                }
+                if core.work.at_end && core.work.fresh.is_some_and(|at| at > arrived) {
+                    return Found::Nothing;
+                }
+            }
+            read.await;
+        }
+    };
+    timeout(patience, look).await.unwrap_or(Found::Unknown)
+}
--- /dev/null
+++ b/crates/runtime/src/core.rs
@@ -0,0 +1,155 @@
+//! The state of a node, between two events.
+
+use {
+    crate::border::{OperatorChange, Stored},
+    compact_str::CompactString,
+    egretlb_types::{Offset, Time},
+    egretlb_workflow::{
+        Change, DirectoryChange, Effect, Leadership, LeadershipEffect, Ledger, Limits, RouteTable,
+        Scheduler, WorkerId, WorkerInfo, WorkflowId,
+    },
+    std::collections::{BTreeMap, HashSet},
+};
+
+/// What a step of the node asks for.
+#[derive(Debug, Default)]
+pub(crate) struct Effects {
+    pub(crate) leadership: Vec<LeadershipEffect>,
+    pub(crate) scheduler: Vec<Effect>,
+}
+
+/// How far the records are read.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Reading {
+    /// All keys were read once.
+    pub(crate) loaded: bool,
+    /// The offset after the last record read.
+    pub(crate) next: Offset,
+    /// The last read reached the partition's end.
+    pub(crate) at_end: bool,
+    /// When the last read was answered.
+    pub(crate) fresh: Option<Time>,
+}
+
+/// The state of a node.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(crate) limits: Limits,
+    pub(crate) ledger: Ledger,
+    pub(crate) leadership: Leadership,
+    pub(crate) scheduler: Option<Scheduler>,
+    pub(crate) directory: BTreeMap<WorkerId, WorkerInfo>,
+    pub(crate) routes: Option<RouteTable>,
+    pub(crate) work: Reading,
+    /// Accepted here and not read yet.
+    pub(crate) accepted: HashSet<WorkflowId>,
+    pub(crate) stopping: bool,
+}
+
+impl Core {
+    pub(crate) fn new(leadership: Leadership, limits: Limits) -> Core {
+        Core {
+            limits,
+            ledger: Ledger::default(),
+            leadership,
+            scheduler: None,
+            directory: BTreeMap::new(),
+            routes: None,
+            work: Reading::default(),
+            accepted: HashSet::new(),
+            stopping: false,
+        }
+    }
+
+    /// A record of the system's own topic was read.
+    pub(crate) fn on_work(&mut self, now: Time, stored: &Stored, out: &mut Effects) {
+        let change = match self.ledger.apply(stored.offset, &stored.key, &stored.value) {
+            Ok(change) => change,
+            Err(error) => {
+                log::warn!(offset:% = stored.offset, error:% = error; "record_passed_over");
+                return;
+            }
+        };
+        match change {
+            Change::Leader => {
+                if let Some(leader) = self.ledger.leader() {
+                    self.leadership.on_leader(now, leader, &mut out.leadership);
+                }
+            }
+            Change::Progressed(_) | Change::Roster => self.leadership.on_life(now),
+            Change::Submitted(id) => {
+                self.accepted.remove(&id);
+            }
+            Change::Cancelled(_) | Change::None => {}
+        }
+        if let Some(scheduler) = &mut self.scheduler {
+            scheduler.on_change(now, &self.ledger, change, &mut out.scheduler);
+        }
+    }
+
+    /// The operator published something. A configuration never goes back: what is read anew after the
+    /// history was forgotten may be older than what is in force.
+    pub(crate) fn on_operator(&mut self, change: OperatorChange) {
+        let OperatorChange::Routes(table) = change else { return };
+        if self.routes.as_ref().is_some_and(|known| known.version >= table.version) {
+            return;
+        }
+        log::info!(version = table.version, routes = table.routes.len(); "configuration_in_force");
+        self.routes = Some(table);
+    }
+
+    /// A worker's entry changed.
+    pub(crate) fn on_directory(&mut self, now: Time, change: DirectoryChange) {
+        match &change {
+            DirectoryChange::Present(info) => {
+                self.directory.insert(info.id.clone(), info.clone());
+            }
+            DirectoryChange::Absent(id) => {
+                self.directory.remove(id);
+            }
+        }
+        if let Some(scheduler) = &mut self.scheduler {
+            scheduler.on_directory(now, change);
+        }
+    }
+
+    /// The directory was read anew: what isn't in it is absent.
+    pub(crate) fn on_directory_loaded(&mut self, now: Time, found: &HashSet<WorkerId>) {
+        let missing: Vec<WorkerId> =
+            self.directory.keys().filter(|id| !found.contains(*id)).cloned().collect();
+        for id in missing {
+            self.on_directory(now, DirectoryChange::Absent(id));
+        }
+    }
+
+    /// Time has passed.
+    pub(crate) fn tick(&mut self, now: Time, wall_ms: u64, out: &mut Effects) {
+        let end = (self.work.loaded && self.work.at_end && !self.stopping).then_some(self.work.next);
+        self.leadership.tick(now, end, &mut out.leadership);
+        if self.leadership.authority(now).is_some()
+            && let Some(scheduler) = &mut self.scheduler
+        {
+            scheduler.tick(now, wall_ms, &mut out.scheduler);
+        }
+    }
+
+    /// Whether clients may be sent here: the configuration is known, and the records are read up to
+    /// the present.
+    pub(crate) fn is_ready(&self, now: Time) -> bool {
+        !self.stopping && self.routes.is_some() && self.is_fresh(now)
+    }
+
+    /// Whether the records are read up to the present, so that what isn't found doesn't exist.
+    pub(crate) fn is_fresh(&self, now: Time) -> bool {
+        self.work.loaded && self.work.fresh.is_some_and(|at| now.since(at) < STALE_AFTER)
+    }
+
+    /// Who leads, for logs.
+    pub(crate) fn leader(&self) -> CompactString {
+        self.ledger.leader().map_or_else(CompactString::default, |leader| leader.node.clone())
+    }
+}
+
+/// Reads are answered several times a second, since a leader leaves a sign of life each 250 ms. After
+/// this long without one the state shown here may be too old to say that something doesn't exist.
+const STALE_AFTER: std::time::Duration = std::time::Duration::from_millis(1_800);
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,21 @@
+//! Runs the workflow scheduler of one entry VM.
+//!
+//! A [`Node`] follows the store's records, takes clients' requests, and performs what the leadership
+//! and the scheduler decide. Everything runs on one thread; what speaks to the platform is behind the
+//! traits of [`border`].
+
+pub mod border;
+
+mod append;
+mod clients;
+mod clock;
+mod core;
+mod follow;
+mod node;
+mod serve;
+
+pub use crate::{
+    clock::Clock,
+    node::{Node, NodeOptions},
+    serve::{Listeners, run},
+};
--- /dev/null
+++ b/crates/runtime/src/node.rs
@@ -0,0 +1,367 @@
+//! A node: its state, and the performing of what it decides.
+
+use {
+    crate::{
+        append::Appender,
+        border::{
+            Append, Fence, Formats, HoldCall, StartCall, StopCall, Store, Topic, Workers,
+        },
+        clock::Clock,
+        core::{Core, Effects, Reading},
+    },
+    compact_str::CompactString,
+    egretlb_types::{Epoch, Time},
+    egretlb_workflow::{
+        AppendResult, Effect, Leadership, LeadershipEffect, Limits, Record, Scheduler, WorkerId, WorkflowId,
+    },
+    std::{
+        cell::{Ref, RefCell},
+        collections::HashSet,
+        hash::{DefaultHasher, Hash, Hasher},
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        sync::Notify,
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+/// The pause before an append of the leader is repeated.
+const RECORD_RETRY: Duration = Duration::from_millis(60);
+
+/// Several events are followed by one pass over what waits; a task waits this much longer for it.
+const TICK_GAP: Duration = Duration::from_millis(1);
+
+/// How often a leader looks at its timers.
+const LEADER_TICK: Duration = Duration::from_millis(20);
+
+/// How often a follower looks whether it has to take over.
+const FOLLOWER_TICK: Duration = Duration::from_millis(60);
+
+/// What a node is started with.
+#[derive(Clone, Debug)]
+pub struct NodeOptions {
+    /// The name of its VM.
+    pub name: CompactString,
+    /// Drawn at random at each start.
+    pub incarnation: u64,
+    /// Spans of time.
+    pub limits: Limits,
+}
+
+/// A node.
+pub struct Node {
+    core: RefCell<Core>,
+    store: Rc<dyn Store>,
+    workers: Rc<dyn Workers>,
+    formats: Rc<dyn Formats>,
+    pub(crate) appender: Rc<Appender>,
+    clock: Clock,
+    wake: Notify,
+    /// Told of each answered read of the system's own records.
+    pub(crate) reads: Notify,
+}
+
+impl Node {
+    /// A node that follows nothing yet.
+    pub fn new(
+        options: NodeOptions,
+        store: Rc<dyn Store>,
+        workers: Rc<dyn Workers>,
+        formats: Rc<dyn Formats>,
+    ) -> Rc<Node> {
+        let clock = Clock;
+        let mut hasher = DefaultHasher::new();
+        options.incarnation.hash(&mut hasher);
+        let place = u32::try_from(hasher.finish() % 1_000).unwrap_or(0);
+        let leadership = Leadership::new(
+            clock.now(),
+            options.name,
+            options.incarnation,
+            place,
+            options.limits,
+        );
+        Rc::new(Node {
+            core: RefCell::new(Core::new(leadership, options.limits)),
+            store,
+            workers,
+            formats,
+            appender: Rc::default(),
+            clock,
+            wake: Notify::new(),
+            reads: Notify::new(),
+        })
+    }
+
+    pub(crate) fn store(&self) -> &dyn Store {
+        &*self.store
+    }
+
+    pub(crate) fn formats(&self) -> &dyn Formats {
+        &*self.formats
+    }
+
+    pub(crate) fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    pub(crate) fn core(&self) -> Ref<'_, Core> {
+        self.core.borrow()
+    }
+
+    /// A workflow was accepted here; its record will be read soon.
+    pub(crate) fn accepted(&self, id: WorkflowId) {
+        let mut core = self.core.borrow_mut();
+        if core.ledger.get(id).is_none() {
+            core.accepted.insert(id);
+        }
+    }
+
+    pub(crate) fn leads(&self) -> bool {
+        self.core.borrow().scheduler.is_some()
+    }
+
+    /// Starts what runs beside the clients: following the topics, appending, ticking.
+    pub(crate) fn spawn(self: &Rc<Self>) {
+        for topic in [Topic::Operator, Topic::Work, Topic::Directory] {
+            spawn_local(crate::follow::follow(Rc::clone(self), topic));
+        }
+        spawn_local(Rc::clone(&self.appender).run(Rc::clone(&self.store)));
+        spawn_local(Rc::clone(self).tick_on());
+    }
+
+    async fn tick_on(self: Rc<Self>) {
+        loop {
+            let pause = if self.leads() { LEADER_TICK } else { FOLLOWER_TICK };
+            // Both a wake and the pause's end lead to the same pass.
+            let _ = timeout(pause, self.wake.notified()).await;
+            let wall_ms = self.clock.wall_ms();
+            self.step_quietly(|core, now, out| core.tick(now, wall_ms, out));
+            sleep(TICK_GAP).await;
+        }
+    }
+
+    /// Takes an event in, and has a pass over what waits follow soon.
+    pub(crate) fn step(self: &Rc<Self>, event: impl FnOnce(&mut Core, Time, &mut Effects)) {
+        self.step_quietly(event);
+        if self.leads() {
+            self.wake.notify_one();
+        }
+    }
+
+    fn step_quietly(self: &Rc<Self>, event: impl FnOnce(&mut Core, Time, &mut Effects)) {
+        let mut out = Effects::default();
+        event(&mut self.core.borrow_mut(), self.clock.now(), &mut out);
+        for effect in out.leadership {
+            self.perform_leadership(effect);
+        }
+        for effect in out.scheduler {
+            self.perform(effect);
+        }
+    }
+
+    pub(crate) fn directory_loaded(self: &Rc<Self>, found: &HashSet<WorkerId>) {
+        self.step(|core, now, _| core.on_directory_loaded(now, found));
+    }
+
+    pub(crate) fn read_done(self: &Rc<Self>, topic: Topic, reading: Reading) {
+        if topic == Topic::Work {
+            self.core.borrow_mut().work = reading;
+            self.reads.notify_waiters();
+        }
+    }
+
+    pub(crate) fn read_failed(self: &Rc<Self>, topic: Topic) {
+        log::debug!(topic:% = topic; "read_failed");
+        if topic == Topic::Work {
+            let now = self.clock.now();
+            let mut core = self.core.borrow_mut();
+            core.work.at_end = false;
+            core.leadership.on_read_failed(now);
+        }
+    }
+
+    fn perform_leadership(self: &Rc<Self>, effect: LeadershipEffect) {
+        match effect {
+            LeadershipEffect::Claim { epoch, seq, at, records } => {
+                let fence = Some(Fence { epoch, seq });
+                spawn_local(Rc::clone(self).claim(Append { records, fence, at: Some(at) }));
+            }
+            LeadershipEffect::Elected { epoch } => self.begin_term(epoch),
+            LeadershipEffect::Deposed => {
+                let leader = self.core.borrow().leader();
+                log::info!(leader:% = leader; "deposed");
+                self.core.borrow_mut().scheduler = None;
+            }
+        }
+    }
+
+    fn begin_term(self: &Rc<Self>, epoch: Epoch) {
+        let (now, wall_ms) = (self.clock.now(), self.clock.wall_ms());
+        let core = &mut *self.core.borrow_mut();
+        let directory = core.directory.values().cloned();
+        let scheduler =
+            Scheduler::new(now, wall_ms, epoch, core.limits, &core.ledger, directory);
+        log::info!(
+            epoch:% = epoch, workers = core.directory.len(), workflows = scheduler.active(),
+            unaccounted = scheduler.unaccounted();
+            "elected"
+        );
+        core.scheduler = Some(scheduler);
+        self.wake.notify_one();
+    }
+
+    async fn claim(self: Rc<Self>, append: Append) {
+        let result = self.store.append(&append).await;
+        log::info!(result:? = result; "claimed");
+        self.step(|core, now, out| core.leadership.on_claim(now, result, &mut out.leadership));
+    }
+
+    fn perform(self: &Rc<Self>, effect: Effect) {
+        match effect {
+            Effect::Hold { worker, addr, epoch, recorded, until_ms, wait_ms } => {
+                let call = HoldCall { worker, addr, epoch, recorded, until_ms, wait_ms };
+                spawn_local(Rc::clone(self).hold(call));
+            }
+            Effect::Start { .. } => {
+                spawn_local(Rc::clone(self).start(effect));
+            }
+            Effect::Stop { worker, addr, epoch, task, run } => {
+                let call = StopCall { worker, addr, epoch, task, run };
+                spawn_local(Rc::clone(self).stop(call));
+            }
+            Effect::Record { records } => {
+                spawn_local(Rc::clone(self).record(records));
+            }
+            Effect::Outranked => {
+                log::warn!("outranked");
+                self.step(|core, now, out| core.leadership.on_outranked(now, &mut out.leadership));
+            }
+        }
+    }
+
+    /// Whether orders of this epoch may still be sent. A process may have been paused since they were
+    /// decided.
+    fn may_order(&self, epoch: Epoch) -> bool {
+        self.core.borrow().leadership.authority(self.clock.now()) == Some(epoch)
+    }
+
+    fn with_scheduler(
+        self: &Rc<Self>,
+        epoch: Epoch,
+        event: impl FnOnce(&mut Scheduler, Time, &mut Vec<Effect>),
+    ) {
+        self.step(|core, now, out| {
+            if core.leadership.term() != Some(epoch) {
+                return;
+            }
+            if let Some(scheduler) = &mut core.scheduler {
+                event(scheduler, now, &mut out.scheduler);
+            }
+        });
+    }
+
+    async fn hold(self: Rc<Self>, call: HoldCall) {
+        let (worker, epoch, sent) = (call.worker.clone(), call.epoch, self.clock.now());
+        let result = if self.may_order(epoch) {
+            self.workers.hold(call).await
+        } else {
+            egretlb_workflow::HoldResult::Failed
+        };
+        self.with_scheduler(epoch, |scheduler, now, out| {
+            scheduler.on_hold(now, &worker, sent, &result, out);
+        });
+    }
+
+    async fn start(self: Rc<Self>, effect: Effect) {
+        let Effect::Start { worker, addr, epoch, task, run, submission, until_ms, saved } = effect
+        else {
+            return;
+        };
+        let result = if self.may_order(epoch) {
+            let payload = submission.workflow.payload.as_str();
+            let worker = &worker;
+            let saved = saved.as_str();
+            self.workers
+                .start(StartCall { worker, addr, epoch, task, run, payload, until_ms, saved })
+                .await
+        } else {
+            egretlb_workflow::StartResult::NotSent
+        };
+        self.with_scheduler(epoch, |scheduler, now, out| {
+            scheduler.on_start(now, &worker, task, run, result, out);
+        });
+    }
+
+    async fn stop(self: Rc<Self>, call: StopCall) {
+        let StopCall { worker, epoch, task, run, .. } = call.clone();
+        let result = if self.may_order(epoch) {
+            self.workers.stop(call).await
+        } else {
+            egretlb_workflow::StopResult::Unknown
+        };
+        self.with_scheduler(epoch, |scheduler, now, out| {
+            scheduler.on_stop(now, &worker, task, run, result, out);
+        });
+    }
+
+    /// Appends under the leader's epoch, again and again until it is settled: the numbers of a term
+    /// have no gaps, so nothing else can be appended before.
+    async fn record(self: Rc<Self>, mut records: Vec<Record>) {
+        let (epoch, seq) = {
+            let mut core = self.core.borrow_mut();
+            let Some(epoch) = core.leadership.term() else { return };
+            records.extend(core.leadership.sign(false));
+            (epoch, core.leadership.next_seq())
+        };
+        let append = Append { records, fence: Some(Fence { epoch, seq }), at: None };
+        // A repetition may be answered with the first one's result, so it proves nothing later.
+        let sent = self.clock.now();
+        loop {
+            let result = self.store.append(&append).await;
+            self.step(|core, now, out| {
+                if core.leadership.term() != Some(epoch) {
+                    return;
+                }
+                core.leadership.on_append(now, sent, result, &mut out.leadership);
+                if result == AppendResult::Done
+                    && let Some(scheduler) = &mut core.scheduler
+                {
+                    scheduler.on_recorded(now);
+                }
+            });
+            if result == AppendResult::Done || self.core.borrow().leadership.term() != Some(epoch) {
+                return;
+            }
+            log::debug!(seq:% = seq, result:? = result; "record_repeated");
+            sleep(RECORD_RETRY).await;
+        }
+    }
+
+    /// Prepares the end of the process: it takes no term any more, and gives up the one it has.
+    pub(crate) async fn retire(self: &Rc<Self>) {
+        let release = {
+            let mut core = self.core.borrow_mut();
+            core.stopping = true;
+            core.leadership.retire();
+            let epoch = core.leadership.term();
+            let sign = core.leadership.sign(true);
+            epoch.zip(sign).map(|(epoch, sign)| (epoch, sign, core.leadership.next_seq()))
+        };
+        let Some((epoch, sign, seq)) = release else { return };
+        // From here on nothing is ordered, so a successor may begin as soon as it reads the record.
+        self.step(|core, now, out| core.leadership.resign(now, &mut out.leadership));
+        let append = Append { records: vec![sign], fence: Some(Fence { epoch, seq }), at: None };
+        for _ in 0..RELEASE_TRIES {
+            match self.store.append(&append).await {
+                AppendResult::Done | AppendResult::Fenced => return,
+                _ => sleep(RECORD_RETRY).await,
+            }
+        }
+    }
+}
+
+/// How often the end of a term is recorded; a successor takes over without it, only later.
+const RELEASE_TRIES: u32 = 5;
--- /dev/null
+++ b/crates/workflow/src/leadership/mod.rs
@@ -0,0 +1,329 @@
+//! Which process leads.
+//!
+//! One process gives all orders; the others follow the same records and can take its place at once.
+//! A leader leaves a sign of life with each append, and at least every [`Limits::heartbeat`]. A
+//! follower that reads no sign for [`Limits::takeover_after`] appends a claim under the next epoch,
+//! on the condition that nothing was appended after what it has read. So of several followers one
+//! gets through, and a follower that was paused can't depose a leader whose signs it hasn't read yet.
+//! The claim's epoch fences the predecessor at the store; the successor's first order fences it at
+//! each worker.
+//!
+//! A leader that can't reach the store may still reach workers that its successor can't. It stops by
+//! itself: it orders nothing once [`Limits::authority`] has passed since it *sent* the last append
+//! that was acknowledged. The successor counts the same span from when its claim was acknowledged,
+//! which is later, and then a lease, before it takes such a worker's tasks as ended.
+
+use {
+    crate::{Key, LeaderRecord, Limits, Record},
+    compact_str::CompactString,
+    egretlb_types::{Epoch, Offset, Seq, Time},
+    std::time::Duration,
+};
+
+/// What this process is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// It follows.
+    Follower,
+    /// It has appended a claim and waits for what became of it.
+    Claiming {
+        /// The epoch claimed.
+        epoch: Epoch,
+        /// When the claim was sent.
+        sent: Time,
+    },
+    /// It leads.
+    Leader {
+        /// Its epoch.
+        epoch: Epoch,
+        /// When its claim was acknowledged.
+        since: Time,
+    },
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LeadershipEffect {
+    /// Append this claim if the store's partition still ends at `at`.
+    Claim {
+        /// The epoch of the append.
+        epoch: Epoch,
+        /// Its number.
+        seq: Seq,
+        /// The offset at which the partition must end.
+        at: Offset,
+        /// The records.
+        records: Vec<Record>,
+    },
+    /// This process leads from now on.
+    Elected {
+        /// Its epoch.
+        epoch: Epoch,
+    },
+    /// This process leads no longer.
+    Deposed,
+}
+
+/// What became of an append under an epoch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AppendResult {
+    /// It is in the store.
+    Done,
+    /// It is not, and never will be: the condition didn't hold.
+    Conflict,
+    /// It is not: another process has a higher epoch.
+    Fenced,
+    /// It is not: the store rejected it.
+    Rejected,
+    /// Nobody can say.
+    Unknown,
+}
+
+/// Decides whether this process leads.
+#[derive(Debug)]
+pub struct Leadership {
+    node: CompactString,
+    incarnation: u64,
+    limits: Limits,
+    /// This process's share of the spread, in thousandths.
+    place: u32,
+    role: Role,
+    quiet_since: Time,
+    last_tick: Time,
+    /// Whether the quiet is the end of a term that its holder gave up.
+    released: bool,
+    known: Epoch,
+    /// When the last acknowledged append of this term was sent.
+    proven: Time,
+    seq: Seq,
+    willing: bool,
+}
+
+/// A gap between two ticks beyond this is a pause of the process, after which what it last read says
+/// nothing about the present. Ticks come every 50 ms or so; a busy VM delays them some tenths.
+const PAUSE: Duration = Duration::from_millis(700);
+
+/// The numbers of a process's appends begin at a random one below this. The store takes two appends
+/// with one epoch and number for one append and its repetition: were all claims numbered alike, every
+/// process that claims an epoch would be told that it has it.
+const SEQ_STARTS: u64 = 1 << 31;
+
+/// A claim of which nothing is heard or read for so long is given up. Well above the answer of a slow
+/// store (300 ms) and the read that shows the claim.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+impl Leadership {
+    /// A follower that has read nothing yet. `place` spreads the followers' claims, from 0 to 999.
+    pub fn new(
+        now: Time,
+        node: impl Into<CompactString>,
+        incarnation: u64,
+        place: u32,
+        limits: Limits,
+    ) -> Self {
+        Leadership {
+            node: node.into(),
+            incarnation,
+            limits,
+            place: place.min(999),
+            role: Role::Follower,
+            quiet_since: now,
+            last_tick: now,
+            released: false,
+            known: Epoch(0),
+            proven: Time::ZERO,
+            seq: Seq(incarnation % SEQ_STARTS),
+            willing: true,
+        }
+    }
+
+    /// What this process is.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// The epoch under which orders may be given now. Asked again right before each order is sent: a
+    /// process may have been paused since it decided.
+    pub fn authority(&self, now: Time) -> Option<Epoch> {
+        match self.role {
+            Role::Leader { epoch, .. } if now < self.proven + self.limits.authority => Some(epoch),
+            _ => None,
+        }
+    }
+
+    /// The epoch of the term, whether or not orders may be given.
+    pub fn term(&self) -> Option<Epoch> {
+        match self.role {
+            Role::Leader { epoch, .. } => Some(epoch),
+            _ => None,
+        }
+    }
+
+    /// Whether a sign of life is due.
+    pub fn heartbeat_due(&self, now: Time, last_sent: Time) -> bool {
+        matches!(self.role, Role::Leader { .. }) && now.since(last_sent) >= self.limits.heartbeat
+    }
+
+    /// The sign of life, or the end of the term.
+    pub fn sign(&self, released: bool) -> Option<Record> {
+        let epoch = self.term()?;
+        let record = LeaderRecord {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            epoch,
+            released,
+        };
+        Some(Record::new(Key::Leader, &record))
+    }
+
+    /// The number of the next append of this term.
+    pub fn next_seq(&mut self) -> Seq {
+        let seq = self.seq;
+        self.seq = seq.next();
+        seq
+    }
+
+    /// This process is about to end, and doesn't claim any more.
+    pub fn retire(&mut self) {
+        self.willing = false;
+    }
+
+    /// This process gives up its term; nothing is ordered from now on.
+    pub fn resign(&mut self, now: Time, out: &mut Vec<LeadershipEffect>) {
+        if matches!(self.role, Role::Leader { .. }) {
+            out.push(LeadershipEffect::Deposed);
+        }
+        self.role = Role::Follower;
+        self.quiet_since = now;
+    }
+
+    /// The newest leader's record was read.
+    pub fn on_leader(&mut self, now: Time, record: &LeaderRecord, out: &mut Vec<LeadershipEffect>) {
+        self.quiet_since = now;
+        self.released = record.released;
+        self.known = self.known.max(record.epoch);
+        let own = record.incarnation == self.incarnation && record.node == self.node;
+        match self.role {
+            Role::Claiming { epoch, sent } if own && record.epoch == epoch => {
+                self.elect(now, sent, epoch, out);
+            }
+            Role::Claiming { epoch, .. } if record.epoch >= epoch => self.role = Role::Follower,
+            Role::Leader { epoch, .. } if record.epoch > epoch => self.resign(now, out),
+            _ => {}
+        }
+    }
+
+    /// Something else that only a leader writes was read.
+    pub fn on_life(&mut self, now: Time) {
+        self.quiet_since = now;
+    }
+
+    /// A read of the records failed or was cut off: silence since then says nothing.
+    pub fn on_read_failed(&mut self, now: Time) {
+        self.quiet_since = now;
+    }
+
+    /// Time has passed. `end` is the offset after the last record read, if the last read reached the
+    /// end of the partition.
+    pub fn tick(&mut self, now: Time, end: Option<Offset>, out: &mut Vec<LeadershipEffect>) {
+        if now.since(self.last_tick) > PAUSE {
+            self.quiet_since = now;
+        }
+        self.last_tick = now;
+        self.give_up_claim(now);
+        let Some(at) = end else { return };
+        if self.role != Role::Follower || !self.willing || !self.takeover_due(now) {
+            return;
+        }
+        let epoch = self.known.next();
+        self.role = Role::Claiming { epoch, sent: now };
+        let seq = self.next_seq();
+        let record = LeaderRecord {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            epoch,
+            released: false,
+        };
+        out.push(LeadershipEffect::Claim {
+            epoch,
+            seq,
+            at,
+            records: vec![Record::new(Key::Leader, &record)],
+        });
+    }
+
+    fn takeover_due(&self, now: Time) -> bool {
+        let quiet = now.since(self.quiet_since);
+        let share = self.limits.takeover_spread * self.place / 1_000;
+        // Nobody has ever led, or the term was given up: there is nobody to wait for.
+        if self.known == Epoch(0) || self.released {
+            return quiet >= share / 4;
+        }
+        quiet >= self.limits.takeover_after + share
+    }
+
+    /// A claim without an answer is settled by what is read; if nothing is read of it for a while it
+    /// was lost. Its epoch isn't used again by this process, since it may yet take effect.
+    fn give_up_claim(&mut self, now: Time) {
+        if let Role::Claiming { epoch, sent } = self.role
+            && now.since(sent) >= CLAIM_TIMEOUT
+        {
+            self.known = self.known.max(epoch);
+            self.role = Role::Follower;
+            self.quiet_since = now;
+        }
+    }
+
+    /// What became of the claim under way.
+    pub fn on_claim(
+        &mut self,
+        now: Time,
+        result: AppendResult,
+        out: &mut Vec<LeadershipEffect>,
+    ) {
+        let Role::Claiming { epoch, sent } = self.role else { return };
+        match result {
+            AppendResult::Done => self.elect(now, sent, epoch, out),
+            AppendResult::Conflict | AppendResult::Rejected => {
+                self.role = Role::Follower;
+                if result == AppendResult::Rejected {
+                    self.quiet_since = now;
+                }
+            }
+            AppendResult::Fenced => {
+                // Somebody has used this epoch; the next claim must be higher.
+                self.known = self.known.max(epoch);
+                self.role = Role::Follower;
+                self.quiet_since = now;
+            }
+            AppendResult::Unknown => {}
+        }
+    }
+
+    fn elect(&mut self, now: Time, sent: Time, epoch: Epoch, out: &mut Vec<LeadershipEffect>) {
+        self.role = Role::Leader { epoch, since: now };
+        self.known = epoch;
+        self.proven = sent;
+        out.push(LeadershipEffect::Elected { epoch });
+    }
+
+    /// What became of an append under this term that was sent at `sent`.
+    pub fn on_append(
+        &mut self,
+        now: Time,
+        sent: Time,
+        result: AppendResult,
+        out: &mut Vec<LeadershipEffect>,
+    ) {
+        match result {
+            AppendResult::Done => self.proven = self.proven.max(sent),
+            AppendResult::Fenced => self.resign(now, out),
+            AppendResult::Conflict | AppendResult::Rejected | AppendResult::Unknown => {}
+        }
+    }
+
+    /// A worker has obeyed a higher epoch than ours.
+    pub fn on_outranked(&mut self, now: Time, out: &mut Vec<LeadershipEffect>) {
+        self.resign(now, out);
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/lib.rs
@@ -0,0 +1,36 @@
+//! Workflows: jobs of several steps whose tasks run on workers under leases.
+//!
+//! This crate decides and does no input or output. [`Ledger`] folds the records of the store into the
+//! state of every workflow, and each process keeps one. [`Leadership`] decides which process acts;
+//! [`Scheduler`] is what the acting process places, renews, stops and records with. Time is an
+//! argument everywhere, effects are data.
+
+mod bits;
+mod directory;
+mod ids;
+mod leadership;
+mod ledger;
+mod limits;
+mod record;
+mod routes;
+mod scheduler;
+mod spec;
+
+pub use crate::{
+    bits::Bits,
+    directory::{DirectoryChange, WorkerInfo, WorkerState},
+    ids::{IdError, RunId, TaskId, WorkerId, WorkflowId},
+    leadership::{AppendResult, Leadership, LeadershipEffect, Role},
+    ledger::{Change, Entry, Ledger, State},
+    limits::Limits,
+    record::{
+        Key, LeaderRecord, OccurrenceProgress, Outcome, Progress, Record, RecordError, RosterEntry,
+        StepProgress, Submission,
+    },
+    routes::{Route, RouteTable, RoutesError},
+    scheduler::{
+        Effect, End, EndKind, HoldReply, HoldResult, RunningTask, Scheduler, StartResult,
+        StopResult,
+    },
+    spec::{Repeat, SpecError, Step, Workflow},
+};
--- /dev/null
+++ b/crates/workflow/src/record.rs
@@ -0,0 +1,230 @@
+//! The records that the system keeps in the platform's store: a key and its newest value.
+//!
+//! All are kept in one partition, so that every reader sees them in the same order. A workflow has up
+//! to three records: its submission, a mark if it is cancelled, and its progress. The first two are
+//! written by whichever process takes the client's request and never change; the third is written by
+//! the leader alone, under its epoch.
+
+use {
+    crate::{Bits, RunId, WorkerId, Workflow, WorkflowId},
+    compact_str::CompactString,
+    egretlb_types::Epoch,
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::{fmt, net::SocketAddr},
+};
+
+/// The version of the values' form; a process passes over a record of another one.
+const FORM: u8 = 1;
+
+/// What a record is about.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Key {
+    /// Who leads.
+    Leader,
+    /// Which workers may run something by a leader's orders.
+    Roster,
+    /// A workflow's submission.
+    Submission(WorkflowId),
+    /// A workflow's cancellation.
+    Cancel(WorkflowId),
+    /// A workflow's progress.
+    Progress(WorkflowId),
+}
+
+/// Why a record can't be read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RecordError {
+    /// The key is of no known kind.
+    UnknownKey,
+    /// The value is of another form.
+    UnknownForm {
+        /// The form's number.
+        form: u8,
+    },
+    /// The value is broken.
+    Broken,
+}
+
+impl fmt::Display for RecordError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RecordError::UnknownKey => {
+                write!(f, "unknown key; does something else write to this topic?")
+            }
+            RecordError::UnknownForm { form } => {
+                write!(f, "value of form {form}; run one version everywhere")
+            }
+            RecordError::Broken => write!(f, "broken value; read the record again"),
+        }
+    }
+}
+
+impl std::error::Error for RecordError {}
+
+impl Key {
+    /// The key as bytes in the store.
+    pub fn to_bytes(self) -> Vec<u8> {
+        match self {
+            Key::Leader => b"leader".to_vec(),
+            Key::Roster => b"roster".to_vec(),
+            Key::Submission(id) => format!("w/{id}").into_bytes(),
+            Key::Cancel(id) => format!("c/{id}").into_bytes(),
+            Key::Progress(id) => format!("p/{id}").into_bytes(),
+        }
+    }
+
+    /// Reads a key.
+    ///
+    /// # Errors
+    ///
+    /// The key is of no known kind.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Key, RecordError> {
+        match bytes {
+            b"leader" => return Ok(Key::Leader),
+            b"roster" => return Ok(Key::Roster),
+            _ => {}
+        }
+        let text = std::str::from_utf8(bytes).map_err(|_| RecordError::UnknownKey)?;
+        let (kind, id) = text.split_once('/').ok_or(RecordError::UnknownKey)?;
+        let id = id.parse().map_err(|_| RecordError::UnknownKey)?;
+        match kind {
+            "w" => Ok(Key::Submission(id)),
+            "c" => Ok(Key::Cancel(id)),
+            "p" => Ok(Key::Progress(id)),
+            _ => Err(RecordError::UnknownKey),
+        }
+    }
+}
+
+/// Who leads, and a sign of its life.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    /// The process.
+    pub node: CompactString,
+    /// Its incarnation, drawn at random when it starts.
+    pub incarnation: u64,
+    /// Its term; also the fencing token of its orders.
+    pub epoch: Epoch,
+    /// It has given up its term and gives no more orders.
+    pub released: bool,
+}
+
+/// A worker that may run something by a leader's orders.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct RosterEntry {
+    /// The incarnation.
+    pub id: WorkerId,
+    /// Where it takes orders.
+    pub addr: SocketAddr,
+}
+
+/// A workflow as it was accepted. It holds all that its queue's configuration says of it, so that it
+/// can be finished when the queue is gone.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Submission {
+    /// The queue.
+    pub route: CompactString,
+    /// The service whose workers run the tasks.
+    pub service: CompactString,
+    /// Urgency: 0 comes first.
+    pub priority: u8,
+    /// After so many failed runs of one task the workflow has failed.
+    pub max_attempts: u32,
+    /// The workflow should take at most this many times its longest chain, in thousandths.
+    pub stretch_permille: u32,
+    /// And this much more, in milliseconds.
+    pub slack_ms: u32,
+    /// When it was taken, by the time of day of the process that took it, in milliseconds since 1970.
+    pub taken_ms: u64,
+    /// What the client sent.
+    pub workflow: Workflow,
+}
+
+/// How a workflow ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// All tasks are done.
+    Completed,
+    /// A task failed as often as its queue allows.
+    Failed,
+    /// It was cancelled.
+    Cancelled,
+}
+
+/// What is recorded of a step.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct StepProgress {
+    /// Tasks that are done.
+    pub done: Bits,
+    /// Failed runs. Each is counted once, however often its end is read.
+    pub failed: Vec<(u32, RunId)>,
+    /// Checkpoints of tasks that run nowhere.
+    pub saved: Vec<(u32, CompactString)>,
+}
+
+/// What is recorded of an occurrence that has begun and isn't complete.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct OccurrenceProgress {
+    /// Its number.
+    pub number: u32,
+    /// Its steps.
+    pub steps: Vec<StepProgress>,
+}
+
+/// What is recorded of a workflow beyond its submission.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Progress {
+    /// A task has been started.
+    pub started: bool,
+    /// How the workflow ended, if it has.
+    pub outcome: Option<Outcome>,
+    /// All occurrences below this number are complete.
+    pub complete_below: u32,
+    /// Complete ones above it.
+    pub complete: Vec<u32>,
+    /// Occurrences under way.
+    pub occurrences: Vec<OccurrenceProgress>,
+}
+
+/// A record: a key with its new value, or without one if the key is dropped.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Record {
+    /// The key.
+    pub key: Vec<u8>,
+    /// The value; empty if the key is dropped.
+    pub value: Vec<u8>,
+}
+
+impl Record {
+    /// A record with a value.
+    pub fn new(key: Key, value: &impl Serialize) -> Record {
+        let mut buf = vec![FORM];
+        // Serializing plain data into memory can't fail.
+        let value = postcard::to_stdvec(value).unwrap_or_default();
+        buf.extend_from_slice(&value);
+        Record { key: key.to_bytes(), value: buf }
+    }
+
+    /// A record that drops `key`.
+    pub fn drop(key: Key) -> Record {
+        Record { key: key.to_bytes(), value: Vec::new() }
+    }
+
+    /// Bytes of key and value.
+    pub fn size(&self) -> usize {
+        self.key.len() + self.value.len()
+    }
+}
+
+/// Reads a value that isn't empty.
+///
+/// # Errors
+///
+/// The value is of another form, or broken.
+pub(crate) fn read_value<T: DeserializeOwned>(value: &[u8]) -> Result<T, RecordError> {
+    match value.split_first() {
+        Some((&FORM, rest)) => postcard::from_bytes(rest).map_err(|_| RecordError::Broken),
+        Some((&form, _)) => Err(RecordError::UnknownForm { form }),
+        None => Err(RecordError::Broken),
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/routes.rs
@@ -0,0 +1,70 @@
+//! The configuration in force: which requests go to which queue.
+
+use {compact_str::CompactString, std::fmt};
+
+/// A queue of workflows.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// The queue's name.
+    pub name: CompactString,
+    /// The host that clients name.
+    pub host: CompactString,
+    /// What the path begins with.
+    pub prefix: CompactString,
+    /// The service whose workers run the tasks.
+    pub service: CompactString,
+    /// Urgency: 0 comes first.
+    pub priority: u8,
+    /// After so many failed runs of one task the workflow has failed.
+    pub max_attempts: u32,
+    /// A workflow should take at most this many times its longest chain, in thousandths.
+    pub stretch_permille: u32,
+    /// And this much more, in milliseconds.
+    pub slack_ms: u32,
+}
+
+/// One version of the configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RouteTable {
+    /// The version; versions only grow.
+    pub version: u64,
+    /// All queues.
+    pub routes: Vec<Route>,
+    /// Services whose workers start whatever they are told, so that capacity is ours to keep.
+    pub unguarded: Vec<CompactString>,
+    /// The largest body taken from a client, in bytes.
+    pub max_body_bytes: usize,
+}
+
+/// Why a configuration can't be used.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RoutesError {
+    /// It can't be read.
+    Unreadable {
+        /// What the reader said.
+        detail: CompactString,
+    },
+}
+
+impl fmt::Display for RoutesError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RoutesError::Unreadable { detail } => {
+                write!(f, "the configuration can't be read: {detail}; publish a valid one")
+            }
+        }
+    }
+}
+
+impl std::error::Error for RoutesError {}
+
+impl RouteTable {
+    /// The queue of a request: of those for its host, the one with the longest prefix.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.split(':').next().unwrap_or(host);
+        let fits = |route: &&Route| {
+            route.host.eq_ignore_ascii_case(host) && path.starts_with(route.prefix.as_str())
+        };
+        self.routes.iter().filter(fits).max_by_key(|route| route.prefix.len())
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -0,0 +1,333 @@
+//! What a worker's lists say: what runs there, and how runs ended.
+
+use {
+    super::{Copy, Effect, Phase, Scheduler},
+    crate::{RunId, TaskId, WorkerId},
+    compact_str::CompactString,
+    egretlb_types::Time,
+    std::collections::BTreeSet,
+};
+
+/// The most ends in one answer of a worker; a list of that length may go on.
+const ENDS_PER_ANSWER: usize = 500;
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndKind {
+    /// The task is done.
+    Done,
+    /// It failed, by its own fault or the worker's.
+    Failed,
+    /// It was stopped.
+    Stopped,
+    /// Its lease lapsed.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// It waited too long for the other members of its gang.
+    Alone,
+}
+
+/// An end, as the worker lists it until it is acknowledged.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct End {
+    /// Its number at this worker, from 1.
+    pub number: u64,
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: RunId,
+    /// How it ended.
+    pub kind: EndKind,
+    /// Its last checkpoint; empty for none.
+    pub saved: CompactString,
+}
+
+/// A run that is under way.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RunningTask {
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: RunId,
+    /// Its last checkpoint; empty for none.
+    pub saved: CompactString,
+    /// How far it is; 100 for a lasting task at work.
+    pub percent: u32,
+    /// A task that serves: its tail latency in milliseconds. Another one: thousandths of a core in use.
+    pub figure: u32,
+}
+
+/// A worker's answer to a poll.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct HoldReply {
+    /// The worker's clock in milliseconds.
+    pub clock_ms: u64,
+    /// What runs.
+    pub running: Vec<RunningTask>,
+    /// Ends that aren't acknowledged, in order.
+    pub ended: Vec<End>,
+}
+
+impl Scheduler {
+    /// Takes a worker's lists in. `sent` is when the poll was sent.
+    pub(super) fn on_lists(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        sent: Time,
+        reply: &HoldReply,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.heard(now, reply.clock_ms);
+        let first = !worker.surveyed;
+        worker.surveyed = true;
+        if first && self.unaccounted.remove(id).is_some() && self.unaccounted.is_empty() {
+            log::info!(epoch:% = self.epoch; "survey_complete");
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let taken = worker.taken;
+        worker.taken = reply.ended.iter().map(|end| end.number).fold(taken, u64::max);
+        for end in reply.ended.iter().filter(|end| end.number > taken) {
+            self.on_end(now, id, end, out);
+        }
+        self.reconcile(now, id, sent, reply, out);
+    }
+
+    fn on_end(&mut self, now: Time, id: &WorkerId, end: &End, out: &mut Vec<Effect>) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.remove(end.task, end.run);
+            match end.kind {
+                EndKind::Done => worker.failures = 0,
+                EndKind::Failed => self.on_failure(now, id),
+                EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
+            }
+        }
+        let Some(state) = self.task_mut(end.task) else { return };
+        state.copies.retain(|(_, run)| *run != end.run);
+        state.last_run = state.last_run.max(end.run);
+        if !end.saved.is_empty() {
+            state.saved.clone_from(&end.saved);
+        }
+        if state.done {
+            return;
+        }
+        match end.kind {
+            EndKind::Done => self.on_done(now, end.task, out),
+            EndKind::Failed => self.on_failed(id, end),
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
+                if !end.saved.is_empty() {
+                    self.dirty.insert(end.task.workflow);
+                }
+                self.queue(end.task);
+            }
+        }
+    }
+
+    /// A worker that fails one run after another gets nothing new for a while: its health looks good,
+    /// and as it is always free, it would draw and fail a large part of all tasks.
+    fn on_failure(&mut self, now: Time, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.failures += 1;
+        if worker.failures >= self.limits.faulty_after {
+            worker.barred_until = now + self.limits.quarantine;
+            log::warn!(worker:% = id, failures = worker.failures; "worker_quarantined");
+        }
+    }
+
+    fn on_done(&mut self, now: Time, task: TaskId, out: &mut Vec<Effect>) {
+        let Some(step) = self.step(task) else { return };
+        let gang = step.gang;
+        self.dirty.insert(task.workflow);
+        let Some(flow) = self.flows.get_mut(&task.workflow) else { return };
+        let Some(occurrence) = flow.occurrences.get_mut(&task.occurrence) else { return };
+        let Some(state) = occurrence.steps.get_mut(usize::from(task.step)) else { return };
+        // One member's end stands for its whole gang.
+        let members =
+            if gang { 0..state.tasks.len() } else { task.index as usize..task.index as usize + 1 };
+        let mut spare = Vec::new();
+        for index in members {
+            let Some(member) = state.tasks.get_mut(index) else { continue };
+            state.done += u32::from(!member.done);
+            member.done = true;
+            let id = TaskId { index: u32::try_from(index).unwrap_or(u32::MAX), ..task };
+            if !gang {
+                spare.extend(member.copies.drain(..).map(|(worker, run)| (worker, id, run)));
+            }
+        }
+        let complete = state.is_done();
+        let all = occurrence.steps.iter().all(super::flow::StepState::is_done);
+        for (worker, id, run) in spare {
+            self.stop_runs(now, &worker, out, |of, number| of == id && number == run);
+        }
+        if all {
+            self.complete(task);
+        } else if complete {
+            self.open_steps(task.workflow, task.occurrence);
+        }
+    }
+
+    fn complete(&mut self, task: TaskId) {
+        let Some(flow) = self.flows.get_mut(&task.workflow) else { return };
+        flow.complete(task.occurrence);
+        if flow.outcome.is_some() {
+            log::debug!(workflow:% = task.workflow; "workflow_completed");
+        }
+    }
+
+    fn on_failed(&mut self, id: &WorkerId, end: &End) {
+        let lasting = self.step(end.task).is_none_or(|step| step.lasting);
+        let Some(state) = self.task_mut(end.task) else { return };
+        state.avoid = Some(id.clone());
+        if !lasting && !state.failed.contains(&end.run) {
+            state.failed.push(end.run);
+        }
+        let attempts = state.failed.len();
+        log::info!(task:% = end.task, run:% = end.run, worker:% = id, attempts; "task_failed");
+        self.dirty.insert(end.task.workflow);
+        self.queue(end.task);
+    }
+
+    /// Compares what should run at a worker with what it lists.
+    ///
+    /// Answers on two connections may overtake each other, so a list is compared with the worker's own
+    /// clock: it speaks only of orders that were confirmed at an earlier reading.
+    fn reconcile(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        sent: Time,
+        reply: &HoldReply,
+        out: &mut Vec<Effect>,
+    ) {
+        let mut listed = BTreeSet::new();
+        for running in &reply.running {
+            listed.insert((running.task, running.run));
+            self.on_running(now, id, reply.clock_ms, running, out);
+        }
+        if reply.ended.len() >= ENDS_PER_ANSWER {
+            return;
+        }
+        let Some(worker) = self.workers.get(id) else { return };
+        let mut gone = Vec::new();
+        let mut doubtful = Vec::new();
+        for (key, copy) in worker.copies.iter().filter(|(key, _)| !listed.contains(*key)) {
+            match copy.phase {
+                Phase::Running { clock_ms } if reply.clock_ms > clock_ms => gone.push(*key),
+                Phase::Stopping { confirmed_ms: Some(at), .. } if reply.clock_ms > at => {
+                    gone.push(*key);
+                }
+                Phase::Doubtful { since } if sent > since => doubtful.push(*key),
+                _ => {}
+            }
+        }
+        for (task, run) in gone {
+            log::info!(task:%, run:%, worker:% = id; "run_not_listed");
+            self.drop_copy(id, task, run);
+        }
+        // The start may still be carried out; a stop keeps it from that.
+        for (task, run) in doubtful {
+            self.stop_runs(now, id, out, |of, number| of == task && number == run);
+        }
+    }
+
+    fn on_running(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        clock_ms: u64,
+        running: &RunningTask,
+        out: &mut Vec<Effect>,
+    ) {
+        let RunningTask { task, run, percent, .. } = *running;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(copy) = worker.copies.get_mut(&(task, run)) else {
+            self.adopt(now, id, clock_ms, running, out);
+            return;
+        };
+        copy.percent = percent;
+        match copy.phase {
+            Phase::Starting | Phase::Doubtful { .. } => copy.phase = Phase::Running { clock_ms },
+            Phase::Running { .. } => {}
+            Phase::Stopping { sent, .. } => {
+                if now.since(sent) > self.limits.order_timeout * 2 {
+                    self.stop_runs(now, id, out, |of, number| of == task && number == run);
+                }
+                return;
+            }
+        }
+        let Some(state) = self.task_mut(task) else { return };
+        if !running.saved.is_empty() {
+            state.saved.clone_from(&running.saved);
+        }
+        if percent != state.moved.1 {
+            state.moved = (now, percent);
+        }
+    }
+
+    /// A run that this leader didn't start: a predecessor did. It is kept if its task still waits.
+    fn adopt(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        clock_ms: u64,
+        running: &RunningTask,
+        out: &mut Vec<Effect>,
+    ) {
+        let RunningTask { task, run, percent, .. } = *running;
+        let step = self.step(task).cloned();
+        let wanted = match self.task_mut(task) {
+            Some(state) => {
+                state.last_run = state.last_run.max(run);
+                !state.done && (state.copies.is_empty() || step.as_ref().is_some_and(|s| s.speculative || s.gang))
+            }
+            None => false,
+        };
+        let mut copy = Copy::new(now, &step.unwrap_or_default(), Phase::Running { clock_ms });
+        copy.percent = percent;
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.insert(task, run, copy);
+        }
+        if !wanted {
+            self.stop_runs(now, id, out, |of, number| of == task && number == run);
+            return;
+        }
+        if let Some(state) = self.task_mut(task) {
+            state.copies.push((id.clone(), run));
+            state.saved.clone_from(&running.saved);
+            state.moved = (now, percent);
+        }
+        self.unqueue(task);
+    }
+
+    fn unqueue(&mut self, task: TaskId) {
+        let Some(flow) = self.flows.get_mut(&task.workflow) else { return };
+        flow.started = true;
+        let Some(occurrence) = flow.occurrences.get_mut(&task.occurrence) else { return };
+        let Some(step) = occurrence.steps.get_mut(usize::from(task.step)) else { return };
+        step.queue.retain(|index| *index != task.index);
+    }
+
+    /// Forgets a run that is certainly not under way, and queues its task.
+    pub(super) fn drop_copy(&mut self, id: &WorkerId, task: TaskId, run: RunId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.remove(task, run);
+        }
+        let Some(state) = self.task_mut(task) else { return };
+        let before = state.copies.len();
+        state.copies.retain(|(at, number)| at != id || *number != run);
+        if state.copies.len() != before {
+            self.queue(task);
+        }
+    }
+
+    /// Forgets a worker's runs, all of which have certainly ended.
+    pub(super) fn drop_all(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let keys: Vec<(TaskId, RunId)> = worker.copies.keys().copied().collect();
+        for (task, run) in keys {
+            self.drop_copy(id, task, run);
+        }
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/scheduler/flow.rs
@@ -0,0 +1,195 @@
+//! What the leader knows of a workflow that hasn't ended.
+
+use {
+    crate::{
+        Entry, OccurrenceProgress, Outcome, Progress, RunId, StepProgress, Submission, WorkerId,
+    },
+    compact_str::CompactString,
+    egretlb_types::Time,
+    smallvec::SmallVec,
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        sync::Arc,
+    },
+};
+
+/// A task of an occurrence.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TaskState {
+    pub(crate) done: bool,
+    pub(crate) failed: SmallVec<[RunId; 2]>,
+    /// Runs that may be under way, and where.
+    pub(crate) copies: SmallVec<[(WorkerId, RunId); 1]>,
+    pub(crate) last_run: RunId,
+    pub(crate) saved: CompactString,
+    /// Where it failed last: the next run goes elsewhere if it can.
+    pub(crate) avoid: Option<WorkerId>,
+    /// When it was last seen to get on, and how far it was.
+    pub(crate) moved: (Time, u32),
+}
+
+/// A step of an occurrence.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StepState {
+    pub(crate) tasks: Vec<TaskState>,
+    /// Tasks that are done.
+    pub(crate) done: u32,
+    /// Tasks that wait for a worker.
+    pub(crate) queue: VecDeque<u32>,
+    /// All steps before it are done.
+    pub(crate) open: bool,
+}
+
+impl StepState {
+    pub(crate) fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+}
+
+/// An occurrence that is due.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Occurrence {
+    pub(crate) steps: Vec<StepState>,
+}
+
+/// A workflow that hasn't ended.
+#[derive(Clone, Debug)]
+pub(crate) struct Flow {
+    pub(crate) submission: Arc<Submission>,
+    pub(crate) outcome: Option<Outcome>,
+    pub(crate) started: bool,
+    /// It was accepted before this leader's term: a predecessor may have started any of its tasks.
+    pub(crate) inherited: bool,
+    pub(crate) complete_below: u32,
+    pub(crate) complete: BTreeSet<u32>,
+    pub(crate) occurrences: BTreeMap<u32, Occurrence>,
+    /// The first occurrence that isn't due yet.
+    pub(crate) next: u32,
+    /// When it should be complete, by the time of day in milliseconds since 1970.
+    pub(crate) due_ms: u64,
+}
+
+impl Flow {
+    /// The workflow as the records have it; none if its submission isn't held any more.
+    pub(crate) fn new(entry: &Entry, inherited: bool) -> Option<Flow> {
+        let submission = Arc::clone(entry.submission.as_ref()?);
+        let Progress { started, complete_below, complete, occurrences, .. } = &entry.progress;
+        let objective = submission.workflow.chain_ms() * u64::from(submission.stretch_permille)
+            / 1_000
+            + u64::from(submission.slack_ms);
+        let mut flow = Flow {
+            due_ms: submission.taken_ms + objective,
+            submission,
+            outcome: None,
+            started: *started,
+            inherited,
+            complete_below: *complete_below,
+            complete: complete.iter().copied().collect(),
+            occurrences: BTreeMap::new(),
+            next: *complete_below,
+        };
+        for progress in occurrences {
+            let occurrence = flow.begin(Some(progress));
+            flow.occurrences.insert(progress.number, occurrence);
+        }
+        Some(flow)
+    }
+
+    /// The state of an occurrence, as recorded or at its beginning.
+    pub(crate) fn begin(&self, progress: Option<&OccurrenceProgress>) -> Occurrence {
+        let mut occurrence = Occurrence::default();
+        for (number, step) in self.submission.workflow.steps.iter().enumerate() {
+            let mut state = StepState {
+                tasks: vec![TaskState::default(); step.count as usize],
+                ..StepState::default()
+            };
+            if let Some(recorded) = progress.and_then(|progress| progress.steps.get(number)) {
+                restore(&mut state, recorded);
+            }
+            occurrence.steps.push(state);
+        }
+        occurrence
+    }
+
+    /// When occurrence `number` is due, by the time of day in milliseconds since 1970.
+    pub(crate) fn due_at(&self, number: u32) -> u64 {
+        match self.submission.workflow.repeat {
+            Some(repeat) => repeat.first_ms + u64::from(number) * repeat.every_ms,
+            None => 0,
+        }
+    }
+
+    /// Notes that an occurrence is complete.
+    pub(crate) fn complete(&mut self, number: u32) {
+        self.occurrences.remove(&number);
+        self.complete.insert(number);
+        while self.complete.remove(&self.complete_below) {
+            self.complete_below += 1;
+        }
+        if self.complete_below >= self.submission.workflow.occurrences() {
+            self.outcome = Some(Outcome::Completed);
+        }
+    }
+
+    /// What is to be recorded.
+    pub(crate) fn progress(&self) -> Progress {
+        if self.outcome.is_some() {
+            return Progress {
+                started: self.started,
+                outcome: self.outcome,
+                complete_below: self.complete_below,
+                ..Progress::default()
+            };
+        }
+        let steps = |occurrence: &Occurrence| occurrence.steps.iter().map(record).collect();
+        Progress {
+            started: self.started,
+            outcome: None,
+            complete_below: self.complete_below,
+            complete: self.complete.iter().copied().collect(),
+            occurrences: self
+                .occurrences
+                .iter()
+                .map(|(number, occurrence)| OccurrenceProgress {
+                    number: *number,
+                    steps: steps(occurrence),
+                })
+                .collect(),
+        }
+    }
+}
+
+fn restore(state: &mut StepState, recorded: &StepProgress) {
+    for (index, task) in (0u32..).zip(&mut state.tasks) {
+        if recorded.done.contains(index) {
+            task.done = true;
+            state.done += 1;
+        }
+    }
+    for (index, run) in &recorded.failed {
+        if let Some(task) = state.tasks.get_mut(*index as usize) {
+            task.failed.push(*run);
+            task.last_run = task.last_run.max(*run);
+        }
+    }
+    for (index, saved) in &recorded.saved {
+        if let Some(task) = state.tasks.get_mut(*index as usize) {
+            task.saved.clone_from(saved);
+        }
+    }
+}
+
+fn record(state: &StepState) -> StepProgress {
+    let mut progress = StepProgress::default();
+    for (index, task) in (0u32..).zip(&state.tasks) {
+        if task.done {
+            progress.done.insert(index);
+            continue;
+        }
+        progress.failed.extend(task.failed.iter().map(|run| (index, *run)));
+        if !task.saved.is_empty() && task.copies.is_empty() {
+            progress.saved.push((index, task.saved.clone()));
+        }
+    }
+    progress
+}
--- /dev/null
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -0,0 +1,395 @@
+//! What the leader does: it surveys the workers, places tasks, renews leases, takes ends in and
+//! records them.
+//!
+//! The workers are the journal of what runs: each lists what runs there and every end until that is
+//! acknowledged. So a start needs no record. A new leader asks every worker on the roster, which
+//! fences its predecessor there and returns all that the leader needs. Of what it inherits it starts
+//! nothing while a worker on the roster may still run it: until that worker answers, or until the
+//! predecessor's authority and its longest lease there must have lapsed.
+//!
+//! An end is acknowledged to the worker after it is recorded, so that it can't be lost between the two.
+
+mod ends;
+mod flow;
+mod orders;
+mod place;
+mod polls;
+mod recording;
+mod worker;
+
+use {
+    self::{
+        flow::Flow,
+        worker::{Copy, Phase, Worker},
+    },
+    crate::{
+        Change, DirectoryChange, Entry, Ledger, Limits, Outcome, Record, RosterEntry, RunId, Step,
+        Submission, TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId,
+    },
+    compact_str::CompactString,
+    egretlb_types::{Epoch, Time},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::Arc,
+    },
+};
+
+pub use self::{
+    ends::{End, EndKind, HoldReply, RunningTask},
+    orders::{StartResult, StopResult},
+    polls::HoldResult,
+};
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Ask a worker what runs and what ended there, and renew the leases there.
+    Hold {
+        /// The worker.
+        worker: WorkerId,
+        /// Where it takes orders.
+        addr: SocketAddr,
+        /// The fencing token.
+        epoch: Epoch,
+        /// Ends up to here may be forgotten.
+        recorded: u64,
+        /// The end of the leases on the worker's clock; none leaves them as they are.
+        until_ms: Option<u64>,
+        /// How long the answer may wait for the next end, in milliseconds.
+        wait_ms: u64,
+    },
+    /// Start a task.
+    Start {
+        /// The worker.
+        worker: WorkerId,
+        /// Where it takes orders.
+        addr: SocketAddr,
+        /// The fencing token.
+        epoch: Epoch,
+        /// The task.
+        task: TaskId,
+        /// The number of the start.
+        run: RunId,
+        /// Holds the payload.
+        submission: Arc<Submission>,
+        /// The end of the lease on the worker's clock.
+        until_ms: u64,
+        /// The checkpoint to resume from; empty for none.
+        saved: CompactString,
+    },
+    /// Stop a run, or keep it from starting if it hasn't arrived.
+    Stop {
+        /// The worker.
+        worker: WorkerId,
+        /// Where it takes orders.
+        addr: SocketAddr,
+        /// The fencing token.
+        epoch: Epoch,
+        /// The task.
+        task: TaskId,
+        /// The number of the start.
+        run: RunId,
+    },
+    /// Append these records under the leader's epoch, repeating it until it is settled.
+    Record {
+        /// The records, perhaps none besides the leader's sign of life.
+        records: Vec<Record>,
+    },
+    /// A worker obeys a higher epoch: this process leads no longer.
+    Outranked,
+}
+
+/// A step that has tasks to start. The order is that of the queue.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Ready {
+    priority: u8,
+    due_ms: u64,
+    workflow: WorkflowId,
+    occurrence: u32,
+    step: u16,
+}
+
+/// The leader's state.
+#[derive(Debug)]
+pub struct Scheduler {
+    epoch: Epoch,
+    limits: Limits,
+    workers: BTreeMap<WorkerId, Worker>,
+    flows: BTreeMap<WorkflowId, Flow>,
+    ready: BTreeSet<Ready>,
+    /// Workers of the predecessor that haven't answered, and when all that runs there has lapsed.
+    unaccounted: BTreeMap<WorkerId, Time>,
+    dirty: BTreeSet<WorkflowId>,
+    /// Workflows of which a task has no attempt left and none under way.
+    spent: BTreeSet<WorkflowId>,
+    roster_dirty: bool,
+    recording: Option<recording::Recording>,
+    recorded_at: Time,
+    ended: Vec<(Time, WorkflowId)>,
+    wall_ms: u64,
+}
+
+impl Scheduler {
+    /// The leader's state at the beginning of its term.
+    pub fn new(
+        now: Time,
+        wall_ms: u64,
+        epoch: Epoch,
+        limits: Limits,
+        ledger: &Ledger,
+        directory: impl IntoIterator<Item = WorkerInfo>,
+    ) -> Scheduler {
+        let mut scheduler = Scheduler {
+            epoch,
+            limits,
+            workers: BTreeMap::new(),
+            flows: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            unaccounted: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            spent: BTreeSet::new(),
+            roster_dirty: false,
+            recording: None,
+            recorded_at: now,
+            ended: Vec::new(),
+            wall_ms,
+        };
+        // The predecessor may have renewed a lease just before its authority ended.
+        let lapsed = now + limits.authority + limits.lease_bound();
+        for entry in ledger.roster() {
+            scheduler.unaccounted.insert(entry.id.clone(), lapsed);
+            let mut worker = Worker::new(now, placeholder(entry));
+            worker.present = false;
+            worker.in_roster = true;
+            worker.lease_bound = lapsed;
+            scheduler.workers.insert(entry.id.clone(), worker);
+        }
+        for info in directory {
+            scheduler.on_directory(now, DirectoryChange::Present(info));
+        }
+        for (id, entry) in ledger.iter() {
+            scheduler.add_flow(now, id, entry, true);
+        }
+        scheduler
+    }
+
+    /// The worker's directory entry changed.
+    pub fn on_directory(&mut self, now: Time, change: DirectoryChange) {
+        match change {
+            DirectoryChange::Present(info) => self.on_present(now, info),
+            DirectoryChange::Absent(id) => {
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.present = false;
+                    worker.poll_at = now;
+                }
+            }
+        }
+    }
+
+    fn on_present(&mut self, now: Time, info: WorkerInfo) {
+        let drains = info.state == WorkerState::Draining;
+        let id = info.id.clone();
+        let worker =
+            self.workers.entry(id.clone()).or_insert_with(|| Worker::new(now, info.clone()));
+        let was_ready = worker.info.state == WorkerState::Ready;
+        worker.info = info;
+        worker.present = true;
+        if !worker.in_roster {
+            self.roster_dirty = true;
+        }
+        if drains && was_ready {
+            log::info!(worker:% = id; "worker_drains");
+        }
+    }
+
+    /// A record changed the ledger.
+    pub fn on_change(&mut self, now: Time, ledger: &Ledger, change: Change, out: &mut Vec<Effect>) {
+        match change {
+            Change::Submitted(id) => {
+                if let Some(entry) = ledger.get(id) {
+                    self.add_flow(now, id, entry, false);
+                }
+            }
+            Change::Cancelled(id) => self.cancel(now, id, out),
+            Change::None | Change::Progressed(_) | Change::Leader | Change::Roster => {}
+        }
+    }
+
+    /// Time has passed: begins what is due, places tasks, polls workers, records.
+    pub fn tick(&mut self, now: Time, wall_ms: u64, out: &mut Vec<Effect>) {
+        self.wall_ms = wall_ms;
+        self.expire(now);
+        while let Some(id) = self.spent.pop_first() {
+            self.end_flow(now, id, Outcome::Failed, out);
+        }
+        self.begin_due();
+        self.place_ready(now, out);
+        self.poll(now, out);
+        self.record(now, out);
+    }
+
+    /// How many workflows haven't ended.
+    pub fn active(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// How many steps have tasks that wait for a worker.
+    pub fn waiting(&self) -> usize {
+        self.ready.len()
+    }
+
+    /// How many workers of the predecessor haven't answered yet.
+    pub fn unaccounted(&self) -> usize {
+        self.unaccounted.len()
+    }
+
+    fn add_flow(&mut self, now: Time, id: WorkflowId, entry: &Entry, inherited: bool) {
+        if entry.progress.outcome.is_some() {
+            self.ended.push((now, id));
+            return;
+        }
+        if self.flows.contains_key(&id) {
+            return;
+        }
+        let Some(mut flow) = Flow::new(entry, inherited) else { return };
+        if entry.cancelled {
+            flow.outcome = Some(Outcome::Cancelled);
+            self.dirty.insert(id);
+        }
+        let begun: Vec<u32> = flow.occurrences.keys().copied().collect();
+        self.flows.insert(id, flow);
+        for number in begun {
+            self.open_steps(id, number);
+        }
+        self.begin_occurrences(id);
+    }
+
+    fn begin_due(&mut self) {
+        let due = |flow: &Flow| flow.next < flow.submission.workflow.occurrences();
+        let ids: Vec<WorkflowId> =
+            self.flows.iter().filter(|(_, flow)| due(flow)).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.begin_occurrences(id);
+        }
+    }
+
+    /// Begins the occurrences of a workflow that are due by the time of day.
+    fn begin_occurrences(&mut self, id: WorkflowId) {
+        while let Some(flow) = self.flows.get_mut(&id) {
+            let number = flow.next;
+            let more = number < flow.submission.workflow.occurrences();
+            if flow.outcome.is_some() || !more || flow.due_at(number) > self.wall_ms {
+                return;
+            }
+            flow.next += 1;
+            if flow.complete.contains(&number) || flow.occurrences.contains_key(&number) {
+                continue;
+            }
+            let occurrence = flow.begin(None);
+            flow.occurrences.insert(number, occurrence);
+            self.open_steps(id, number);
+        }
+    }
+
+    /// Opens the steps of an occurrence for which all earlier ones are done, and queues their tasks.
+    fn open_steps(&mut self, id: WorkflowId, number: u32) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        let steps = &flow.submission.workflow.steps;
+        let (priority, due_ms) = (flow.submission.priority, flow.due_ms);
+        let Some(occurrence) = flow.occurrences.get_mut(&number) else { return };
+        let done: Vec<bool> = occurrence.steps.iter().map(flow::StepState::is_done).collect();
+        for (step_no, state) in (0u16..).zip(&mut occurrence.steps) {
+            let waits = steps[usize::from(step_no)].after.iter().any(|after| !done[usize::from(*after)]);
+            if state.open || waits {
+                continue;
+            }
+            state.open = true;
+            let idle = |task: &flow::TaskState| !task.done && task.copies.is_empty();
+            state.queue =
+                (0u32..).zip(&state.tasks).filter(|(_, task)| idle(task)).map(|(i, _)| i).collect();
+            if !state.queue.is_empty() {
+                let ready =
+                    Ready { priority, due_ms, workflow: id, occurrence: number, step: step_no };
+                self.ready.insert(ready);
+            }
+        }
+    }
+
+    fn cancel(&mut self, now: Time, id: WorkflowId, out: &mut Vec<Effect>) {
+        self.end_flow(now, id, Outcome::Cancelled, out);
+    }
+
+    /// Ends a workflow: what of it runs is stopped, the outcome is recorded.
+    fn end_flow(&mut self, now: Time, id: WorkflowId, outcome: Outcome, out: &mut Vec<Effect>) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        if flow.outcome.is_some() {
+            return;
+        }
+        flow.outcome = Some(outcome);
+        self.dirty.insert(id);
+        self.ready.retain(|ready| ready.workflow != id);
+        let tasks = flow.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+        let copies: Vec<(WorkerId, RunId)> =
+            tasks.flat_map(|step| &step.tasks).flat_map(|task| task.copies.clone()).collect();
+        flow.occurrences.clear();
+        log::debug!(workflow:% = id, outcome:? = outcome, copies = copies.len(); "workflow_ended");
+        for (worker, run) in copies {
+            self.stop_runs(now, &worker, out, |task, of| task.workflow == id && of == run);
+        }
+    }
+
+    fn step(&self, task: TaskId) -> Option<&Step> {
+        let flow = self.flows.get(&task.workflow)?;
+        flow.submission.workflow.steps.get(usize::from(task.step))
+    }
+
+    fn task_mut(&mut self, task: TaskId) -> Option<&mut flow::TaskState> {
+        let flow = self.flows.get_mut(&task.workflow)?;
+        let occurrence = flow.occurrences.get_mut(&task.occurrence)?;
+        let step = occurrence.steps.get_mut(usize::from(task.step))?;
+        step.tasks.get_mut(task.index as usize)
+    }
+
+    /// Queues a task that isn't done and runs nowhere.
+    fn queue(&mut self, task: TaskId) {
+        let Some(flow) = self.flows.get_mut(&task.workflow) else { return };
+        if flow.outcome.is_some() {
+            return;
+        }
+        let (priority, due_ms) = (flow.submission.priority, flow.due_ms);
+        let Some(occurrence) = flow.occurrences.get_mut(&task.occurrence) else { return };
+        let Some(step) = occurrence.steps.get_mut(usize::from(task.step)) else { return };
+        let Some(state) = step.tasks.get(task.index as usize) else { return };
+        if !step.open || state.done || !state.copies.is_empty() || step.queue.contains(&task.index) {
+            return;
+        }
+        let most = flow.submission.max_attempts.max(1) as usize;
+        if state.failed.len() >= most {
+            self.spent.insert(task.workflow);
+            return;
+        }
+        step.queue.push_front(task.index);
+        self.ready.insert(Ready {
+            priority,
+            due_ms,
+            workflow: task.workflow,
+            occurrence: task.occurrence,
+            step: task.step,
+        });
+    }
+}
+
+/// A worker of which only the roster's entry is known: it is asked and gets no work.
+fn placeholder(entry: &RosterEntry) -> WorkerInfo {
+    WorkerInfo {
+        id: entry.id.clone(),
+        addr: entry.addr,
+        service: CompactString::default(),
+        data_centre: CompactString::default(),
+        capacity: egretlb_types::Resources::default(),
+        labels: smallvec::SmallVec::new(),
+        state: WorkerState::Draining,
+        cold_ms: 0,
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/scheduler/orders.rs
@@ -0,0 +1,201 @@
+//! Starts and stops, and what became of them.
+
+use {
+    super::{Effect, Phase, Scheduler},
+    crate::{RunId, TaskId, WorkerId},
+    egretlb_types::Time,
+    std::time::Duration,
+};
+
+/// What became of a start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartResult {
+    /// It runs.
+    Started {
+        /// The worker's clock in milliseconds.
+        clock_ms: u64,
+    },
+    /// Not run: the worker obeys a higher epoch.
+    Outranked,
+    /// Not run: the run's number isn't higher than one that ended or was stopped there.
+    OldRun,
+    /// Not run: it arrived after its lease had ended.
+    Late,
+    /// Not run: the worker has no room for it.
+    NoRoom,
+    /// Not run: its ticket isn't valid.
+    BadTicket,
+    /// Not run: the worker is unwell or overloaded.
+    Unwell,
+    /// Not run: the worker can't read it.
+    Invalid,
+    /// Not run: another incarnation answers at this address.
+    OtherIncarnation,
+    /// Not run: nothing was sent.
+    NotSent,
+    /// It may run, now or later.
+    Unknown,
+}
+
+/// What became of a stop.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StopResult {
+    /// It ends soon, or will never begin.
+    Confirmed {
+        /// The worker's clock in milliseconds.
+        clock_ms: u64,
+    },
+    /// The worker obeys a higher epoch.
+    Outranked,
+    /// Another incarnation answers at this address.
+    OtherIncarnation,
+    /// It may have had no effect.
+    Unknown,
+}
+
+/// A worker that says it has no room, although it should have, gets nothing for so long: time for a
+/// stopped task to go (400 ms) and for its list to show what else it holds.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(500);
+
+/// An unwell worker gets nothing for so long.
+const UNWELL_PAUSE: Duration = Duration::from_secs(1);
+
+/// A stop that isn't confirmed is sent again after this.
+const STOP_AGAIN: Duration = Duration::from_millis(700);
+
+impl Scheduler {
+    /// What became of a start.
+    pub fn on_start(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        task: TaskId,
+        run: RunId,
+        result: StartResult,
+        out: &mut Vec<Effect>,
+    ) {
+        match result {
+            StartResult::Started { clock_ms } => self.on_started(now, id, task, run, clock_ms),
+            StartResult::Outranked => out.push(Effect::Outranked),
+            StartResult::OtherIncarnation => self.on_other_incarnation(id),
+            StartResult::Unknown => self.on_start_unknown(now, id, task, run),
+            StartResult::NoRoom => self.reject_start(id, task, run, now + NO_ROOM_PAUSE),
+            StartResult::Unwell | StartResult::NotSent => {
+                self.reject_start(id, task, run, now + UNWELL_PAUSE);
+            }
+            StartResult::OldRun
+            | StartResult::Late
+            | StartResult::BadTicket
+            | StartResult::Invalid => {
+                log::warn!(task:%, run:%, worker:% = id, result:?; "start_rejected");
+                self.reject_start(id, task, run, now);
+            }
+        }
+    }
+
+    fn on_started(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId, clock_ms: u64) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.heard(now, clock_ms);
+        if let Some(copy) = worker.copies.get_mut(&(task, run))
+            && matches!(copy.phase, Phase::Starting | Phase::Doubtful { .. })
+        {
+            copy.phase = Phase::Running { clock_ms };
+        }
+    }
+
+    fn on_start_unknown(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.poll_at = now;
+        if let Some(copy) = worker.copies.get_mut(&(task, run))
+            && copy.phase == Phase::Starting
+        {
+            copy.phase = Phase::Doubtful { since: now };
+            log::info!(task:%, run:%, worker:% = id; "start_in_doubt");
+        }
+    }
+
+    fn reject_start(&mut self, id: &WorkerId, task: TaskId, run: RunId, until: Time) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.barred_until = worker.barred_until.max(until);
+        }
+        self.drop_copy(id, task, run);
+    }
+
+    /// Stops the runs at a worker that `chosen` picks.
+    pub(super) fn stop_runs(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        out: &mut Vec<Effect>,
+        chosen: impl Fn(TaskId, RunId) -> bool,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let addr = worker.info.addr;
+        worker.poll_at = worker.poll_at.min(now + self.limits.poll_gap);
+        for ((task, run), copy) in &mut worker.copies {
+            if !chosen(*task, *run) {
+                continue;
+            }
+            copy.phase = Phase::Stopping { sent: now, confirmed_ms: None };
+            out.push(Effect::Stop {
+                worker: id.clone(),
+                addr,
+                epoch: self.epoch,
+                task: *task,
+                run: *run,
+            });
+        }
+    }
+
+    /// What became of a stop.
+    pub fn on_stop(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        task: TaskId,
+        run: RunId,
+        result: StopResult,
+        out: &mut Vec<Effect>,
+    ) {
+        match result {
+            StopResult::Confirmed { clock_ms } => {
+                let Some(worker) = self.workers.get_mut(id) else { return };
+                worker.heard(now, clock_ms);
+                if let Some(copy) = worker.copies.get_mut(&(task, run))
+                    && let Phase::Stopping { confirmed_ms, .. } = &mut copy.phase
+                {
+                    *confirmed_ms = Some(clock_ms);
+                }
+            }
+            StopResult::Outranked => out.push(Effect::Outranked),
+            StopResult::OtherIncarnation => self.on_other_incarnation(id),
+            StopResult::Unknown => {}
+        }
+    }
+
+    /// Sends stops again that weren't confirmed.
+    pub(super) fn repeat_stops(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let epoch = self.epoch;
+        for (id, worker) in &mut self.workers {
+            let addr = worker.info.addr;
+            for ((task, run), copy) in &mut worker.copies {
+                let Phase::Stopping { sent, confirmed_ms: None } = &mut copy.phase else { continue };
+                if now.since(*sent) < STOP_AGAIN {
+                    continue;
+                }
+                *sent = now;
+                let worker = id.clone();
+                out.push(Effect::Stop { worker, addr, epoch, task: *task, run: *run });
+            }
+        }
+    }
+
+    /// The address answers for another incarnation: all that ran under this one has ended.
+    pub(super) fn on_other_incarnation(&mut self, id: &WorkerId) {
+        log::info!(worker:% = id; "worker_replaced");
+        self.drop_all(id);
+        self.workers.remove(id);
+        self.unaccounted.remove(id);
+        self.roster_dirty = true;
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/scheduler/place.rs
@@ -0,0 +1,251 @@
+//! Where tasks go.
+
+use {
+    super::{Copy, Effect, Phase, Ready, Scheduler, Worker},
+    crate::{RunId, Step, TaskId, WorkerId},
+    compact_str::CompactString,
+    egretlb_types::{Resources, Time},
+    smallvec::SmallVec,
+};
+
+/// Run numbers of one leader begin at its epoch times this. So a number is never used twice, also if a
+/// predecessor's run was never heard of, and a start of ours is never rejected as an old one.
+const RUNS_PER_EPOCH: u64 = 1_000;
+
+/// A demand that found no worker: what takes as much or more finds none either in the same pass.
+#[derive(Clone, Debug)]
+struct Unmet {
+    service: CompactString,
+    resources: Resources,
+    fills: bool,
+}
+
+impl Scheduler {
+    /// Places what waits, in the order of the queue. What finds no worker is passed over, so that
+    /// smaller tasks behind it use the gaps.
+    pub(super) fn place_ready(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let mut unmet: SmallVec<[Unmet; 8]> = SmallVec::new();
+        let keys: Vec<Ready> = self.ready.iter().copied().collect();
+        for key in keys {
+            if self.place_step(now, key, &mut unmet, out) {
+                self.ready.remove(&key);
+            }
+        }
+    }
+
+    /// Places the waiting tasks of a step; returns whether none is left.
+    fn place_step(
+        &mut self,
+        now: Time,
+        key: Ready,
+        unmet: &mut SmallVec<[Unmet; 8]>,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(flow) = self.flows.get(&key.workflow) else { return true };
+        if flow.inherited && !self.unaccounted.is_empty() {
+            return false;
+        }
+        let service = flow.submission.service.clone();
+        let step = flow.submission.workflow.steps[usize::from(key.step)].clone();
+        let hopeless = |known: &Unmet| {
+            known.service == service
+                && known.fills == step.fills
+                && known.resources.fits(&step.resources)
+        };
+        if unmet.iter().any(hopeless) {
+            return false;
+        }
+        if step.gang {
+            return self.place_gang(now, key, &service, &step, out);
+        }
+        loop {
+            let Some(index) = self.front(key) else { return true };
+            let task = task_of(key, index);
+            let Some(worker) = self.choose(now, task, &service, &step) else {
+                if step.label.is_none() && step.per_worker == 0 {
+                    unmet.push(Unmet { service, resources: step.resources, fills: step.fills });
+                }
+                return false;
+            };
+            self.pop(key);
+            self.start(now, task, &step, &worker, None, out);
+        }
+    }
+
+    fn queue_of(&mut self, key: Ready) -> Option<&mut std::collections::VecDeque<u32>> {
+        let flow = self.flows.get_mut(&key.workflow)?;
+        let occurrence = flow.occurrences.get_mut(&key.occurrence)?;
+        Some(&mut occurrence.steps.get_mut(usize::from(key.step))?.queue)
+    }
+
+    fn front(&mut self, key: Ready) -> Option<u32> {
+        self.queue_of(key)?.front().copied()
+    }
+
+    fn pop(&mut self, key: Ready) {
+        if let Some(queue) = self.queue_of(key) {
+            queue.pop_front();
+        }
+    }
+
+    /// Places all members of a gang, or none: a member alone would hold room and do nothing.
+    fn place_gang(
+        &mut self,
+        now: Time,
+        key: Ready,
+        service: &CompactString,
+        step: &Step,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let waiting = self.queue_of(key).map_or(0, |queue| queue.len());
+        if waiting == 0 {
+            return true;
+        }
+        // Members that still end are waited for: all have to start as one run.
+        if waiting < step.count as usize {
+            return false;
+        }
+        let mut placed: Vec<(TaskId, WorkerId)> = Vec::with_capacity(waiting);
+        for index in 0..step.count {
+            let task = task_of(key, index);
+            let Some(id) = self.choose(now, task, service, step) else { break };
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.insert(task, RunId(0), Copy::new(now, step, Phase::Starting));
+            }
+            placed.push((task, id));
+        }
+        for (task, id) in &placed {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.remove(*task, RunId(0));
+            }
+        }
+        if placed.len() < step.count as usize {
+            return false;
+        }
+        let run = placed.iter().map(|(task, _)| self.next_run(*task)).max().unwrap_or_default();
+        let first = placed[0].0;
+        let saved = self.task_mut(first).map(|state| state.saved.clone()).unwrap_or_default();
+        for (task, id) in placed {
+            if let Some(state) = self.task_mut(task) {
+                state.saved.clone_from(&saved);
+            }
+            self.start(now, task, step, &id, Some(run), out);
+        }
+        if let Some(queue) = self.queue_of(key) {
+            queue.clear();
+        }
+        true
+    }
+
+    fn next_run(&mut self, task: TaskId) -> RunId {
+        let base = self.epoch.0 * RUNS_PER_EPOCH;
+        let last = self.task_mut(task).map_or(RunId(0), |state| state.last_run);
+        RunId((last.0 + 1).max(base))
+    }
+
+    fn start(
+        &mut self,
+        now: Time,
+        task: TaskId,
+        step: &Step,
+        id: &WorkerId,
+        run: Option<RunId>,
+        out: &mut Vec<Effect>,
+    ) {
+        let run = run.unwrap_or_else(|| self.next_run(task));
+        let limits = self.limits;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(until_ms) = worker.lease_until(now, limits.lease, limits.lease_bound()) else {
+            return;
+        };
+        let addr = worker.info.addr;
+        worker.insert(task, run, Copy::new(now, step, Phase::Starting));
+        worker.poll_at = worker.poll_at.min(now + limits.poll_gap);
+        let Some(state) = self.task_mut(task) else { return };
+        state.last_run = run;
+        state.copies.push((id.clone(), run));
+        state.moved = (now, 0);
+        let saved = if step.checkpoints { state.saved.clone() } else { CompactString::default() };
+        let Some(flow) = self.flows.get_mut(&task.workflow) else { return };
+        if !std::mem::replace(&mut flow.started, true) {
+            self.dirty.insert(task.workflow);
+        }
+        out.push(Effect::Start {
+            worker: id.clone(),
+            addr,
+            epoch: self.epoch,
+            task,
+            run,
+            submission: std::sync::Arc::clone(&flow.submission),
+            until_ms,
+            saved,
+        });
+    }
+
+    /// The worker for a task, if one can take it.
+    fn choose(
+        &mut self,
+        now: Time,
+        task: TaskId,
+        service: &CompactString,
+        step: &Step,
+    ) -> Option<WorkerId> {
+        let avoid = self.task_mut(task).and_then(|state| state.avoid.clone());
+        let fits = |(id, worker): &(&WorkerId, &Worker)| {
+            worker.info.service == *service
+                && avoid.as_ref() != Some(*id)
+                && worker.takes_work(now, &self.limits)
+                && has_room(worker, task, step)
+        };
+        let score = |(_, worker): &(&WorkerId, &Worker)| fitness(worker, step);
+        self.workers.iter().filter(fits).max_by_key(score).map(|(id, _)| id.clone())
+    }
+}
+
+fn task_of(key: Ready, index: u32) -> TaskId {
+    TaskId { workflow: key.workflow, occurrence: key.occurrence, step: key.step, index }
+}
+
+/// Whether a worker can hold one more task of the step.
+///
+/// A filling task slows down serving ones beside it by an amount that is only known too late, so the
+/// two are kept apart. Fillers of one worker share what the others leave; more of them than that would
+/// each be slowed down, and those first in the queue are better served one after the other.
+fn has_room(worker: &Worker, task: TaskId, step: &Step) -> bool {
+    let free = worker.free();
+    let needed = Copy::new(Time::ZERO, step, Phase::Starting);
+    if !needed.hard.fits(&free) {
+        return false;
+    }
+    if step.label.as_ref().is_some_and(|label| !worker.info.has_label(label)) {
+        return false;
+    }
+    if step.fills && (worker.serving > 0 || free.cpu.0 < worker.soft + step.resources.cpu.0) {
+        return false;
+    }
+    step.per_worker == 0 || siblings(worker, task) < step.per_worker as usize
+}
+
+/// How many tasks of the same step and occurrence a worker holds.
+fn siblings(worker: &Worker, task: TaskId) -> usize {
+    let first = (TaskId { index: 0, ..task }, RunId(0));
+    let last = (TaskId { index: u32::MAX, ..task }, RunId(u64::MAX));
+    worker.copies.range(first..=last).count()
+}
+
+/// How well a worker suits a step; higher is better.
+///
+/// Serving tasks are packed together on few workers, away from fillers. Other counted tasks don't
+/// disturb them and take the room between them, which leaves whole workers to the fillers, which get
+/// the largest remainder.
+fn fitness(worker: &Worker, step: &Step) -> (bool, bool, bool, i64) {
+    let near = step.data_rack.as_ref().is_some_and(|rack| worker.info.has_label(rack));
+    let left = i64::from(worker.free().cpu.0) - i64::from(worker.soft);
+    if step.fills {
+        (near, true, true, left)
+    } else if step.target_ms > 0 {
+        (near, worker.filling == 0, worker.serving > 0, -left)
+    } else {
+        (near, worker.filling == 0, worker.serving > 0, left)
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -0,0 +1,129 @@
+//! Polls of the workers: each renews the leases at a worker, returns what ended, and shows that the
+//! worker lives.
+
+use {
+    super::{Effect, HoldReply, Phase, Scheduler},
+    crate::{RunId, TaskId, WorkerId},
+    egretlb_types::Time,
+    std::time::Duration,
+};
+
+/// What became of a poll.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum HoldResult {
+    /// The worker's lists.
+    Lists(HoldReply),
+    /// The worker obeys a higher epoch.
+    Outranked,
+    /// Another incarnation answers at this address.
+    OtherIncarnation,
+    /// The worker can't be reached, or gave no answer, or not this one.
+    Failed,
+}
+
+/// The pause after a poll that failed.
+const POLL_RETRY: Duration = Duration::from_millis(200);
+
+/// A worker that runs nothing is asked this seldom; its heartbeats in the directory show that it lives.
+const IDLE_POLL: Duration = Duration::from_millis(1_500);
+
+impl Scheduler {
+    /// What became of the poll that was sent at `sent`.
+    pub fn on_hold(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        sent: Time,
+        result: &HoldResult,
+        out: &mut Vec<Effect>,
+    ) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.poll_sent = None;
+            worker.poll_at = now + self.limits.poll_gap;
+        }
+        match result {
+            HoldResult::Lists(reply) => self.on_lists(now, id, sent, reply, out),
+            HoldResult::Outranked => out.push(Effect::Outranked),
+            HoldResult::OtherIncarnation => self.on_other_incarnation(id),
+            HoldResult::Failed => {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.poll_at = now + POLL_RETRY;
+                }
+            }
+        }
+    }
+
+    /// Sends the polls that are due.
+    pub(super) fn poll(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.repeat_stops(now, out);
+        let (epoch, limits) = (self.epoch, self.limits);
+        for (id, worker) in &mut self.workers {
+            if worker.poll_sent.is_some() || now < worker.poll_at {
+                continue;
+            }
+            let busy = !worker.copies.is_empty() || worker.taken > worker.recorded;
+            let idle_due = worker.last_heard.is_none_or(|heard| now.since(heard) >= IDLE_POLL);
+            if worker.surveyed && !busy && !(idle_due && worker.present) {
+                continue;
+            }
+            // While a worker is silent its leases aren't extended: otherwise polls that arrive without
+            // being answered would put off the time at which its tasks have certainly lapsed.
+            let renews = worker.surveyed && worker.is_responsive(now, &limits);
+            let until_ms = if renews && busy {
+                worker.lease_until(now, limits.lease, limits.lease_bound())
+            } else {
+                None
+            };
+            // In the survey the answer is wanted at once, and so is one that settles an order.
+            let unsettled = |phase: &Phase| !matches!(phase, Phase::Running { .. });
+            let hurried = !worker.surveyed || worker.copies.values().any(|c| unsettled(&c.phase));
+            let wait = match (hurried, busy) {
+                (true, _) | (_, false) => Duration::ZERO,
+                (false, true) => limits.poll_wait,
+            };
+            worker.poll_sent = Some(now);
+            out.push(Effect::Hold {
+                worker: id.clone(),
+                addr: worker.info.addr,
+                epoch,
+                recorded: worker.recorded,
+                until_ms,
+                wait_ms: u64::try_from(wait.as_millis()).unwrap_or(0),
+            });
+        }
+    }
+
+    /// Gives up what must have lapsed at workers that don't answer, and forgets workers that are gone.
+    pub(super) fn expire(&mut self, now: Time) {
+        let limits = self.limits;
+        let lapsed = |worker: &super::Worker| {
+            now >= worker.lease_bound && !worker.is_responsive(now, &limits)
+        };
+        let silent: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| lapsed(worker))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in silent {
+            self.drop_lapsed(now, &id);
+        }
+        self.unaccounted.retain(|_, until| now < *until);
+    }
+
+    fn drop_lapsed(&mut self, now: Time, id: &WorkerId) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let keys: Vec<(TaskId, RunId)> = worker.copies.keys().copied().collect();
+        let present = worker.present;
+        if !keys.is_empty() {
+            log::warn!(worker:% = id, runs = keys.len(); "leases_lapsed");
+        }
+        for (task, run) in keys {
+            self.drop_copy(id, task, run);
+        }
+        if !present && self.unaccounted.get(id).is_none_or(|until| now >= *until) {
+            self.workers.remove(id);
+            self.roster_dirty = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -0,0 +1,118 @@
+//! What is recorded in the store: progress of workflows, the roster.
+
+use {
+    super::{Effect, Scheduler},
+    crate::{Key, Record, RosterEntry, WorkerId, WorkflowId},
+    egretlb_types::Time,
+};
+
+/// An append under way and what it settles.
+#[derive(Debug, Default)]
+pub(super) struct Recording {
+    /// Ends up to here are recorded once it is done.
+    ends: Vec<(WorkerId, u64)>,
+    roster: Vec<WorkerId>,
+    ended: Vec<WorkflowId>,
+}
+
+/// The most bytes of records in one append; far below the store's bound of 2 MB.
+const RECORD_BYTES: usize = 512 * 1024;
+
+/// The most old workflows forgotten in one append.
+const FORGET_PER_APPEND: usize = 200;
+
+impl Scheduler {
+    /// Whether the next append has something to say.
+    fn has_news(&self) -> bool {
+        self.roster_dirty
+            || !self.dirty.is_empty()
+            || self.workers.values().any(|worker| worker.taken > worker.recorded)
+    }
+
+    /// Sends what is to be recorded, if no append is under way.
+    pub(super) fn record(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.recording.is_some() {
+            return;
+        }
+        let beat = now.since(self.recorded_at) >= self.limits.heartbeat;
+        let due = self.has_news() && now.since(self.recorded_at) >= self.limits.record_gap;
+        if !beat && !due {
+            return;
+        }
+        let mut recording = Recording::default();
+        let mut records = Vec::new();
+        let partial = self.record_progress(&mut recording, &mut records);
+        if !partial {
+            recording.ends = self
+                .workers
+                .iter()
+                .filter(|(_, worker)| worker.taken > worker.recorded)
+                .map(|(id, worker)| (id.clone(), worker.taken))
+                .collect();
+        }
+        self.record_roster(&mut recording, &mut records);
+        self.forget(now, &mut records);
+        self.recorded_at = now;
+        self.recording = Some(recording);
+        out.push(Effect::Record { records });
+    }
+
+    /// Adds the progress of changed workflows; returns whether some are left for the next append.
+    fn record_progress(&mut self, recording: &mut Recording, records: &mut Vec<Record>) -> bool {
+        let mut bytes = 0;
+        while let Some(id) = self.dirty.pop_first() {
+            let Some(flow) = self.flows.get(&id) else { continue };
+            let record = Record::new(Key::Progress(id), &flow.progress());
+            if flow.outcome.is_some() {
+                recording.ended.push(id);
+            }
+            bytes += record.size();
+            records.push(record);
+            if bytes >= RECORD_BYTES {
+                return !self.dirty.is_empty();
+            }
+        }
+        false
+    }
+
+    fn record_roster(&mut self, recording: &mut Recording, records: &mut Vec<Record>) {
+        if !std::mem::take(&mut self.roster_dirty) {
+            return;
+        }
+        let entry =
+            |(id, worker): (&WorkerId, &super::Worker)| RosterEntry { id: id.clone(), addr: worker.info.addr };
+        let roster: Vec<RosterEntry> = self.workers.iter().map(entry).collect();
+        recording.roster = roster.iter().map(|entry| entry.id.clone()).collect();
+        records.push(Record::new(Key::Roster, &roster));
+    }
+
+    /// Drops the records of workflows that ended long ago.
+    fn forget(&mut self, now: Time, records: &mut Vec<Record>) {
+        let retention = self.limits.retention;
+        let old = self.ended.iter().take_while(|(at, _)| now.since(*at) >= retention).count();
+        for (_, id) in self.ended.drain(..old.min(FORGET_PER_APPEND)) {
+            records.push(Record::drop(Key::Progress(id)));
+            records.push(Record::drop(Key::Cancel(id)));
+            records.push(Record::drop(Key::Submission(id)));
+        }
+    }
+
+    /// The append under way is in the store.
+    pub fn on_recorded(&mut self, now: Time) {
+        let Some(recording) = self.recording.take() else { return };
+        for (id, number) in recording.ends {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.recorded = worker.recorded.max(number);
+            }
+        }
+        for id in recording.roster {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.in_roster = true;
+            }
+        }
+        for id in recording.ended {
+            self.flows.remove(&id);
+            self.ended.push((now, id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -0,0 +1,182 @@
+//! What the leader knows of a worker.
+
+use {
+    crate::{Limits, RunId, Step, TaskId, WorkerInfo, WorkerState},
+    egretlb_types::{MilliCores, Resources, Time},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// How far an order to run a task has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Phase {
+    /// The start was sent.
+    Starting,
+    /// The start has no answer; it may have been carried out, or may yet be.
+    Doubtful {
+        /// When that was noticed.
+        since: Time,
+    },
+    /// It runs; the worker's clock when that was last known, in milliseconds.
+    Running {
+        /// The worker's clock.
+        clock_ms: u64,
+    },
+    /// A stop was sent. Until its end is listed it holds its resources.
+    Stopping {
+        /// When it was last sent.
+        sent: Time,
+        /// The worker's clock when it confirmed, in milliseconds; none before.
+        confirmed_ms: Option<u64>,
+    },
+}
+
+/// One run of a task at a worker, from the order until its end is known.
+#[derive(Clone, Debug)]
+pub(crate) struct Copy {
+    pub(crate) phase: Phase,
+    pub(crate) sent: Time,
+    pub(crate) percent: u32,
+    /// Counted against the worker.
+    pub(crate) hard: Resources,
+    /// Processor time that a filling task would use, counted against other fillers only.
+    pub(crate) soft: MilliCores,
+    pub(crate) serves: bool,
+    pub(crate) fills: bool,
+    pub(crate) checkpoints: bool,
+    pub(crate) lasting: bool,
+}
+
+impl Copy {
+    pub(crate) fn new(now: Time, step: &Step, phase: Phase) -> Copy {
+        let mut hard = step.resources;
+        let mut soft = MilliCores(0);
+        if step.fills {
+            soft = std::mem::take(&mut hard.cpu);
+        }
+        Copy {
+            phase,
+            sent: now,
+            percent: 0,
+            hard,
+            soft,
+            serves: step.target_ms > 0,
+            fills: step.fills,
+            checkpoints: step.checkpoints,
+            lasting: step.lasting,
+        }
+    }
+}
+
+/// A worker and what may run there by our orders.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) info: WorkerInfo,
+    /// Its entry is in the directory.
+    pub(crate) present: bool,
+    /// The roster in the store names it, so a successor knows to ask it.
+    pub(crate) in_roster: bool,
+    /// It has answered under this epoch: what runs there is known, and no predecessor's order takes
+    /// effect there any more.
+    pub(crate) surveyed: bool,
+    pub(crate) last_heard: Option<Time>,
+    /// By then all that runs there by orders of this leader has lapsed.
+    pub(crate) lease_bound: Time,
+    /// The worker's clock in milliseconds, and when it was read.
+    clock: Option<(u64, Time)>,
+    pub(crate) poll_sent: Option<Time>,
+    pub(crate) poll_at: Time,
+    /// Ends up to here were taken in.
+    pub(crate) taken: u64,
+    /// Ends up to here are recorded, so the worker may forget them.
+    pub(crate) recorded: u64,
+    pub(crate) copies: BTreeMap<(TaskId, RunId), Copy>,
+    pub(crate) committed: Resources,
+    pub(crate) soft: u32,
+    pub(crate) serving: u32,
+    pub(crate) filling: u32,
+    /// Runs that failed here since the last one that was done.
+    pub(crate) failures: u32,
+    /// It gets nothing new before.
+    pub(crate) barred_until: Time,
+}
+
+impl Worker {
+    pub(crate) fn new(now: Time, info: WorkerInfo) -> Worker {
+        Worker {
+            info,
+            present: true,
+            in_roster: false,
+            surveyed: false,
+            last_heard: None,
+            lease_bound: now,
+            clock: None,
+            poll_sent: None,
+            poll_at: now,
+            taken: 0,
+            recorded: 0,
+            copies: BTreeMap::new(),
+            committed: Resources::default(),
+            soft: 0,
+            serving: 0,
+            filling: 0,
+            failures: 0,
+            barred_until: Time::ZERO,
+        }
+    }
+
+    pub(crate) fn insert(&mut self, task: TaskId, run: RunId, copy: Copy) {
+        self.committed = self.committed.plus(&copy.hard);
+        self.soft += copy.soft.0;
+        self.serving += u32::from(copy.serves);
+        self.filling += u32::from(copy.fills);
+        self.copies.insert((task, run), copy);
+    }
+
+    pub(crate) fn remove(&mut self, task: TaskId, run: RunId) -> Option<Copy> {
+        let copy = self.copies.remove(&(task, run))?;
+        self.committed = self.committed.minus(&copy.hard);
+        self.soft -= copy.soft.0;
+        self.serving -= u32::from(copy.serves);
+        self.filling -= u32::from(copy.fills);
+        Some(copy)
+    }
+
+    /// What is left of its capacity.
+    pub(crate) fn free(&self) -> Resources {
+        self.info.capacity.minus(&self.committed)
+    }
+
+    pub(crate) fn heard(&mut self, now: Time, clock_ms: u64) {
+        self.last_heard = Some(now);
+        if self.clock.is_none_or(|(known, _)| clock_ms >= known) {
+            self.clock = Some((clock_ms, now));
+        }
+    }
+
+    /// Whether it has answered lately.
+    pub(crate) fn is_responsive(&self, now: Time, limits: &Limits) -> bool {
+        // A poll may rightly wait at the worker before it is answered.
+        let patience = limits.poll_wait + limits.silent_after;
+        self.last_heard.is_some_and(|heard| now.since(heard) < patience)
+    }
+
+    /// Whether it may get a new task.
+    pub(crate) fn takes_work(&self, now: Time, limits: &Limits) -> bool {
+        self.present
+            && self.in_roster
+            && self.surveyed
+            && self.info.state == WorkerState::Ready
+            && now >= self.barred_until
+            && self.is_responsive(now, limits)
+    }
+
+    /// The end of a lease of `span` from now on the worker's clock, if that is known. The caller must
+    /// send it, since from here on what runs there counts as renewed.
+    pub(crate) fn lease_until(&mut self, now: Time, span: Duration, bound: Duration) -> Option<u64> {
+        let (clock_ms, read) = self.clock?;
+        let elapsed = u64::try_from(now.since(read).as_millis()).unwrap_or(u64::MAX);
+        let span_ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        self.lease_bound = self.lease_bound.max(now + bound);
+        Some(clock_ms.saturating_add(elapsed).saturating_add(span_ms))
+    }
+}
