Learn which fillers press on which serving tasks, and place by it

The figures show pairs of images: a few pairs lift the tail 5 to 10 ms a core, most do nothing. Ruled out: starved fillers (they got 85% of what they asked for at any number of neighbours).

--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -8,6 +8,7 @@
 mod bits;
 mod directory;
 mod ids;
+mod interference;
 mod leadership;
 mod ledger;
 mod limits;
@@ -20,6 +21,7 @@
     bits::Bits,
     directory::{DirectoryChange, WorkerInfo, WorkerState},
     ids::{IdError, RunId, TaskId, WorkerId, WorkflowId},
+    interference::{Exposure, Interference},
     leadership::{AppendResult, Leadership, LeadershipEffect, Role},
     ledger::{Change, Entry, Ledger, State},
     limits::Limits,
--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -93,6 +93,7 @@
             self.on_end(now, id, end, out);
         }
         self.reconcile(now, id, sent, reply, out);
+        self.watch(now, id, out);
     }
 
     fn on_end(&mut self, now: Time, id: &WorkerId, end: &End, out: &mut Vec<Effect>) {
@@ -247,6 +248,7 @@
             return;
         };
         copy.percent = percent;
+        copy.figure = running.figure;
         match copy.phase {
             Phase::Starting | Phase::Doubtful { .. } => copy.phase = Phase::Running { clock_ms },
             Phase::Running { .. } => {}
@@ -284,7 +286,7 @@
             }
             None => false,
         };
-        let mut copy = Copy::new(now, &step.unwrap_or_default(), Phase::Running { clock_ms });
+        let mut copy = Copy::new(&step.unwrap_or_default(), Phase::Running { clock_ms });
         copy.percent = percent;
         if let Some(worker) = self.workers.get_mut(id) {
             worker.insert(task, run, copy);
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -14,6 +14,7 @@
 mod orders;
 mod place;
 mod polls;
+mod pressure;
 mod recording;
 mod worker;
 
@@ -23,7 +24,7 @@
         worker::{Copy, Phase, Worker},
     },
     crate::{
-        Change, DirectoryChange, Entry, Ledger, Limits, Outcome, Record, RosterEntry, RunId, Step,
+        Change, DirectoryChange, Entry, Interference, Ledger, Limits, Outcome, Record, RosterEntry, RunId, Step,
         Submission, TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId,
     },
     compact_str::CompactString,
@@ -127,6 +128,7 @@
     recording: Option<recording::Recording>,
     recorded_at: Time,
     ended: Vec<(Time, WorkflowId)>,
+    interference: Interference,
     wall_ms: u64,
 }
 
@@ -153,6 +155,7 @@
             recording: None,
             recorded_at: now,
             ended: Vec::new(),
+            interference: Interference::default(),
             wall_ms,
         };
         // The predecessor may have renewed a lease just before its authority ended.
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -110,7 +110,7 @@
             let task = task_of(key, index);
             let Some(id) = self.choose(now, task, service, step) else { break };
             if let Some(worker) = self.workers.get_mut(&id) {
-                worker.insert(task, RunId(0), Copy::new(now, step, Phase::Starting));
+                worker.insert(task, RunId(0), Copy::new(step, Phase::Starting));
             }
             placed.push((task, id));
         }
@@ -159,7 +159,7 @@
             return;
         };
         let addr = worker.info.addr;
-        worker.insert(task, run, Copy::new(now, step, Phase::Starting));
+        worker.insert(task, run, Copy::new(step, Phase::Starting));
         worker.poll_at = worker.poll_at.min(now + limits.poll_gap);
         let Some(state) = self.task_mut(task) else { return };
         state.last_run = run;
@@ -191,15 +191,67 @@
         step: &Step,
     ) -> Option<WorkerId> {
         let avoid = self.task_mut(task).and_then(|state| state.avoid.clone());
-        let fits = |(id, worker): &(&WorkerId, &Worker)| {
-            worker.info.service == *service
-                && avoid.as_ref() != Some(*id)
+        let mut best: Option<(Fitness, &WorkerId)> = None;
+        for (id, worker) in &self.workers {
+            let suits = worker.info.service == *service
+                && avoid.as_ref() != Some(id)
                 && worker.takes_work(now, &self.limits)
-                && has_room(worker, task, step)
-        };
-        let score = |(_, worker): &(&WorkerId, &Worker)| fitness(worker, step);
-        self.workers.iter().filter(fits).max_by_key(score).map(|(id, _)| id.clone())
+                && has_room(worker, task, step);
+            if !suits {
+                continue;
+            }
+            let Some(fitness) = self.fitness(worker, step) else { continue };
+            if best.as_ref().is_none_or(|(known, _)| fitness > *known) {
+                best = Some((fitness, id));
+            }
+        }
+        best.map(|(_, id)| id.clone())
     }
+
+    /// How well a worker suits a step; higher is better. None if a serving task there would miss its
+    /// target beside the step's tasks.
+    ///
+    /// Serving tasks are packed together on few workers. Other counted tasks don't disturb them and
+    /// take the room between them, which leaves whole workers to the fillers. Of the workers left,
+    /// fillers go where the highest tail is expected to stay lowest, in coarse steps, and then where
+    /// most processor time is left.
+    fn fitness(&self, worker: &Worker, step: &Step) -> Option<Fitness> {
+        let near = step.data_rack.as_ref().is_some_and(|rack| worker.info.has_label(rack));
+        let left = left_over(worker);
+        if step.fills {
+            let cores = step.resources.cpu.0 as f32 / 1_000.0;
+            let tail = self.expected(worker, &step.image, cores);
+            if tail > MAX_EXPECTED_TAIL {
+                return None;
+            }
+            let quiet = -i64::from((tail * TAIL_STEPS) as u32);
+            return Some((near, quiet, true, left));
+        }
+        let clear = i64::from(worker.filling == 0);
+        let left = if step.target_ms > 0 { -left } else { left };
+        Some((near, clear, worker.serving > 0, left))
+    }
+}
+
+/// Near the data, undisturbing, packed, processor time left.
+type Fitness = (bool, i64, bool, i64);
+
+/// A filler isn't placed where a serving task's tail is expected above this multiple of its target: the
+/// expectation is off by some tenths, and the tail swings with the task's own load.
+const MAX_EXPECTED_TAIL: f32 = 0.8;
+
+/// Expected tails are compared in steps of a quarter of the target; finer ones are noise.
+const TAIL_STEPS: f32 = 4.0;
+
+/// Serving tasks use about half of the processor time that they declare; the rest is left to fillers.
+/// Fillers got 85% of what they declare in all of some 10,000 figures under this assumption, whether a
+/// worker held many or few, so it doesn't starve them.
+const SERVING_USE_PERCENT: u32 = 50;
+
+/// Processor time that fillers find unused, in thousandths of a core.
+fn left_over(worker: &Worker) -> i64 {
+    let used = u64::from(worker.committed.cpu.0) * u64::from(SERVING_USE_PERCENT) / 100;
+    i64::from(worker.info.capacity.cpu.0) - i64::try_from(used).unwrap_or(0) - i64::from(worker.soft)
 }
 
 fn task_of(key: Ready, index: u32) -> TaskId {
@@ -208,19 +260,18 @@
 
 /// Whether a worker can hold one more task of the step.
 ///
-/// A filling task slows down serving ones beside it by an amount that is only known too late, so the
-/// two are kept apart. Fillers of one worker share what the others leave; more of them than that would
-/// each be slowed down, and those first in the queue are better served one after the other.
+/// Fillers of one worker share what the others leave; more of them than that would each be slowed down,
+/// and those first in the queue are better served one after the other.
 fn has_room(worker: &Worker, task: TaskId, step: &Step) -> bool {
     let free = worker.free();
-    let needed = Copy::new(Time::ZERO, step, Phase::Starting);
+    let needed = Copy::new(step, Phase::Starting);
     if !needed.hard.fits(&free) {
         return false;
     }
     if step.label.as_ref().is_some_and(|label| !worker.info.has_label(label)) {
         return false;
     }
-    if step.fills && (worker.serving > 0 || free.cpu.0 < worker.soft + step.resources.cpu.0) {
+    if step.fills && left_over(worker) < i64::from(step.resources.cpu.0) {
         return false;
     }
     step.per_worker == 0 || siblings(worker, task) < step.per_worker as usize
@@ -232,20 +283,3 @@
     let last = (TaskId { index: u32::MAX, ..task }, RunId(u64::MAX));
     worker.copies.range(first..=last).count()
 }
-
-/// How well a worker suits a step; higher is better.
-///
-/// Serving tasks are packed together on few workers, away from fillers. Other counted tasks don't
-/// disturb them and take the room between them, which leaves whole workers to the fillers, which get
-/// the largest remainder.
-fn fitness(worker: &Worker, step: &Step) -> (bool, bool, bool, i64) {
-    let near = step.data_rack.as_ref().is_some_and(|rack| worker.info.has_label(rack));
-    let left = i64::from(worker.free().cpu.0) - i64::from(worker.soft);
-    if step.fills {
-        (near, true, true, left)
-    } else if step.target_ms > 0 {
-        (near, worker.filling == 0, worker.serving > 0, -left)
-    } else {
-        (near, worker.filling == 0, worker.serving > 0, left)
-    }
-}
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -1,7 +1,8 @@
 //! What the leader knows of a worker.
 
 use {
-    crate::{Limits, RunId, Step, TaskId, WorkerInfo, WorkerState},
+    crate::{Limits, RunId, Step, TaskId, WorkerInfo, WorkerState, interference::Exposure},
+    compact_str::CompactString,
     egretlb_types::{MilliCores, Resources, Time},
     std::{collections::BTreeMap, time::Duration},
 };
@@ -34,20 +35,23 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Copy {
     pub(crate) phase: Phase,
-    pub(crate) sent: Time,
     pub(crate) percent: u32,
+    /// The last figure: a serving task's tail in milliseconds, another one's use of the processor.
+    pub(crate) figure: u32,
+    pub(crate) image: CompactString,
+    pub(crate) target_ms: u32,
+    /// Since when a serving task is over its target.
+    pub(crate) over_since: Option<Time>,
     /// Counted against the worker.
     pub(crate) hard: Resources,
     /// Processor time that a filling task would use, counted against other fillers only.
     pub(crate) soft: MilliCores,
     pub(crate) serves: bool,
     pub(crate) fills: bool,
-    pub(crate) checkpoints: bool,
-    pub(crate) lasting: bool,
 }
 
 impl Copy {
-    pub(crate) fn new(now: Time, step: &Step, phase: Phase) -> Copy {
+    pub(crate) fn new(step: &Step, phase: Phase) -> Copy {
         let mut hard = step.resources;
         let mut soft = MilliCores(0);
         if step.fills {
@@ -55,16 +59,22 @@
         }
         Copy {
             phase,
-            sent: now,
             percent: 0,
+            figure: 0,
+            image: step.image.clone(),
+            target_ms: step.target_ms,
+            over_since: None,
             hard,
             soft,
             serves: step.target_ms > 0,
             fills: step.fills,
-            checkpoints: step.checkpoints,
-            lasting: step.lasting,
         }
     }
+
+    /// The processor time that a filling task asks for, in cores.
+    pub(crate) fn cores(&self) -> f32 {
+        self.soft.0 as f32 / 1_000.0
+    }
 }
 
 /// A worker and what may run there by our orders.
@@ -98,6 +108,11 @@
     pub(crate) failures: u32,
     /// It gets nothing new before.
     pub(crate) barred_until: Time,
+    /// Fillers' use of the processor, averaged over the span of the figures.
+    pub(crate) exposure: Exposure,
+    pub(crate) exposed_at: Time,
+    /// When fillers were last stopped for the sake of a serving task.
+    pub(crate) relieved_at: Time,
 }
 
 impl Worker {
@@ -121,6 +136,9 @@
             filling: 0,
             failures: 0,
             barred_until: Time::ZERO,
+            exposure: Exposure::new(),
+            exposed_at: now,
+            relieved_at: Time::ZERO,
         }
     }
 
