--- a/crates/egretlbd/src/main.rs
+++ b/crates/egretlbd/src/main.rs
@@ -49,6 +49,12 @@
     pub(super) const CANT_START: u8 = 4;
 }
 
+/// How often `-v` is given: once logs each start and end of a task.
+fn verbose() -> usize {
+    let mut args = pico_args::Arguments::from_env();
+    std::iter::from_fn(|| args.contains(["-v", "--verbose"]).then_some(())).count()
+}
+
 fn main() -> ExitCode {
     match start() {
         Ok(()) => ExitCode::SUCCESS,
@@ -62,7 +68,7 @@
 
 fn start() -> Result<(), StartError> {
     let settings = Settings::read().map_err(StartError::Settings)?;
-    if let Err(error) = egretlb_telemetry::init(LogOptions::new(&settings.node_name)) {
+    if let Err(error) = egretlb_telemetry::init(LogOptions::new(&settings.node_name).verbosity(verbose(), 0)) {
         eprintln!("egretlbd: {error}");
     }
     let runtime =
--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -97,6 +97,7 @@
     }
 
     fn on_end(&mut self, now: Time, id: &WorkerId, end: &End, out: &mut Vec<Effect>) {
+        log::debug!(task:% = end.task, run:% = end.run, worker:% = id, end:? = end.kind; "task_ended");
         if let Some(worker) = self.workers.get_mut(id) {
             worker.remove(end.task, end.run);
             match end.kind {
@@ -279,6 +280,7 @@
     ) {
         let RunningTask { task, run, percent, .. } = *running;
         let step = self.step(task).cloned();
+        log::debug!(task:%, run:%, worker:% = id; "task_found");
         let wanted = match self.task_mut(task) {
             Some(state) => {
                 state.last_run = state.last_run.max(run);
--- a/crates/workflow/src/scheduler/flow.rs
+++ b/crates/workflow/src/scheduler/flow.rs
@@ -28,6 +28,13 @@
     pub(crate) moved: (Time, u32),
 }
 
+impl TaskState {
+    /// Whether it isn't done and runs nowhere.
+    pub(crate) fn waits(&self) -> bool {
+        !self.done && self.copies.is_empty()
+    }
+}
+
 /// A step of an occurrence.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepState {
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -257,7 +257,9 @@
         }
         let Some(mut flow) = Flow::new(entry, inherited) else { return };
         if entry.cancelled {
+            // Nothing of it is wanted any more: what is found running is stopped.
             flow.outcome = Some(Outcome::Cancelled);
+            flow.occurrences.clear();
             self.dirty.insert(id);
         }
         let begun: Vec<u32> = flow.occurrences.keys().copied().collect();
@@ -308,9 +310,8 @@
                 continue;
             }
             state.open = true;
-            let idle = |task: &flow::TaskState| !task.done && task.copies.is_empty();
-            state.queue =
-                (0u32..).zip(&state.tasks).filter(|(_, task)| idle(task)).map(|(i, _)| i).collect();
+            let waiting = (0u32..).zip(&state.tasks).filter(|(_, task)| task.waits());
+            state.queue = waiting.map(|(index, _)| index).collect();
             if !state.queue.is_empty() {
                 let ready =
                     Ready { priority, due_ms, workflow: id, occurrence: number, step: step_no };
@@ -364,7 +365,7 @@
         let Some(occurrence) = flow.occurrences.get_mut(&task.occurrence) else { return };
         let Some(step) = occurrence.steps.get_mut(usize::from(task.step)) else { return };
         let Some(state) = step.tasks.get(task.index as usize) else { return };
-        if !step.open || state.done || !state.copies.is_empty() || step.queue.contains(&task.index) {
+        if !step.open || !state.waits() || step.queue.contains(&task.index) {
             return;
         }
         let most = flow.submission.max_attempts.max(1) as usize;
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -1,7 +1,7 @@
 //! Where tasks go.
 
 use {
-    super::{Copy, Effect, Phase, Ready, Scheduler, Worker},
+    super::{Copy, Effect, Phase, Ready, Scheduler, Worker, flow::TaskState},
     crate::{RunId, Step, TaskId, WorkerId},
     compact_str::CompactString,
     egretlb_types::{Resources, Time},
@@ -78,8 +78,15 @@
         Some(&mut occurrence.steps.get_mut(usize::from(key.step))?.queue)
     }
 
+    /// The first task of a step that waits. What was queued before the survey may turn out to be done
+    /// or under way.
     fn front(&mut self, key: Ready) -> Option<u32> {
-        self.queue_of(key)?.front().copied()
+        let flow = self.flows.get_mut(&key.workflow)?;
+        let occurrence = flow.occurrences.get_mut(&key.occurrence)?;
+        let step = occurrence.steps.get_mut(usize::from(key.step))?;
+        let tasks = &step.tasks;
+        step.queue.retain(|index| tasks.get(*index as usize).is_some_and(TaskState::waits));
+        step.queue.front().copied()
     }
 
     fn pop(&mut self, key: Ready) {
@@ -97,10 +104,10 @@
         step: &Step,
         out: &mut Vec<Effect>,
     ) -> bool {
-        let waiting = self.queue_of(key).map_or(0, |queue| queue.len());
-        if waiting == 0 {
+        if self.front(key).is_none() {
             return true;
         }
+        let waiting = self.queue_of(key).map_or(0, |queue| queue.len());
         // Members that still end are waited for: all have to start as one run.
         if waiting < step.count as usize {
             return false;
@@ -170,6 +177,7 @@
         if !std::mem::replace(&mut flow.started, true) {
             self.dirty.insert(task.workflow);
         }
+        log::debug!(task:%, run:%, worker:% = id; "task_started");
         out.push(Effect::Start {
             worker: id.clone(),
             addr,
