--- a/crates/workflow/src/scheduler/flow.rs
+++ b/crates/workflow/src/scheduler/flow.rs
@@ -33,6 +33,11 @@
     pub(crate) fn waits(&self) -> bool {
         !self.done && self.copies.is_empty()
     }
+
+    /// Whether it has failed as often as its queue allows.
+    pub(crate) fn is_spent(&self, max_attempts: u32) -> bool {
+        self.failed.len() >= max_attempts.max(1) as usize
+    }
 }
 
 /// A step of an occurrence.
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -302,6 +302,7 @@
         let Some(flow) = self.flows.get_mut(&id) else { return };
         let steps = &flow.submission.workflow.steps;
         let (priority, due_ms) = (flow.submission.priority, flow.due_ms);
+        let attempts = flow.submission.max_attempts;
         let Some(occurrence) = flow.occurrences.get_mut(&number) else { return };
         let done: Vec<bool> = occurrence.steps.iter().map(flow::StepState::is_done).collect();
         for (step_no, state) in (0u16..).zip(&mut occurrence.steps) {
@@ -310,6 +311,9 @@
                 continue;
             }
             state.open = true;
+            if state.tasks.iter().any(|task| task.waits() && task.is_spent(attempts)) {
+                self.spent.insert(id);
+            }
             let waiting = (0u32..).zip(&state.tasks).filter(|(_, task)| task.waits());
             state.queue = waiting.map(|(index, _)| index).collect();
             if !state.queue.is_empty() {
@@ -365,14 +369,16 @@
         let Some(occurrence) = flow.occurrences.get_mut(&task.occurrence) else { return };
         let Some(step) = occurrence.steps.get_mut(usize::from(task.step)) else { return };
         let Some(state) = step.tasks.get(task.index as usize) else { return };
-        if !step.open || !state.waits() || step.queue.contains(&task.index) {
+        if !step.open || !state.waits() {
             return;
         }
-        let most = flow.submission.max_attempts.max(1) as usize;
-        if state.failed.len() >= most {
+        if state.is_spent(flow.submission.max_attempts) {
             self.spent.insert(task.workflow);
             return;
         }
+        if step.queue.contains(&task.index) {
+            return;
+        }
         step.queue.push_front(task.index);
         self.ready.insert(Ready {
             priority,
