Learn interference by least squares over differences of figures

Cause: the first form took each listing of the same half-second figure for a new one, and put the swing of a serving task's own load down to fillers.

--- a/crates/workflow/src/interference.rs
+++ b/crates/workflow/src/interference.rs
@@ -1,75 +1,194 @@
 //! How much tasks that fill press on tasks that serve, learned from late figures.
 //!
 //! Load: fillers of many images come and go within seconds beside serving tasks with a tail target.
-//! Some pairs of images hardly touch each other, others lift the tail several times over, and the
-//! figure that shows it averages the last half second. Without knowing the pairs every worker would
-//! sooner or later hold a bad one; keeping fillers off serving workers altogether leaves them no room,
-//! since serving tasks are everywhere.
+//! Most pairs of images don't touch each other; a few lift the tail by a tenth for each core in use,
+//! several times over in all. The figure that shows it averages half a second, and the tail also swings
+//! with the serving task's own load, threefold within seconds. Without knowing the pairs every worker
+//! would sooner or later hold a bad one; keeping fillers off serving workers altogether leaves them no
+//! room, since serving tasks are everywhere.
 //!
-//! The tail, as a multiple of its target, is taken as a base of the serving image plus, for each filler
-//! image, a weight for each core it uses. Weights start at nothing and never fall below, so an unknown
-//! pair is tried; each observation moves base and weights along its error (normalised least squares).
+//! The logarithm of a tail is taken as the task's own part plus, for each filler image, a weight for
+//! each core it uses. The own part is cancelled by comparing each figure with the task's own moving
+//! average, and the weights of a serving image come from recursive least squares over those
+//! differences. In recorded days this explained the figures better than a linear or a queueing form,
+//! and told bad pairs (0.05 to 0.15 a core) from harmless ones (below 0.02) within three seconds.
 
-use {compact_str::CompactString, smallvec::SmallVec, std::collections::HashMap};
+use {
+    compact_str::CompactString,
+    smallvec::SmallVec,
+    std::{collections::HashMap, time::Duration},
+};
 
-/// How far one observation moves the prediction to what was seen. High enough that a bad pair is known
-/// after two or three of its own observations, about a second.
-const RATE: f32 = 0.35;
+/// Filler images beyond this many aren't told apart from harmless ones. The cost of an observation
+/// grows with the square; at 24 it is 600 multiplications.
+const MAX_FILLERS: usize = 24;
 
-/// The base moves slower: what a change comes from is most often a filler.
-const BASE_RATE: f32 = 0.05;
+/// What is believed of a weight before anything was seen: that it is about this large at most.
+const FIRST_SPREAD: f32 = 0.1;
 
-/// The most that an observation counts, in multiples of the target: beyond it a tail is merely bad, and
-/// a single burst must not condemn every pair that was present.
-const MAX_RATIO: f32 = 3.0;
+/// How far a logarithm of a tail strays by itself between two figures.
+const NOISE: f32 = 0.2;
 
-/// The base that is taken for an image that wasn't seen yet.
-const FIRST_BASE: f32 = 0.25;
+/// The span of a task's moving average: longer than a figure's half second, shorter than the swing of
+/// its own load (14 s), which would otherwise be put down to fillers.
+const AVERAGE_SPAN: Duration = Duration::from_millis(1_500);
 
-/// Processor time in use, in cores, by filler image.
-pub type Exposure = SmallVec<[(CompactString, f32); 4]>;
+/// Tails beyond this multiple of the target count as this: beyond it a tail is merely bad.
+const MAX_RATIO: f32 = 4.0;
 
+/// Tails below this multiple of the target count as this.
+const MIN_RATIO: f32 = 0.02;
+
+/// A weight below this for each core is noise.
+const LEAST_WEIGHT: f32 = 0.02;
+
+/// Processor time in use by filler image, in cores; the place in the list is the image's number.
+pub type Exposure = SmallVec<[f32; 12]>;
+
+/// A serving task's moving averages.
 #[derive(Clone, Debug)]
+pub struct Average {
+    tail: f32,
+    exposure: Exposure,
+}
+
+#[derive(Clone, Debug, Default)]
 struct Row {
-    base: f32,
-    weights: HashMap<CompactString, f32>,
+    weights: Vec<f32>,
+    /// The covariance of the weights, row by row.
+    spread: Vec<f32>,
 }
 
 /// What was learned, by pair of images.
 #[derive(Clone, Debug, Default)]
 pub struct Interference {
+    fillers: Vec<CompactString>,
     rows: HashMap<CompactString, Row>,
 }
 
+fn at(exposure: &Exposure, index: usize) -> f32 {
+    exposure.get(index).copied().unwrap_or(0.0)
+}
+
+/// Sets an entry, lengthening the list if need be.
+pub fn set(exposure: &mut Exposure, index: usize, cores: f32) {
+    if exposure.len() <= index {
+        exposure.resize(index + 1, 0.0);
+    }
+    exposure[index] = cores;
+}
+
 impl Interference {
-    /// Takes a serving task's tail in, as a multiple of its target, beside these fillers.
-    pub fn observe(&mut self, serving: &CompactString, ratio: f32, fillers: &Exposure) {
-        let ratio = ratio.clamp(0.0, MAX_RATIO);
-        let error = ratio - self.predict(serving, fillers);
-        let norm = 1.0 + fillers.iter().map(|(_, cores)| cores * cores).sum::<f32>();
-        let row = self
-            .rows
-            .entry(serving.clone())
-            .or_insert_with(|| Row { base: FIRST_BASE, weights: HashMap::new() });
-        row.base = (row.base + BASE_RATE * error / norm).max(0.0);
-        for (image, cores) in fillers {
-            let weight = row.weights.entry(image.clone()).or_insert(0.0);
-            *weight = (*weight + RATE * error * cores / norm).max(0.0);
+    /// The number of a filler image; none if there are too many.
+    pub fn number(&mut self, filler: &CompactString) -> Option<usize> {
+        if let Some(number) = self.known(filler) {
+            return Some(number);
+        }
+        if self.fillers.len() >= MAX_FILLERS {
+            return None;
         }
+        self.fillers.push(filler.clone());
+        for row in self.rows.values_mut() {
+            row.grow(self.fillers.len());
+        }
+        Some(self.fillers.len() - 1)
+    }
+
+    fn known(&self, filler: &CompactString) -> Option<usize> {
+        self.fillers.iter().position(|known| known == filler)
     }
 
-    /// The tail to expect of a serving task beside these fillers, as a multiple of its target.
-    pub fn predict(&self, serving: &CompactString, fillers: &Exposure) -> f32 {
-        let Some(row) = self.rows.get(serving) else { return FIRST_BASE };
-        let pressure = |(image, cores): &(CompactString, f32)| {
-            row.weights.get(image).copied().unwrap_or(0.0) * cores
+    /// Takes a new figure of a serving task in: its tail as a multiple of its target, and the fillers'
+    /// use while it was measured. `elapsed` is the time since the task's last figure.
+    pub fn observe(
+        &mut self,
+        serving: &CompactString,
+        average: &mut Option<Average>,
+        elapsed: Duration,
+        ratio: f32,
+        exposure: &Exposure,
+    ) {
+        let tail = ratio.clamp(MIN_RATIO, MAX_RATIO).ln();
+        let Some(average) = average else {
+            *average = Some(Average { tail, exposure: exposure.clone() });
+            return;
         };
-        row.base + fillers.iter().map(pressure).sum::<f32>()
+        let size = self.fillers.len();
+        let moved: Vec<f32> =
+            (0..size).map(|i| at(exposure, i) - at(&average.exposure, i)).collect();
+        let row = self.rows.entry(serving.clone()).or_default();
+        row.grow(size);
+        row.learn(&moved, tail - average.tail);
+        let share = 1.0 - (-elapsed.as_secs_f32() / AVERAGE_SPAN.as_secs_f32()).exp();
+        average.tail += share * (tail - average.tail);
+        for (index, change) in moved.iter().enumerate() {
+            let mean = at(&average.exposure, index) + share * change;
+            set(&mut average.exposure, index, mean);
+        }
     }
 
-    /// What one filler adds to a serving task's tail, as a multiple of its target.
+    /// What a filler adds to the logarithm of a serving image's tail with `cores` in use.
     pub fn pressure(&self, serving: &CompactString, filler: &CompactString, cores: f32) -> f32 {
-        let weight = self.rows.get(serving).and_then(|row| row.weights.get(filler));
-        weight.copied().unwrap_or(0.0) * cores
+        let Some(row) = self.rows.get(serving) else { return 0.0 };
+        self.known(filler).map_or(0.0, |number| row.weight(number)) * cores
+    }
+
+    /// The logarithm of a serving task's tail, as a multiple of its target, that is to be expected
+    /// beside these fillers. Without any figure so far a task is taken to be well.
+    pub fn expect(
+        &self,
+        serving: &CompactString,
+        average: Option<&Average>,
+        exposure: &Exposure,
+    ) -> f32 {
+        let Some(average) = average else { return MIN_RATIO.ln() };
+        let Some(row) = self.rows.get(serving) else { return average.tail };
+        let change = |i| row.weight(i) * (at(exposure, i) - at(&average.exposure, i));
+        average.tail + (0..row.weights.len()).map(change).sum::<f32>()
+    }
+}
+
+impl Row {
+    fn weight(&self, number: usize) -> f32 {
+        let weight = self.weights.get(number).copied().unwrap_or(0.0);
+        if weight < LEAST_WEIGHT { 0.0 } else { weight }
+    }
+
+    fn grow(&mut self, size: usize) {
+        let old = self.weights.len();
+        if old >= size {
+            return;
+        }
+        let mut spread = vec![0.0; size * size];
+        for row in 0..old {
+            spread[row * size..row * size + old]
+                .copy_from_slice(&self.spread[row * old..(row + 1) * old]);
+        }
+        for new in old..size {
+            spread[new * size + new] = FIRST_SPREAD * FIRST_SPREAD;
+        }
+        self.spread = spread;
+        self.weights.resize(size, 0.0);
+    }
+
+    /// One step of recursive least squares: `moved` is the change of exposure, `change` that of the
+    /// tail's logarithm.
+    fn learn(&mut self, moved: &[f32], change: f32) {
+        let size = self.weights.len();
+        let spread = &mut self.spread;
+        let mut gain: Vec<f32> = Vec::with_capacity(size);
+        for row in 0..size {
+            let of_row = &spread[row * size..(row + 1) * size];
+            gain.push(of_row.iter().zip(moved).map(|(p, x)| p * x).sum());
+        }
+        let scale = NOISE * NOISE + gain.iter().zip(moved).map(|(g, x)| g * x).sum::<f32>();
+        let expected: f32 = self.weights.iter().zip(moved).map(|(w, x)| w * x).sum();
+        let error = change - expected;
+        for row in 0..size {
+            self.weights[row] += gain[row] / scale * error;
+            for column in 0..size {
+                spread[row * size + column] -= gain[row] * gain[column] / scale;
+            }
+        }
     }
 }
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -21,7 +21,7 @@
     bits::Bits,
     directory::{DirectoryChange, WorkerInfo, WorkerState},
     ids::{IdError, RunId, TaskId, WorkerId, WorkflowId},
-    interference::{Exposure, Interference},
+    interference::{Average, Exposure, Interference, set},
     leadership::{AppendResult, Leadership, LeadershipEffect, Role},
     ledger::{Change, Entry, Ledger, State},
     limits::Limits,
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -219,38 +219,24 @@
     /// How well a worker suits a step; higher is better. None if a serving task there would miss its
     /// target beside the step's tasks.
     ///
-    /// Serving tasks are packed together on few workers. Other counted tasks don't disturb them and
-    /// take the room between them, which leaves whole workers to the fillers. Of the workers left,
-    /// fillers go where the highest tail is expected to stay lowest, in coarse steps, and then where
-    /// most processor time is left.
+    /// Serving tasks are packed together on few workers, away from fillers that press on them. Other
+    /// counted tasks don't disturb them and take the room between them, which leaves whole workers to
+    /// the fillers. Those go where they press least, and then where most processor time is left.
     fn fitness(&self, worker: &Worker, step: &Step) -> Option<Fitness> {
         let near = step.data_rack.as_ref().is_some_and(|rack| worker.info.has_label(rack));
         let left = left_over(worker);
+        let quiet = -i64::from(self.disturbance(worker, step)?);
         if step.fills {
-            let cores = step.resources.cpu.0 as f32 / 1_000.0;
-            let tail = self.expected(worker, &step.image, cores);
-            if tail > MAX_EXPECTED_TAIL {
-                return None;
-            }
-            let quiet = -i64::from((tail * TAIL_STEPS) as u32);
             return Some((near, quiet, true, left));
         }
-        let clear = i64::from(worker.filling == 0);
         let left = if step.target_ms > 0 { -left } else { left };
-        Some((near, clear, worker.serving > 0, left))
+        Some((near, quiet, worker.serving > 0, left))
     }
 }
 
 /// Near the data, undisturbing, packed, processor time left.
 type Fitness = (bool, i64, bool, i64);
 
-/// A filler isn't placed where a serving task's tail is expected above this multiple of its target: the
-/// expectation is off by some tenths, and the tail swings with the task's own load.
-const MAX_EXPECTED_TAIL: f32 = 0.8;
-
-/// Expected tails are compared in steps of a quarter of the target; finer ones are noise.
-const TAIL_STEPS: f32 = 4.0;
-
 /// Serving tasks use about half of the processor time that they declare; the rest is left to fillers.
 /// Fillers got 85% of what they declare in all of some 10,000 figures under this assumption, whether a
 /// worker held many or few, so it doesn't starve them.
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -1,7 +1,7 @@
 //! What the leader knows of a worker.
 
 use {
-    crate::{Limits, RunId, Step, TaskId, WorkerInfo, WorkerState, interference::Exposure},
+    crate::{Limits, RunId, Step, TaskId, WorkerInfo, WorkerState, interference::{Average, Exposure}},
     compact_str::CompactString,
     egretlb_types::{MilliCores, Resources, Time},
     std::{collections::BTreeMap, time::Duration},
@@ -42,6 +42,10 @@
     pub(crate) target_ms: u32,
     /// Since when a serving task is over its target.
     pub(crate) over_since: Option<Time>,
+    /// The last figure that was learned from, and when.
+    pub(crate) taken_figure: u32,
+    pub(crate) taken_at: Time,
+    pub(crate) average: Option<Average>,
     /// Counted against the worker.
     pub(crate) hard: Resources,
     /// Processor time that a filling task would use, counted against other fillers only.
@@ -64,6 +68,9 @@
             image: step.image.clone(),
             target_ms: step.target_ms,
             over_since: None,
+            taken_figure: 0,
+            taken_at: Time::ZERO,
+            average: None,
             hard,
             soft,
             serves: step.target_ms > 0,
@@ -110,6 +117,8 @@
     pub(crate) barred_until: Time,
     /// Fillers' use of the processor, averaged over the span of the figures.
     pub(crate) exposure: Exposure,
+    /// The same as it was when the worker was last heard.
+    pub(crate) present_fillers: Exposure,
     pub(crate) exposed_at: Time,
     /// When fillers were last stopped for the sake of a serving task.
     pub(crate) relieved_at: Time,
@@ -137,6 +146,7 @@
             failures: 0,
             barred_until: Time::ZERO,
             exposure: Exposure::new(),
+            present_fillers: Exposure::new(),
             exposed_at: now,
             relieved_at: Time::ZERO,
         }
