--- a/crates/workflow/src/scheduler/pressure.rs
+++ b/crates/workflow/src/scheduler/pressure.rs
@@ -99,6 +99,7 @@
                 continue;
             }
             let since = *copy.over_since.get_or_insert(now);
+            log::debug!(worker:% = id, image:% = copy.image, ratio, fillers:? = exposure; "over_target");
             if worst.as_ref().is_none_or(|(earlier, _)| since < *earlier) {
                 worst = Some((since, copy.image.clone()));
             }
