--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -286,7 +286,8 @@
     if step.label.as_ref().is_some_and(|label| !worker.info.has_label(label)) {
         return false;
     }
-    if step.fills && left_over(worker) < i64::from(step.resources.cpu.0) {
+    let crowded = worker.over_target || left_over(worker) < i64::from(step.resources.cpu.0);
+    if step.fills && crowded {
         return false;
     }
     step.per_worker == 0 || siblings(worker, task) < step.per_worker as usize
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -81,7 +81,7 @@
             // In the survey the answer is wanted at once, and so is one that settles an order.
             let unsettled = |phase: &Phase| !matches!(phase, Phase::Running { .. });
             let hurried = !worker.surveyed || worker.copies.values().any(|c| unsettled(&c.phase));
-            let pressed = worker.serving > 0 && worker.filling > 0;
+            let pressed = worker.serving > 0 && (worker.filling > 0 || worker.over_target);
             let wait = match (hurried, busy, pressed) {
                 (true, ..) | (_, false, _) => Duration::ZERO,
                 (false, true, true) => FIGURE_WAIT,
--- a/crates/workflow/src/scheduler/pressure.rs
+++ b/crates/workflow/src/scheduler/pressure.rs
@@ -20,7 +20,8 @@
 /// row. The platform counts harm from 4 s on.
 const RELIEF_AFTER: Duration = Duration::from_millis(400);
 
-/// After this long the largest filler goes even if nothing was learned against it.
+/// After this long all fillers go, whatever was learned of them: what presses isn't known yet, and a
+/// filler is done sooner elsewhere than this is found out one by one.
 const FORCED_RELIEF_AFTER: Duration = Duration::from_millis(1_800);
 
 /// The pause between two reliefs at a worker: the figures show the first one by then.
@@ -104,6 +105,7 @@
                 worst = Some((since, copy.image.clone()));
             }
         }
+        worker.over_target = worst.is_some();
         if let Some((since, image)) = worst {
             self.relieve(now, id, since, &image, out);
         }
@@ -123,22 +125,14 @@
         }
         let forced = now.since(since) >= FORCED_RELIEF_AFTER;
         let mut chosen: Vec<(TaskId, RunId)> = Vec::new();
-        let mut largest: Option<(f32, (TaskId, RunId))> = None;
         for (key, copy) in &worker.copies {
             if !copy.fills || matches!(copy.phase, Phase::Stopping { .. }) {
                 continue;
             }
             let pressure = self.interference.pressure(serving, &copy.image, copy.cores());
-            if pressure >= NOTICEABLE {
+            if forced || pressure >= NOTICEABLE {
                 chosen.push(*key);
             }
-            let weight = pressure + copy.cores() / 1_000.0;
-            if largest.is_none_or(|(known, _)| weight > known) {
-                largest = Some((weight, *key));
-            }
-        }
-        if chosen.is_empty() && forced {
-            chosen.extend(largest.map(|(_, key)| key));
         }
         if chosen.is_empty() {
             return;
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -120,6 +120,8 @@
     pub(crate) barred_until: Time,
     /// The fillers that ran until a time, for the last half second.
     pub(crate) exposures: VecDeque<(Time, Exposure)>,
+    /// A serving task is over its target: no filler is added.
+    pub(crate) over_target: bool,
     /// When fillers were last stopped for the sake of a serving task.
     pub(crate) relieved_at: Time,
 }
@@ -146,6 +148,7 @@
             failures: 0,
             barred_until: Time::ZERO,
             exposures: VecDeque::new(),
+            over_target: false,
             relieved_at: Time::ZERO,
         }
     }
