--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -117,12 +117,12 @@
         }
         match end.kind {
             EndKind::Done => self.on_done(now, end.task, out),
-            EndKind::Failed => self.on_failed(id, end),
+            EndKind::Failed => self.on_failed(now, id, end),
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
                 if !end.saved.is_empty() {
                     self.dirty.insert(end.task.workflow);
                 }
-                self.queue(end.task);
+                self.queue(now, end.task);
             }
         }
     }
@@ -166,7 +166,7 @@
         if all {
             self.complete(task);
         } else if complete {
-            self.open_steps(task.workflow, task.occurrence);
+            self.open_steps(now, task.workflow, task.occurrence);
         }
     }
 
@@ -178,7 +178,7 @@
         }
     }
 
-    fn on_failed(&mut self, id: &WorkerId, end: &End) {
+    fn on_failed(&mut self, now: Time, id: &WorkerId, end: &End) {
         let lasting = self.step(end.task).is_none_or(|step| step.lasting);
         let Some(state) = self.task_mut(end.task) else { return };
         state.avoid = Some(id.clone());
@@ -188,7 +188,7 @@
         let attempts = state.failed.len();
         log::info!(task:% = end.task, run:% = end.run, worker:% = id, attempts; "task_failed");
         self.dirty.insert(end.task.workflow);
-        self.queue(end.task);
+        self.queue(now, end.task);
     }
 
     /// Compares what should run at a worker with what it lists.
@@ -226,7 +226,7 @@
         }
         for (task, run) in gone {
             log::info!(task:%, run:%, worker:% = id; "run_not_listed");
-            self.drop_copy(id, task, run);
+            self.drop_copy(now, id, task, run);
         }
         // The start may still be carried out; a stop keeps it from that.
         for (task, run) in doubtful {
@@ -288,7 +288,7 @@
             }
             None => false,
         };
-        let mut copy = Copy::new(&step.unwrap_or_default(), Phase::Running { clock_ms });
+        let mut copy = Copy::new(now, &step.unwrap_or_default(), Phase::Running { clock_ms });
         copy.percent = percent;
         if let Some(worker) = self.workers.get_mut(id) {
             worker.insert(task, run, copy);
@@ -314,7 +314,7 @@
     }
 
     /// Forgets a run that is certainly not under way, and queues its task.
-    pub(super) fn drop_copy(&mut self, id: &WorkerId, task: TaskId, run: RunId) {
+    pub(super) fn drop_copy(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.remove(task, run);
         }
@@ -322,16 +322,16 @@
         let before = state.copies.len();
         state.copies.retain(|(at, number)| at != id || *number != run);
         if state.copies.len() != before {
-            self.queue(task);
+            self.queue(now, task);
         }
     }
 
     /// Forgets a worker's runs, all of which have certainly ended.
-    pub(super) fn drop_all(&mut self, id: &WorkerId) {
+    pub(super) fn drop_all(&mut self, now: Time, id: &WorkerId) {
         let Some(worker) = self.workers.get(id) else { return };
         let keys: Vec<(TaskId, RunId)> = worker.copies.keys().copied().collect();
         for (task, run) in keys {
-            self.drop_copy(id, task, run);
+            self.drop_copy(now, id, task, run);
         }
     }
 }
--- a/crates/workflow/src/scheduler/flow.rs
+++ b/crates/workflow/src/scheduler/flow.rs
@@ -48,6 +48,8 @@
     pub(crate) done: u32,
     /// Tasks that wait for a worker.
     pub(crate) queue: VecDeque<u32>,
+    /// Since when the queue isn't empty.
+    pub(crate) since: Time,
     /// All steps before it are done.
     pub(crate) open: bool,
 }
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -14,6 +14,7 @@
 mod orders;
 mod place;
 mod polls;
+mod preempt;
 mod pressure;
 mod recording;
 mod worker;
@@ -105,6 +106,8 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Ready {
     priority: u8,
+    /// Tasks that last go behind those that end soon: they would hold the room for minutes.
+    lasting: bool,
     due_ms: u64,
     workflow: WorkflowId,
     occurrence: u32,
@@ -129,6 +132,8 @@
     recorded_at: Time,
     ended: Vec<(Time, WorkflowId)>,
     interference: Interference,
+    /// When a task that ends soon last found no room.
+    crowded_at: Option<Time>,
     wall_ms: u64,
 }
 
@@ -156,6 +161,7 @@
             recorded_at: now,
             ended: Vec::new(),
             interference: Interference::default(),
+            crowded_at: None,
             wall_ms,
         };
         // The predecessor may have renewed a lease just before its authority ended.
@@ -226,7 +232,7 @@
         while let Some(id) = self.spent.pop_first() {
             self.end_flow(now, id, Outcome::Failed, out);
         }
-        self.begin_due();
+        self.begin_due(now);
         self.place_ready(now, out);
         self.poll(now, out);
         self.record(now, out);
@@ -265,22 +271,22 @@
         let begun: Vec<u32> = flow.occurrences.keys().copied().collect();
         self.flows.insert(id, flow);
         for number in begun {
-            self.open_steps(id, number);
+            self.open_steps(now, id, number);
         }
-        self.begin_occurrences(id);
+        self.begin_occurrences(now, id);
     }
 
-    fn begin_due(&mut self) {
+    fn begin_due(&mut self, now: Time) {
         let due = |flow: &Flow| flow.next < flow.submission.workflow.occurrences();
         let ids: Vec<WorkflowId> =
             self.flows.iter().filter(|(_, flow)| due(flow)).map(|(id, _)| *id).collect();
         for id in ids {
-            self.begin_occurrences(id);
+            self.begin_occurrences(now, id);
         }
     }
 
     /// Begins the occurrences of a workflow that are due by the time of day.
-    fn begin_occurrences(&mut self, id: WorkflowId) {
+    fn begin_occurrences(&mut self, now: Time, id: WorkflowId) {
         while let Some(flow) = self.flows.get_mut(&id) {
             let number = flow.next;
             let more = number < flow.submission.workflow.occurrences();
@@ -293,12 +299,12 @@
             }
             let occurrence = flow.begin(None);
             flow.occurrences.insert(number, occurrence);
-            self.open_steps(id, number);
+            self.open_steps(now, id, number);
         }
     }
 
     /// Opens the steps of an occurrence for which all earlier ones are done, and queues their tasks.
-    fn open_steps(&mut self, id: WorkflowId, number: u32) {
+    fn open_steps(&mut self, now: Time, id: WorkflowId, number: u32) {
         let Some(flow) = self.flows.get_mut(&id) else { return };
         let steps = &flow.submission.workflow.steps;
         let (priority, due_ms) = (flow.submission.priority, flow.due_ms);
@@ -317,9 +323,16 @@
             let waiting = (0u32..).zip(&state.tasks).filter(|(_, task)| task.waits());
             state.queue = waiting.map(|(index, _)| index).collect();
             if !state.queue.is_empty() {
-                let ready =
-                    Ready { priority, due_ms, workflow: id, occurrence: number, step: step_no };
-                self.ready.insert(ready);
+                let lasting = steps[usize::from(step_no)].lasting;
+                state.since = now;
+                self.ready.insert(Ready {
+                    priority,
+                    lasting,
+                    due_ms,
+                    workflow: id,
+                    occurrence: number,
+                    step: step_no,
+                });
             }
         }
     }
@@ -360,7 +373,7 @@
     }
 
     /// Queues a task that isn't done and runs nowhere.
-    fn queue(&mut self, task: TaskId) {
+    fn queue(&mut self, now: Time, task: TaskId) {
         let Some(flow) = self.flows.get_mut(&task.workflow) else { return };
         if flow.outcome.is_some() {
             return;
@@ -379,9 +392,14 @@
         if step.queue.contains(&task.index) {
             return;
         }
+        if step.queue.is_empty() {
+            step.since = now;
+        }
         step.queue.push_front(task.index);
+        let lasting = flow.submission.workflow.steps[usize::from(task.step)].lasting;
         self.ready.insert(Ready {
             priority,
+            lasting,
             due_ms,
             workflow: task.workflow,
             occurrence: task.occurrence,
--- a/crates/workflow/src/scheduler/orders.rs
+++ b/crates/workflow/src/scheduler/orders.rs
@@ -77,18 +77,18 @@
         match result {
             StartResult::Started { clock_ms } => self.on_started(now, id, task, run, clock_ms),
             StartResult::Outranked => out.push(Effect::Outranked),
-            StartResult::OtherIncarnation => self.on_other_incarnation(id),
+            StartResult::OtherIncarnation => self.on_other_incarnation(now, id),
             StartResult::Unknown => self.on_start_unknown(now, id, task, run),
-            StartResult::NoRoom => self.reject_start(id, task, run, now + NO_ROOM_PAUSE),
+            StartResult::NoRoom => self.reject_start(now, id, task, run, NO_ROOM_PAUSE),
             StartResult::Unwell | StartResult::NotSent => {
-                self.reject_start(id, task, run, now + UNWELL_PAUSE);
+                self.reject_start(now, id, task, run, UNWELL_PAUSE);
             }
             StartResult::OldRun
             | StartResult::Late
             | StartResult::BadTicket
             | StartResult::Invalid => {
                 log::warn!(task:%, run:%, worker:% = id, result:?; "start_rejected");
-                self.reject_start(id, task, run, now);
+                self.reject_start(now, id, task, run, Duration::ZERO);
             }
         }
     }
@@ -114,11 +114,11 @@
         }
     }
 
-    fn reject_start(&mut self, id: &WorkerId, task: TaskId, run: RunId, until: Time) {
+    fn reject_start(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId, bar: Duration) {
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.barred_until = worker.barred_until.max(until);
+            worker.barred_until = worker.barred_until.max(now + bar);
         }
-        self.drop_copy(id, task, run);
+        self.drop_copy(now, id, task, run);
     }
 
     /// Stops the runs at a worker that `chosen` picks.
@@ -168,7 +168,7 @@
                 }
             }
             StopResult::Outranked => out.push(Effect::Outranked),
-            StopResult::OtherIncarnation => self.on_other_incarnation(id),
+            StopResult::OtherIncarnation => self.on_other_incarnation(now, id),
             StopResult::Unknown => {}
         }
     }
@@ -191,9 +191,9 @@
     }
 
     /// The address answers for another incarnation: all that ran under this one has ended.
-    pub(super) fn on_other_incarnation(&mut self, id: &WorkerId) {
+    pub(super) fn on_other_incarnation(&mut self, now: Time, id: &WorkerId) {
         log::info!(worker:% = id; "worker_replaced");
-        self.drop_all(id);
+        self.drop_all(now, id);
         self.workers.remove(id);
         self.unaccounted.remove(id);
         self.roster_dirty = true;
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -57,6 +57,9 @@
         if unmet.iter().any(hopeless) {
             return false;
         }
+        if step.lasting && self.gives_way(now, key) {
+            return false;
+        }
         if step.gang {
             return self.place_gang(now, key, &service, &step, out);
         }
@@ -64,6 +67,7 @@
             let Some(index) = self.front(key) else { return true };
             let task = task_of(key, index);
             let Some(worker) = self.choose(now, task, &service, &step) else {
+                self.make_room(now, key, &service, &step, out);
                 if step.label.is_none() && step.per_worker == 0 {
                     let Step { resources, fills, image, .. } = step;
                     unmet.push(Unmet { service, resources, fills, image });
@@ -75,7 +79,7 @@
         }
     }
 
-    fn queue_of(&mut self, key: Ready) -> Option<&mut std::collections::VecDeque<u32>> {
+    pub(super) fn queue_of(&mut self, key: Ready) -> Option<&mut std::collections::VecDeque<u32>> {
         let flow = self.flows.get_mut(&key.workflow)?;
         let occurrence = flow.occurrences.get_mut(&key.occurrence)?;
         Some(&mut occurrence.steps.get_mut(usize::from(key.step))?.queue)
@@ -120,7 +124,7 @@
             let task = task_of(key, index);
             let Some(id) = self.choose(now, task, service, step) else { break };
             if let Some(worker) = self.workers.get_mut(&id) {
-                worker.insert(task, RunId(0), Copy::new(step, Phase::Starting));
+                worker.insert(task, RunId(0), Copy::new(now, step, Phase::Starting));
             }
             placed.push((task, id));
         }
@@ -169,7 +173,7 @@
             return;
         };
         let addr = worker.info.addr;
-        worker.insert(task, run, Copy::new(step, Phase::Starting));
+        worker.insert(task, run, Copy::new(now, step, Phase::Starting));
         worker.poll_at = worker.poll_at.min(now + limits.poll_gap);
         let Some(state) = self.task_mut(task) else { return };
         state.last_run = run;
@@ -207,7 +211,7 @@
             let suits = worker.info.service == *service
                 && avoid.as_ref() != Some(id)
                 && worker.takes_work(now, &self.limits)
-                && has_room(worker, task, step);
+                && has_room(now, worker, task, step);
             if !suits {
                 continue;
             }
@@ -277,9 +281,9 @@
 ///
 /// Fillers of one worker share what the others leave; more of them than that would each be slowed down,
 /// and those first in the queue are better served one after the other.
-fn has_room(worker: &Worker, task: TaskId, step: &Step) -> bool {
+fn has_room(now: Time, worker: &Worker, task: TaskId, step: &Step) -> bool {
     let free = worker.free();
-    let needed = Copy::new(step, Phase::Starting);
+    let needed = Copy::new(now, step, Phase::Starting);
     if !needed.hard.fits(&free) {
         return false;
     }
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -48,7 +48,7 @@
         match result {
             HoldResult::Lists(reply) => self.on_lists(now, id, sent, reply, out),
             HoldResult::Outranked => out.push(Effect::Outranked),
-            HoldResult::OtherIncarnation => self.on_other_incarnation(id),
+            HoldResult::OtherIncarnation => self.on_other_incarnation(now, id),
             HoldResult::Failed => {
                 if let Some(worker) = self.workers.get_mut(id) {
                     worker.poll_at = now + POLL_RETRY;
@@ -125,7 +125,7 @@
             log::warn!(worker:% = id, runs = keys.len(); "leases_lapsed");
         }
         for (task, run) in keys {
-            self.drop_copy(id, task, run);
+            self.drop_copy(now, id, task, run);
         }
         if !present && self.unaccounted.get(id).is_none_or(|until| now >= *until) {
             self.workers.remove(id);
--- /dev/null
+++ b/crates/workflow/src/scheduler/preempt.rs
@@ -0,0 +1,115 @@
+//! Room for tasks that end soon, taken from tasks that last.
+//!
+//! Load: lasting tasks come for minutes and hold nearly all that the workers have (97% in recorded
+//! days); tasks of a second's work, which somebody waits for, come all the time and find no room. What
+//! they need is small and used over and over, so a lasting task is stopped for them, and comes back
+//! once they leave room.
+
+use {
+    super::{Effect, Phase, Ready, Scheduler, Worker},
+    crate::{RunId, Step, TaskId, WorkerId},
+    compact_str::CompactString,
+    egretlb_types::{MilliCores, Time},
+    std::time::Duration,
+};
+
+/// After a task that ends soon found no room, lasting tasks leave what becomes free to its like for
+/// this long. The platform takes a lasting task as forgotten after 3 s with room for it.
+const GIVE_WAY: Duration = Duration::from_secs(2);
+
+/// A lasting task isn't stopped sooner after its start: it would only have paid for the start.
+const LEAST_STAY: Duration = Duration::from_secs(3);
+
+/// The most lasting tasks that are stopped in one pass, so that one wide step doesn't empty a service
+/// before it is known what the first stops bring.
+const STOPS_PER_PASS: usize = 3;
+
+impl Scheduler {
+    /// Whether a step of lasting tasks leaves the room to others for now.
+    pub(super) fn gives_way(&mut self, now: Time, key: Ready) -> bool {
+        if self.crowded_at.is_none_or(|at| now.since(at) >= GIVE_WAY) {
+            return false;
+        }
+        let Some(flow) = self.flows.get(&key.workflow) else { return false };
+        let step = flow.occurrences.get(&key.occurrence);
+        let step = step.and_then(|occurrence| occurrence.steps.get(usize::from(key.step)));
+        step.is_some_and(|step| now.since(step.since) < GIVE_WAY)
+    }
+
+    /// Stops lasting tasks for a step that found no room, as far as what is being freed doesn't do.
+    pub(super) fn make_room(
+        &mut self,
+        now: Time,
+        key: Ready,
+        service: &CompactString,
+        step: &Step,
+        out: &mut Vec<Effect>,
+    ) {
+        if step.lasting || step.fills || step.gang {
+            return;
+        }
+        self.crowded_at = Some(now);
+        let waiting = self.queue_of(key).map_or(0, |queue| queue.len());
+        let needed = u64::from(step.resources.cpu.0) * waiting as u64;
+        let mut freed: u64 = self.being_freed(service);
+        for _ in 0..STOPS_PER_PASS {
+            if freed >= needed {
+                return;
+            }
+            let Some((id, task, run, cpu)) = self.victim(now, service, step) else { return };
+            freed += u64::from(cpu.0);
+            log::info!(task:%, run:%, worker:% = id, waiting; "task_preempted");
+            self.stop_runs(now, &id, out, |of, number| of == task && number == run);
+        }
+    }
+
+    /// Processor time, in thousandths of a core, that stops under way will free.
+    fn being_freed(&self, service: &CompactString) -> u64 {
+        let workers = self.workers.values().filter(|worker| worker.info.service == *service);
+        let copies = workers.flat_map(|worker| worker.copies.values());
+        let stopping = copies.filter(|copy| matches!(copy.phase, Phase::Stopping { .. }));
+        stopping.map(|copy| u64::from(copy.hard.cpu.0)).sum()
+    }
+
+    /// The smallest lasting task whose end makes room for a task of `step`.
+    fn victim(
+        &self,
+        now: Time,
+        service: &CompactString,
+        step: &Step,
+    ) -> Option<(WorkerId, TaskId, RunId, MilliCores)> {
+        let mut best: Option<(WorkerId, TaskId, RunId, MilliCores)> = None;
+        for (id, worker) in &self.workers {
+            let suits = worker.info.service == *service
+                && worker.takes_work(now, &self.limits)
+                && step.label.as_ref().is_none_or(|label| worker.info.has_label(label));
+            if !suits {
+                continue;
+            }
+            for (task, run, cpu) in yielding(now, worker, step) {
+                if best.as_ref().is_none_or(|(.., known)| cpu < *known) {
+                    best = Some((id.clone(), task, run, cpu));
+                }
+            }
+        }
+        best
+    }
+}
+
+/// The lasting tasks of a worker each of which would make room for a task of `step`.
+fn yielding<'a>(
+    now: Time,
+    worker: &'a Worker,
+    step: &'a Step,
+) -> impl Iterator<Item = (TaskId, RunId, MilliCores)> + 'a {
+    let free = worker.free();
+    let settled = |phase| matches!(phase, Phase::Running { .. });
+    worker
+        .copies
+        .iter()
+        .filter(move |(_, copy)| {
+            copy.yields && settled(copy.phase) && now.since(copy.placed) >= LEAST_STAY
+        })
+        .filter(move |(_, copy)| step.resources.fits(&free.plus(&copy.hard)))
+        .map(|((task, run), copy)| (*task, *run, copy.hard.cpu))
+}
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -38,6 +38,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Copy {
     pub(crate) phase: Phase,
+    /// When it was started, or found.
+    pub(crate) placed: Time,
     pub(crate) percent: u32,
     /// The last figure: a serving task's tail in milliseconds, another one's use of the processor.
     pub(crate) figure: u32,
@@ -55,10 +57,12 @@
     pub(crate) soft: MilliCores,
     pub(crate) serves: bool,
     pub(crate) fills: bool,
+    /// It lasts, and any number of its step's tasks may be away.
+    pub(crate) yields: bool,
 }
 
 impl Copy {
-    pub(crate) fn new(step: &Step, phase: Phase) -> Copy {
+    pub(crate) fn new(now: Time, step: &Step, phase: Phase) -> Copy {
         let mut hard = step.resources;
         let mut soft = MilliCores(0);
         if step.fills {
@@ -66,6 +70,7 @@
         }
         Copy {
             phase,
+            placed: now,
             percent: 0,
             figure: 0,
             image: step.image.clone(),
@@ -78,6 +83,7 @@
             soft,
             serves: step.target_ms > 0,
             fills: step.fills,
+            yields: step.lasting && step.may_miss.is_none(),
         }
     }
 
