List silent workers with what may run there, know a worker that has left, persist with unsure appends

The leader now lists what may run at a worker once it is silent, and orders nothing there before the list is withdrawn; a worker that announced its leaving, has no entry and refuses connections has left. Cause 2: an append without an answer was given up after three tries with 504, after which clients don't come again; it is repeated for 2.6 s. What arrives meanwhile was never sent and is refused at once.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -7,7 +7,7 @@
     hyper::client::conn::http1::{SendRequest, handshake},
     hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
-    std::{cell::RefCell, fmt, net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::RefCell, fmt, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{net::TcpStream, time::timeout},
 };
 
@@ -27,6 +27,8 @@
 /// Why a call has no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallError {
+    /// Nothing listens at the address: nothing was sent.
+    Refused,
     /// No connection could be opened: nothing was sent.
     NotSent,
     /// Some of the request may have arrived; the connection broke or the time was up.
@@ -36,6 +38,7 @@
 impl fmt::Display for CallError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            CallError::Refused => write!(f, "nothing listens there; nothing was sent"),
             CallError::NotSent => write!(f, "no connection; nothing was sent"),
             CallError::Lost => write!(f, "no answer; the request may have been carried out"),
         }
@@ -146,7 +149,13 @@
 
     async fn connect(&self) -> Result<Connection, CallError> {
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr)).await;
-        let Ok(Ok(stream)) = connecting else { return Err(CallError::NotSent) };
+        let stream = match connecting {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return Err(CallError::Refused);
+            }
+            Ok(Err(_)) | Err(_) => return Err(CallError::NotSent),
+        };
         prepare(&stream);
         let (conn, driver) =
             handshake(TokioIo::new(stream)).await.map_err(|_| CallError::NotSent)?;
--- a/crates/runtime/src/append.rs
+++ b/crates/runtime/src/append.rs
@@ -3,9 +3,15 @@
 use {
     crate::{
         border::{Append, Store},
+        clock::Clock,
     },
+    egretlb_types::Time,
     egretlb_workflow::{AppendResult, Record},
-    std::{cell::RefCell, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         sync::{Notify, oneshot},
         time::sleep,
@@ -23,13 +29,21 @@
     Unknown,
 }
 
-/// An append that was rejected or got no answer is tried so often in all. The records are the same
-/// whenever they arrive, so repeating them does no harm.
-const TRIES: u32 = 3;
+/// An append that is rejected is tried so often in all, within a tenth of a second: a store that is
+/// merely busy has drained some of its queue by then, and the client may find a better VM.
+const TRIES: u32 = 2;
 
-/// The pause before the next try: a busy store drains its queue of appends meanwhile.
+/// The pause before the next try.
 const RETRY: Duration = Duration::from_millis(60);
 
+/// An append without an answer may have taken effect, so nothing true can be said of it but that; it is
+/// repeated, which does no harm, until this long after its first try. Clients wait for 3 s.
+const PERSIST: Duration = Duration::from_millis(2_600);
+
+/// While an append has been without success for this long, what arrives is refused at once: it wasn't
+/// sent, and would only wait.
+const STUCK_AFTER: Duration = Duration::from_millis(500);
+
 /// The most bytes of one append, below the store's bound of 2 MB.
 const MAX_BYTES: usize = 1024 * 1024;
 
@@ -43,11 +57,22 @@
 pub(crate) struct Appender {
     waiting: RefCell<Vec<Waiting>>,
     notify: Notify,
+    clock: Clock,
+    /// Since when the append under way has had no success.
+    trying: Cell<Option<Time>>,
 }
 
 impl Appender {
+    /// Whether appends don't get through.
+    pub(crate) fn is_stuck(&self) -> bool {
+        self.trying.get().is_some_and(|since| self.clock.now().since(since) >= STUCK_AFTER)
+    }
+
     /// Appends a record.
     pub(crate) async fn append(&self, record: Record) -> Stored {
+        if self.is_stuck() {
+            return Stored::No;
+        }
         let (tx, rx) = oneshot::channel();
         self.waiting.borrow_mut().push(Waiting { record, tx });
         self.notify.notify_one();
@@ -66,7 +91,7 @@
             let (records, senders): (Vec<Record>, Vec<_>) =
                 batch.into_iter().map(|waiting| (waiting.record, waiting.tx)).unzip();
             let append = Append { records, fence: None, at: None };
-            let stored = commit(&*store, &append).await;
+            let stored = self.commit(&*store, &append).await;
             for tx in senders {
                 // A client that has left doesn't wait for the result.
                 let _ = tx.send(stored);
@@ -84,20 +109,47 @@
         let count = waiting.iter().take_while(fits).count().max(1).min(waiting.len());
         waiting.drain(..count).collect()
     }
-}
 
-async fn commit(store: &dyn Store, append: &Append) -> Stored {
-    let mut uncertain = false;
-    for attempt in 1..=TRIES {
-        match store.append(append).await {
-            AppendResult::Done => return Stored::Yes,
-            AppendResult::Unknown => uncertain = true,
-            AppendResult::Conflict | AppendResult::Fenced | AppendResult::Rejected => {}
+    async fn commit(&self, store: &dyn Store, append: &Append) -> Stored {
+        let begun = self.clock.now();
+        self.trying.set(Some(begun));
+        let stored = self.persist(begun, store, append).await;
+        self.trying.set(None);
+        if stored != Stored::Yes {
+            log::warn!(records = append.records.len(), stored:? = stored; "append_given_up");
+            self.refuse_waiting();
         }
-        if attempt < TRIES {
+        stored
+    }
+
+    async fn persist(&self, begun: Time, store: &dyn Store, append: &Append) -> Stored {
+        let mut uncertain = false;
+        let mut tries = 0;
+        loop {
+            match store.append(append).await {
+                AppendResult::Done => return Stored::Yes,
+                AppendResult::Unknown => uncertain = true,
+                AppendResult::Conflict | AppendResult::Fenced | AppendResult::Rejected => {}
+            }
+            tries += 1;
+            if !uncertain && tries >= TRIES {
+                return Stored::No;
+            }
+            if uncertain && self.clock.now().since(begun) >= PERSIST {
+                return Stored::Unknown;
+            }
+            if self.is_stuck() {
+                self.refuse_waiting();
+            }
             sleep(RETRY).await;
         }
     }
-    log::warn!(records = append.records.len(), uncertain; "append_given_up");
-    if uncertain { Stored::Unknown } else { Stored::No }
+
+    /// What waits behind an append that doesn't get through was never sent.
+    fn refuse_waiting(&self) {
+        for waiting in self.waiting.borrow_mut().drain(..) {
+            // A client that has left doesn't wait for the result.
+            let _ = waiting.tx.send(Stored::No);
+        }
+    }
 }
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -6,7 +6,7 @@
 //! the leader alone, under its epoch.
 
 use {
-    crate::{Bits, RunId, WorkerId, Workflow, WorkflowId},
+    crate::{Bits, RunId, TaskId, WorkerId, Workflow, WorkflowId},
     compact_str::CompactString,
     egretlb_types::Epoch,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -116,6 +116,9 @@
     pub id: WorkerId,
     /// Where it takes orders.
     pub addr: SocketAddr,
+    /// Set once the worker is silent and gets no more orders: the runs that may be under way there, and
+    /// no others.
+    pub silent: Option<Vec<(TaskId, RunId)>>,
 }
 
 /// A workflow as it was accepted. It holds all that its queue's configuration says of it, so that it
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -167,11 +167,16 @@
         // The predecessor may have renewed a lease just before its authority ended.
         let lapsed = now + limits.authority + limits.lease_bound();
         for entry in ledger.roster() {
-            scheduler.unaccounted.insert(entry.id.clone(), lapsed);
             let mut worker = Worker::new(now, placeholder(entry));
             worker.present = false;
             worker.in_roster = true;
-            worker.lease_bound = lapsed;
+            worker.listed_silent = entry.silent.is_some();
+            // The predecessor renewed nothing at a worker that it had listed as silent.
+            let silent_bound = now + limits.lease_bound();
+            worker.lease_bound = if entry.silent.is_some() { silent_bound } else { lapsed };
+            if entry.silent.is_none() {
+                scheduler.unaccounted.insert(entry.id.clone(), lapsed);
+            }
             scheduler.workers.insert(entry.id.clone(), worker);
         }
         for info in directory {
@@ -180,9 +185,28 @@
         for (id, entry) in ledger.iter() {
             scheduler.add_flow(now, id, entry, true);
         }
+        for entry in ledger.roster() {
+            for (task, run) in entry.silent.iter().flatten() {
+                scheduler.suppose(now, &entry.id, *task, *run);
+            }
+        }
         scheduler
     }
 
+    /// Takes a run at a silent worker as under way, until the worker answers or its leases have lapsed.
+    fn suppose(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId) {
+        let step = self.step(task).cloned().unwrap_or_default();
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.insert(task, run, Copy::new(now, &step, Phase::Running { clock_ms: 0 }));
+        }
+        if let Some(state) = self.task_mut(task)
+            && !state.done
+        {
+            state.copies.push((id.clone(), run));
+            state.last_run = state.last_run.max(run);
+        }
+    }
+
     /// The worker's directory entry changed.
     pub fn on_directory(&mut self, now: Time, change: DirectoryChange) {
         match change {
--- a/crates/workflow/src/scheduler/orders.rs
+++ b/crates/workflow/src/scheduler/orders.rs
@@ -190,9 +190,19 @@
         }
     }
 
+    /// The worker has left: all that ran there has ended.
+    pub(super) fn on_left(&mut self, now: Time, id: &WorkerId) {
+        log::info!(worker:% = id; "worker_left");
+        self.forget_worker(now, id);
+    }
+
     /// The address answers for another incarnation: all that ran under this one has ended.
     pub(super) fn on_other_incarnation(&mut self, now: Time, id: &WorkerId) {
         log::info!(worker:% = id; "worker_replaced");
+        self.forget_worker(now, id);
+    }
+
+    fn forget_worker(&mut self, now: Time, id: &WorkerId) {
         self.drop_all(now, id);
         self.workers.remove(id);
         self.unaccounted.remove(id);
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{Effect, HoldReply, Phase, Scheduler},
-    crate::{RunId, TaskId, WorkerId},
+    crate::{RunId, TaskId, WorkerId, WorkerState},
     egretlb_types::Time,
     std::time::Duration,
 };
@@ -17,6 +17,8 @@
     Outranked,
     /// Another incarnation answers at this address.
     OtherIncarnation,
+    /// Nothing listens at the worker's address.
+    Refused,
     /// The worker can't be reached, or gave no answer, or not this one.
     Failed,
 }
@@ -49,9 +51,12 @@
             HoldResult::Lists(reply) => self.on_lists(now, id, sent, reply, out),
             HoldResult::Outranked => out.push(Effect::Outranked),
             HoldResult::OtherIncarnation => self.on_other_incarnation(now, id),
-            HoldResult::Failed => {
-                if let Some(worker) = self.workers.get_mut(id) {
-                    worker.poll_at = now + POLL_RETRY;
+            HoldResult::Refused | HoldResult::Failed => {
+                let Some(worker) = self.workers.get_mut(id) else { return };
+                worker.poll_at = now + POLL_RETRY;
+                worker.refused = *result == HoldResult::Refused;
+                if worker.has_left() {
+                    self.on_left(now, id);
                 }
             }
         }
@@ -66,13 +71,16 @@
                 continue;
             }
             let busy = !worker.copies.is_empty() || worker.taken > worker.recorded;
+            let leaving = worker.info.state == WorkerState::Draining && !worker.present;
             let idle_due = worker.last_heard.is_none_or(|heard| now.since(heard) >= IDLE_POLL);
-            if worker.surveyed && !busy && !(idle_due && worker.present) {
+            if worker.surveyed && !busy && !(idle_due && (worker.present || leaving)) {
                 continue;
             }
             // While a worker is silent its leases aren't extended: otherwise polls that arrive without
             // being answered would put off the time at which its tasks have certainly lapsed.
-            let renews = worker.surveyed && worker.is_responsive(now, &limits);
+            let renews = worker.surveyed
+                && !worker.listed_silent
+                && worker.is_responsive(now, &limits);
             let until_ms = if renews && busy {
                 worker.lease_until(now, limits.lease, limits.lease_bound())
             } else {
@@ -114,6 +122,11 @@
         for id in silent {
             self.drop_lapsed(now, &id);
         }
+        // A worker that has fallen silent, or is heard again, changes the roster.
+        let changed = |worker: &super::Worker| {
+            worker.in_roster && worker.is_silent(now, &limits) != worker.listed_silent
+        };
+        self.roster_dirty |= self.workers.values().any(changed);
         self.unaccounted.retain(|_, until| now < *until);
     }
 
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -11,7 +11,7 @@
 pub(super) struct Recording {
     /// Ends up to here are recorded once it is done.
     ends: Vec<(WorkerId, u64)>,
-    roster: Vec<WorkerId>,
+    roster: Vec<(WorkerId, bool)>,
     ended: Vec<WorkflowId>,
 }
 
@@ -50,7 +50,7 @@
                 .map(|(id, worker)| (id.clone(), worker.taken))
                 .collect();
         }
-        self.record_roster(&mut recording, &mut records);
+        self.record_roster(now, &mut recording, &mut records);
         self.forget(now, &mut records);
         self.recorded_at = now;
         self.recording = Some(recording);
@@ -75,14 +75,21 @@
         false
     }
 
-    fn record_roster(&mut self, recording: &mut Recording, records: &mut Vec<Record>) {
+    fn record_roster(&mut self, now: Time, recording: &mut Recording, records: &mut Vec<Record>) {
         if !std::mem::take(&mut self.roster_dirty) {
             return;
         }
-        let entry =
-            |(id, worker): (&WorkerId, &super::Worker)| RosterEntry { id: id.clone(), addr: worker.info.addr };
-        let roster: Vec<RosterEntry> = self.workers.iter().map(entry).collect();
-        recording.roster = roster.iter().map(|entry| entry.id.clone()).collect();
+        let mut roster = Vec::with_capacity(self.workers.len());
+        for (id, worker) in &mut self.workers {
+            let silent = worker.is_silent(now, &self.limits);
+            worker.listed_silent |= silent;
+            recording.roster.push((id.clone(), silent));
+            roster.push(RosterEntry {
+                id: id.clone(),
+                addr: worker.info.addr,
+                silent: silent.then(|| worker.copies.keys().copied().collect()),
+            });
+        }
         records.push(Record::new(Key::Roster, &roster));
     }
 
@@ -105,9 +112,10 @@
                 worker.recorded = worker.recorded.max(number);
             }
         }
-        for id in recording.roster {
+        for (id, silent) in recording.roster {
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.in_roster = true;
+                worker.listed_silent = silent;
             }
         }
         for id in recording.ended {
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -101,6 +101,11 @@
     pub(crate) present: bool,
     /// The roster in the store names it, so a successor knows to ask it.
     pub(crate) in_roster: bool,
+    /// The roster lists what may run there and nothing else; until a roster without that list is
+    /// recorded, it gets no order that starts or renews anything.
+    pub(crate) listed_silent: bool,
+    /// Its address refused a connection: no process listens there.
+    pub(crate) refused: bool,
     /// It has answered under this epoch: what runs there is known, and no predecessor's order takes
     /// effect there any more.
     pub(crate) surveyed: bool,
@@ -138,6 +143,8 @@
             info,
             present: true,
             in_roster: false,
+            listed_silent: false,
+            refused: false,
             surveyed: false,
             last_heard: None,
             lease_bound: now,
@@ -183,6 +190,7 @@
 
     pub(crate) fn heard(&mut self, now: Time, clock_ms: u64) {
         self.last_heard = Some(now);
+        self.refused = false;
         if self.clock.is_none_or(|(known, _)| clock_ms >= known) {
             self.clock = Some((clock_ms, now));
         }
@@ -195,10 +203,23 @@
         self.last_heard.is_some_and(|heard| now.since(heard) < patience)
     }
 
+    /// Whether it was known and doesn't answer any more.
+    pub(crate) fn is_silent(&self, now: Time, limits: &Limits) -> bool {
+        self.surveyed && !self.is_responsive(now, limits)
+    }
+
+    /// Whether it has certainly left: it had announced that, its entry is gone, and nothing listens at
+    /// its address. Each alone may be something else: entries lapse by silence or are revoked, and a
+    /// draining worker works on for seconds.
+    pub(crate) fn has_left(&self) -> bool {
+        self.info.state == WorkerState::Draining && !self.present && self.refused
+    }
+
     /// Whether it may get a new task.
     pub(crate) fn takes_work(&self, now: Time, limits: &Limits) -> bool {
         self.present
             && self.in_roster
+            && !self.listed_silent
             && self.surveyed
             && self.info.state == WorkerState::Ready
             && now >= self.barred_until
