Evacuate workers that are about to leave

Cause: lasting and saving tasks stayed on draining workers and ended with them; they were found missing after a lease of 5 s, or 12 s with a change of the leader between (LOST 2 of three plays of mix). They are stopped at once and go on elsewhere; leases at a leaving worker are 2 s.

--- a/crates/workflow/src/limits.rs
+++ b/crates/workflow/src/limits.rs
@@ -77,7 +77,12 @@
     /// How long from the sending of a renewal all that it covers may go on at the worker, counted on
     /// our clock.
     pub fn lease_bound(&self) -> Duration {
-        self.lease + self.lease * self.clock_slow_percent / 100 + LEASE_MARGIN
+        self.bound_of(self.lease)
+    }
+
+    /// The same for a lease of `span`.
+    pub fn bound_of(&self, span: Duration) -> Duration {
+        span + span * self.clock_slow_percent / 100 + LEASE_MARGIN
     }
 }
 
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -257,11 +257,33 @@
             self.end_flow(now, id, Outcome::Failed, out);
         }
         self.begin_due(now);
+        self.evacuate(now, out);
         self.place_ready(now, out);
         self.poll(now, out);
         self.record(now, out);
     }
 
+    /// Stops what can go on elsewhere on workers that are about to leave: when they go, all that still
+    /// runs there is lost, and is found missing only after its lease.
+    fn evacuate(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let moves = |copy: &Copy| copy.moves && matches!(copy.phase, Phase::Running { .. });
+        let mut leaving: Vec<(WorkerId, Vec<(TaskId, RunId)>)> = Vec::new();
+        for (id, worker) in &self.workers {
+            if worker.info.state != WorkerState::Draining || !worker.present {
+                continue;
+            }
+            let moving = worker.copies.iter().filter(|(_, copy)| moves(copy));
+            let moving: Vec<(TaskId, RunId)> = moving.map(|(key, _)| *key).collect();
+            if !moving.is_empty() {
+                leaving.push((id.clone(), moving));
+            }
+        }
+        for (id, moving) in leaving {
+            log::info!(worker:% = id, runs = moving.len(); "worker_evacuated");
+            self.stop_runs(now, &id, out, |task, run| moving.contains(&(task, run)));
+        }
+    }
+
     /// How many workflows haven't ended.
     pub fn active(&self) -> usize {
         self.flows.len()
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -23,6 +23,9 @@
     Failed,
 }
 
+/// The lease at a worker that is about to leave. It outlasts the poll after next.
+const LEAVING_LEASE: Duration = Duration::from_secs(2);
+
 /// The pause after a poll that failed.
 const POLL_RETRY: Duration = Duration::from_millis(200);
 
@@ -82,7 +85,10 @@
                 && !worker.listed_silent
                 && worker.is_responsive(now, &limits);
             let until_ms = if renews && busy {
-                worker.lease_until(now, limits.lease, limits.lease_bound())
+                // What is left on a leaving worker ends with it, and is started again that much sooner.
+                let leaves = worker.info.state == WorkerState::Draining;
+                let span = if leaves { LEAVING_LEASE } else { limits.lease };
+                worker.lease_until(now, span, limits.bound_of(span))
             } else {
                 None
             };
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -57,6 +57,8 @@
     pub(crate) soft: MilliCores,
     pub(crate) serves: bool,
     pub(crate) fills: bool,
+    /// It can go on elsewhere without loss: it saves its progress, or lasts.
+    pub(crate) moves: bool,
     /// It lasts, and any number of its step's tasks may be away.
     pub(crate) yields: bool,
 }
@@ -83,6 +85,7 @@
             soft,
             serves: step.target_ms > 0,
             fills: step.fills,
+            moves: step.checkpoints || step.lasting,
             yields: step.lasting && step.may_miss.is_none(),
         }
     }
