--- /dev/null
+++ b/crates/workflow/tests/late_orders.rs
@@ -0,0 +1,64 @@
+//! Orders that get no answer, and are carried out seconds later or not at all.
+
+mod support;
+
+use {
+    egretlb_workflow::{Limits, WorkflowId},
+    std::time::Duration,
+    support::{step, submission, world::World},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// One order in twelve gets no answer and is carried out 2 to 12 s later. A task whose start seemed lost
+/// is started elsewhere; were the first start not kept from taking effect, both would run.
+#[test]
+fn late_starts() {
+    let mut world = World::new(3, 3, 6, Limits::default());
+    world.run(2 * SECOND);
+    world.late_orders = 80;
+    for id in 1..40 {
+        world.submit(id, &submission(vec![step(4, 600)]));
+        world.run(Duration::from_millis(150));
+    }
+    world.late_orders = 0;
+    world.run(20 * SECOND);
+    assert!((1..40).all(|id| world.completed(WorkflowId(id))));
+    assert_eq!(world.checker.faults, Vec::<String>::new());
+}
+
+/// Answers of the store are lost after it appended. The leader repeats the same append; were it to
+/// number it anew, every later one would be rejected and no end be acknowledged again.
+#[test]
+fn lost_appends() {
+    let mut world = World::new(4, 3, 6, Limits::default());
+    world.lost_appends = 350;
+    world.run(4 * SECOND);
+    for id in 1..20 {
+        world.submit(id, &submission(vec![step(4, 300)]));
+        world.run(Duration::from_millis(150));
+    }
+    world.run(10 * SECOND);
+    assert!((1..20).all(|id| world.completed(WorkflowId(id))));
+    assert_eq!(world.checker.faults, Vec::<String>::new());
+}
+
+/// The store is away for 3 s while tasks run and end. Their leases are renewed, and nobody's task is
+/// lost or run again; ends are recorded when the store is back.
+#[test]
+fn store_away() {
+    let mut world = World::new(5, 3, 6, Limits::default());
+    world.run(2 * SECOND);
+    let leader = world.leader();
+    let mut second = step(4, 500);
+    second.after.push(0);
+    let id = world.submit(1, &submission(vec![step(8, 1_500), second]));
+    world.run(Duration::from_millis(300));
+    world.store_down = true;
+    world.run(3 * SECOND);
+    assert_eq!(world.checker.starts, 12);
+    world.store_down = false;
+    assert!(world.run_until(SECOND, |world| world.completed(id)).is_some());
+    assert_eq!(world.leader(), leader);
+    assert_eq!(world.checker.faults, Vec::<String>::new());
+}
--- /dev/null
+++ b/crates/workflow/tests/leader_changes.rs
@@ -0,0 +1,135 @@
+//! Changes of the leader.
+
+mod support;
+
+use {
+    egretlb_workflow::Limits,
+    std::time::Duration,
+    support::{step, submission, world::World},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn world() -> World {
+    let mut world = World::new(1, 4, 6, Limits::default());
+    world.run(2 * SECOND);
+    world
+}
+
+#[test]
+fn one_leads_and_completes() {
+    let mut world = world();
+    let id = world.submit(1, &submission(vec![step(6, 300), { 
+        let mut second = step(3, 200);
+        second.after.push(0);
+        second
+    }]));
+    let took = world.run_until(5 * SECOND, |world| world.completed(id));
+    assert!(took.is_some_and(|took| took < Duration::from_millis(900)), "{took:?}");
+    assert_eq!(world.nodes.iter().map(|node| node.elections).sum::<u32>(), 1);
+    assert_eq!(world.checker.faults, Vec::<String>::new());
+}
+
+/// The leading process is killed while tasks run and others wait for a step before them. A client
+/// would see its work stand still, or a task run a second time, if the successor knew too little.
+#[test]
+fn killed_leader() {
+    let mut world = world();
+    let mut second = step(4, 400);
+    second.after.push(0);
+    let id = world.submit(1, &submission(vec![step(8, 900), second]));
+    world.run(Duration::from_millis(500));
+    let leader = world.leader().expect("somebody leads");
+    world.kill(leader);
+    let took = world.run_until(10 * SECOND, |world| world.leader().is_some());
+    assert!(took.is_some_and(|took| took < Duration::from_millis(2_000)), "{took:?}");
+    let took = world.run_until(10 * SECOND, |world| world.completed(id));
+    assert!(took.is_some_and(|took| took < Duration::from_millis(2_500)), "{took:?}");
+    assert_eq!(world.checker.faults, Vec::<String>::new());
+}
+
+/// The leading process is paused for seconds, and wakes after another has taken over. It believes that
+/// it leads until it hears otherwise; a task that it started then would run twice.
+#[test]
+fn frozen_leader() {
+    let mut world = world();
+    for id in 1..20 {
+        world.submit(id, &submission(vec![step(4, 700)]));
+    }
+    world.run(Duration::from_millis(300));
+    let leader = world.leader().expect("somebody leads");
+    world.freeze(leader, 5 * SECOND);
+    world.run(12 * SECOND);
+    assert!((1..20).all(|id| world.completed(egretlb_workflow::WorkflowId(id))));
+    assert_ne!(world.leader(), Some(leader));
+    assert_eq!(world.checker.faults, Vec::<String>::new());
+}
+
+/// The store turns the leading VM away, and serves the others. The leader still reaches all workers, so
+/// without a bound of its own it would go on beside its successor.
+#[test]
+fn leader_without_store() {
+    let mut world = world();
+    let leader = world.leader().expect("somebody leads");
+    world.nodes[leader].reaches_store = false;
+    world.run(5 * SECOND);
+    assert!(!world.nodes[leader].leads(world.now));
+    let id = world.submit(1, &submission(vec![step(8, 300)]));
+    assert!(world.run_until(3 * SECOND, |world| world.completed(id)).is_some());
+    assert_eq!(world.checker.faults, Vec::<String>::new());
+}
+
+/// The leader is cut off from the store, and its successor from a worker that the leader still reaches.
+/// The successor can't know what runs there. If it didn't wait for the predecessor's authority and its
+/// last lease there to end, the worker's tasks would run in two places.
+#[test]
+fn unreachable_worker_waits() {
+    let mut world = world();
+    for id in 1..10 {
+        world.submit(id, &submission(vec![step(5, 4_000)]));
+    }
+    world.run(Duration::from_millis(500));
+    let leader = world.leader().expect("somebody leads");
+    for node in 0..world.nodes.len() {
+        if node != leader {
+            world.nodes[node].cut_from = vec![0, 1];
+        }
+    }
+    world.nodes[leader].reaches_store = false;
+    world.run(30 * SECOND);
+    assert!((1..10).all(|id| world.completed(egretlb_workflow::WorkflowId(id))));
+    assert_eq!(world.checker.faults, Vec::<String>::new());
+}
+
+/// The same with a bound that is too short: the checker must notice, or it proves nothing.
+#[test]
+fn short_bound_noticed() {
+    let limits = Limits {
+        lease: Duration::from_millis(400),
+        authority: Duration::from_millis(600),
+        ..Limits::default()
+    };
+    let mut noticed = false;
+    for seed in 0..8 {
+        let mut world = World::new(seed, 4, 6, limits);
+        world.run(2 * SECOND);
+        for id in 1..10 {
+            world.submit(id, &submission(vec![step(5, 4_000)]));
+        }
+        world.run(Duration::from_millis(500));
+        // The leader's own clock is believed to be right, but the workers grant it longer leases.
+        for worker in &mut world.workers {
+            worker.lease_until += 5_000;
+        }
+        let Some(leader) = world.leader() else { continue };
+        for node in 0..world.nodes.len() {
+            if node != leader {
+                world.nodes[node].cut_from = vec![0, 1];
+            }
+        }
+        world.kill(leader);
+        world.run(6 * SECOND);
+        noticed |= !world.checker.faults.is_empty();
+    }
+    assert!(noticed);
+}
--- /dev/null
+++ b/crates/workflow/tests/support/checker.rs
@@ -0,0 +1,92 @@
+//! What must hold, as seen at the workers.
+
+use {
+    egretlb_workflow::{EndKind, RunId, Submission, TaskId, WorkerId, WorkflowId},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
+};
+
+/// Faults found, and what they are judged by.
+#[derive(Default)]
+pub struct Checker {
+    pub faults: Vec<String>,
+    pub starts: u32,
+    running: BTreeMap<TaskId, BTreeSet<(WorkerId, RunId)>>,
+    /// Ends `done` that a worker still lists, by worker and number.
+    unnoted: BTreeMap<WorkerId, BTreeMap<u64, (TaskId, EndKind)>>,
+    done: BTreeSet<TaskId>,
+    noted: BTreeSet<TaskId>,
+    failed: BTreeMap<TaskId, u32>,
+    pub cancelled: BTreeSet<WorkflowId>,
+}
+
+impl Checker {
+    pub fn started(
+        &mut self,
+        worker: &WorkerId,
+        task: TaskId,
+        run: RunId,
+        submission: &Arc<Submission>,
+    ) {
+        self.starts += 1;
+        let step = &submission.workflow.steps[usize::from(task.step)];
+        let running = self.running.entry(task).or_default();
+        if !step.speculative && !running.is_empty() {
+            self.faults.push(format!("{task} run {run} at {worker} beside {running:?}"));
+        }
+        running.insert((worker.clone(), run));
+        if self.noted.contains(&task) {
+            self.faults.push(format!("{task} run {run} started after it was done"));
+        }
+        if self.failed.get(&task).is_some_and(|failed| *failed >= submission.max_attempts) {
+            self.faults.push(format!("{task} run {run} started after its last attempt"));
+        }
+        for after in &step.after {
+            let count = submission.workflow.steps[usize::from(*after)].count;
+            let before = |index| TaskId { step: *after, index, ..task };
+            if !(0..count).all(|index| self.done.contains(&before(index))) {
+                self.faults.push(format!("{task} run {run} started before step {after} was done"));
+            }
+        }
+    }
+
+    pub fn ended(&mut self, worker: &WorkerId, task: TaskId, run: RunId, kind: EndKind, number: u64) {
+        self.vanished(worker, task, run);
+        self.unnoted.entry(worker.clone()).or_default().insert(number, (task, kind));
+        if kind == EndKind::Done {
+            self.done.insert(task);
+        }
+    }
+
+    pub fn vanished(&mut self, worker: &WorkerId, task: TaskId, run: RunId) {
+        if let Some(running) = self.running.get_mut(&task) {
+            running.remove(&(worker.clone(), run));
+        }
+    }
+
+    /// A worker's ends up to `number` are acknowledged: they stand.
+    pub fn acknowledged(&mut self, worker: &WorkerId, number: u64) {
+        let Some(ends) = self.unnoted.get_mut(worker) else { return };
+        let rest = ends.split_off(&(number + 1));
+        for (_, (task, kind)) in std::mem::replace(ends, rest) {
+            match kind {
+                EndKind::Done => {
+                    self.noted.insert(task);
+                }
+                EndKind::Failed => *self.failed.entry(task).or_default() += 1,
+                _ => {}
+            }
+        }
+    }
+
+    /// A worker crashed: ends that nobody took note of are void.
+    pub fn forgotten(&mut self, worker: &WorkerId) {
+        self.unnoted.remove(worker);
+    }
+
+    pub fn is_running(&self, task: TaskId) -> bool {
+        self.running.get(&task).is_some_and(|running| !running.is_empty())
+    }
+}
--- /dev/null
+++ b/crates/workflow/tests/support/mod.rs
@@ -0,0 +1,44 @@
+//! A world in virtual time: a store, workers, and nodes that each run the crate's reducers. Every call
+//! takes some milliseconds; faults are set by the tests.
+
+#![allow(dead_code)]
+
+pub mod checker;
+pub mod node;
+pub mod store;
+pub mod worker;
+pub mod world;
+
+use {
+    compact_str::CompactString,
+    egretlb_types::{Megabytes, MilliCores, Resources},
+    egretlb_workflow::{Step, Submission, Workflow},
+};
+
+/// A step of `count` tasks that run for `ms` on one core each.
+pub fn step(count: u32, ms: u32) -> Step {
+    Step {
+        count,
+        estimate_ms: ms,
+        resources: Resources {
+            cpu: MilliCores(1_000),
+            memory: Megabytes(100),
+            ..Resources::default()
+        },
+        ..Step::default()
+    }
+}
+
+/// A submission of these steps with three attempts, to the service of the world's workers.
+pub fn submission(steps: Vec<Step>) -> Submission {
+    Submission {
+        route: CompactString::const_new("queue"),
+        service: CompactString::const_new("service"),
+        priority: 0,
+        max_attempts: 3,
+        stretch_permille: 2_000,
+        slack_ms: 1_000,
+        taken_ms: 0,
+        workflow: Workflow { payload: CompactString::const_new("work"), steps, repeat: None },
+    }
+}
--- /dev/null
+++ b/crates/workflow/tests/support/node.rs
@@ -0,0 +1,119 @@
+//! A node of the world: the reducers of one process.
+
+use {
+    egretlb_types::{Epoch, Offset, Seq, Time},
+    egretlb_workflow::{
+        Change, Effect, Leadership, LeadershipEffect, Ledger, Limits, Scheduler, WorkerInfo,
+    },
+};
+
+pub struct Node {
+    pub name: usize,
+    pub up: bool,
+    /// Until then the process stands still.
+    pub frozen_until: Time,
+    pub ledger: Ledger,
+    pub leadership: Leadership,
+    pub scheduler: Option<Scheduler>,
+    pub next: Offset,
+    pub reaches_store: bool,
+    /// Workers that it can't reach.
+    pub cut_from: Vec<usize>,
+    pub elections: u32,
+    pub directory: Vec<WorkerInfo>,
+    pub incarnation: u64,
+    limits: Limits,
+}
+
+/// What a node wants done.
+pub enum Wish {
+    Claim { epoch: Epoch, seq: Seq, at: Offset, records: Vec<egretlb_workflow::Record> },
+    Effect(Epoch, Effect),
+}
+
+impl Node {
+    pub fn new(now: Time, name: usize, incarnation: u64, limits: Limits) -> Node {
+        let place = u32::try_from(incarnation * 317 % 1_000).unwrap_or(0);
+        Node {
+            name,
+            up: true,
+            frozen_until: Time::ZERO,
+            ledger: Ledger::default(),
+            leadership: Leadership::new(
+                now,
+                format!("node-{name}"),
+                incarnation,
+                place,
+                limits,
+            ),
+            scheduler: None,
+            next: Offset(0),
+            reaches_store: true,
+            cut_from: Vec::new(),
+            elections: 0,
+            directory: Vec::new(),
+            incarnation,
+            limits,
+        }
+    }
+
+    pub fn runs(&self, now: Time) -> bool {
+        self.up && now >= self.frozen_until
+    }
+
+    pub fn leads(&self, now: Time) -> bool {
+        self.leadership.authority(now).is_some()
+    }
+
+    /// Takes a record in.
+    pub fn read(&mut self, now: Time, offset: Offset, key: &[u8], value: &[u8]) -> Vec<Wish> {
+        self.next = offset.next();
+        let change = self.ledger.apply(offset, key, value).expect("a record of this crate");
+        let mut wishes = Vec::new();
+        let mut out = Vec::new();
+        match change {
+            Change::Leader => {
+                let leader = self.ledger.leader().cloned().expect("it was just read");
+                self.leadership.on_leader(now, &leader, &mut out);
+            }
+            Change::Progressed(_) | Change::Roster => self.leadership.on_life(now),
+            _ => {}
+        }
+        self.apply(now, out, &mut wishes);
+        let mut effects = Vec::new();
+        if let Some(scheduler) = &mut self.scheduler {
+            scheduler.on_change(now, &self.ledger, change, &mut effects);
+        }
+        self.wish(effects, &mut wishes);
+        wishes
+    }
+
+    pub fn wish(&mut self, effects: Vec<Effect>, wishes: &mut Vec<Wish>) {
+        let Some(epoch) = self.leadership.term() else { return };
+        wishes.extend(effects.into_iter().map(|effect| Wish::Effect(epoch, effect)));
+    }
+
+    pub fn apply(
+        &mut self,
+        now: Time,
+        out: Vec<LeadershipEffect>,
+        wishes: &mut Vec<Wish>,
+    ) {
+        for effect in out {
+            match effect {
+                LeadershipEffect::Claim { epoch, seq, at, records } => {
+                    wishes.push(Wish::Claim { epoch, seq, at, records });
+                }
+                LeadershipEffect::Elected { epoch } => {
+                    self.elections += 1;
+                    let directory = self.directory.clone();
+                    let wall_ms = now.as_micros() / 1_000;
+                    let scheduler =
+                        Scheduler::new(now, wall_ms, epoch, self.limits, &self.ledger, directory);
+                    self.scheduler = Some(scheduler);
+                }
+                LeadershipEffect::Deposed => self.scheduler = None,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/workflow/tests/support/store.rs
@@ -0,0 +1,51 @@
+//! A stand-in of the platform's store: one partition of keyed records with conditional and fenced
+//! appends.
+
+use {
+    egretlb_types::{Epoch, Offset, Seq},
+    egretlb_workflow::{AppendResult, Record},
+};
+
+#[derive(Default)]
+pub struct Store {
+    records: Vec<Record>,
+    epoch: Epoch,
+    seq: Option<Seq>,
+}
+
+impl Store {
+    pub fn end(&self) -> Offset {
+        Offset(self.records.len() as u64)
+    }
+
+    pub fn from(&self, next: Offset) -> impl Iterator<Item = (Offset, &Record)> {
+        (0..).map(Offset).zip(&self.records).skip(next.0 as usize)
+    }
+
+    pub fn append(
+        &mut self,
+        records: &[Record],
+        fence: Option<(Epoch, Seq)>,
+        at: Option<Offset>,
+    ) -> AppendResult {
+        if let Some((epoch, seq)) = fence {
+            if epoch < self.epoch {
+                return AppendResult::Fenced;
+            }
+            if epoch == self.epoch && self.seq == Some(seq) {
+                return AppendResult::Done;
+            }
+            if epoch == self.epoch && self.seq.is_some_and(|last| seq != last.next()) {
+                return AppendResult::Rejected;
+            }
+        }
+        if at.is_some_and(|at| at != self.end()) {
+            return AppendResult::Conflict;
+        }
+        if let Some((epoch, seq)) = fence {
+            (self.epoch, self.seq) = (epoch, Some(seq));
+        }
+        self.records.extend_from_slice(records);
+        AppendResult::Done
+    }
+}
--- /dev/null
+++ b/crates/workflow/tests/support/worker.rs
@@ -0,0 +1,215 @@
+//! A stand-in of a worker: runs under leases on its own clock, fencing tokens, stopped runs that never
+//! begin, ends until they are acknowledged.
+
+use {
+    super::checker::Checker,
+    compact_str::{CompactString, format_compact},
+    egretlb_types::{Epoch, Megabytes, MilliCores, Resources, Time},
+    egretlb_workflow::{
+        End, EndKind, HoldReply, HoldResult, RunId, RunningTask, StartResult, Step, StopResult,
+        Submission, TaskId, WorkerId, WorkerInfo, WorkerState,
+    },
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+pub struct Run {
+    pub run: RunId,
+    pub ends_at: u64,
+    pub began: u64,
+    pub step: Step,
+}
+
+pub struct Worker {
+    pub info: WorkerInfo,
+    pub up: bool,
+    /// The worker's clock runs at this share of real time, in thousandths.
+    pub rate: u64,
+    pub running: BTreeMap<TaskId, Run>,
+    pub ended: Vec<End>,
+    pub next_end: u64,
+    pub token: Epoch,
+    pub lease_until: u64,
+    pub stopped: BTreeMap<TaskId, RunId>,
+    pub fails_all: bool,
+    /// Tail latency that serving tasks report, in milliseconds.
+    pub tail_ms: u32,
+}
+
+/// The longest lease that is granted, in milliseconds.
+const MAX_LEASE_MS: u64 = 6_000;
+
+impl Worker {
+    pub fn new(number: usize, cores: u32) -> Worker {
+        let port = 1_000 + u16::try_from(number).unwrap_or(0);
+        Worker {
+            info: WorkerInfo {
+                id: WorkerId(format_compact!("worker-{number}")),
+                addr: ([127, 0, 0, 1], port).into(),
+                service: CompactString::const_new("service"),
+                data_centre: CompactString::const_new("centre"),
+                capacity: Resources {
+                    cpu: MilliCores(cores * 1_000),
+                    memory: Megabytes(100_000),
+                    ..Resources::default()
+                },
+                labels: [format_compact!("rack-{}", number / 4)].into_iter().collect(),
+                state: WorkerState::Ready,
+                cold_ms: 0,
+            },
+            up: true,
+            rate: 1_000,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            token: Epoch(0),
+            lease_until: 0,
+            stopped: BTreeMap::new(),
+            fails_all: false,
+            tail_ms: 1,
+        }
+    }
+
+    pub fn clock_ms(&self, now: Time) -> u64 {
+        now.as_micros() / 1_000 * self.rate / 1_000
+    }
+
+    fn renew(&mut self, now: Time, until_ms: u64) {
+        let longest = self.clock_ms(now) + MAX_LEASE_MS;
+        self.lease_until = self.lease_until.max(until_ms.min(longest));
+    }
+
+    fn finish(&mut self, task: TaskId, kind: EndKind, checker: &mut Checker) {
+        let Some(run) = self.running.remove(&task) else { return };
+        self.stopped.insert(task, run.run);
+        checker.ended(&self.info.id, task, run.run, kind, self.next_end);
+        let saved = CompactString::default();
+        self.ended.push(End { number: self.next_end, task, run: run.run, kind, saved });
+        self.next_end += 1;
+    }
+
+    /// Lets runs end and leases lapse.
+    pub fn advance(&mut self, now: Time, checker: &mut Checker) {
+        if !self.up {
+            return;
+        }
+        let clock = self.clock_ms(now);
+        let due: Vec<TaskId> =
+            self.running.iter().filter(|(_, run)| run.ends_at <= clock).map(|(t, _)| *t).collect();
+        for task in due {
+            let kind = if self.fails_all { EndKind::Failed } else { EndKind::Done };
+            self.finish(task, kind, checker);
+        }
+        if clock >= self.lease_until {
+            let all: Vec<TaskId> = self.running.keys().copied().collect();
+            for task in all {
+                self.finish(task, EndKind::Lapsed, checker);
+            }
+        }
+    }
+
+    pub fn hold(
+        &mut self,
+        now: Time,
+        epoch: Epoch,
+        recorded: u64,
+        until_ms: Option<u64>,
+        checker: &mut Checker,
+    ) -> HoldResult {
+        if epoch < self.token {
+            return HoldResult::Outranked;
+        }
+        self.token = epoch;
+        checker.acknowledged(&self.info.id, recorded);
+        self.ended.retain(|end| end.number > recorded);
+        if let Some(until_ms) = until_ms {
+            self.renew(now, until_ms);
+        }
+        let clock_ms = self.clock_ms(now);
+        let percent = |run: &Run| {
+            if run.step.lasting { 100 } else { (clock_ms.saturating_sub(run.began) / 20) as u32 }
+        };
+        let figure = |run: &Run| if run.step.target_ms > 0 { self.tail_ms } else { 1_000 };
+        let running = self.running.iter().map(|(task, run)| RunningTask {
+            task: *task,
+            run: run.run,
+            saved: CompactString::default(),
+            percent: percent(run),
+            figure: figure(run),
+        });
+        HoldResult::Lists(HoldReply {
+            clock_ms,
+            running: running.collect(),
+            ended: self.ended.clone(),
+        })
+    }
+
+    pub fn start(
+        &mut self,
+        now: Time,
+        epoch: Epoch,
+        task: TaskId,
+        run: RunId,
+        submission: &Arc<Submission>,
+        until_ms: u64,
+        checker: &mut Checker,
+    ) -> StartResult {
+        if epoch < self.token {
+            return StartResult::Outranked;
+        }
+        self.token = epoch;
+        let clock_ms = self.clock_ms(now);
+        if until_ms <= clock_ms {
+            return StartResult::Late;
+        }
+        self.renew(now, until_ms);
+        if self.running.get(&task).is_some_and(|known| known.run == run) {
+            return StartResult::Started { clock_ms };
+        }
+        if self.stopped.get(&task).is_some_and(|last| *last >= run) {
+            return StartResult::OldRun;
+        }
+        let step = submission.workflow.steps[usize::from(task.step)].clone();
+        let used: u32 = self.running.values().map(|run| counted(&run.step)).sum();
+        if used + counted(&step) > self.info.capacity.cpu.0 {
+            return StartResult::NoRoom;
+        }
+        checker.started(&self.info.id, task, run, submission);
+        let runtime = if step.lasting { u64::MAX / 4 } else { u64::from(step.estimate_ms) };
+        let began = clock_ms;
+        self.running.insert(task, Run { run, ends_at: clock_ms + runtime, began, step });
+        StartResult::Started { clock_ms }
+    }
+
+    pub fn stop(
+        &mut self,
+        now: Time,
+        epoch: Epoch,
+        task: TaskId,
+        run: RunId,
+        checker: &mut Checker,
+    ) -> StopResult {
+        if epoch < self.token {
+            return StopResult::Outranked;
+        }
+        self.token = epoch;
+        if self.running.get(&task).is_some_and(|known| known.run == run) {
+            self.finish(task, EndKind::Stopped, checker);
+        }
+        let last = self.stopped.entry(task).or_insert(run);
+        *last = (*last).max(run);
+        StopResult::Confirmed { clock_ms: self.clock_ms(now) }
+    }
+
+    /// All that runs is gone without a trace; the worker comes back with another id, or not.
+    pub fn crash(&mut self, checker: &mut Checker) {
+        self.up = false;
+        for (task, run) in std::mem::take(&mut self.running) {
+            checker.vanished(&self.info.id, task, run.run);
+        }
+        checker.forgotten(&self.info.id);
+    }
+}
+
+fn counted(step: &Step) -> u32 {
+    if step.fills { 0 } else { step.resources.cpu.0 }
+}
