--- a/crates/workflow/tests/leader_changes.rs
+++ b/crates/workflow/tests/leader_changes.rs
@@ -101,6 +101,27 @@
     assert_eq!(world.checker.faults, Vec::<String>::new());
 }
 
+/// The deposed leader reaches nothing but two workers that its successor can't reach: nobody tells it
+/// that it is deposed. It would renew those workers' leases for ever, and its successor wait in vain or
+/// start the tasks a second time.
+#[test]
+fn leader_stops_by_itself() {
+    let mut world = world();
+    for id in 1..10 {
+        world.submit(id, &submission(vec![step(5, 25_000)]));
+    }
+    world.run(Duration::from_millis(500));
+    let leader = world.leader().expect("somebody leads");
+    for node in 0..world.nodes.len() {
+        let cut = if node == leader { vec![2, 3, 4, 5] } else { vec![0, 1] };
+        world.nodes[node].cut_from = cut;
+    }
+    world.nodes[leader].reaches_store = false;
+    world.run(70 * SECOND);
+    assert!((1..10).all(|id| world.completed(egretlb_workflow::WorkflowId(id))));
+    assert_eq!(world.checker.faults, Vec::<String>::new());
+}
+
 /// The same with a bound that is too short: the checker must notice, or it proves nothing.
 #[test]
 fn short_bound_noticed() {
--- a/crates/workflow/tests/lost_workers.rs
+++ b/crates/workflow/tests/lost_workers.rs
@@ -28,6 +28,25 @@
     assert_eq!(world.checker.faults, Vec::<String>::new());
 }
 
+/// A worker is cut off and runs on. Its tasks may be started elsewhere only once its leases have lapsed,
+/// on its own clock, which is 2% slow.
+#[test]
+fn cut_worker() {
+    let mut world = world(3);
+    world.workers[0].rate = 980;
+    let id = world.submit(1, &submission(vec![step(24, 9_000)]));
+    world.run(Duration::from_millis(500));
+    for node in &mut world.nodes {
+        node.cut_from = vec![0];
+    }
+    world.run(6 * SECOND);
+    for node in &mut world.nodes {
+        node.cut_from.clear();
+    }
+    assert!(world.run_until(20 * SECOND, |world| world.completed(id)).is_some());
+    assert_eq!(world.checker.faults, Vec::<String>::new());
+}
+
 /// A worker is lost seconds before the leader is killed. The successor must hold back what may run at
 /// that worker, but nothing else: a client with work elsewhere would wait for nine seconds.
 #[test]
