--- a/crates/egretlbd/src/main.rs
+++ b/crates/egretlbd/src/main.rs
@@ -87,7 +87,12 @@
         ..Limits::default()
     };
     let options =
-        NodeOptions { name: settings.node_name.clone(), incarnation: SmallRng::from_os_rng().random(), limits };
+        NodeOptions {
+            name: settings.node_name.clone(),
+            incarnation: SmallRng::from_os_rng().random(),
+            power: settings.power(),
+            limits,
+        };
     let store = Rc::new(LogStore::new(settings.store.addr));
     let node = Node::new(options, store, Rc::new(RpcWorkers::default()), Rc::new(JsonFormats));
     let mut term = signal(SignalKind::terminate()).map_err(StartError::System)?;
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -47,10 +47,29 @@
     pub name: CompactString,
     /// Drawn at random at each start.
     pub incarnation: u64,
+    /// The VM's share of the processor, in thousandths of a core.
+    pub power: u32,
     /// Spans of time.
     pub limits: Limits,
 }
 
+/// The place among the followers, from 0 for the one that claims first to 999. Leading takes a third of
+/// a core at 500 workers; a weak VM would lead late and badly, so it claims after the strong ones. What
+/// is left of the range tells VMs of one strength apart.
+fn place(options: &NodeOptions) -> u32 {
+    let mut hasher = DefaultHasher::new();
+    options.incarnation.hash(&mut hasher);
+    let chance = u32::try_from(hasher.finish() % u64::from(CHANCE_RANGE)).unwrap_or(0);
+    let weakness = FULL_POWER.saturating_sub(options.power) * (999 - CHANCE_RANGE) / FULL_POWER;
+    weakness + chance
+}
+
+/// VMs with this share of a core and more are equally fit to lead, in thousandths.
+const FULL_POWER: u32 = 500;
+
+/// The part of the range that chance decides.
+const CHANCE_RANGE: u32 = 300;
+
 /// A node.
 pub struct Node {
     core: RefCell<Core>,
@@ -73,9 +92,7 @@
         formats: Rc<dyn Formats>,
     ) -> Rc<Node> {
         let clock = Clock;
-        let mut hasher = DefaultHasher::new();
-        options.incarnation.hash(&mut hasher);
-        let place = u32::try_from(hasher.finish() % 1_000).unwrap_or(0);
+        let place = place(&options);
         let leadership = Leadership::new(
             clock.now(),
             options.name,
--- a/crates/workflow/src/interference.rs
+++ b/crates/workflow/src/interference.rs
@@ -16,7 +16,7 @@
 use {
     compact_str::CompactString,
     smallvec::SmallVec,
-    std::{collections::HashMap, time::Duration},
+    std::time::Duration,
 };
 
 /// Filler images beyond this many aren't told apart from harmless ones. The cost of an observation
@@ -52,6 +52,10 @@
     exposure: Exposure,
 }
 
+/// An image, by the order in which images were first seen.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ImageNo(u16);
+
 #[derive(Clone, Debug, Default)]
 struct Row {
     weights: Vec<f32>,
@@ -59,11 +63,20 @@
     spread: Vec<f32>,
 }
 
+#[derive(Clone, Debug)]
+struct Image {
+    name: CompactString,
+    /// Its place in exposures, if it fills.
+    column: Option<usize>,
+    /// What fillers do to it, if it serves.
+    row: Row,
+}
+
 /// What was learned, by pair of images.
 #[derive(Clone, Debug, Default)]
 pub struct Interference {
-    fillers: Vec<CompactString>,
-    rows: HashMap<CompactString, Row>,
+    images: Vec<Image>,
+    columns: usize,
 }
 
 fn at(exposure: &Exposure, index: usize) -> f32 {
@@ -79,30 +92,40 @@
 }
 
 impl Interference {
-    /// The number of a filler image; none if there are too many.
-    pub fn number(&mut self, filler: &CompactString) -> Option<usize> {
-        if let Some(number) = self.known(filler) {
-            return Some(number);
-        }
-        if self.fillers.len() >= MAX_FILLERS {
-            return None;
+    /// The number of an image. All images beyond 65,535 count as one.
+    pub fn image(&mut self, name: &CompactString) -> ImageNo {
+        let number = |index| ImageNo(u16::try_from(index).unwrap_or(u16::MAX));
+        if let Some(index) = self.images.iter().position(|image| image.name == *name) {
+            return number(index);
         }
-        self.fillers.push(filler.clone());
-        for row in self.rows.values_mut() {
-            row.grow(self.fillers.len());
+        if self.images.len() > usize::from(u16::MAX) {
+            return ImageNo(u16::MAX);
         }
-        Some(self.fillers.len() - 1)
+        self.images.push(Image { name: name.clone(), column: None, row: Row::default() });
+        number(self.images.len() - 1)
     }
 
-    fn known(&self, filler: &CompactString) -> Option<usize> {
-        self.fillers.iter().position(|known| known == filler)
+    /// The image's name.
+    pub fn name(&self, image: ImageNo) -> &str {
+        self.images.get(usize::from(image.0)).map_or("", |image| image.name.as_str())
+    }
+
+    /// The place of a filler image in exposures; none if there are too many.
+    pub fn column(&mut self, filler: ImageNo) -> Option<usize> {
+        let columns = self.columns;
+        let image = self.images.get_mut(usize::from(filler.0))?;
+        if image.column.is_none() && columns < MAX_FILLERS {
+            image.column = Some(columns);
+            self.columns += 1;
+        }
+        image.column
     }
 
     /// Takes a new figure of a serving task in: its tail as a multiple of its target, and the fillers'
     /// use while it was measured. `elapsed` is the time since the task's last figure.
     pub fn observe(
         &mut self,
-        serving: &CompactString,
+        serving: ImageNo,
         average: &mut Option<Average>,
         elapsed: Duration,
         ratio: f32,
@@ -113,12 +136,13 @@
             *average = Some(Average { tail, exposure: exposure.clone() });
             return;
         };
-        let size = self.fillers.len();
+        let size = self.columns;
         let moved: Vec<f32> =
             (0..size).map(|i| at(exposure, i) - at(&average.exposure, i)).collect();
-        let row = self.rows.entry(serving.clone()).or_default();
-        row.grow(size);
-        row.learn(&moved, tail - average.tail);
+        if let Some(image) = self.images.get_mut(usize::from(serving.0)) {
+            image.row.grow(size);
+            image.row.learn(&moved, tail - average.tail);
+        }
         let share = 1.0 - (-elapsed.as_secs_f32() / AVERAGE_SPAN.as_secs_f32()).exp();
         average.tail += share * (tail - average.tail);
         for (index, change) in moved.iter().enumerate() {
@@ -127,16 +151,20 @@
         }
     }
 
+    fn pair(&self, serving: ImageNo, filler: ImageNo) -> Option<(&Row, usize)> {
+        let row = &self.images.get(usize::from(serving.0))?.row;
+        Some((row, self.images.get(usize::from(filler.0))?.column?))
+    }
+
     /// What a filler adds to the logarithm of a serving image's tail with `cores` in use.
-    pub fn pressure(&self, serving: &CompactString, filler: &CompactString, cores: f32) -> f32 {
-        let Some(row) = self.rows.get(serving) else { return 0.0 };
-        self.known(filler).map_or(0.0, |number| row.weight(number)) * cores
+    pub fn pressure(&self, serving: ImageNo, filler: ImageNo, cores: f32) -> f32 {
+        self.pair(serving, filler).map_or(0.0, |(row, column)| row.weight(column) * cores)
     }
 
     /// The standard error of [`Interference::pressure`].
-    pub fn doubt(&self, serving: &CompactString, filler: &CompactString, cores: f32) -> f32 {
-        let row = self.rows.get(serving).zip(self.known(filler));
-        row.map_or(FIRST_SPREAD, |(row, number)| row.error(number)) * cores
+    pub fn doubt(&self, serving: ImageNo, filler: ImageNo, cores: f32) -> f32 {
+        let error = |(row, column): (&Row, usize)| row.error(column);
+        self.pair(serving, filler).map_or(FIRST_SPREAD, error) * cores
     }
 }
 
--- a/crates/workflow/src/leadership/mod.rs
+++ b/crates/workflow/src/leadership/mod.rs
@@ -257,7 +257,7 @@
         let share = self.limits.takeover_spread * self.place / 1_000;
         // Nobody has ever led, or the term was given up: there is nobody to wait for.
         if self.known == Epoch(0) || self.released {
-            return quiet >= share / 4;
+            return quiet >= share / 2;
         }
         quiet >= self.limits.takeover_after + share
     }
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -21,7 +21,7 @@
     bits::Bits,
     directory::{DirectoryChange, WorkerInfo, WorkerState},
     ids::{IdError, RunId, TaskId, WorkerId, WorkflowId},
-    interference::{Average, Exposure, Interference, set},
+    interference::{Average, Exposure, ImageNo, Interference, set},
     leadership::{AppendResult, Leadership, LeadershipEffect, Role},
     ledger::{Change, Entry, Ledger, State},
     limits::Limits,
--- a/crates/workflow/src/limits.rs
+++ b/crates/workflow/src/limits.rs
@@ -59,7 +59,7 @@
             authority: Duration::from_secs(4),
             heartbeat: Duration::from_millis(250),
             takeover_after: Duration::from_millis(1_200),
-            takeover_spread: Duration::from_millis(300),
+            takeover_spread: Duration::from_millis(400),
             faulty_after: 2,
             quarantine: Duration::from_secs(4),
             poll_wait: Duration::from_millis(1_500),
--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -1,7 +1,7 @@
 //! What a worker's lists say: what runs there, and how runs ended.
 
 use {
-    super::{Copy, Effect, Phase, Scheduler},
+    super::{Copy, Effect, Need, Phase, Scheduler},
     crate::{RunId, TaskId, WorkerId},
     compact_str::CompactString,
     egretlb_types::Time,
@@ -288,7 +288,9 @@
             }
             None => false,
         };
-        let mut copy = Copy::new(now, &step.unwrap_or_default(), Phase::Running { clock_ms });
+        let step = step.unwrap_or_default();
+        let need = Need::new(&step, &mut self.interference);
+        let mut copy = Copy::new(now, &need, Phase::Running { clock_ms });
         copy.percent = percent;
         if let Some(worker) = self.workers.get_mut(id) {
             worker.insert(task, run, copy);
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -22,7 +22,7 @@
 use {
     self::{
         flow::Flow,
-        worker::{Copy, Phase, Worker},
+        worker::{Copy, Need, Phase, Worker},
     },
     crate::{
         Change, DirectoryChange, Entry, Interference, Ledger, Limits, Outcome, Record, RosterEntry, RunId, Step,
@@ -196,8 +196,9 @@
     /// Takes a run at a silent worker as under way, until the worker answers or its leases have lapsed.
     fn suppose(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId) {
         let step = self.step(task).cloned().unwrap_or_default();
+        let need = Need::new(&step, &mut self.interference);
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.insert(task, run, Copy::new(now, &step, Phase::Running { clock_ms: 0 }));
+            worker.insert(task, run, Copy::new(now, &need, Phase::Running { clock_ms: 0 }));
         }
         if let Some(state) = self.task_mut(task)
             && !state.done
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -1,8 +1,8 @@
 //! Where tasks go.
 
 use {
-    super::{Copy, Effect, Phase, Ready, Scheduler, Worker, flow::TaskState},
-    crate::{RunId, Step, TaskId, WorkerId},
+    super::{Copy, Effect, Need, Phase, Ready, Scheduler, Worker, flow::TaskState},
+    crate::{RunId, Step, TaskId, WorkerId, interference::ImageNo},
     compact_str::CompactString,
     egretlb_types::{Resources, Time},
     smallvec::SmallVec,
@@ -18,7 +18,7 @@
     service: CompactString,
     resources: Resources,
     fills: bool,
-    image: CompactString,
+    image: ImageNo,
 }
 
 impl Scheduler {
@@ -48,10 +48,11 @@
         }
         let service = flow.submission.service.clone();
         let step = flow.submission.workflow.steps[usize::from(key.step)].clone();
+        let image = self.interference.image(&step.image);
         let hopeless = |known: &Unmet| {
             known.service == service
                 && known.fills == step.fills
-                && known.image == step.image
+                && known.image == image
                 && known.resources.fits(&step.resources)
         };
         if unmet.iter().any(hopeless) {
@@ -63,19 +64,21 @@
         if step.gang {
             return self.place_gang(now, key, &service, &step, out);
         }
+        let need = Need::new(&step, &mut self.interference);
         loop {
             let Some(index) = self.front(key) else { return true };
             let task = task_of(key, index);
-            let Some(worker) = self.choose(now, task, &service, &step) else {
+            let Some(worker) = self.choose(now, task, &service, &need) else {
                 self.make_room(now, key, &service, &step, out);
                 if step.label.is_none() && step.per_worker == 0 {
-                    let Step { resources, fills, image, .. } = step;
+                    let Need { image, .. } = need;
+                    let Step { resources, fills, .. } = step;
                     unmet.push(Unmet { service, resources, fills, image });
                 }
                 return false;
             };
             self.pop(key);
-            self.start(now, task, &step, &worker, None, out);
+            self.start(now, task, &need, &worker, None, out);
         }
     }
 
@@ -119,12 +122,13 @@
         if waiting < step.count as usize {
             return false;
         }
+        let need = Need::new(step, &mut self.interference);
         let mut placed: Vec<(TaskId, WorkerId)> = Vec::with_capacity(waiting);
         for index in 0..step.count {
             let task = task_of(key, index);
-            let Some(id) = self.choose(now, task, service, step) else { break };
+            let Some(id) = self.choose(now, task, service, &need) else { break };
             if let Some(worker) = self.workers.get_mut(&id) {
-                worker.insert(task, RunId(0), Copy::new(now, step, Phase::Starting));
+                worker.insert(task, RunId(0), Copy::new(now, &need, Phase::Starting));
             }
             placed.push((task, id));
         }
@@ -143,7 +147,7 @@
             if let Some(state) = self.task_mut(task) {
                 state.saved.clone_from(&saved);
             }
-            self.start(now, task, step, &id, Some(run), out);
+            self.start(now, task, &need, &id, Some(run), out);
         }
         if let Some(queue) = self.queue_of(key) {
             queue.clear();
@@ -161,7 +165,7 @@
         &mut self,
         now: Time,
         task: TaskId,
-        step: &Step,
+        need: &Need<'_>,
         id: &WorkerId,
         run: Option<RunId>,
         out: &mut Vec<Effect>,
@@ -173,13 +177,13 @@
             return;
         };
         let addr = worker.info.addr;
-        worker.insert(task, run, Copy::new(now, step, Phase::Starting));
+        worker.insert(task, run, Copy::new(now, need, Phase::Starting));
         worker.poll_at = worker.poll_at.min(now + limits.poll_gap);
         let Some(state) = self.task_mut(task) else { return };
         state.last_run = run;
         state.copies.push((id.clone(), run));
         state.moved = (now, 0);
-        let saved = if step.checkpoints { state.saved.clone() } else { CompactString::default() };
+        let saved = if need.step.checkpoints { state.saved.clone() } else { CompactString::default() };
         let Some(flow) = self.flows.get_mut(&task.workflow) else { return };
         if !std::mem::replace(&mut flow.started, true) {
             self.dirty.insert(task.workflow);
@@ -203,7 +207,7 @@
         now: Time,
         task: TaskId,
         service: &CompactString,
-        step: &Step,
+        need: &Need<'_>,
     ) -> Option<WorkerId> {
         let avoid = self.task_mut(task).and_then(|state| state.avoid.clone());
         let mut best: Option<(Fitness, &WorkerId)> = None;
@@ -211,11 +215,11 @@
             let suits = worker.info.service == *service
                 && avoid.as_ref() != Some(id)
                 && worker.takes_work(now, &self.limits)
-                && has_room(now, worker, task, step);
+                && has_room(worker, task, need);
             if !suits {
                 continue;
             }
-            let Some(fitness) = self.fitness(worker, step) else { continue };
+            let Some(fitness) = self.fitness(worker, need) else { continue };
             if best.as_ref().is_none_or(|(known, _)| fitness > *known) {
                 best = Some((fitness, id));
             }
@@ -230,15 +234,16 @@
     /// the workers that hold others. Other counted tasks don't disturb them and take the room between
     /// them, which leaves whole workers to the fillers. Those go where they press least, and then where
     /// most processor time is left.
-    fn fitness(&self, worker: &Worker, step: &Step) -> Option<Fitness> {
+    fn fitness(&self, worker: &Worker, need: &Need<'_>) -> Option<Fitness> {
+        let step = need.step;
         let near = step.data_rack.as_ref().is_some_and(|rack| worker.info.has_label(rack));
         let left = left_over(worker);
-        let quiet = -i64::from(self.disturbance(worker, step)?);
+        let quiet = -i64::from(self.disturbance(worker, need)?);
         if step.fills {
             return Some((near, quiet, 0, left));
         }
         if step.target_ms > 0 {
-            return Some((near, quiet, kinship(worker, step), -left));
+            return Some((near, quiet, kinship(worker, need.image), -left));
         }
         Some((near, quiet, i64::from(worker.serving > 0), left))
     }
@@ -249,17 +254,11 @@
 
 /// How well a serving task's company suits it: best beside its own image alone, then by itself, then
 /// beside few others.
-fn kinship(worker: &Worker, step: &Step) -> i64 {
-    let mut kin = 0;
-    let mut strangers: SmallVec<[&CompactString; 4]> = SmallVec::new();
-    for copy in worker.copies.values().filter(|copy| copy.serves) {
-        if copy.image == step.image {
-            kin = 1;
-        } else if !strangers.contains(&&copy.image) {
-            strangers.push(&copy.image);
-        }
-    }
-    kin - 2 * i64::try_from(strangers.len()).unwrap_or(0)
+fn kinship(worker: &Worker, image: ImageNo) -> i64 {
+    let images = &worker.serving_images;
+    let kin = usize::from(images.iter().any(|(known, _)| *known == image));
+    let strangers = images.len() - kin;
+    i64::try_from(kin).unwrap_or(0) - 2 * i64::try_from(strangers).unwrap_or(0)
 }
 
 /// Serving tasks use about half of the processor time that they declare; the rest is left to fillers.
@@ -281,10 +280,10 @@
 ///
 /// Fillers of one worker share what the others leave; more of them than that would each be slowed down,
 /// and those first in the queue are better served one after the other.
-fn has_room(now: Time, worker: &Worker, task: TaskId, step: &Step) -> bool {
+fn has_room(worker: &Worker, task: TaskId, need: &Need<'_>) -> bool {
+    let step = need.step;
     let free = worker.free();
-    let needed = Copy::new(now, step, Phase::Starting);
-    if !needed.hard.fits(&free) {
+    if !need.hard.fits(&free) {
         return false;
     }
     if step.label.as_ref().is_some_and(|label| !worker.info.has_label(label)) {
--- a/crates/workflow/src/scheduler/pressure.rs
+++ b/crates/workflow/src/scheduler/pressure.rs
@@ -1,12 +1,11 @@
 //! Serving tasks under pressure of the fillers beside them: learning from their tails, and relief.
 
 use {
-    super::{Copy, Effect, Phase, Scheduler, Worker},
+    super::{Effect, Need, Phase, Scheduler, Worker},
     crate::{
-        RunId, Step, TaskId, WorkerId,
-        interference::{Exposure, Interference, set},
+        RunId, TaskId, WorkerId,
+        interference::{Exposure, ImageNo, Interference, set},
     },
-    compact_str::CompactString,
     egretlb_types::Time,
     std::time::Duration,
 };
@@ -42,13 +41,12 @@
 const PRESSURE_STEP: f32 = 0.08;
 
 impl Worker {
-    /// The fillers that run, each with the processor time it asks for.
+    /// The fillers that run, with the processor time that they ask for.
     fn fillers(&self, interference: &mut Interference) -> Exposure {
         let mut exposure = Exposure::new();
-        for copy in self.copies.values().filter(|copy| copy.fills) {
-            if let Some(number) = interference.number(&copy.image) {
-                let sum = exposure.get(number).copied().unwrap_or(0.0) + copy.cores();
-                set(&mut exposure, number, sum);
+        for (image, cpu) in &self.filling_images {
+            if let Some(column) = interference.column(*image) {
+                set(&mut exposure, column, *cpu as f32 / 1_000.0);
             }
         }
         exposure
@@ -85,7 +83,7 @@
             return;
         }
         let exposure = worker.expose(now, &mut self.interference);
-        let mut worst: Option<(Time, CompactString)> = None;
+        let mut worst: Option<(Time, ImageNo)> = None;
         for copy in worker.copies.values_mut().filter(|copy| copy.serves && copy.percent >= 100) {
             let ratio = copy.figure as f32 / copy.target_ms as f32;
             // The same figure is listed again until the next one is due; it counts once.
@@ -93,21 +91,21 @@
                 let elapsed = now.since(copy.taken_at);
                 (copy.taken_figure, copy.taken_at) = (copy.figure, now);
                 let average = &mut copy.average;
-                self.interference.observe(&copy.image, average, elapsed, ratio, &exposure);
+                self.interference.observe(copy.image, average, elapsed, ratio, &exposure);
             }
             if ratio <= 1.0 {
                 copy.over_since = None;
                 continue;
             }
             let since = *copy.over_since.get_or_insert(now);
-            log::debug!(worker:% = id, image:% = copy.image, ratio, fillers:? = exposure; "over_target");
+            log::debug!(worker:% = id, image:% = self.interference.name(copy.image), ratio, fillers:? = exposure; "over_target");
             if worst.as_ref().is_none_or(|(earlier, _)| since < *earlier) {
-                worst = Some((since, copy.image.clone()));
+                worst = Some((since, copy.image));
             }
         }
         worker.over_target = worst.is_some();
         if let Some((since, image)) = worst {
-            self.relieve(now, id, since, &image, out);
+            self.relieve(now, id, since, image, out);
         }
     }
 
@@ -116,7 +114,7 @@
         now: Time,
         id: &WorkerId,
         since: Time,
-        serving: &CompactString,
+        serving: ImageNo,
         out: &mut Vec<Effect>,
     ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -129,7 +127,7 @@
             if !copy.fills || matches!(copy.phase, Phase::Stopping { .. }) {
                 continue;
             }
-            let pressure = self.interference.pressure(serving, &copy.image, copy.cores());
+            let pressure = self.interference.pressure(serving, copy.image, copy.cores());
             if forced || pressure >= NOTICEABLE {
                 chosen.push(*key);
             }
@@ -138,36 +136,38 @@
             return;
         }
         worker.relieved_at = now;
-        log::info!(worker:% = id, image:% = serving, stopped = chosen.len(), forced; "serving_relieved");
+        let image = self.interference.name(serving);
+        log::info!(worker:% = id, image:%, stopped = chosen.len(), forced; "serving_relieved");
         self.stop_runs(now, id, out, |task, run| chosen.contains(&(task, run)));
     }
 
     /// How much one more task of a step would press or be pressed at a worker, in coarse steps; none if
     /// a serving task there would miss its target for it.
-    pub(super) fn disturbance(&self, worker: &Worker, step: &Step) -> Option<u32> {
+    pub(super) fn disturbance(&self, worker: &Worker, need: &Need<'_>) -> Option<u32> {
         let mut highest: f32 = 0.0;
-        if step.fills {
-            let cores = step.resources.cpu.0 as f32 / 1_000.0;
-            for copy in worker.copies.values().filter(|copy| copy.serves) {
-                let added = self.interference.pressure(&copy.image, &step.image, cores);
-                let doubt = self.interference.doubt(&copy.image, &step.image, cores);
+        if need.step.fills {
+            for (serving, _) in &worker.serving_images {
+                let added = self.interference.pressure(*serving, need.image, need.cores());
+                let doubt = self.interference.doubt(*serving, need.image, need.cores());
                 highest = highest.max(added + doubt * DOUBT_SHARE);
                 if added < NOTICEABLE {
                     continue;
                 }
-                let others = worker.copies.values().filter(|other| other.fills);
-                let pressure = |other: &Copy| {
-                    self.interference.pressure(&copy.image, &other.image, other.cores())
-                };
-                if others.map(pressure).sum::<f32>() + added > MAX_PRESSURE {
+                if self.pressure_on(worker, *serving) + added > MAX_PRESSURE {
                     return None;
                 }
             }
-        } else if step.target_ms > 0 {
-            for copy in worker.copies.values().filter(|copy| copy.fills) {
-                highest += self.interference.pressure(&step.image, &copy.image, copy.cores());
-            }
+        } else if need.step.target_ms > 0 {
+            highest = self.pressure_on(worker, need.image);
         }
         Some((highest / PRESSURE_STEP) as u32)
     }
+
+    /// What all fillers of a worker add to the logarithm of a serving image's tail there.
+    fn pressure_on(&self, worker: &Worker, serving: ImageNo) -> f32 {
+        let pressure = |(image, cpu): &(ImageNo, u32)| {
+            self.interference.pressure(serving, *image, *cpu as f32 / 1_000.0)
+        };
+        worker.filling_images.iter().map(pressure).sum()
+    }
 }
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -1,9 +1,9 @@
 //! What the leader knows of a worker.
 
 use {
-    crate::{Limits, RunId, Step, TaskId, WorkerInfo, WorkerState, interference::{Average, Exposure}},
-    compact_str::CompactString,
+    crate::{Limits, RunId, Step, TaskId, WorkerInfo, WorkerState, interference::{Average, Exposure, ImageNo, Interference}},
     egretlb_types::{MilliCores, Resources, Time},
+    smallvec::SmallVec,
     std::{
         collections::{BTreeMap, VecDeque},
         time::Duration,
@@ -43,7 +43,7 @@
     pub(crate) percent: u32,
     /// The last figure: a serving task's tail in milliseconds, another one's use of the processor.
     pub(crate) figure: u32,
-    pub(crate) image: CompactString,
+    pub(crate) image: ImageNo,
     pub(crate) target_ms: u32,
     /// Since when a serving task is over its target.
     pub(crate) over_since: Option<Time>,
@@ -63,19 +63,42 @@
     pub(crate) yields: bool,
 }
 
-impl Copy {
-    pub(crate) fn new(now: Time, step: &Step, phase: Phase) -> Copy {
+/// What a task of a step needs of a worker.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Need<'a> {
+    pub(crate) step: &'a Step,
+    /// Counted against the worker.
+    pub(crate) hard: Resources,
+    /// Processor time of a filling task, counted against other fillers only.
+    pub(crate) soft: MilliCores,
+    pub(crate) image: ImageNo,
+}
+
+impl<'a> Need<'a> {
+    pub(crate) fn new(step: &'a Step, interference: &mut Interference) -> Need<'a> {
         let mut hard = step.resources;
         let mut soft = MilliCores(0);
         if step.fills {
             soft = std::mem::take(&mut hard.cpu);
         }
+        Need { step, hard, soft, image: interference.image(&step.image) }
+    }
+
+    /// The processor time that a filling task asks for, in cores.
+    pub(crate) fn cores(&self) -> f32 {
+        self.soft.0 as f32 / 1_000.0
+    }
+}
+
+impl Copy {
+    pub(crate) fn new(now: Time, need: &Need<'_>, phase: Phase) -> Copy {
+        let Need { step, hard, soft, image } = *need;
         Copy {
             phase,
             placed: now,
             percent: 0,
             figure: 0,
-            image: step.image.clone(),
+            image,
             target_ms: step.target_ms,
             over_since: None,
             taken_figure: 0,
@@ -128,6 +151,10 @@
     pub(crate) soft: u32,
     pub(crate) serving: u32,
     pub(crate) filling: u32,
+    /// Images that serve here, and how many tasks of each.
+    pub(crate) serving_images: SmallVec<[(ImageNo, u32); 4]>,
+    /// Images that fill here, and the processor time that they ask for, in thousandths of a core.
+    pub(crate) filling_images: SmallVec<[(ImageNo, u32); 6]>,
     /// Runs that failed here since the last one that was done.
     pub(crate) failures: u32,
     /// It gets nothing new before.
@@ -161,6 +188,8 @@
             soft: 0,
             serving: 0,
             filling: 0,
+            serving_images: SmallVec::new(),
+            filling_images: SmallVec::new(),
             failures: 0,
             barred_until: Time::ZERO,
             exposures: VecDeque::new(),
@@ -174,6 +203,12 @@
         self.soft += copy.soft.0;
         self.serving += u32::from(copy.serves);
         self.filling += u32::from(copy.fills);
+        if copy.serves {
+            add(&mut self.serving_images, copy.image, 1);
+        }
+        if copy.fills {
+            add(&mut self.filling_images, copy.image, copy.soft.0);
+        }
         self.copies.insert((task, run), copy);
     }
 
@@ -183,6 +218,12 @@
         self.soft -= copy.soft.0;
         self.serving -= u32::from(copy.serves);
         self.filling -= u32::from(copy.fills);
+        if copy.serves {
+            take(&mut self.serving_images, copy.image, 1);
+        }
+        if copy.fills {
+            take(&mut self.filling_images, copy.image, copy.soft.0);
+        }
         Some(copy)
     }
 
@@ -239,3 +280,21 @@
         Some(clock_ms.saturating_add(elapsed).saturating_add(span_ms))
     }
 }
+
+/// Adds to an image's sum.
+fn add(sums: &mut SmallVec<impl smallvec::Array<Item = (ImageNo, u32)>>, image: ImageNo, amount: u32) {
+    match sums.iter_mut().find(|(known, _)| *known == image) {
+        Some((_, sum)) => *sum += amount,
+        None => sums.push((image, amount)),
+    }
+}
+
+/// Takes from an image's sum, and forgets the image with the last of it.
+fn take(sums: &mut SmallVec<impl smallvec::Array<Item = (ImageNo, u32)>>, image: ImageNo, amount: u32) {
+    for (known, sum) in sums.iter_mut() {
+        if *known == image {
+            *sum = sum.saturating_sub(amount);
+        }
+    }
+    sums.retain(|(_, sum)| *sum > 0);
+}
