--- a/crates/egretlbd/src/main.rs
+++ b/crates/egretlbd/src/main.rs
@@ -68,11 +68,12 @@
 
 fn start() -> Result<(), StartError> {
     let settings = Settings::read().map_err(StartError::Settings)?;
-    if let Err(error) = egretlb_telemetry::init(LogOptions::new(&settings.node_name).verbosity(verbose(), 0)) {
+    if let Err(error) =
+        egretlb_telemetry::init(LogOptions::new(&settings.node_name).verbosity(verbose(), 0))
+    {
         eprintln!("egretlbd: {error}");
     }
-    let runtime =
-        Builder::new_current_thread().enable_all().build().map_err(StartError::System)?;
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(StartError::System)?;
     LocalSet::new().block_on(&runtime, serve(settings))
 }
 
@@ -86,13 +87,12 @@
         retention: settings.retention() * 2,
         ..Limits::default()
     };
-    let options =
-        NodeOptions {
-            name: settings.node_name.clone(),
-            incarnation: SmallRng::from_os_rng().random(),
-            power: settings.power(),
-            limits,
-        };
+    let options = NodeOptions {
+        name: settings.node_name.clone(),
+        incarnation: SmallRng::from_os_rng().random(),
+        power: settings.power(),
+        limits,
+    };
     let store = Rc::new(LogStore::new(settings.store.addr));
     let node = Node::new(options, store, Rc::new(RpcWorkers::default()), Rc::new(JsonFormats));
     let mut term = signal(SignalKind::terminate()).map_err(StartError::System)?;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -93,8 +93,10 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<Answer, CallError> {
-        let mut builder =
-            Request::builder().method(method).uri(path).header("host", self.addr.to_string());
+        let mut builder = Request::builder().method(method).uri(path);
+        if !headers.iter().any(|(name, _)| *name == "host") {
+            builder = builder.header("host", self.addr.to_string());
+        }
         if !body.is_empty() {
             builder = builder.header("content-type", "application/json");
         }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -34,6 +34,8 @@
     pub host: String,
     /// The path, without the query.
     pub path: String,
+    /// What follows the path's question mark; empty if there is none.
+    pub query: String,
     /// The headers.
     pub headers: http::HeaderMap,
     /// The whole body; none if it is larger than allowed or broke off.
@@ -146,6 +148,7 @@
         host: host.to_string(),
         method: parts.method,
         path: parts.uri.path().to_string(),
+        query: parts.uri.query().unwrap_or_default().to_string(),
         headers: parts.headers,
         body,
     }
@@ -155,7 +158,8 @@
     let Response { status, body, retry_after } = response;
     let has_body = !body.is_empty();
     let mut answer = hyper::Response::new(Full::new(body));
-    *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *answer.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = answer.headers_mut();
     if has_body {
         headers.insert("content-type", HeaderValue::from_static("application/json"));
--- a/crates/runtime/src/clients.rs
+++ b/crates/runtime/src/clients.rs
@@ -147,8 +147,8 @@
 }
 
 async fn find(node: &Rc<Node>, id: WorkflowId, arrived: Time, req: &Request) -> Found {
-    let own = node.formats().deadline(&req.headers).unwrap_or(CATCH_UP);
-    let patience = CATCH_UP.min(own * CATCH_UP_PERCENT / 100);
+    let own = node.formats().deadline(&req.headers);
+    let patience = own.map_or(CATCH_UP, |own| CATCH_UP.min(own * CATCH_UP_PERCENT / 100));
     let look = async {
         loop {
             let read = node.reads.notified();
--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -124,7 +124,8 @@
 
     /// Time has passed.
     pub(crate) fn tick(&mut self, now: Time, wall_ms: u64, out: &mut Effects) {
-        let end = (self.work.loaded && self.work.at_end && !self.stopping).then_some(self.work.next);
+        let end =
+            (self.work.loaded && self.work.at_end && !self.stopping).then_some(self.work.next);
         self.leadership.tick(now, end, &mut out.leadership);
         if self.leadership.authority(now).is_some()
             && let Some(scheduler) = &mut self.scheduler
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -3,16 +3,15 @@
 use {
     crate::{
         append::Appender,
-        border::{
-            Append, Fence, Formats, HoldCall, StartCall, StopCall, Store, Topic, Workers,
-        },
+        border::{Append, Fence, Formats, HoldCall, StartCall, StopCall, Store, Topic, Workers},
         clock::Clock,
         core::{Core, Effects, Reading},
     },
     compact_str::CompactString,
     egretlb_types::{Epoch, Time},
     egretlb_workflow::{
-        AppendResult, Effect, Leadership, LeadershipEffect, Limits, Record, Scheduler, WorkerId, WorkflowId,
+        AppendResult, Effect, Leadership, LeadershipEffect, Limits, Record, Scheduler, WorkerId,
+        WorkflowId,
     },
     std::{
         cell::{Ref, RefCell},
@@ -93,13 +92,8 @@
     ) -> Rc<Node> {
         let clock = Clock;
         let place = place(&options);
-        let leadership = Leadership::new(
-            clock.now(),
-            options.name,
-            options.incarnation,
-            place,
-            options.limits,
-        );
+        let leadership =
+            Leadership::new(clock.now(), options.name, options.incarnation, place, options.limits);
         Rc::new(Node {
             core: RefCell::new(Core::new(leadership, options.limits)),
             store,
@@ -219,8 +213,7 @@
         let (now, wall_ms) = (self.clock.now(), self.clock.wall_ms());
         let core = &mut *self.core.borrow_mut();
         let directory = core.directory.values().cloned();
-        let scheduler =
-            Scheduler::new(now, wall_ms, epoch, core.limits, &core.ledger, directory);
+        let scheduler = Scheduler::new(now, wall_ms, epoch, core.limits, &core.ledger, directory);
         log::info!(
             epoch:% = epoch, workers = core.directory.len(), workflows = scheduler.active(),
             unaccounted = scheduler.unaccounted();
--- a/crates/workflow/src/directory.rs
+++ b/crates/workflow/src/directory.rs
@@ -1,10 +1,7 @@
 //! What workers say of themselves in the directory.
 
 use {
-    crate::WorkerId,
-    compact_str::CompactString,
-    egretlb_types::Resources,
-    smallvec::SmallVec,
+    crate::WorkerId, compact_str::CompactString, egretlb_types::Resources, smallvec::SmallVec,
     std::net::SocketAddr,
 };
 
--- a/crates/workflow/src/interference.rs
+++ b/crates/workflow/src/interference.rs
@@ -13,11 +13,7 @@
 //! differences. In recorded days this explained the figures better than a linear or a queueing form,
 //! and told bad pairs (0.05 to 0.15 a core) from harmless ones (below 0.02) within three seconds.
 
-use {
-    compact_str::CompactString,
-    smallvec::SmallVec,
-    std::time::Duration,
-};
+use {compact_str::CompactString, smallvec::SmallVec, std::time::Duration};
 
 /// Filler images beyond this many aren't told apart from harmless ones. The cost of an observation
 /// grows with the square; at 24 it is 600 multiplications.
--- a/crates/workflow/src/leadership/mod.rs
+++ b/crates/workflow/src/leadership/mod.rs
@@ -275,12 +275,7 @@
     }
 
     /// What became of the claim under way.
-    pub fn on_claim(
-        &mut self,
-        now: Time,
-        result: AppendResult,
-        out: &mut Vec<LeadershipEffect>,
-    ) {
+    pub fn on_claim(&mut self, now: Time, result: AppendResult, out: &mut Vec<LeadershipEffect>) {
         let Role::Claiming { epoch, sent } = self.role else { return };
         match result {
             AppendResult::Done => self.elect(now, sent, epoch, out),
--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -284,7 +284,9 @@
         let wanted = match self.task_mut(task) {
             Some(state) => {
                 state.last_run = state.last_run.max(run);
-                !state.done && (state.copies.is_empty() || step.as_ref().is_some_and(|s| s.speculative || s.gang))
+                !state.done
+                    && (state.copies.is_empty()
+                        || step.as_ref().is_some_and(|s| s.speculative || s.gang))
             }
             None => false,
         };
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -25,8 +25,8 @@
         worker::{Copy, Need, Phase, Worker},
     },
     crate::{
-        Change, DirectoryChange, Entry, Interference, Ledger, Limits, Outcome, Record, RosterEntry, RunId, Step,
-        Submission, TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId,
+        Change, DirectoryChange, Entry, Interference, Ledger, Limits, Outcome, Record, RosterEntry,
+        RunId, Step, Submission, TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId,
     },
     compact_str::CompactString,
     egretlb_types::{Epoch, Time},
@@ -359,7 +359,8 @@
         let Some(occurrence) = flow.occurrences.get_mut(&number) else { return };
         let done: Vec<bool> = occurrence.steps.iter().map(flow::StepState::is_done).collect();
         for (step_no, state) in (0u16..).zip(&mut occurrence.steps) {
-            let waits = steps[usize::from(step_no)].after.iter().any(|after| !done[usize::from(*after)]);
+            let waits =
+                steps[usize::from(step_no)].after.iter().any(|after| !done[usize::from(*after)]);
             if state.open || waits {
                 continue;
             }
--- a/crates/workflow/src/scheduler/orders.rs
+++ b/crates/workflow/src/scheduler/orders.rs
@@ -179,7 +179,9 @@
         for (id, worker) in &mut self.workers {
             let addr = worker.info.addr;
             for ((task, run), copy) in &mut worker.copies {
-                let Phase::Stopping { sent, confirmed_ms: None } = &mut copy.phase else { continue };
+                let Phase::Stopping { sent, confirmed_ms: None } = &mut copy.phase else {
+                    continue;
+                };
                 if now.since(*sent) < STOP_AGAIN {
                     continue;
                 }
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -183,7 +183,8 @@
         state.last_run = run;
         state.copies.push((id.clone(), run));
         state.moved = (now, 0);
-        let saved = if need.step.checkpoints { state.saved.clone() } else { CompactString::default() };
+        let saved =
+            if need.step.checkpoints { state.saved.clone() } else { CompactString::default() };
         let Some(flow) = self.flows.get_mut(&task.workflow) else { return };
         if !std::mem::replace(&mut flow.started, true) {
             self.dirty.insert(task.workflow);
@@ -269,7 +270,9 @@
 /// Processor time that fillers find unused, in thousandths of a core.
 fn left_over(worker: &Worker) -> i64 {
     let used = u64::from(worker.committed.cpu.0) * u64::from(SERVING_USE_PERCENT) / 100;
-    i64::from(worker.info.capacity.cpu.0) - i64::try_from(used).unwrap_or(0) - i64::from(worker.soft)
+    i64::from(worker.info.capacity.cpu.0)
+        - i64::try_from(used).unwrap_or(0)
+        - i64::from(worker.soft)
 }
 
 fn task_of(key: Ready, index: u32) -> TaskId {
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -81,9 +81,8 @@
             }
             // While a worker is silent its leases aren't extended: otherwise polls that arrive without
             // being answered would put off the time at which its tasks have certainly lapsed.
-            let renews = worker.surveyed
-                && !worker.listed_silent
-                && worker.is_responsive(now, &limits);
+            let renews =
+                worker.surveyed && !worker.listed_silent && worker.is_responsive(now, &limits);
             let until_ms = if renews && busy {
                 // What is left on a leaving worker ends with it, and is started again that much sooner.
                 let leaves = worker.info.state == WorkerState::Draining;
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -1,7 +1,10 @@
 //! What the leader knows of a worker.
 
 use {
-    crate::{Limits, RunId, Step, TaskId, WorkerInfo, WorkerState, interference::{Average, Exposure, ImageNo, Interference}},
+    crate::{
+        Limits, RunId, Step, TaskId, WorkerInfo, WorkerState,
+        interference::{Average, Exposure, ImageNo, Interference},
+    },
     egretlb_types::{MilliCores, Resources, Time},
     smallvec::SmallVec,
     std::{
@@ -272,7 +275,12 @@
 
     /// The end of a lease of `span` from now on the worker's clock, if that is known. The caller must
     /// send it, since from here on what runs there counts as renewed.
-    pub(crate) fn lease_until(&mut self, now: Time, span: Duration, bound: Duration) -> Option<u64> {
+    pub(crate) fn lease_until(
+        &mut self,
+        now: Time,
+        span: Duration,
+        bound: Duration,
+    ) -> Option<u64> {
         let (clock_ms, read) = self.clock?;
         let elapsed = u64::try_from(now.since(read).as_millis()).unwrap_or(u64::MAX);
         let span_ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
@@ -282,7 +290,11 @@
 }
 
 /// Adds to an image's sum.
-fn add(sums: &mut SmallVec<impl smallvec::Array<Item = (ImageNo, u32)>>, image: ImageNo, amount: u32) {
+fn add(
+    sums: &mut SmallVec<impl smallvec::Array<Item = (ImageNo, u32)>>,
+    image: ImageNo,
+    amount: u32,
+) {
     match sums.iter_mut().find(|(known, _)| *known == image) {
         Some((_, sum)) => *sum += amount,
         None => sums.push((image, amount)),
@@ -290,7 +302,11 @@
 }
 
 /// Takes from an image's sum, and forgets the image with the last of it.
-fn take(sums: &mut SmallVec<impl smallvec::Array<Item = (ImageNo, u32)>>, image: ImageNo, amount: u32) {
+fn take(
+    sums: &mut SmallVec<impl smallvec::Array<Item = (ImageNo, u32)>>,
+    image: ImageNo,
+    amount: u32,
+) {
     for (known, sum) in sums.iter_mut() {
         if *known == image {
             *sum = sum.saturating_sub(amount);
--- a/crates/workflow/src/spec.rs
+++ b/crates/workflow/src/spec.rs
@@ -191,7 +191,8 @@
     /// Estimated work of one occurrence, in core-milliseconds.
     pub fn work(&self) -> u64 {
         let of = |step: &Step| {
-            let cpu = u64::from(step.resources.cpu.0) + 8_000 * u64::from(step.resources.accelerators.0);
+            let cpu =
+                u64::from(step.resources.cpu.0) + 8_000 * u64::from(step.resources.accelerators.0);
             u64::from(step.count) * cpu * u64::from(step.estimate_ms) / 1_000
         };
         self.steps.iter().map(of).sum()
--- a/crates/workflow/tests/leader_changes.rs
+++ b/crates/workflow/tests/leader_changes.rs
@@ -19,11 +19,14 @@
 #[test]
 fn one_leads_and_completes() {
     let mut world = world();
-    let id = world.submit(1, &submission(vec![step(6, 300), { 
-        let mut second = step(3, 200);
-        second.after.push(0);
-        second
-    }]));
+    let id = world.submit(
+        1,
+        &submission(vec![step(6, 300), {
+            let mut second = step(3, 200);
+            second.after.push(0);
+            second
+        }]),
+    );
     let took = world.run_until(5 * SECOND, |world| world.completed(id));
     assert!(took.is_some_and(|took| took < Duration::from_millis(900)), "{took:?}");
     assert_eq!(world.nodes.iter().map(|node| node.elections).sum::<u32>(), 1);
--- a/crates/workflow/tests/lost_workers.rs
+++ b/crates/workflow/tests/lost_workers.rs
@@ -53,20 +53,26 @@
 fn silent_before_takeover() {
     let mut world = world(2);
     for id in 1..4 {
-        world.submit(id, &submission(vec![step(8, 700), {
-            let mut second = step(4, 300);
-            second.after.push(0);
-            second
-        }]));
+        world.submit(
+            id,
+            &submission(vec![step(8, 700), {
+                let mut second = step(4, 300);
+                second.after.push(0);
+                second
+            }]),
+        );
     }
     world.run(Duration::from_millis(200));
     world.workers[0].crash(&mut world.checker);
     world.run(4 * SECOND);
-    let late = world.submit(9, &submission(vec![step(30, 3_000), {
-        let mut second = step(4, 300);
-        second.after.push(0);
-        second
-    }]));
+    let late = world.submit(
+        9,
+        &submission(vec![step(30, 3_000), {
+            let mut second = step(4, 300);
+            second.after.push(0);
+            second
+        }]),
+    );
     world.run(Duration::from_millis(300));
     let leader = world.leader().expect("somebody leads");
     world.kill(leader);
--- a/crates/workflow/tests/support/checker.rs
+++ b/crates/workflow/tests/support/checker.rs
@@ -52,7 +52,14 @@
         }
     }
 
-    pub fn ended(&mut self, worker: &WorkerId, task: TaskId, run: RunId, kind: EndKind, number: u64) {
+    pub fn ended(
+        &mut self,
+        worker: &WorkerId,
+        task: TaskId,
+        run: RunId,
+        kind: EndKind,
+        number: u64,
+    ) {
         self.vanished(worker, task, run);
         self.unnoted.entry(worker.clone()).or_default().insert(number, (task, kind));
         if kind == EndKind::Done {
--- a/crates/workflow/tests/support/node.rs
+++ b/crates/workflow/tests/support/node.rs
@@ -39,13 +39,7 @@
             up: true,
             frozen_until: Time::ZERO,
             ledger: Ledger::default(),
-            leadership: Leadership::new(
-                now,
-                format!("node-{name}"),
-                incarnation,
-                place,
-                limits,
-            ),
+            leadership: Leadership::new(now, format!("node-{name}"), incarnation, place, limits),
             scheduler: None,
             next: Offset(0),
             reaches_store: true,
@@ -93,12 +87,7 @@
         wishes.extend(effects.into_iter().map(|effect| Wish::Effect(epoch, effect)));
     }
 
-    pub fn apply(
-        &mut self,
-        now: Time,
-        out: Vec<LeadershipEffect>,
-        wishes: &mut Vec<Wish>,
-    ) {
+    pub fn apply(&mut self, now: Time, out: Vec<LeadershipEffect>, wishes: &mut Vec<Wish>) {
         for effect in out {
             match effect {
                 LeadershipEffect::Claim { epoch, seq, at, records } => {
--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -19,6 +19,14 @@
     pub step: Step,
 }
 
+pub struct StartOrder {
+    pub epoch: Epoch,
+    pub task: TaskId,
+    pub run: RunId,
+    pub submission: Arc<Submission>,
+    pub until_ms: u64,
+}
+
 pub struct Worker {
     pub info: WorkerInfo,
     pub up: bool,
@@ -143,16 +151,9 @@
         })
     }
 
-    pub fn start(
-        &mut self,
-        now: Time,
-        epoch: Epoch,
-        task: TaskId,
-        run: RunId,
-        submission: &Arc<Submission>,
-        until_ms: u64,
-        checker: &mut Checker,
-    ) -> StartResult {
+    pub fn start(&mut self, now: Time, order: &StartOrder, checker: &mut Checker) -> StartResult {
+        let StartOrder { epoch, task, run, until_ms, submission } = order;
+        let (epoch, task, run, until_ms) = (*epoch, *task, *run, *until_ms);
         if epoch < self.token {
             return StartResult::Outranked;
         }
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -5,7 +5,7 @@
         checker::Checker,
         node::{Node, Wish},
         store::Store,
-        worker::Worker,
+        worker::{StartOrder, Worker},
     },
     egretlb_types::{Epoch, Offset, Seq, Time},
     egretlb_workflow::{
@@ -13,7 +13,7 @@
         Record, RunId, StartResult, State, StopResult, Submission, TaskId, WorkerId, WorkflowId,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    std::{sync::Arc, time::Duration},
+    std::time::Duration,
 };
 
 const STEP: Duration = Duration::from_millis(5);
@@ -42,8 +42,20 @@
         claim: bool,
         result: AppendResult,
     },
-    Order { node: usize, incarnation: u64, epoch: Epoch, sent: Time, effect: Effect },
-    Answer { node: usize, incarnation: u64, epoch: Epoch, sent: Time, answer: Answer },
+    Order {
+        node: usize,
+        incarnation: u64,
+        epoch: Epoch,
+        sent: Time,
+        effect: Effect,
+    },
+    Answer {
+        node: usize,
+        incarnation: u64,
+        epoch: Epoch,
+        sent: Time,
+        answer: Answer,
+    },
 }
 
 enum Answer {
@@ -202,8 +214,11 @@
         if self.steps.is_multiple_of(READ_EVERY) {
             if readable {
                 let from = self.nodes[index].next;
-                let records: Vec<(Offset, Record)> =
-                    self.store.from(from).map(|(offset, record)| (offset, record.clone())).collect();
+                let records: Vec<(Offset, Record)> = self
+                    .store
+                    .from(from)
+                    .map(|(offset, record)| (offset, record.clone()))
+                    .collect();
                 for (offset, record) in records {
                     wishes.extend(self.nodes[index].read(now, offset, &record.key, &record.value));
                 }
@@ -255,7 +270,14 @@
             match wish {
                 Wish::Claim { epoch, seq, at, records } => {
                     let fence = (epoch, seq);
-                    self.send(Msg::Append { node, incarnation, sent, records, fence, at: Some(at) });
+                    self.send(Msg::Append {
+                        node,
+                        incarnation,
+                        sent,
+                        records,
+                        fence,
+                        at: Some(at),
+                    });
                 }
                 Wish::Effect(epoch, Effect::Record { mut records }) => {
                     let leadership = &mut self.nodes[node].leadership;
@@ -357,7 +379,8 @@
                 let result = if unanswered {
                     StartResult::Unknown
                 } else {
-                    worker.start(now, epoch, task, run, &submission, until_ms, checker)
+                    let order = StartOrder { epoch, task, run, submission, until_ms };
+                    worker.start(now, &order, checker)
                 };
                 Answer::Start(id, task, run, result)
             }
@@ -377,7 +400,8 @@
     }
 
     fn answer(&mut self, msg: Msg) {
-        let (Msg::Appended { node, incarnation, .. } | Msg::Answer { node, incarnation, .. }) = &msg
+        let (Msg::Appended { node, incarnation, .. } | Msg::Answer { node, incarnation, .. }) =
+            &msg
         else {
             return;
         };
@@ -392,8 +416,11 @@
         }
         let mut wishes = Vec::new();
         match msg {
-            Msg::Appended { sent, records, fence, claim, result, .. } => {
-                self.on_appended(node, sent, records, fence, claim, result, &mut wishes);
+            Msg::Appended { claim: true, result, .. } => {
+                self.on_claimed(node, result, &mut wishes);
+            }
+            Msg::Appended { sent, records, fence, result, .. } => {
+                self.on_appended(node, (sent, records, fence), result, &mut wishes);
             }
             Msg::Answer { epoch, sent, answer, .. } => {
                 self.on_answer(node, epoch, sent, answer, &mut wishes);
@@ -403,24 +430,24 @@
         self.perform(node, wishes);
     }
 
+    fn on_claimed(&mut self, index: usize, result: AppendResult, wishes: &mut Vec<Wish>) {
+        let node = &mut self.nodes[index];
+        let mut out = Vec::new();
+        node.leadership.on_claim(self.now, result, &mut out);
+        node.apply(self.now, out, wishes);
+    }
+
     fn on_appended(
         &mut self,
         index: usize,
-        sent: Time,
-        records: Vec<Record>,
-        fence: (Epoch, Seq),
-        claim: bool,
+        append: (Time, Vec<Record>, (Epoch, Seq)),
         result: AppendResult,
         wishes: &mut Vec<Wish>,
     ) {
         let now = self.now;
+        let (sent, records, fence) = append;
         let node = &mut self.nodes[index];
         let mut out = Vec::new();
-        if claim {
-            node.leadership.on_claim(now, result, &mut out);
-            node.apply(now, out, wishes);
-            return;
-        }
         if node.leadership.term() != Some(fence.0) {
             return;
         }
@@ -469,8 +496,3 @@
         node.wish(effects, wishes);
     }
 }
-
-/// Shares a submission as effects hold it.
-pub fn shared(submission: &Submission) -> Arc<Submission> {
-    Arc::new(submission.clone())
-}
