Hand clients' records to the leader, which appends them with its own

Each VM's own append remains the way when the leader can't be reached; the same record twice does no harm.

--- a/crates/egretlbd/src/main.rs
+++ b/crates/egretlbd/src/main.rs
@@ -81,6 +81,7 @@
     let listeners = Listeners {
         clients: listen(settings.listen.clients).await?,
         ready: listen(settings.listen.ready).await?,
+        peers: listen(settings.peers()).await?,
     };
     let limits = Limits {
         max_lease: settings.max_lease(),
--- a/crates/runtime/src/append.rs
+++ b/crates/runtime/src/append.rs
@@ -42,7 +42,7 @@
 
 /// While an append has been without success for this long, what arrives is refused at once: it wasn't
 /// sent, and would only wait.
-const STUCK_AFTER: Duration = Duration::from_millis(500);
+pub(crate) const STUCK_AFTER: Duration = Duration::from_millis(500);
 
 /// The most bytes of one append, below the store's bound of 2 MB.
 const MAX_BYTES: usize = 1024 * 1024;
--- a/crates/runtime/src/clients.rs
+++ b/crates/runtime/src/clients.rs
@@ -97,7 +97,7 @@
         taken_ms: node.clock().wall_ms(),
         workflow,
     };
-    let stored = node.appender.append(Record::new(Key::Submission(id), &submission)).await;
+    let stored = node.store_record(Record::new(Key::Submission(id), &submission)).await;
     log::info!(workflow:% = id, route:% = route.name, stored:? = stored; "submitted");
     match stored {
         Stored::Yes => {
@@ -128,7 +128,7 @@
         Found::Nothing => return Response::empty(status::GONE),
         Found::Unknown => return refuse(),
     }
-    let stored = node.appender.append(Record::new(Key::Cancel(id), &true)).await;
+    let stored = node.store_record(Record::new(Key::Cancel(id), &true)).await;
     log::info!(workflow:% = id, stored:? = stored; "cancelled");
     match stored {
         Stored::Yes => Response::empty(status::OK),
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -12,6 +12,7 @@
 mod core;
 mod follow;
 mod node;
+mod peers;
 mod serve;
 
 pub use crate::{
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -2,10 +2,11 @@
 
 use {
     crate::{
-        append::Appender,
+        append::{Appender, STUCK_AFTER, Stored},
         border::{Append, Fence, Formats, HoldCall, StartCall, StopCall, Store, Topic, Workers},
         clock::Clock,
         core::{Core, Effects, Reading},
+        peers::{Leader, Waiting},
     },
     compact_str::CompactString,
     egretlb_types::{Epoch, Time},
@@ -14,9 +15,10 @@
         WorkflowId,
     },
     std::{
-        cell::{Ref, RefCell},
+        cell::{Cell, Ref, RefCell},
         collections::HashSet,
         hash::{DefaultHasher, Hash, Hasher},
+        net::SocketAddr,
         rc::Rc,
         time::Duration,
     },
@@ -76,6 +78,11 @@
     workers: Rc<dyn Workers>,
     formats: Rc<dyn Formats>,
     pub(crate) appender: Rc<Appender>,
+    pub(crate) leader: Leader,
+    /// Clients' records for the leader's next append.
+    waiting: RefCell<Vec<Waiting>>,
+    /// Since when the leader's append under way has had no success.
+    recording: Cell<Option<Time>>,
     clock: Clock,
     wake: Notify,
     /// Told of each answered read of the system's own records.
@@ -100,6 +107,9 @@
             workers,
             formats,
             appender: Rc::default(),
+            leader: Leader::default(),
+            waiting: RefCell::default(),
+            recording: Cell::new(None),
             clock,
             wake: Notify::new(),
             reads: Notify::new(),
@@ -130,6 +140,39 @@
         }
     }
 
+    /// Whether this process may give orders now.
+    pub(crate) fn may_lead(&self) -> bool {
+        let core = self.core.borrow();
+        core.scheduler.is_some() && core.leadership.authority(self.clock.now()).is_some()
+    }
+
+    /// Where another process that leads takes records.
+    pub(crate) fn leader_addr(&self) -> Option<SocketAddr> {
+        let core = self.core.borrow();
+        let leader = core.ledger.leader().filter(|leader| !leader.released)?;
+        if core.leadership.is_own(leader) { None } else { leader.addr }
+    }
+
+    /// Where followers may hand records in, once this process leads.
+    pub(crate) fn listen_at(&self, addr: SocketAddr) {
+        self.core.borrow_mut().leadership.listen_at(addr);
+    }
+
+    /// Adds a client's record to the leader's next append; false if appends don't get through.
+    pub(crate) fn add_waiting(self: &Rc<Self>, waiting: Waiting) -> bool {
+        let stuck = |since| self.clock.now().since(since) >= STUCK_AFTER;
+        if self.recording.get().is_some_and(stuck) {
+            return false;
+        }
+        self.waiting.borrow_mut().push(waiting);
+        self.step(|core, _, _| {
+            if let Some(scheduler) = &mut core.scheduler {
+                scheduler.clients_wait();
+            }
+        });
+        true
+    }
+
     pub(crate) fn leads(&self) -> bool {
         self.core.borrow().scheduler.is_some()
     }
@@ -320,9 +363,21 @@
     /// Appends under the leader's epoch, again and again until it is settled: the numbers of a term
     /// have no gaps, so nothing else can be appended before.
     async fn record(self: Rc<Self>, mut records: Vec<Record>) {
+        let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
+        records.extend(waiting.iter().map(|waiting| waiting.record.clone()));
+        self.recording.set(Some(self.clock.now()));
+        let stored = self.record_all(records).await;
+        self.recording.set(None);
+        for waiting in waiting {
+            // A client that has left doesn't wait for the result.
+            let _ = waiting.tx.send(stored);
+        }
+    }
+
+    async fn record_all(self: &Rc<Self>, mut records: Vec<Record>) -> Stored {
         let (epoch, seq) = {
             let mut core = self.core.borrow_mut();
-            let Some(epoch) = core.leadership.term() else { return };
+            let Some(epoch) = core.leadership.term() else { return Stored::No };
             records.extend(core.leadership.sign(false));
             (epoch, core.leadership.next_seq())
         };
@@ -342,8 +397,11 @@
                     scheduler.on_recorded(now);
                 }
             });
-            if result == AppendResult::Done || self.core.borrow().leadership.term() != Some(epoch) {
-                return;
+            if result == AppendResult::Done {
+                return Stored::Yes;
+            }
+            if self.core.borrow().leadership.term() != Some(epoch) {
+                return Stored::Unknown;
             }
             log::debug!(seq:% = seq, result:? = result; "record_repeated");
             sleep(RECORD_RETRY).await;
--- /dev/null
+++ b/crates/runtime/src/peers.rs
@@ -0,0 +1,121 @@
+//! Clients' records that followers hand to the leader.
+//!
+//! Each append to the store waits for the one before it. With every VM appending for itself, a slow
+//! store (240 ms an append) takes four appends a second from 35 VMs, and the leader's signs of life wait
+//! behind them until it is taken for dead. So followers hand what clients submit to the leader, which
+//! appends it with its own records, all in one call. A leader that can't be reached, or doesn't answer,
+//! is passed over: the same record may be appended twice without harm.
+
+use {
+    crate::{append::Stored, node::Node},
+    bytes::Bytes,
+    egretlb_http::{CallError, Client, Request, Response},
+    egretlb_workflow::Record,
+    http::Method,
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        sync::oneshot,
+        time::timeout,
+    },
+};
+
+/// Where followers hand records in.
+const PATH: &str = "/records";
+
+/// How long a follower waits for the leader. A slow store's append under way and the next one take 500
+/// to 600 ms; a leader that was killed is noticed at once, a cut-off one after this.
+const LIMIT: Duration = Duration::from_millis(900);
+
+/// How long the leader tries to get a record stored; below the followers' limit.
+const STORE_LIMIT: Duration = Duration::from_millis(800);
+
+/// Connections to the leader that are kept.
+const KEPT: usize = 4;
+
+/// The leader's answers.
+mod status {
+    pub(super) const STORED: u16 = 200;
+    pub(super) const NOT_LEADER: u16 = 409;
+    pub(super) const REJECTED: u16 = 503;
+    pub(super) const UNKNOWN: u16 = 504;
+}
+
+/// A client's record that waits for the leader's next append.
+pub(crate) struct Waiting {
+    pub(crate) record: Record,
+    pub(crate) tx: oneshot::Sender<Stored>,
+}
+
+/// The connection to the leader.
+#[derive(Default)]
+pub(crate) struct Leader {
+    client: RefCell<Option<Client>>,
+}
+
+impl Leader {
+    fn client(&self, addr: SocketAddr) -> Client {
+        let mut client = self.client.borrow_mut();
+        match &*client {
+            Some(known) if known.addr() == addr => known.clone(),
+            _ => client.insert(Client::new(addr, KEPT)).clone(),
+        }
+    }
+
+    /// Hands a record to the leader at `addr`.
+    async fn store(&self, addr: SocketAddr, record: &Record) -> Stored {
+        let body = Bytes::from(record.to_bytes());
+        match self.client(addr).call(Method::POST, PATH, &[], body, LIMIT).await {
+            Ok(answer) if answer.status == status::STORED => Stored::Yes,
+            Ok(answer) if answer.status == status::UNKNOWN => Stored::Unknown,
+            Ok(_) | Err(CallError::NotSent | CallError::Refused) => Stored::No,
+            Err(CallError::Lost) => Stored::Unknown,
+        }
+    }
+}
+
+/// Answers a follower.
+pub(crate) async fn answer(node: Rc<Node>, req: Request) -> Response {
+    let record = req.body.filter(|_| req.path == PATH).and_then(|body| Record::from_bytes(&body));
+    let Some(record) = record else { return Response::empty(status::REJECTED) };
+    if !node.may_lead() {
+        return Response::empty(status::NOT_LEADER);
+    }
+    Response::empty(match node.store_as_leader(record).await {
+        Stored::Yes => status::STORED,
+        Stored::No => status::REJECTED,
+        Stored::Unknown => status::UNKNOWN,
+    })
+}
+
+impl Node {
+    /// Gets a client's record stored, by the leader if that works, else by an append of our own.
+    pub(crate) async fn store_record(self: &Rc<Self>, record: Record) -> Stored {
+        let first = if self.may_lead() {
+            self.store_as_leader(record.clone()).await
+        } else if let Some(addr) = self.leader_addr() {
+            self.leader.store(addr, &record).await
+        } else {
+            Stored::No
+        };
+        if first == Stored::Yes {
+            return first;
+        }
+        match self.appender.append(record).await {
+            // The leader may have stored it after all.
+            Stored::No if first == Stored::Unknown => Stored::Unknown,
+            stored => stored,
+        }
+    }
+
+    /// Adds a record to the leader's next append.
+    async fn store_as_leader(self: &Rc<Self>, record: Record) -> Stored {
+        let (tx, rx) = oneshot::channel();
+        if !self.add_waiting(Waiting { record, tx }) {
+            return Stored::No;
+        }
+        match timeout(STORE_LIMIT, rx).await {
+            Ok(Ok(stored)) => stored,
+            Ok(Err(_)) | Err(_) => Stored::Unknown,
+        }
+    }
+}
--- a/crates/runtime/src/serve.rs
+++ b/crates/runtime/src/serve.rs
@@ -1,7 +1,7 @@
 //! Starting a node, and ending it gracefully.
 
 use {
-    crate::{clients, node::Node},
+    crate::{clients, node::Node, peers},
     egretlb_http::{Request, Response, ServerLimits, serve},
     std::{future::Future, rc::Rc, time::Duration},
     tokio::{
@@ -19,6 +19,8 @@
     pub clients: TcpListener,
     /// For the balancer's question whether to send clients here.
     pub ready: TcpListener,
+    /// For followers that hand records to the leader.
+    pub peers: TcpListener,
 }
 
 /// How long a process that ends goes on serving: the balancer asks once a second and takes a node out
@@ -35,6 +37,11 @@
 const CLIENT_LIMITS: ServerLimits =
     ServerLimits { connections: 512, body_bytes: 256 * 1024, head: Duration::from_secs(15) };
 
+/// Limits of the listener for followers: some connections each of up to a hundred VMs. A record is at
+/// most as large as a client's body and its queue's names.
+const PEER_LIMITS: ServerLimits =
+    ServerLimits { connections: 512, body_bytes: 300 * 1024, head: Duration::from_secs(15) };
+
 /// Limits of the balancer's listener.
 const READY_LIMITS: ServerLimits =
     ServerLimits { connections: 32, body_bytes: 1024, head: Duration::from_secs(15) };
@@ -42,7 +49,16 @@
 /// Serves until `stop` resolves, then ends gracefully. Must run within a local task set.
 pub async fn run(node: Rc<Node>, listeners: Listeners, stop: impl Future<Output = ()>) {
     let (tx, rx) = watch::channel(false);
+    match listeners.peers.local_addr() {
+        Ok(addr) => node.listen_at(addr),
+        // Followers append by themselves then.
+        Err(error) => log::warn!(error:% = error; "peer_address_unknown"),
+    }
     node.spawn();
+    let leader = Rc::clone(&node);
+    spawn_local(serve(listeners.peers, PEER_LIMITS, rx.clone(), move |req| {
+        peers::answer(Rc::clone(&leader), req)
+    }));
     let ready = Rc::clone(&node);
     spawn_local(serve(listeners.ready, READY_LIMITS, rx.clone(), move |req| {
         answer_ready(Rc::clone(&ready), req)
--- a/crates/workflow/src/leadership/mod.rs
+++ b/crates/workflow/src/leadership/mod.rs
@@ -17,7 +17,7 @@
     crate::{Key, LeaderRecord, Limits, Record},
     compact_str::CompactString,
     egretlb_types::{Epoch, Offset, Seq, Time},
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// What this process is.
@@ -84,6 +84,8 @@
 pub struct Leadership {
     node: CompactString,
     incarnation: u64,
+    /// Where followers hand records in.
+    addr: Option<SocketAddr>,
     limits: Limits,
     /// This process's share of the spread, in thousandths.
     place: u32,
@@ -124,6 +126,7 @@
         Leadership {
             node: node.into(),
             incarnation,
+            addr: None,
             limits,
             place: place.min(999),
             role: Role::Follower,
@@ -137,6 +140,16 @@
         }
     }
 
+    /// Tells the followers of a later term where to hand records in.
+    pub fn listen_at(&mut self, addr: SocketAddr) {
+        self.addr = Some(addr);
+    }
+
+    /// Whether this process wrote a leader's record.
+    pub fn is_own(&self, record: &LeaderRecord) -> bool {
+        record.incarnation == self.incarnation && record.node == self.node
+    }
+
     /// What this process is.
     pub fn role(&self) -> Role {
         self.role
@@ -172,6 +185,7 @@
             incarnation: self.incarnation,
             epoch,
             released,
+            addr: self.addr,
         };
         Some(Record::new(Key::Leader, &record))
     }
@@ -202,7 +216,7 @@
         self.quiet_since = now;
         self.released = record.released;
         self.known = self.known.max(record.epoch);
-        let own = record.incarnation == self.incarnation && record.node == self.node;
+        let own = self.is_own(record);
         match self.role {
             Role::Claiming { epoch, sent } if own && record.epoch == epoch => {
                 self.elect(now, sent, epoch, out);
@@ -243,6 +257,7 @@
             incarnation: self.incarnation,
             epoch,
             released: false,
+            addr: self.addr,
         };
         out.push(LeadershipEffect::Claim {
             epoch,
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -107,6 +107,8 @@
     pub epoch: Epoch,
     /// It has given up its term and gives no more orders.
     pub released: bool,
+    /// Where it takes records from followers.
+    pub addr: Option<SocketAddr>,
 }
 
 /// A worker that may run something by a leader's orders.
@@ -213,6 +215,27 @@
         Record { key: key.to_bytes(), value: Vec::new() }
     }
 
+    /// The record as processes hand it to each other: the key's length in a byte, key and value.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let mut buf = Vec::with_capacity(1 + self.size());
+        buf.push(u8::try_from(self.key.len()).unwrap_or(u8::MAX));
+        buf.extend_from_slice(&self.key);
+        buf.extend_from_slice(&self.value);
+        buf
+    }
+
+    /// Reads what [`Record::to_bytes`] wrote; none if it is broken or not a client's record.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Record> {
+        let (length, rest) = bytes.split_first()?;
+        let (key, value) = rest.split_at_checked(usize::from(*length))?;
+        match Key::from_bytes(key) {
+            Ok(Key::Submission(_) | Key::Cancel(_)) if !value.is_empty() => {
+                Some(Record { key: key.to_vec(), value: value.to_vec() })
+            }
+            _ => None,
+        }
+    }
+
     /// Bytes of key and value.
     pub fn size(&self) -> usize {
         self.key.len() + self.value.len()
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -128,6 +128,7 @@
     /// Workflows of which a task has no attempt left and none under way.
     spent: BTreeSet<WorkflowId>,
     roster_dirty: bool,
+    clients_wait: bool,
     recording: Option<recording::Recording>,
     recorded_at: Time,
     ended: Vec<(Time, WorkflowId)>,
@@ -157,6 +158,7 @@
             dirty: BTreeSet::new(),
             spent: BTreeSet::new(),
             roster_dirty: false,
+            clients_wait: false,
             recording: None,
             recorded_at: now,
             ended: Vec::new(),
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -24,7 +24,8 @@
 impl Scheduler {
     /// Whether the next append has something to say.
     fn has_news(&self) -> bool {
-        self.roster_dirty
+        self.clients_wait
+            || self.roster_dirty
             || !self.dirty.is_empty()
             || self.workers.values().any(|worker| worker.taken > worker.recorded)
     }
@@ -52,6 +53,7 @@
         }
         self.record_roster(now, &mut recording, &mut records);
         self.forget(now, &mut records);
+        self.clients_wait = false;
         self.recorded_at = now;
         self.recording = Some(recording);
         out.push(Effect::Record { records });
@@ -104,6 +106,11 @@
         }
     }
 
+    /// Clients wait for records that go with the next append.
+    pub fn clients_wait(&mut self) {
+        self.clients_wait = true;
+    }
+
     /// The append under way is in the store.
     pub fn on_recorded(&mut self, now: Time) {
         let Some(recording) = self.recording.take() else { return };
