Serve metrics, log to standard output through a bounded queue

Metrics are read at the address at which followers hand records in. Lines that find the queue of 2,048 full are dropped and counted: a reader that has stopped reading never holds the process up.

--- a/crates/egretlbd/src/main.rs
+++ b/crates/egretlbd/src/main.rs
@@ -68,9 +68,9 @@
 
 fn start() -> Result<(), StartError> {
     let settings = Settings::read().map_err(StartError::Settings)?;
-    if let Err(error) =
-        egretlb_telemetry::init(LogOptions::new(&settings.node_name).verbosity(verbose(), 0))
-    {
+    if let Err(error) = egretlb_telemetry::init(
+        LogOptions::new(&settings.node_name).verbosity(verbose(), 0).queued(),
+    ) {
         eprintln!("egretlbd: {error}");
     }
     let runtime = Builder::new_current_thread().enable_all().build().map_err(StartError::System)?;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -47,16 +47,21 @@
 pub struct Response {
     /// The status.
     pub status: u16,
-    /// The body, JSON if there is any.
+    /// The body.
     pub body: Bytes,
+    /// What the body is, if there is one.
+    pub content_type: &'static str,
     /// When to come back, in seconds.
     pub retry_after: Option<u32>,
 }
 
+/// The content type of most bodies.
+const JSON: &str = "application/json";
+
 impl Response {
     /// An answer without a body.
     pub fn empty(status: u16) -> Response {
-        Response { status, body: Bytes::new(), retry_after: None }
+        Response { status, body: Bytes::new(), content_type: JSON, retry_after: None }
     }
 }
 
@@ -155,14 +160,14 @@
 }
 
 fn write(response: Response) -> hyper::Response<Full<Bytes>> {
-    let Response { status, body, retry_after } = response;
+    let Response { status, body, content_type, retry_after } = response;
     let has_body = !body.is_empty();
     let mut answer = hyper::Response::new(Full::new(body));
     *answer.status_mut() =
         StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = answer.headers_mut();
     if has_body {
-        headers.insert("content-type", HeaderValue::from_static("application/json"));
+        headers.insert("content-type", HeaderValue::from_static(content_type));
     }
     if let Some(seconds) = retry_after {
         headers.insert("retry-after", HeaderValue::from(seconds));
--- a/crates/runtime/src/clients.rs
+++ b/crates/runtime/src/clients.rs
@@ -3,6 +3,7 @@
 use {
     crate::{append::Stored, node::Node},
     egretlb_http::{Request, Response},
+    egretlb_telemetry::Answered,
     egretlb_types::Time,
     egretlb_workflow::{Key, Record, Route, State, Submission, WorkflowId},
     http::Method,
@@ -41,6 +42,18 @@
 /// Answers a client.
 pub(crate) async fn answer(node: Rc<Node>, req: Request) -> Response {
     let arrived = node.clock().now();
+    let response = answer_at(&node, arrived, &req).await;
+    let answered = match response.status {
+        status::OK | status::GONE => Answered::Done,
+        status::UNAVAILABLE => Answered::Refused,
+        status::TIMEOUT => Answered::Unknown,
+        _ => Answered::Wrong,
+    };
+    node.metrics.answered(answered, node.clock().now().since(arrived));
+    response
+}
+
+async fn answer_at(node: &Rc<Node>, arrived: Time, req: &Request) -> Response {
     let route = {
         let core = node.core();
         let Some(routes) = &core.routes else { return refuse() };
@@ -49,16 +62,16 @@
     let Some(route) = route else { return Response::empty(status::NOT_FOUND) };
     let rest = &req.path[route.prefix.len()..];
     if rest.is_empty() && req.method == Method::GET {
-        return pending(&node, &route);
+        return pending(node, &route);
     }
     let id: WorkflowId = match rest.parse() {
         Ok(id) => id,
-        Err(error) => return fault(&node, status::BAD_REQUEST, &error),
+        Err(error) => return fault(node, status::BAD_REQUEST, &error),
     };
     match req.method {
-        Method::POST => submit(&node, &route, id, &req).await,
-        Method::GET => show(&node, id, arrived, &req).await,
-        Method::DELETE => cancel(&node, id, arrived, &req).await,
+        Method::POST => submit(node, &route, id, req).await,
+        Method::GET => show(node, id, arrived, req).await,
+        Method::DELETE => cancel(node, id, arrived, req).await,
         _ => Response::empty(status::METHOD_NOT_ALLOWED),
     }
 }
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -9,6 +9,7 @@
         peers::{Leader, Waiting},
     },
     compact_str::CompactString,
+    egretlb_telemetry::{RunEvent, WorkflowMetrics},
     egretlb_types::{Epoch, Time},
     egretlb_workflow::{
         AppendResult, Effect, Leadership, LeadershipEffect, Limits, Record, Scheduler, WorkerId,
@@ -79,6 +80,7 @@
     formats: Rc<dyn Formats>,
     pub(crate) appender: Rc<Appender>,
     pub(crate) leader: Leader,
+    pub(crate) metrics: WorkflowMetrics,
     /// Clients' records for the leader's next append.
     waiting: RefCell<Vec<Waiting>>,
     /// Since when the leader's append under way has had no success.
@@ -108,6 +110,7 @@
             formats,
             appender: Rc::default(),
             leader: Leader::default(),
+            metrics: WorkflowMetrics::new(),
             waiting: RefCell::default(),
             recording: Cell::new(None),
             clock,
@@ -193,10 +196,30 @@
             let _ = timeout(pause, self.wake.notified()).await;
             let wall_ms = self.clock.wall_ms();
             self.step_quietly(|core, now, out| core.tick(now, wall_ms, out));
+            self.measure();
             sleep(TICK_GAP).await;
         }
     }
 
+    fn measure(&self) {
+        let core = &mut *self.core.borrow_mut();
+        let metrics = &self.metrics;
+        metrics.set_config(core.routes.as_ref().map_or(0, |routes| routes.version));
+        let Some(scheduler) = &mut core.scheduler else {
+            metrics.set_load(false, 0, 0);
+            return;
+        };
+        metrics.set_load(true, scheduler.active(), scheduler.waiting());
+        let measures = scheduler.take_measures();
+        metrics.runs(RunEvent::Started, measures.waits.len() as u64);
+        metrics.runs(RunEvent::Done, measures.done);
+        metrics.runs(RunEvent::Failed, measures.failed);
+        metrics.runs(RunEvent::Stopped, measures.stopped);
+        metrics.runs(RunEvent::Preempted, measures.preempted);
+        metrics.runs(RunEvent::Relieved, measures.relieved);
+        measures.waits.into_iter().for_each(|wait| metrics.started_after(wait));
+    }
+
     /// Takes an event in, and has a pass over what waits follow soon.
     pub(crate) fn step(self: &Rc<Self>, event: impl FnOnce(&mut Core, Time, &mut Effects)) {
         self.step_quietly(event);
@@ -263,6 +286,7 @@
             "elected"
         );
         core.scheduler = Some(scheduler);
+        self.metrics.elected();
         self.wake.notify_one();
     }
 
@@ -398,6 +422,7 @@
                 }
             });
             if result == AppendResult::Done {
+                self.metrics.appended(self.clock.now().since(sent));
                 return Stored::Yes;
             }
             if self.core.borrow().leadership.term() != Some(epoch) {
--- a/crates/runtime/src/peers.rs
+++ b/crates/runtime/src/peers.rs
@@ -10,13 +10,11 @@
     crate::{append::Stored, node::Node},
     bytes::Bytes,
     egretlb_http::{CallError, Client, Request, Response},
+    egretlb_telemetry::METRICS_CONTENT_TYPE,
     egretlb_workflow::Record,
     http::Method,
     std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
-    tokio::{
-        sync::oneshot,
-        time::timeout,
-    },
+    tokio::{sync::oneshot, time::timeout},
 };
 
 /// Where followers hand records in.
@@ -73,8 +71,16 @@
     }
 }
 
-/// Answers a follower.
+/// Where metrics are read.
+const METRICS: &str = "/metrics";
+
+/// Answers a follower, or whoever reads the metrics.
 pub(crate) async fn answer(node: Rc<Node>, req: Request) -> Response {
+    if req.method == Method::GET && req.path == METRICS {
+        let body = Bytes::from(node.metrics.render());
+        let content_type = METRICS_CONTENT_TYPE;
+        return Response { body, content_type, ..Response::empty(status::STORED) };
+    }
     let record = req.body.filter(|_| req.path == PATH).and_then(|body| Record::from_bytes(&body));
     let Some(record) = record else { return Response::empty(status::REJECTED) };
     if !node.may_lead() {
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -23,7 +23,13 @@
     },
     std::{
         fmt::{self, Write as _},
-        io::{Write as _, stderr},
+        io::{Write as _, stderr, stdout},
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+            mpsc::{Receiver, sync_channel},
+        },
+        thread,
         time::SystemTime,
     },
 };
@@ -37,12 +43,13 @@
 pub struct LogOptions {
     node: CompactString,
     level: LevelFilter,
+    queued: bool,
 }
 
 impl LogOptions {
     /// Logs of a process of this name, from level `info`.
     pub fn new(node: impl AsRef<str>) -> Self {
-        LogOptions { node: CompactString::new(node), level: LevelFilter::Info }
+        LogOptions { node: CompactString::new(node), level: LevelFilter::Info, queued: false }
     }
 
     /// The level after so many `-v` and `-q` on the command line: `info` with none, then `debug`
@@ -62,6 +69,13 @@
         self
     }
 
+    /// Writes to standard output through a bounded queue, so that a reader that has stopped reading
+    /// never holds the process up. Lines that find the queue full are dropped and counted.
+    pub fn queued(mut self) -> Self {
+        self.queued = true;
+        self
+    }
+
     /// The level from which events are logged.
     pub fn level(&self) -> LevelFilter {
         self.level
@@ -97,14 +111,15 @@
 ///
 /// A logger is set already.
 pub fn init(options: LogOptions) -> Result<(), InitError> {
-    let LogOptions { node, level } = options;
+    let LogOptions { node, level, queued } = options;
+    let output = if queued { queued_output() } else { Output::call(write_line) };
     fern::Dispatch::new()
         .level(level)
         .filter(|meta| meta.level() <= Level::Warn || meta.target().starts_with(OWN_TARGETS))
         .format(move |out, _, record| {
             out.finish(format_args!("{}", format_line(SystemTime::now(), &node, record)));
         })
-        .chain(Output::call(write_line))
+        .chain(output)
         .apply()
         .map_err(|_| InitError::AlreadySet)
 }
@@ -123,6 +138,47 @@
     log::logger().log(&record.args(args).build());
 }
 
+/// Lines that wait to be written. At 200 bytes a line the queue takes 400 KB at most, and holds some
+/// seconds of a busy leader's events.
+const QUEUE_LINES: usize = 2_048;
+
+/// Standard output behind a bounded queue and a thread of its own.
+fn queued_output() -> Output {
+    let (tx, rx) = sync_channel::<String>(QUEUE_LINES);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let counted = Arc::clone(&dropped);
+    let writer = thread::Builder::new().name("log".into()).stack_size(WRITER_STACK_BYTES);
+    let spawned = writer.spawn(move || write_queued(&rx, &counted));
+    if spawned.is_err() {
+        return Output::call(write_line);
+    }
+    Output::call(move |record| {
+        if tx.try_send(format!("{}\n", record.args())).is_err() {
+            dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    })
+}
+
+/// The writer only passes lines on.
+const WRITER_STACK_BYTES: usize = 64 * 1024;
+
+fn write_queued(rx: &Receiver<String>, dropped: &AtomicU64) {
+    let mut out = stdout().lock();
+    while let Ok(mut lines) = rx.recv() {
+        // Lines that wait are written together: each write is a call to the system.
+        lines.extend(rx.try_iter().take(WRITE_LINES));
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            lines.push_str(&format!("level=warn event=log_lines_dropped lines={lost}\n"));
+        }
+        // Where standard output is gone there is nobody to be told.
+        let _ = out.write_all(lines.as_bytes()).and_then(|()| out.flush());
+    }
+}
+
+/// The most lines of one write.
+const WRITE_LINES: usize = 64;
+
 /// Writes a line and its end in one piece. Standard error has no buffer: were they written apart,
 /// two processes with one terminal or pipe would write into each other's lines.
 fn write_line(record: &Record<'_>) {
--- a/crates/telemetry/src/metrics/mod.rs
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod labels;
 mod scheduler;
+mod workflow;
 
 use {
     prometheus_client::{
@@ -24,6 +25,7 @@
     entry::{EntryMetrics, Shares},
     labels::{AppendResult, Outcome},
     scheduler::{SchedulerMetrics, VmCounts},
+    workflow::{Answered, RunEvent, WorkflowMetrics},
 };
 
 /// The content type of what `render` of the metrics gives.
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -31,7 +31,7 @@
     },
     routes::{Route, RouteTable, RoutesError},
     scheduler::{
-        Effect, End, EndKind, HoldReply, HoldResult, RunningTask, Scheduler, StartResult,
+        Effect, End, EndKind, HoldReply, HoldResult, Measures, RunningTask, Scheduler, StartResult,
         StopResult,
     },
     spec::{Repeat, SpecError, Step, Workflow},
--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -106,6 +106,11 @@
                 EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
             }
         }
+        match end.kind {
+            EndKind::Done => self.measures.done += 1,
+            EndKind::Failed => self.measures.failed += 1,
+            _ => self.measures.stopped += 1,
+        }
         let Some(state) = self.task_mut(end.task) else { return };
         state.copies.retain(|(_, run)| *run != end.run);
         state.last_run = state.last_run.max(end.run);
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -34,6 +34,7 @@
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         sync::Arc,
+        time::Duration,
     },
 };
 
@@ -135,9 +136,27 @@
     interference: Interference,
     /// When a task that ends soon last found no room.
     crowded_at: Option<Time>,
+    measures: Measures,
     wall_ms: u64,
 }
 
+/// What happened since it was last asked for, for metrics.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Measures {
+    /// How long the tasks that were started had waited.
+    pub waits: Vec<Duration>,
+    /// Runs that were done.
+    pub done: u64,
+    /// Runs that failed.
+    pub failed: u64,
+    /// Runs that were stopped or lapsed.
+    pub stopped: u64,
+    /// Lasting tasks stopped for tasks that end soon.
+    pub preempted: u64,
+    /// Fillers stopped for a serving task over its target.
+    pub relieved: u64,
+}
+
 impl Scheduler {
     /// The leader's state at the beginning of its term.
     pub fn new(
@@ -164,6 +183,7 @@
             ended: Vec::new(),
             interference: Interference::default(),
             crowded_at: None,
+            measures: Measures::default(),
             wall_ms,
         };
         // The predecessor may have renewed a lease just before its authority ended.
@@ -287,6 +307,11 @@
         }
     }
 
+    /// What happened since the last call.
+    pub fn take_measures(&mut self) -> Measures {
+        std::mem::take(&mut self.measures)
+    }
+
     /// How many workflows haven't ended.
     pub fn active(&self) -> usize {
         self.flows.len()
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -6,6 +6,7 @@
     compact_str::CompactString,
     egretlb_types::{Resources, Time},
     smallvec::SmallVec,
+    std::time::Duration,
 };
 
 /// Run numbers of one leader begin at its epoch times this. So a number is never used twice, also if a
@@ -78,6 +79,8 @@
                 return false;
             };
             self.pop(key);
+            let wait = self.step_wait(now, key);
+            self.measures.waits.push(wait);
             self.start(now, task, &need, &worker, None, out);
         }
     }
@@ -88,6 +91,14 @@
         Some(&mut occurrence.steps.get_mut(usize::from(key.step))?.queue)
     }
 
+    /// How long a step's queue hasn't been empty.
+    fn step_wait(&self, now: Time, key: Ready) -> Duration {
+        let flow = self.flows.get(&key.workflow);
+        let occurrence = flow.and_then(|flow| flow.occurrences.get(&key.occurrence));
+        let step = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(key.step)));
+        step.map_or(Duration::ZERO, |step| now.since(step.since))
+    }
+
     /// The first task of a step that waits. What was queued before the survey may turn out to be done
     /// or under way.
     fn front(&mut self, key: Ready) -> Option<u32> {
--- a/crates/workflow/src/scheduler/preempt.rs
+++ b/crates/workflow/src/scheduler/preempt.rs
@@ -58,6 +58,7 @@
             }
             let Some((id, task, run, cpu)) = self.victim(now, service, step) else { return };
             freed += u64::from(cpu.0);
+            self.measures.preempted += 1;
             log::info!(task:%, run:%, worker:% = id, waiting; "task_preempted");
             self.stop_runs(now, &id, out, |of, number| of == task && number == run);
         }
--- a/crates/workflow/src/scheduler/pressure.rs
+++ b/crates/workflow/src/scheduler/pressure.rs
@@ -136,6 +136,7 @@
             return;
         }
         worker.relieved_at = now;
+        self.measures.relieved += chosen.len() as u64;
         let image = self.interference.name(serving);
         log::info!(worker:% = id, image:%, stopped = chosen.len(), forced; "serving_relieved");
         self.stop_runs(now, id, out, |task, run| chosen.contains(&(task, run)));
