Record what was learned of images, so that a successor starts with it

Cause: each new leader tried all bad pairs of images again; serving tasks were over target for seconds after each change.

--- a/crates/workflow/src/interference.rs
+++ b/crates/workflow/src/interference.rs
@@ -13,7 +13,12 @@
 //! differences. In recorded days this explained the figures better than a linear or a queueing form,
 //! and told bad pairs (0.05 to 0.15 a core) from harmless ones (below 0.02) within three seconds.
 
-use {compact_str::CompactString, smallvec::SmallVec, std::time::Duration};
+use {
+    compact_str::CompactString,
+    serde::{Deserialize, Serialize},
+    smallvec::SmallVec,
+    std::time::Duration,
+};
 
 /// Filler images beyond this many aren't told apart from harmless ones. The cost of an observation
 /// grows with the square; at 24 it is 600 multiplications.
@@ -52,14 +57,14 @@
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ImageNo(u16);
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Row {
     weights: Vec<f32>,
     /// The covariance of the weights, row by row.
     spread: Vec<f32>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Image {
     name: CompactString,
     /// Its place in exposures, if it fills.
@@ -68,8 +73,9 @@
     row: Row,
 }
 
-/// What was learned, by pair of images.
-#[derive(Clone, Debug, Default)]
+/// What was learned, by pair of images. A leader records it from time to time: its successor would
+/// otherwise try all bad pairs again.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Interference {
     images: Vec<Image>,
     columns: usize,
--- a/crates/workflow/src/ledger/mod.rs
+++ b/crates/workflow/src/ledger/mod.rs
@@ -7,8 +7,8 @@
 
 use {
     crate::{
-        Key, LeaderRecord, Outcome, Progress, RecordError, RosterEntry, Submission, WorkflowId,
-        record::read_value,
+        Interference, Key, LeaderRecord, Outcome, Progress, RecordError, RosterEntry, Submission,
+        WorkflowId, record::read_value,
     },
     compact_str::CompactString,
     egretlb_types::Offset,
@@ -88,6 +88,7 @@
     entries: HashMap<WorkflowId, Entry>,
     leader: Option<(Offset, LeaderRecord)>,
     roster: Option<(Offset, Vec<RosterEntry>)>,
+    learned: Option<(Offset, Interference)>,
 }
 
 impl Ledger {
@@ -111,6 +112,11 @@
         self.roster.as_ref().map_or(&[], |(_, roster)| roster)
     }
 
+    /// What the last leader had learned of images.
+    pub fn learned(&self) -> Option<&Interference> {
+        self.learned.as_ref().map(|(_, learned)| learned)
+    }
+
     /// How many of a queue's workflows wait for their first start. Those that run by the clock aren't
     /// counted.
     pub fn pending(&self, route: &str) -> usize {
@@ -131,6 +137,7 @@
         match Key::from_bytes(key)? {
             Key::Leader => self.apply_leader(offset, value),
             Key::Roster => self.apply_roster(offset, value),
+            Key::Learned => self.apply_learned(offset, value),
             Key::Submission(id) if value.is_empty() => {
                 self.entries.remove(&id);
                 Ok(Change::None)
@@ -162,6 +169,14 @@
         Ok(Change::Roster)
     }
 
+    fn apply_learned(&mut self, offset: Offset, value: &[u8]) -> Result<Change, RecordError> {
+        if self.learned.as_ref().is_some_and(|(at, _)| *at >= offset) {
+            return Ok(Change::None);
+        }
+        self.learned = Some((offset, read_value(value)?));
+        Ok(Change::None)
+    }
+
     /// The first submission of an id counts: a client that got no answer sends it again, and another
     /// process may have recorded it already.
     fn apply_submission(&mut self, id: WorkflowId, value: &[u8]) -> Result<Change, RecordError> {
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -23,6 +23,8 @@
     Leader,
     /// Which workers may run something by a leader's orders.
     Roster,
+    /// What a leader has learned of images.
+    Learned,
     /// A workflow's submission.
     Submission(WorkflowId),
     /// A workflow's cancellation.
@@ -67,6 +69,7 @@
         match self {
             Key::Leader => b"leader".to_vec(),
             Key::Roster => b"roster".to_vec(),
+            Key::Learned => b"learned".to_vec(),
             Key::Submission(id) => format!("w/{id}").into_bytes(),
             Key::Cancel(id) => format!("c/{id}").into_bytes(),
             Key::Progress(id) => format!("p/{id}").into_bytes(),
@@ -82,6 +85,7 @@
         match bytes {
             b"leader" => return Ok(Key::Leader),
             b"roster" => return Ok(Key::Roster),
+            b"learned" => return Ok(Key::Learned),
             _ => {}
         }
         let text = std::str::from_utf8(bytes).map_err(|_| RecordError::UnknownKey)?;
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -134,6 +134,9 @@
     recorded_at: Time,
     ended: Vec<(Time, WorkflowId)>,
     interference: Interference,
+    /// When what was learned was last recorded, and whether there is more.
+    learned_at: Time,
+    learned_news: bool,
     /// When a task that ends soon last found no room.
     crowded_at: Option<Time>,
     measures: Measures,
@@ -181,7 +184,9 @@
             recording: None,
             recorded_at: now,
             ended: Vec::new(),
-            interference: Interference::default(),
+            interference: ledger.learned().cloned().unwrap_or_default(),
+            learned_at: now,
+            learned_news: false,
             crowded_at: None,
             measures: Measures::default(),
             wall_ms,
--- a/crates/workflow/src/scheduler/pressure.rs
+++ b/crates/workflow/src/scheduler/pressure.rs
@@ -91,6 +91,7 @@
                 let elapsed = now.since(copy.taken_at);
                 (copy.taken_figure, copy.taken_at) = (copy.figure, now);
                 let average = &mut copy.average;
+                self.learned_news = true;
                 self.interference.observe(copy.image, average, elapsed, ratio, &exposure);
             }
             if ratio <= 1.0 {
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -4,6 +4,7 @@
     super::{Effect, Scheduler},
     crate::{Key, Record, RosterEntry, WorkerId, WorkflowId},
     egretlb_types::Time,
+    std::time::Duration,
 };
 
 /// An append under way and what it settles.
@@ -18,6 +19,10 @@
 /// The most bytes of records in one append; far below the store's bound of 2 MB.
 const RECORD_BYTES: usize = 512 * 1024;
 
+/// How often what was learned is recorded. It takes some 2 KB for 15 images, and every process reads it;
+/// what a successor lacks are the last seconds.
+const LEARNED_GAP: Duration = Duration::from_secs(3);
+
 /// The most old workflows forgotten in one append.
 const FORGET_PER_APPEND: usize = 200;
 
@@ -53,6 +58,7 @@
         }
         self.record_roster(now, &mut recording, &mut records);
         self.forget(now, &mut records);
+        self.record_learned(now, &mut records);
         self.clients_wait = false;
         self.recorded_at = now;
         self.recording = Some(recording);
@@ -95,6 +101,15 @@
         records.push(Record::new(Key::Roster, &roster));
     }
 
+    /// Adds what was learned of images, from time to time.
+    fn record_learned(&mut self, now: Time, records: &mut Vec<Record>) {
+        if self.learned_news && now.since(self.learned_at) >= LEARNED_GAP {
+            self.learned_news = false;
+            self.learned_at = now;
+            records.push(Record::new(Key::Learned, &self.interference));
+        }
+    }
+
     /// Drops the records of workflows that ended long ago.
     fn forget(&mut self, now: Time, records: &mut Vec<Record>) {
         let retention = self.limits.retention;
