--- a/crates/runtime/src/append.rs
+++ b/crates/runtime/src/append.rs
@@ -60,8 +60,46 @@
     clock: Clock,
     /// Since when the append under way has had no success.
     trying: Cell<Option<Time>>,
+    pub(crate) pace: Pace,
 }
 
+/// How long the store takes for an append, as seen lately.
+///
+/// An append that is given up stays in the store's queue, and its repetition is queued behind it. With a
+/// fixed limit below what a slow store takes, all VMs together would queue several times what the store
+/// can take, and nothing would get through; with one above it, each lost answer would cost seconds.
+#[derive(Debug)]
+pub(crate) struct Pace {
+    typical: Cell<Duration>,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Pace { typical: Cell::new(Duration::from_millis(20)) }
+    }
+}
+
+impl Pace {
+    /// An append was answered, or given up, after so long.
+    pub(crate) fn took(&self, span: Duration) {
+        self.typical.set((self.typical.get() * 3 + span) / 4);
+    }
+
+    /// How long the next append's answer is waited for.
+    pub(crate) fn limit(&self) -> Duration {
+        (self.typical.get() * LIMIT_FACTOR).clamp(LEAST_LIMIT, MOST_LIMIT)
+    }
+}
+
+/// An answer is waited for this many times as long as is typical: several VMs' appends may be queued.
+const LIMIT_FACTOR: u32 = 5;
+
+/// A store that usually answers at once is waited for this long.
+const LEAST_LIMIT: Duration = Duration::from_millis(600);
+
+/// The store rejects what would wait for more than 2 s.
+const MOST_LIMIT: Duration = Duration::from_millis(2_400);
+
 impl Appender {
     /// Whether appends don't get through.
     pub(crate) fn is_stuck(&self) -> bool {
@@ -90,8 +128,8 @@
             }
             let (records, senders): (Vec<Record>, Vec<_>) =
                 batch.into_iter().map(|waiting| (waiting.record, waiting.tx)).unzip();
-            let append = Append { records, fence: None, at: None };
-            let stored = self.commit(&*store, &append).await;
+            let append = Append { records, fence: None, limit: Duration::ZERO };
+            let stored = self.commit(&*store, append).await;
             for tx in senders {
                 // A client that has left doesn't wait for the result.
                 let _ = tx.send(stored);
@@ -110,23 +148,30 @@
         waiting.drain(..count).collect()
     }
 
-    async fn commit(&self, store: &dyn Store, append: &Append) -> Stored {
+    async fn commit(&self, store: &dyn Store, append: Append) -> Stored {
         let begun = self.clock.now();
         self.trying.set(Some(begun));
+        let records = append.records.len();
         let stored = self.persist(begun, store, append).await;
         self.trying.set(None);
         if stored != Stored::Yes {
-            log::warn!(records = append.records.len(), stored:? = stored; "append_given_up");
+            log::warn!(records, stored:? = stored; "append_given_up");
             self.refuse_waiting();
         }
         stored
     }
 
-    async fn persist(&self, begun: Time, store: &dyn Store, append: &Append) -> Stored {
+    async fn persist(&self, begun: Time, store: &dyn Store, mut append: Append) -> Stored {
         let mut uncertain = false;
         let mut tries = 0;
         loop {
-            match store.append(append).await {
+            let sent = self.clock.now();
+            append.limit = self.pace.limit();
+            let result = store.append(&append).await;
+            if result != AppendResult::Rejected {
+                self.pace.took(self.clock.now().since(sent));
+            }
+            match result {
                 AppendResult::Done => return Stored::Yes,
                 AppendResult::Unknown => uncertain = true,
                 AppendResult::Conflict | AppendResult::Fenced | AppendResult::Rejected => {}
--- a/crates/runtime/src/border.rs
+++ b/crates/runtime/src/border.rs
@@ -92,8 +92,8 @@
     pub records: Vec<Record>,
     /// Set for what only a leader appends.
     pub fence: Option<Fence>,
-    /// Append only if the partition ends here.
-    pub at: Option<Offset>,
+    /// How long the answer is waited for.
+    pub limit: Duration,
 }
 
 /// The platform's store.
--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -3,7 +3,7 @@
 use {
     crate::border::{OperatorChange, Stored},
     compact_str::CompactString,
-    egretlb_types::{Offset, Time},
+    egretlb_types::Time,
     egretlb_workflow::{
         Change, DirectoryChange, Effect, Leadership, LeadershipEffect, Ledger, Limits, RouteTable,
         Scheduler, WorkerId, WorkerInfo, WorkflowId,
@@ -23,8 +23,6 @@
 pub(crate) struct Reading {
     /// All keys were read once.
     pub(crate) loaded: bool,
-    /// The offset after the last record read.
-    pub(crate) next: Offset,
     /// The last read reached the partition's end.
     pub(crate) at_end: bool,
     /// When the last read was answered.
@@ -124,10 +122,11 @@
 
     /// Time has passed.
     pub(crate) fn tick(&mut self, now: Time, wall_ms: u64, out: &mut Effects) {
-        let end =
-            (self.work.loaded && self.work.at_end && !self.stopping).then_some(self.work.next);
-        self.leadership.tick(now, end, &mut out.leadership);
-        if self.leadership.authority(now).is_some()
+        let caught_up = self.work.loaded && self.work.at_end && !self.stopping;
+        self.leadership.tick(now, caught_up, &mut out.leadership);
+        // A process that ends begins nothing: its last append must be settled before it gives up its term.
+        if !self.stopping
+            && self.leadership.authority(now).is_some()
             && let Some(scheduler) = &mut self.scheduler
         {
             scheduler.tick(now, wall_ms, &mut out.scheduler);
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -96,7 +96,7 @@
             if topic == Topic::Directory {
                 node.directory_loaded(&found);
             }
-            node.read_done(topic, Reading { loaded: true, next, at_end: false, fresh: None });
+            node.read_done(topic, Reading { loaded: true, at_end: false, fresh: None });
             return Some(next);
         }
     }
@@ -112,7 +112,7 @@
             }
             let fresh: Option<Time> = Some(node.clock().now());
             let at_end = *next >= end;
-            node.read_done(topic, Reading { loaded: true, next: *next, at_end, fresh });
+            node.read_done(topic, Reading { loaded: true, at_end, fresh });
             true
         }
         ReadResult::Forgotten => false,
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -263,9 +263,13 @@
 
     fn perform_leadership(self: &Rc<Self>, effect: LeadershipEffect) {
         match effect {
-            LeadershipEffect::Claim { epoch, seq, at, records } => {
+            LeadershipEffect::Claim { epoch, seq, records } => {
                 let fence = Some(Fence { epoch, seq });
-                spawn_local(Rc::clone(self).claim(Append { records, fence, at: Some(at) }));
+                spawn_local(Rc::clone(self).claim(Append {
+                    records,
+                    fence,
+                    limit: self.appender.pace.limit(),
+                }));
             }
             LeadershipEffect::Elected { epoch } => self.begin_term(epoch),
             LeadershipEffect::Deposed => {
@@ -294,7 +298,7 @@
     async fn claim(self: Rc<Self>, append: Append) {
         let result = self.store.append(&append).await;
         log::info!(result:? = result; "claimed");
-        self.step(|core, now, out| core.leadership.on_claim(now, result, &mut out.leadership));
+        self.step(|core, now, _| core.leadership.on_claim(now, result));
     }
 
     fn perform(self: &Rc<Self>, effect: Effect) {
@@ -420,11 +424,17 @@
             records.extend(core.leadership.sign(false));
             (epoch, core.leadership.next_seq())
         };
-        let append = Append { records, fence: Some(Fence { epoch, seq }), at: None };
+        let fence = Some(Fence { epoch, seq });
+        let mut append = Append { records, fence, limit: self.appender.pace.limit() };
         // A repetition may be answered with the first one's result, so it proves nothing later.
         let sent = self.clock.now();
         loop {
+            let begun = self.clock.now();
             let result = self.store.append(&append).await;
+            if result != AppendResult::Rejected {
+                self.appender.pace.took(self.clock.now().since(begun));
+            }
+            append.limit = self.appender.pace.limit();
             self.step(|core, now, out| {
                 if core.leadership.term() != Some(epoch) {
                     return;
@@ -450,9 +460,16 @@
 
     /// Prepares the end of the process: it takes no term any more, and gives up the one it has.
     pub(crate) async fn retire(self: &Rc<Self>) {
+        self.core.borrow_mut().stopping = true;
+        // Appends of a term are numbered without gaps, so the one under way is waited for.
+        for _ in 0..RELEASE_TRIES {
+            if self.recording.get().is_none() {
+                break;
+            }
+            sleep(RECORD_RETRY).await;
+        }
         let release = {
             let mut core = self.core.borrow_mut();
-            core.stopping = true;
             core.leadership.retire();
             let epoch = core.leadership.term();
             let sign = core.leadership.sign(true);
@@ -461,7 +478,9 @@
         let Some((epoch, sign, seq)) = release else { return };
         // From here on nothing is ordered, so a successor may begin as soon as it reads the record.
         self.step(|core, now, out| core.leadership.resign(now, &mut out.leadership));
-        let append = Append { records: vec![sign], fence: Some(Fence { epoch, seq }), at: None };
+        let fence = Some(Fence { epoch, seq });
+        let limit = self.appender.pace.limit();
+        let append = Append { records: vec![sign], fence, limit };
         for _ in 0..RELEASE_TRIES {
             match self.store.append(&append).await {
                 AppendResult::Done | AppendResult::Fenced => return,
@@ -471,5 +490,6 @@
     }
 }
 
-/// How often the end of a term is recorded; a successor takes over without it, only later.
-const RELEASE_TRIES: u32 = 5;
+/// How often the end of a term is tried to record, 1.2 s in all on a store that answers at once; a
+/// successor takes over without it, only later.
+const RELEASE_TRIES: u32 = 20;
--- a/crates/runtime/src/peers.rs
+++ b/crates/runtime/src/peers.rs
@@ -99,7 +99,12 @@
         let first = if self.may_lead() {
             self.store_as_leader(record.clone()).await
         } else if let Some(addr) = self.leader_addr() {
-            self.leader.store(addr, &record).await
+            let sent = self.clock().now();
+            let stored = self.leader.store(addr, &record).await;
+            if stored == Stored::Yes {
+                self.appender.pace.took(self.clock().now().since(sent));
+            }
+            stored
         } else {
             Stored::No
         };
--- a/crates/workflow/src/leadership/mod.rs
+++ b/crates/workflow/src/leadership/mod.rs
@@ -2,21 +2,23 @@
 //!
 //! One process gives all orders; the others follow the same records and can take its place at once.
 //! A leader leaves a sign of life with each append, and at least every [`Limits::heartbeat`]. A
-//! follower that reads no sign for [`Limits::takeover_after`] appends a claim under the next epoch,
-//! on the condition that nothing was appended after what it has read. So of several followers one
-//! gets through, and a follower that was paused can't depose a leader whose signs it hasn't read yet.
-//! The claim's epoch fences the predecessor at the store; the successor's first order fences it at
-//! each worker.
+//! follower that reads no sign for [`Limits::takeover_after`] appends a claim under the next epoch. The
+//! store takes one claim of an epoch: their numbers differ, so others count as out of order. The epoch
+//! fences the predecessor at the store; the successor's first order fences it at each worker.
+//!
+//! A claimant leads once it *reads* its claim: by then it has read all that came before, and nothing of
+//! its predecessor comes after. A condition on the records' end would do without that read, but while
+//! nobody leads each VM appends what its clients submit, and a slow store then lets no such claim pass.
 //!
 //! A leader that can't reach the store may still reach workers that its successor can't. It stops by
 //! itself: it orders nothing once [`Limits::authority`] has passed since it *sent* the last append
-//! that was acknowledged. The successor counts the same span from when its claim was acknowledged,
-//! which is later, and then a lease, before it takes such a worker's tasks as ended.
+//! that was acknowledged. The successor counts the same span from when it has read its claim, which is
+//! later, and then a lease, before it takes such a worker's tasks as ended.
 
 use {
     crate::{Key, LeaderRecord, Limits, Record},
     compact_str::CompactString,
-    egretlb_types::{Epoch, Offset, Seq, Time},
+    egretlb_types::{Epoch, Seq, Time},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -44,14 +46,12 @@
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LeadershipEffect {
-    /// Append this claim if the store's partition still ends at `at`.
+    /// Append this claim.
     Claim {
         /// The epoch of the append.
         epoch: Epoch,
         /// Its number.
         seq: Seq,
-        /// The offset at which the partition must end.
-        at: Offset,
         /// The records.
         records: Vec<Record>,
     },
@@ -91,6 +91,8 @@
     place: u32,
     role: Role,
     quiet_since: Time,
+    /// No claim before this time: the last one was rejected.
+    claim_after: Time,
     last_tick: Time,
     /// The last leader was an earlier process at this very address: it has certainly ended.
     own_predecessor: bool,
@@ -112,9 +114,13 @@
 /// process that claims an epoch would be told that it has it.
 const SEQ_STARTS: u64 = 1 << 31;
 
+/// The pause after a rejected claim. Either another one has got through, which is read by then, or the
+/// store takes no appends, and claims of all VMs must not add to that.
+const CLAIM_AGAIN: Duration = Duration::from_millis(400);
+
 /// A claim of which nothing is heard or read for so long is given up. Well above the answer of a slow
-/// store (300 ms) and the read that shows the claim.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// store (300 ms), the appends queued before it (2 s at most), and the read that shows the claim.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 impl Leadership {
     /// A follower that has read nothing yet. `place` spreads the followers' claims, from 0 to 999.
@@ -133,6 +139,7 @@
             place: place.min(999),
             role: Role::Follower,
             quiet_since: now,
+            claim_after: now,
             last_tick: now,
             own_predecessor: false,
             released: false,
@@ -241,16 +248,15 @@
         self.quiet_since = now;
     }
 
-    /// Time has passed. `end` is the offset after the last record read, if the last read reached the
-    /// end of the partition.
-    pub fn tick(&mut self, now: Time, end: Option<Offset>, out: &mut Vec<LeadershipEffect>) {
+    /// Time has passed. `caught_up` says that the last read reached the end of the records.
+    pub fn tick(&mut self, now: Time, caught_up: bool, out: &mut Vec<LeadershipEffect>) {
         if now.since(self.last_tick) > PAUSE {
             self.quiet_since = now;
         }
         self.last_tick = now;
         self.give_up_claim(now);
-        let Some(at) = end else { return };
-        if self.role != Role::Follower || !self.willing || !self.takeover_due(now) {
+        let may_claim = caught_up && self.willing && now >= self.claim_after;
+        if self.role != Role::Follower || !may_claim || !self.takeover_due(now) {
             return;
         }
         let epoch = self.known.next();
@@ -266,7 +272,6 @@
         out.push(LeadershipEffect::Claim {
             epoch,
             seq,
-            at,
             records: vec![Record::new(Key::Leader, &record)],
         });
     }
@@ -298,15 +303,14 @@
     }
 
     /// What became of the claim under way.
-    pub fn on_claim(&mut self, now: Time, result: AppendResult, out: &mut Vec<LeadershipEffect>) {
-        let Role::Claiming { epoch, sent } = self.role else { return };
+    pub fn on_claim(&mut self, now: Time, result: AppendResult) {
+        let Role::Claiming { epoch, .. } = self.role else { return };
         match result {
-            AppendResult::Done => self.elect(now, sent, epoch, out),
+            // Settled by what is read.
+            AppendResult::Done | AppendResult::Unknown => {}
             AppendResult::Conflict | AppendResult::Rejected => {
                 self.role = Role::Follower;
-                if result == AppendResult::Rejected {
-                    self.quiet_since = now;
-                }
+                self.claim_after = now + CLAIM_AGAIN;
             }
             AppendResult::Fenced => {
                 // Somebody has used this epoch; the next claim must be higher.
@@ -314,7 +318,6 @@
                 self.role = Role::Follower;
                 self.quiet_since = now;
             }
-            AppendResult::Unknown => {}
         }
     }
 
--- a/crates/workflow/tests/support/node.rs
+++ b/crates/workflow/tests/support/node.rs
@@ -27,7 +27,7 @@
 
 /// What a node wants done.
 pub enum Wish {
-    Claim { epoch: Epoch, seq: Seq, at: Offset, records: Vec<egretlb_workflow::Record> },
+    Claim { epoch: Epoch, seq: Seq, records: Vec<egretlb_workflow::Record> },
     Effect(Epoch, Effect),
 }
 
@@ -94,8 +94,8 @@
     pub fn apply(&mut self, now: Time, out: Vec<LeadershipEffect>, wishes: &mut Vec<Wish>) {
         for effect in out {
             match effect {
-                LeadershipEffect::Claim { epoch, seq, at, records } => {
-                    wishes.push(Wish::Claim { epoch, seq, at, records });
+                LeadershipEffect::Claim { epoch, seq, records } => {
+                    wishes.push(Wish::Claim { epoch, seq, records });
                 }
                 LeadershipEffect::Elected { epoch } => {
                     self.elections += 1;
--- a/crates/workflow/tests/support/store.rs
+++ b/crates/workflow/tests/support/store.rs
@@ -14,20 +14,11 @@
 }
 
 impl Store {
-    pub fn end(&self) -> Offset {
-        Offset(self.records.len() as u64)
-    }
-
     pub fn from(&self, next: Offset) -> impl Iterator<Item = (Offset, &Record)> {
         (0..).map(Offset).zip(&self.records).skip(next.0 as usize)
     }
 
-    pub fn append(
-        &mut self,
-        records: &[Record],
-        fence: Option<(Epoch, Seq)>,
-        at: Option<Offset>,
-    ) -> AppendResult {
+    pub fn append(&mut self, records: &[Record], fence: Option<(Epoch, Seq)>) -> AppendResult {
         if let Some((epoch, seq)) = fence {
             if epoch < self.epoch {
                 return AppendResult::Fenced;
@@ -39,9 +30,6 @@
                 return AppendResult::Rejected;
             }
         }
-        if at.is_some_and(|at| at != self.end()) {
-            return AppendResult::Conflict;
-        }
         if let Some((epoch, seq)) = fence {
             (self.epoch, self.seq) = (epoch, Some(seq));
         }
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -31,7 +31,7 @@
         sent: Time,
         records: Vec<Record>,
         fence: (Epoch, Seq),
-        at: Option<Offset>,
+        claim: bool,
     },
     Appended {
         node: usize,
@@ -123,13 +123,13 @@
     /// A client's workflow, recorded at once.
     pub fn submit(&mut self, id: u64, submission: &Submission) -> WorkflowId {
         let id = WorkflowId(id);
-        self.store.append(&[Record::new(Key::Submission(id), submission)], None, None);
+        self.store.append(&[Record::new(Key::Submission(id), submission)], None);
         self.submitted.push(id);
         id
     }
 
     pub fn cancel(&mut self, id: WorkflowId) {
-        self.store.append(&[Record::new(Key::Cancel(id), &true)], None, None);
+        self.store.append(&[Record::new(Key::Cancel(id), &true)], None);
         self.checker.cancelled.insert(id);
     }
 
@@ -228,8 +228,7 @@
         }
         let node = &mut self.nodes[index];
         let mut out: Vec<LeadershipEffect> = Vec::new();
-        let end = readable.then_some(node.next);
-        node.leadership.tick(now, end, &mut out);
+        node.leadership.tick(now, readable, &mut out);
         node.apply(now, out, &mut wishes);
         let mut effects = Vec::new();
         if node.leads(now)
@@ -268,16 +267,9 @@
         let sent = self.now;
         for wish in wishes {
             match wish {
-                Wish::Claim { epoch, seq, at, records } => {
+                Wish::Claim { epoch, seq, records } => {
                     let fence = (epoch, seq);
-                    self.send(Msg::Append {
-                        node,
-                        incarnation,
-                        sent,
-                        records,
-                        fence,
-                        at: Some(at),
-                    });
+                    self.send(Msg::Append { node, incarnation, sent, records, fence, claim: true });
                 }
                 Wish::Effect(epoch, Effect::Record { mut records }) => {
                     let leadership = &mut self.nodes[node].leadership;
@@ -286,7 +278,14 @@
                     }
                     records.extend(leadership.sign(false));
                     let fence = (epoch, leadership.next_seq());
-                    self.send(Msg::Append { node, incarnation, sent, records, fence, at: None });
+                    self.send(Msg::Append {
+                        node,
+                        incarnation,
+                        sent,
+                        records,
+                        fence,
+                        claim: false,
+                    });
                 }
                 Wish::Effect(_, Effect::Outranked) => {
                     let mut out = Vec::new();
@@ -313,8 +312,8 @@
         self.messages = later;
         for (_, msg) in due {
             match msg {
-                Msg::Append { node, incarnation, sent, records, fence, at } => {
-                    self.append(node, incarnation, sent, records, fence, at);
+                Msg::Append { node, incarnation, sent, records, fence, claim } => {
+                    self.append(node, incarnation, (sent, records, fence), claim);
                 }
                 Msg::Order { node, incarnation, epoch, sent, effect } => {
                     self.order(node, incarnation, epoch, sent, effect);
@@ -328,20 +327,18 @@
         &mut self,
         node: usize,
         incarnation: u64,
-        sent: Time,
-        records: Vec<Record>,
-        fence: (Epoch, Seq),
-        at: Option<Offset>,
+        append: (Time, Vec<Record>, (Epoch, Seq)),
+        claim: bool,
     ) {
+        let (sent, records, fence) = append;
         let reached = self.nodes[node].reaches_store && !self.store_down;
         let mut result = AppendResult::Rejected;
         if reached {
-            result = self.store.append(&records, Some(fence), at);
+            result = self.store.append(&records, Some(fence));
             if self.rng.random_range(0..1_000) < self.lost_appends {
                 result = AppendResult::Unknown;
             }
         }
-        let claim = at.is_some();
         self.send(Msg::Appended { node, incarnation, sent, records, fence, claim, result });
     }
 
@@ -417,7 +414,7 @@
         let mut wishes = Vec::new();
         match msg {
             Msg::Appended { claim: true, result, .. } => {
-                self.on_claimed(node, result, &mut wishes);
+                self.nodes[node].leadership.on_claim(now, result);
             }
             Msg::Appended { sent, records, fence, result, .. } => {
                 self.on_appended(node, (sent, records, fence), result, &mut wishes);
@@ -430,13 +427,6 @@
         self.perform(node, wishes);
     }
 
-    fn on_claimed(&mut self, index: usize, result: AppendResult, wishes: &mut Vec<Wish>) {
-        let node = &mut self.nodes[index];
-        let mut out = Vec::new();
-        node.leadership.on_claim(self.now, result, &mut out);
-        node.apply(self.now, out, wishes);
-    }
-
     fn on_appended(
         &mut self,
         index: usize,
@@ -462,7 +452,7 @@
             AppendResult::Rejected | AppendResult::Unknown => {
                 let incarnation = node.incarnation;
                 let again =
-                    Msg::Append { node: index, incarnation, sent, records, fence, at: None };
+                    Msg::Append { node: index, incarnation, sent, records, fence, claim: false };
                 self.messages.push((now + Duration::from_millis(60), again));
             }
             AppendResult::Conflict | AppendResult::Fenced => {}
