Settle appends by what is read, and give a slow store time

Appends given up after 0.6 or 0.7 s stayed queued, each repetition came behind them, and the leader alone kept itself from getting through.

--- a/crates/runtime/src/append.rs
+++ b/crates/runtime/src/append.rs
@@ -1,10 +1,7 @@
 //! Group commit of what clients submit: what arrives while an append is under way goes into the next.
 
 use {
-    crate::{
-        border::{Append, Store},
-        clock::Clock,
-    },
+    crate::{border::Append, clock::Clock, node::Node},
     egretlb_types::Time,
     egretlb_workflow::{AppendResult, Record},
     std::{
@@ -41,8 +38,8 @@
 const PERSIST: Duration = Duration::from_millis(2_600);
 
 /// While an append has been without success for this long, what arrives is refused at once: it wasn't
-/// sent, and would only wait.
-pub(crate) const STUCK_AFTER: Duration = Duration::from_millis(500);
+/// sent, and would only wait. A slow store takes half a second for an append.
+pub(crate) const STUCK_AFTER: Duration = Duration::from_millis(1_000);
 
 /// The most bytes of one append, below the store's bound of 2 MB.
 const MAX_BYTES: usize = 1024 * 1024;
@@ -60,46 +57,8 @@
     clock: Clock,
     /// Since when the append under way has had no success.
     trying: Cell<Option<Time>>,
-    pub(crate) pace: Pace,
-}
-
-/// How long the store takes for an append, as seen lately.
-///
-/// An append that is given up stays in the store's queue, and its repetition is queued behind it. With a
-/// fixed limit below what a slow store takes, all VMs together would queue several times what the store
-/// can take, and nothing would get through; with one above it, each lost answer would cost seconds.
-#[derive(Debug)]
-pub(crate) struct Pace {
-    typical: Cell<Duration>,
-}
-
-impl Default for Pace {
-    fn default() -> Self {
-        Pace { typical: Cell::new(Duration::from_millis(20)) }
-    }
 }
 
-impl Pace {
-    /// An append was answered, or given up, after so long.
-    pub(crate) fn took(&self, span: Duration) {
-        self.typical.set((self.typical.get() * 3 + span) / 4);
-    }
-
-    /// How long the next append's answer is waited for.
-    pub(crate) fn limit(&self) -> Duration {
-        (self.typical.get() * LIMIT_FACTOR).clamp(LEAST_LIMIT, MOST_LIMIT)
-    }
-}
-
-/// An answer is waited for this many times as long as is typical: several VMs' appends may be queued.
-const LIMIT_FACTOR: u32 = 5;
-
-/// A store that usually answers at once is waited for this long.
-const LEAST_LIMIT: Duration = Duration::from_millis(600);
-
-/// The store rejects what would wait for more than 2 s.
-const MOST_LIMIT: Duration = Duration::from_millis(2_400);
-
 impl Appender {
     /// Whether appends don't get through.
     pub(crate) fn is_stuck(&self) -> bool {
@@ -119,7 +78,7 @@
     }
 
     /// Appends for as long as the process runs.
-    pub(crate) async fn run(self: Rc<Self>, store: Rc<dyn Store>) {
+    pub(crate) async fn run(self: Rc<Self>, node: Rc<Node>) {
         loop {
             let batch = self.take();
             if batch.is_empty() {
@@ -128,8 +87,8 @@
             }
             let (records, senders): (Vec<Record>, Vec<_>) =
                 batch.into_iter().map(|waiting| (waiting.record, waiting.tx)).unzip();
-            let append = Append { records, fence: None, limit: Duration::ZERO };
-            let stored = self.commit(&*store, append).await;
+            let append = Append { records, fence: None };
+            let stored = self.commit(&node, &append).await;
             for tx in senders {
                 // A client that has left doesn't wait for the result.
                 let _ = tx.send(stored);
@@ -148,11 +107,11 @@
         waiting.drain(..count).collect()
     }
 
-    async fn commit(&self, store: &dyn Store, append: Append) -> Stored {
+    async fn commit(&self, node: &Node, append: &Append) -> Stored {
         let begun = self.clock.now();
         self.trying.set(Some(begun));
         let records = append.records.len();
-        let stored = self.persist(begun, store, append).await;
+        let stored = self.persist(begun, node, append).await;
         self.trying.set(None);
         if stored != Stored::Yes {
             log::warn!(records, stored:? = stored; "append_given_up");
@@ -161,16 +120,15 @@
         stored
     }
 
-    async fn persist(&self, begun: Time, store: &dyn Store, mut append: Append) -> Stored {
+    async fn persist(&self, begun: Time, node: &Node, append: &Append) -> Stored {
         let mut uncertain = false;
         let mut tries = 0;
         loop {
-            let sent = self.clock.now();
-            append.limit = self.pace.limit();
-            let result = store.append(&append).await;
-            if result != AppendResult::Rejected {
-                self.pace.took(self.clock.now().since(sent));
-            }
+            // An append whose answer is lost is found among what is read.
+            let result = tokio::select! {
+                result = node.store().append(append) => result,
+                () = node.have_read(&append.records) => AppendResult::Done,
+            };
             match result {
                 AppendResult::Done => return Stored::Yes,
                 AppendResult::Unknown => uncertain = true,
--- a/crates/runtime/src/border.rs
+++ b/crates/runtime/src/border.rs
@@ -92,8 +92,6 @@
     pub records: Vec<Record>,
     /// Set for what only a leader appends.
     pub fence: Option<Fence>,
-    /// How long the answer is waited for.
-    pub limit: Duration,
 }
 
 /// The platform's store.
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -11,7 +11,7 @@
     },
     compact_str::CompactString,
     egretlb_telemetry::{RunEvent, WorkflowMetrics},
-    egretlb_types::{Epoch, Offset, Time},
+    egretlb_types::{Epoch, Offset, Seq, Time},
     egretlb_workflow::{
         AppendResult, Effect, Leadership, LeadershipEffect, Limits, Record, Scheduler, WorkerId,
         WorkflowId,
@@ -31,6 +31,9 @@
     },
 };
 
+/// An append that takes longer is logged: the store usually answers within 10 ms.
+const SLOW_APPEND: Duration = Duration::from_millis(200);
+
 /// The pause before an append of the leader is repeated.
 const RECORD_RETRY: Duration = Duration::from_millis(60);
 
@@ -186,7 +189,7 @@
         for topic in [Topic::Operator, Topic::Work, Topic::Directory] {
             spawn_local(crate::follow::follow(Rc::clone(self), topic));
         }
-        spawn_local(Rc::clone(&self.appender).run(Rc::clone(&self.store)));
+        spawn_local(Rc::clone(&self.appender).run(Rc::clone(self)));
         spawn_local(Rc::clone(self).tick_on());
     }
 
@@ -265,11 +268,7 @@
         match effect {
             LeadershipEffect::Claim { epoch, seq, records } => {
                 let fence = Some(Fence { epoch, seq });
-                spawn_local(Rc::clone(self).claim(Append {
-                    records,
-                    fence,
-                    limit: self.appender.pace.limit(),
-                }));
+                spawn_local(Rc::clone(self).claim(Append { records, fence }));
             }
             LeadershipEffect::Elected { epoch } => self.begin_term(epoch),
             LeadershipEffect::Deposed => {
@@ -418,23 +417,21 @@
     }
 
     async fn record_all(self: &Rc<Self>, mut records: Vec<Record>) -> Stored {
-        let (epoch, seq) = {
-            let mut core = self.core.borrow_mut();
-            let Some(epoch) = core.leadership.term() else { return Stored::No };
-            records.extend(core.leadership.sign(false));
-            (epoch, core.leadership.next_seq())
-        };
-        let fence = Some(Fence { epoch, seq });
-        let mut append = Append { records, fence, limit: self.appender.pace.limit() };
+        let signed = self.core.borrow_mut().leadership.sign(false);
+        let Some((epoch, seq, sign)) = signed else { return Stored::No };
+        records.push(sign);
+        let append = Append { records, fence: Some(Fence { epoch, seq }) };
         // A repetition may be answered with the first one's result, so it proves nothing later.
         let sent = self.clock.now();
         loop {
-            let begun = self.clock.now();
-            let result = self.store.append(&append).await;
-            if result != AppendResult::Rejected {
-                self.appender.pace.took(self.clock.now().since(begun));
+            let result = tokio::select! {
+                result = self.store.append(&append) => result,
+                () = self.has_read(epoch, seq) => AppendResult::Done,
+            };
+            let took = self.clock.now().since(sent);
+            if took >= SLOW_APPEND {
+                log::info!(took_ms = took.as_millis() as u64, result:? = result; "append_slow");
             }
-            append.limit = self.appender.pace.limit();
             self.step(|core, now, out| {
                 if core.leadership.term() != Some(epoch) {
                     return;
@@ -447,17 +444,53 @@
                 }
             });
             if result == AppendResult::Done {
-                self.metrics.appended(self.clock.now().since(sent));
+                self.metrics.appended(took);
                 return Stored::Yes;
             }
             if self.core.borrow().leadership.term() != Some(epoch) {
                 return Stored::Unknown;
             }
-            log::debug!(seq:% = seq, result:? = result; "record_repeated");
             sleep(RECORD_RETRY).await;
         }
     }
 
+    /// Waits until an append of this term is among what was read.
+    async fn has_read(&self, epoch: Epoch, seq: Seq) {
+        loop {
+            let read = self.reads.notified();
+            {
+                let core = self.core.borrow();
+                let newest = core.ledger.leader();
+                if newest.is_some_and(|newest| core.leadership.has_read(newest, epoch, seq)) {
+                    return;
+                }
+            }
+            read.await;
+        }
+    }
+
+    /// Waits until clients' records are among what was read.
+    pub(crate) async fn have_read(&self, records: &[Record]) {
+        loop {
+            let read = self.reads.notified();
+            if records.iter().all(|record| self.core.borrow().ledger.holds(record)) {
+                return;
+            }
+            read.await;
+        }
+    }
+
+    /// Waits until another process leads than the one that takes records at `addr`.
+    pub(crate) async fn leader_changes(&self, addr: SocketAddr) {
+        loop {
+            let read = self.reads.notified();
+            if self.leader_addr() != Some(addr) {
+                return;
+            }
+            read.await;
+        }
+    }
+
     /// Prepares the end of the process: it takes no term any more, and gives up the one it has.
     pub(crate) async fn retire(self: &Rc<Self>) {
         self.core.borrow_mut().stopping = true;
@@ -471,16 +504,13 @@
         let release = {
             let mut core = self.core.borrow_mut();
             core.leadership.retire();
-            let epoch = core.leadership.term();
-            let sign = core.leadership.sign(true);
-            epoch.zip(sign).map(|(epoch, sign)| (epoch, sign, core.leadership.next_seq()))
+            core.leadership.sign(true)
         };
-        let Some((epoch, sign, seq)) = release else { return };
+        let Some((epoch, seq, sign)) = release else { return };
         // From here on nothing is ordered, so a successor may begin as soon as it reads the record.
         self.step(|core, now, out| core.leadership.resign(now, &mut out.leadership));
         let fence = Some(Fence { epoch, seq });
-        let limit = self.appender.pace.limit();
-        let append = Append { records: vec![sign], fence, limit };
+        let append = Append { records: vec![sign], fence };
         for _ in 0..RELEASE_TRIES {
             match self.store.append(&append).await {
                 AppendResult::Done | AppendResult::Fenced => return,
--- a/crates/runtime/src/peers.rs
+++ b/crates/runtime/src/peers.rs
@@ -20,12 +20,12 @@
 /// Where followers hand records in.
 const PATH: &str = "/records";
 
-/// How long a follower waits for the leader. A slow store's append under way and the next one take 500
-/// to 600 ms; a leader that was killed is noticed at once, a cut-off one after this.
-const LIMIT: Duration = Duration::from_millis(900);
+/// How long a follower waits for the leader: two appends of a slow store, and below the 3 s that clients
+/// wait. If another process takes over meanwhile, it waits no longer.
+const LIMIT: Duration = Duration::from_millis(2_000);
 
-/// How long the leader tries to get a record stored; below the followers' limit.
-const STORE_LIMIT: Duration = Duration::from_millis(800);
+/// How long the leader tries to get a record stored, so that its answer arrives.
+const STORE_LIMIT: Duration = Duration::from_millis(1_900);
 
 /// Connections to the leader that are kept.
 const KEPT: usize = 4;
@@ -44,6 +44,16 @@
     pub(crate) tx: oneshot::Sender<Stored>,
 }
 
+/// What became of a record that was handed to the leader.
+enum Handed {
+    /// The leader knows.
+    Settled(Stored),
+    /// It didn't take it: it doesn't lead, or can't be reached.
+    NotTaken,
+    /// Nobody can say.
+    Unknown,
+}
+
 /// The connection to the leader.
 #[derive(Default)]
 pub(crate) struct Leader {
@@ -60,13 +70,14 @@
     }
 
     /// Hands a record to the leader at `addr`.
-    async fn store(&self, addr: SocketAddr, record: &Record) -> Stored {
+    async fn store(&self, addr: SocketAddr, record: &Record) -> Handed {
         let body = Bytes::from(record.to_bytes());
         match self.client(addr).call(Method::POST, PATH, &[], body, LIMIT).await {
-            Ok(answer) if answer.status == status::STORED => Stored::Yes,
-            Ok(answer) if answer.status == status::UNKNOWN => Stored::Unknown,
-            Ok(_) | Err(CallError::NotSent | CallError::Refused) => Stored::No,
-            Err(CallError::Lost) => Stored::Unknown,
+            Ok(answer) if answer.status == status::STORED => Handed::Settled(Stored::Yes),
+            Ok(answer) if answer.status == status::REJECTED => Handed::Settled(Stored::No),
+            Ok(answer) if answer.status == status::UNKNOWN => Handed::Unknown,
+            Ok(_) | Err(CallError::NotSent | CallError::Refused) => Handed::NotTaken,
+            Err(CallError::Lost) => Handed::Unknown,
         }
     }
 }
@@ -96,25 +107,32 @@
 impl Node {
     /// Gets a client's record stored, by the leader if that works, else by an append of our own.
     pub(crate) async fn store_record(self: &Rc<Self>, record: Record) -> Stored {
-        let first = if self.may_lead() {
-            self.store_as_leader(record.clone()).await
+        let handed = if self.may_lead() {
+            Handed::Settled(self.store_as_leader(record.clone()).await)
         } else if let Some(addr) = self.leader_addr() {
-            let sent = self.clock().now();
-            let stored = self.leader.store(addr, &record).await;
-            if stored == Stored::Yes {
-                self.appender.pace.took(self.clock().now().since(sent));
-            }
-            stored
+            self.hand_over(addr, &record).await
         } else {
-            Stored::No
+            Handed::NotTaken
         };
-        if first == Stored::Yes {
-            return first;
+        match handed {
+            // A leader that is alive and can't get it stored says so; the store needs no further append.
+            Handed::Settled(stored @ (Stored::Yes | Stored::No)) => stored,
+            Handed::NotTaken => self.appender.append(record).await,
+            Handed::Settled(Stored::Unknown) | Handed::Unknown => {
+                match self.appender.append(record).await {
+                    Stored::Yes => Stored::Yes,
+                    // The leader may have stored it after all.
+                    Stored::No | Stored::Unknown => Stored::Unknown,
+                }
+            }
         }
-        match self.appender.append(record).await {
-            // The leader may have stored it after all.
-            Stored::No if first == Stored::Unknown => Stored::Unknown,
-            stored => stored,
+    }
+
+    async fn hand_over(&self, addr: SocketAddr, record: &Record) -> Handed {
+        tokio::select! {
+            handed = self.leader.store(addr, record) => handed,
+            () = self.have_read(std::slice::from_ref(record)) => Handed::Settled(Stored::Yes),
+            () = self.leader_changes(addr) => Handed::Unknown,
         }
     }
 
--- a/crates/workflow/src/leadership/mod.rs
+++ b/crates/workflow/src/leadership/mod.rs
@@ -187,21 +187,28 @@
         matches!(self.role, Role::Leader { .. }) && now.since(last_sent) >= self.limits.heartbeat
     }
 
-    /// The sign of life, or the end of the term.
-    pub fn sign(&self, released: bool) -> Option<Record> {
+    /// The epoch and the number of the next append of this term, and the record that goes with it: a sign
+    /// of life, or the end of the term.
+    pub fn sign(&mut self, released: bool) -> Option<(Epoch, Seq, Record)> {
         let epoch = self.term()?;
+        let seq = self.next_seq();
         let record = LeaderRecord {
             node: self.node.clone(),
             incarnation: self.incarnation,
             epoch,
             released,
             addr: self.addr,
+            seq,
         };
-        Some(Record::new(Key::Leader, &record))
+        Some((epoch, seq, Record::new(Key::Leader, &record)))
     }
 
-    /// The number of the next append of this term.
-    pub fn next_seq(&mut self) -> Seq {
+    /// Whether an append of this term is among what was read.
+    pub fn has_read(&self, newest: &LeaderRecord, epoch: Epoch, seq: Seq) -> bool {
+        self.is_own(newest) && newest.epoch == epoch && newest.seq >= seq
+    }
+
+    fn next_seq(&mut self) -> Seq {
         let seq = self.seq;
         self.seq = seq.next();
         seq
@@ -268,6 +275,7 @@
             epoch,
             released: false,
             addr: self.addr,
+            seq,
         };
         out.push(LeadershipEffect::Claim {
             epoch,
--- a/crates/workflow/src/ledger/mod.rs
+++ b/crates/workflow/src/ledger/mod.rs
@@ -7,8 +7,8 @@
 
 use {
     crate::{
-        Interference, Key, LeaderRecord, Outcome, Progress, RecordError, RosterEntry, Submission,
-        WorkflowId, record::read_value,
+        Interference, Key, LeaderRecord, Outcome, Progress, Record, RecordError, RosterEntry,
+        Submission, WorkflowId, record::read_value,
     },
     compact_str::CompactString,
     egretlb_types::Offset,
@@ -117,6 +117,15 @@
         self.learned.as_ref().map(|(_, learned)| learned)
     }
 
+    /// Whether a client's record has been taken in.
+    pub fn holds(&self, record: &Record) -> bool {
+        match Key::from_bytes(&record.key) {
+            Ok(Key::Submission(id)) => self.get(id).is_some(),
+            Ok(Key::Cancel(id)) => self.entries.get(&id).is_some_and(|entry| entry.cancelled),
+            _ => false,
+        }
+    }
+
     /// How many of a queue's workflows wait for their first start. Those that run by the clock aren't
     /// counted.
     pub fn pending(&self, route: &str) -> usize {
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -8,7 +8,7 @@
 use {
     crate::{Bits, RunId, TaskId, WorkerId, Workflow, WorkflowId},
     compact_str::CompactString,
-    egretlb_types::Epoch,
+    egretlb_types::{Epoch, Seq},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{fmt, net::SocketAddr},
 };
@@ -113,6 +113,9 @@
     pub released: bool,
     /// Where it takes records from followers.
     pub addr: Option<SocketAddr>,
+    /// The number of the append that this record came with: a leader that reads it knows that the append
+    /// took effect, also if its answer was lost.
+    pub seq: Seq,
 }
 
 /// A worker that may run something by a leader's orders.
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -276,8 +276,9 @@
                     if leadership.term() != Some(epoch) {
                         continue;
                     }
-                    records.extend(leadership.sign(false));
-                    let fence = (epoch, leadership.next_seq());
+                    let Some((_, seq, sign)) = leadership.sign(false) else { continue };
+                    records.push(sign);
+                    let fence = (epoch, seq);
                     self.send(Msg::Append {
                         node,
                         incarnation,
