--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -12,7 +12,9 @@
 mod core;
 mod follow;
 mod node;
+mod orders;
 mod peers;
+mod records;
 mod serve;
 
 pub use crate::{
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -2,20 +2,16 @@
 
 use {
     crate::{
-        append::{Appender, STUCK_AFTER, Stored},
-        border,
-        border::{Append, Fence, Formats, HoldCall, StartCall, StopCall, Store, Topic, Workers},
+        append::{Appender, STUCK_AFTER},
+        border::{Append, Fence, Formats, Store, Topic, Workers},
         clock::Clock,
         core::{Core, Effects, Reading},
         peers::{Leader, Waiting},
     },
     compact_str::CompactString,
     egretlb_telemetry::{RunEvent, WorkflowMetrics},
-    egretlb_types::{Epoch, Offset, Seq, Time},
-    egretlb_workflow::{
-        AppendResult, Effect, Leadership, LeadershipEffect, Limits, Record, Scheduler, WorkerId,
-        WorkflowId,
-    },
+    egretlb_types::{Epoch, Time},
+    egretlb_workflow::{Leadership, LeadershipEffect, Limits, Scheduler, WorkerId, WorkflowId},
     std::{
         cell::{Cell, Ref, RefCell},
         collections::HashSet,
@@ -31,12 +27,6 @@
     },
 };
 
-/// An append that takes longer is logged: the store usually answers within 10 ms.
-const SLOW_APPEND: Duration = Duration::from_millis(200);
-
-/// The pause before an append of the leader is repeated.
-const RECORD_RETRY: Duration = Duration::from_millis(60);
-
 /// Several events are followed by one pass over what waits; a task waits this much longer for it.
 const TICK_GAP: Duration = Duration::from_millis(1);
 
@@ -78,18 +68,18 @@
 
 /// A node.
 pub struct Node {
-    core: RefCell<Core>,
-    store: Rc<dyn Store>,
-    workers: Rc<dyn Workers>,
+    pub(crate) core: RefCell<Core>,
+    pub(crate) store: Rc<dyn Store>,
+    pub(crate) workers: Rc<dyn Workers>,
     formats: Rc<dyn Formats>,
     pub(crate) appender: Rc<Appender>,
     pub(crate) leader: Leader,
     pub(crate) metrics: WorkflowMetrics,
     /// Clients' records for the leader's next append.
-    waiting: RefCell<Vec<Waiting>>,
+    pub(crate) waiting: RefCell<Vec<Waiting>>,
     /// Since when the leader's append under way has had no success.
-    recording: Cell<Option<Time>>,
-    clock: Clock,
+    pub(crate) recording: Cell<Option<Time>>,
+    pub(crate) clock: Clock,
     wake: Notify,
     /// Told of each answered read of the system's own records.
     pub(crate) reads: Notify,
@@ -299,227 +289,4 @@
         log::info!(result:? = result; "claimed");
         self.step(|core, now, _| core.leadership.on_claim(now, result));
     }
-
-    fn perform(self: &Rc<Self>, effect: Effect) {
-        match effect {
-            Effect::Hold { worker, addr, epoch, recorded, until_ms, wait_ms } => {
-                let call = HoldCall { worker, addr, epoch, recorded, until_ms, wait_ms };
-                spawn_local(Rc::clone(self).hold(call));
-            }
-            Effect::Start { .. } => {
-                spawn_local(Rc::clone(self).start(effect));
-            }
-            Effect::Stop { worker, addr, epoch, task, run } => {
-                let call = StopCall { worker, addr, epoch, task, run };
-                spawn_local(Rc::clone(self).stop(call));
-            }
-            Effect::Record { records } => {
-                spawn_local(Rc::clone(self).record(records));
-            }
-            Effect::Outranked => {
-                log::warn!("outranked");
-                self.step(|core, now, out| core.leadership.on_outranked(now, &mut out.leadership));
-            }
-        }
-    }
-
-    /// Whether orders of this epoch may still be sent. A process may have been paused since they were
-    /// decided.
-    fn may_order(&self, epoch: Epoch) -> bool {
-        self.core.borrow().leadership.authority(self.clock.now()) == Some(epoch)
-    }
-
-    fn with_scheduler(
-        self: &Rc<Self>,
-        epoch: Epoch,
-        event: impl FnOnce(&mut Scheduler, Time, &mut Vec<Effect>),
-    ) {
-        self.step(|core, now, out| {
-            if core.leadership.term() != Some(epoch) {
-                return;
-            }
-            if let Some(scheduler) = &mut core.scheduler {
-                event(scheduler, now, &mut out.scheduler);
-            }
-        });
-    }
-
-    async fn hold(self: Rc<Self>, call: HoldCall) {
-        let (worker, epoch, sent) = (call.worker.clone(), call.epoch, self.clock.now());
-        let result = if self.may_order(epoch) {
-            self.workers.hold(call).await
-        } else {
-            egretlb_workflow::HoldResult::Failed
-        };
-        self.with_scheduler(epoch, |scheduler, now, out| {
-            scheduler.on_hold(now, &worker, sent, &result, out);
-        });
-    }
-
-    async fn start(self: Rc<Self>, effect: Effect) {
-        let Effect::Start { worker, addr, epoch, task, run, submission, until_ms, saved } = effect
-        else {
-            return;
-        };
-        let result = if self.may_order(epoch) {
-            let payload = submission.workflow.payload.as_str();
-            let worker = &worker;
-            let saved = saved.as_str();
-            self.workers
-                .start(StartCall { worker, addr, epoch, task, run, payload, until_ms, saved })
-                .await
-        } else {
-            egretlb_workflow::StartResult::NotSent
-        };
-        self.with_scheduler(epoch, |scheduler, now, out| {
-            scheduler.on_start(now, &worker, task, run, result, out);
-        });
-    }
-
-    async fn stop(self: Rc<Self>, call: StopCall) {
-        let StopCall { worker, epoch, task, run, .. } = call.clone();
-        let result = if self.may_order(epoch) {
-            self.workers.stop(call).await
-        } else {
-            egretlb_workflow::StopResult::Unknown
-        };
-        self.with_scheduler(epoch, |scheduler, now, out| {
-            scheduler.on_stop(now, &worker, task, run, result, out);
-        });
-    }
-
-    /// Appends under the leader's epoch, again and again until it is settled: the numbers of a term
-    /// have no gaps, so nothing else can be appended before.
-    async fn record(self: Rc<Self>, mut records: Vec<Record>) {
-        let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
-        records.extend(waiting.iter().map(|waiting| waiting.record.clone()));
-        self.recording.set(Some(self.clock.now()));
-        let stored = self.record_all(records).await;
-        self.recording.set(None);
-        if stored == Stored::Yes {
-            self.take_in(&waiting);
-        }
-        for waiting in waiting {
-            // A client that has left doesn't wait for the result.
-            let _ = waiting.tx.send(stored);
-        }
-    }
-
-    /// Takes clients' records in as soon as they are stored; they are met again when they are read, some
-    /// 10 to 20 ms later, and change nothing then.
-    fn take_in(self: &Rc<Self>, waiting: &[Waiting]) {
-        for waiting in waiting {
-            let Record { key, value } = waiting.record.clone();
-            // Neither a submission nor a cancellation depends on its place among the records.
-            let stored = border::Stored { offset: Offset(0), key: key.into(), value: value.into() };
-            self.step(|core, now, out| core.on_work(now, &stored, out));
-        }
-    }
-
-    async fn record_all(self: &Rc<Self>, mut records: Vec<Record>) -> Stored {
-        let signed = self.core.borrow_mut().leadership.sign(false);
-        let Some((epoch, seq, sign)) = signed else { return Stored::No };
-        records.push(sign);
-        let append = Append { records, fence: Some(Fence { epoch, seq }) };
-        // A repetition may be answered with the first one's result, so it proves nothing later.
-        let sent = self.clock.now();
-        loop {
-            let result = tokio::select! {
-                result = self.store.append(&append) => result,
-                () = self.has_read(epoch, seq) => AppendResult::Done,
-            };
-            let took = self.clock.now().since(sent);
-            if took >= SLOW_APPEND {
-                log::info!(took_ms = took.as_millis() as u64, result:? = result; "append_slow");
-            }
-            self.step(|core, now, out| {
-                if core.leadership.term() != Some(epoch) {
-                    return;
-                }
-                core.leadership.on_append(now, sent, result, &mut out.leadership);
-                if result == AppendResult::Done
-                    && let Some(scheduler) = &mut core.scheduler
-                {
-                    scheduler.on_recorded(now);
-                }
-            });
-            if result == AppendResult::Done {
-                self.metrics.appended(took);
-                return Stored::Yes;
-            }
-            if self.core.borrow().leadership.term() != Some(epoch) {
-                return Stored::Unknown;
-            }
-            sleep(RECORD_RETRY).await;
-        }
-    }
-
-    /// Waits until an append of this term is among what was read.
-    async fn has_read(&self, epoch: Epoch, seq: Seq) {
-        loop {
-            let read = self.reads.notified();
-            {
-                let core = self.core.borrow();
-                let newest = core.ledger.leader();
-                if newest.is_some_and(|newest| core.leadership.has_read(newest, epoch, seq)) {
-                    return;
-                }
-            }
-            read.await;
-        }
-    }
-
-    /// Waits until clients' records are among what was read.
-    pub(crate) async fn have_read(&self, records: &[Record]) {
-        loop {
-            let read = self.reads.notified();
-            if records.iter().all(|record| self.core.borrow().ledger.holds(record)) {
-                return;
-            }
-            read.await;
-        }
-    }
-
-    /// Waits until another process leads than the one that takes records at `addr`.
-    pub(crate) async fn leader_changes(&self, addr: SocketAddr) {
-        loop {
-            let read = self.reads.notified();
-            if self.leader_addr() != Some(addr) {
-                return;
-            }
-            read.await;
-        }
-    }
-
-    /// Prepares the end of the process: it takes no term any more, and gives up the one it has.
-    pub(crate) async fn retire(self: &Rc<Self>) {
-        self.core.borrow_mut().stopping = true;
-        // Appends of a term are numbered without gaps, so the one under way is waited for.
-        for _ in 0..RELEASE_TRIES {
-            if self.recording.get().is_none() {
-                break;
-            }
-            sleep(RECORD_RETRY).await;
-        }
-        let release = {
-            let mut core = self.core.borrow_mut();
-            core.leadership.retire();
-            core.leadership.sign(true)
-        };
-        let Some((epoch, seq, sign)) = release else { return };
-        // From here on nothing is ordered, so a successor may begin as soon as it reads the record.
-        self.step(|core, now, out| core.leadership.resign(now, &mut out.leadership));
-        let fence = Some(Fence { epoch, seq });
-        let append = Append { records: vec![sign], fence };
-        for _ in 0..RELEASE_TRIES {
-            match self.store.append(&append).await {
-                AppendResult::Done | AppendResult::Fenced => return,
-                _ => sleep(RECORD_RETRY).await,
-            }
-        }
-    }
 }
-
-/// How often the end of a term is tried to record, 1.2 s in all on a store that answers at once; a
-/// successor takes over without it, only later.
-const RELEASE_TRIES: u32 = 20;
--- /dev/null
+++ b/crates/runtime/src/records.rs
@@ -0,0 +1,157 @@
+//! Appends of the leader, and what tells that an append took effect.
+
+use {
+    crate::{
+        append::Stored,
+        border::{self, Append, Fence},
+        node::Node,
+        peers::Waiting,
+    },
+    egretlb_types::{Epoch, Offset, Seq},
+    egretlb_workflow::{AppendResult, Record},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// The pause before an append of the leader is repeated.
+const RECORD_RETRY: Duration = Duration::from_millis(60);
+
+/// An append that takes longer is logged: the store usually answers within 10 ms.
+const SLOW_APPEND: Duration = Duration::from_millis(200);
+
+/// How often the end of a term is tried to record, 1.2 s in all on a store that answers at once; a
+/// successor takes over without it, only later.
+const RELEASE_TRIES: u32 = 20;
+
+impl Node {
+    /// Appends under the leader's epoch, again and again until it is settled: the numbers of a term
+    /// have no gaps, so nothing else can be appended before.
+    pub(crate) async fn record(self: Rc<Self>, mut records: Vec<Record>) {
+        let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
+        records.extend(waiting.iter().map(|waiting| waiting.record.clone()));
+        self.recording.set(Some(self.clock.now()));
+        let stored = self.record_all(records).await;
+        self.recording.set(None);
+        if stored == Stored::Yes {
+            self.take_in(&waiting);
+        }
+        for waiting in waiting {
+            // A client that has left doesn't wait for the result.
+            let _ = waiting.tx.send(stored);
+        }
+    }
+
+    /// Takes clients' records in as soon as they are stored; they are met again when they are read, some
+    /// 10 to 20 ms later, and change nothing then.
+    fn take_in(self: &Rc<Self>, waiting: &[Waiting]) {
+        for waiting in waiting {
+            let Record { key, value } = waiting.record.clone();
+            // Neither a submission nor a cancellation depends on its place among the records.
+            let stored = border::Stored { offset: Offset(0), key: key.into(), value: value.into() };
+            self.step(|core, now, out| core.on_work(now, &stored, out));
+        }
+    }
+
+    async fn record_all(self: &Rc<Self>, mut records: Vec<Record>) -> Stored {
+        let signed = self.core.borrow_mut().leadership.sign(false);
+        let Some((epoch, seq, sign)) = signed else { return Stored::No };
+        records.push(sign);
+        let append = Append { records, fence: Some(Fence { epoch, seq }) };
+        // A repetition may be answered with the first one's result, so it proves nothing later.
+        let sent = self.clock.now();
+        loop {
+            let result = tokio::select! {
+                result = self.store.append(&append) => result,
+                () = self.has_read(epoch, seq) => AppendResult::Done,
+            };
+            let took = self.clock.now().since(sent);
+            if took >= SLOW_APPEND {
+                log::info!(took_ms = took.as_millis() as u64, result:? = result; "append_slow");
+            }
+            self.step(|core, now, out| {
+                if core.leadership.term() != Some(epoch) {
+                    return;
+                }
+                core.leadership.on_append(now, sent, result, &mut out.leadership);
+                if result == AppendResult::Done
+                    && let Some(scheduler) = &mut core.scheduler
+                {
+                    scheduler.on_recorded(now);
+                }
+            });
+            if result == AppendResult::Done {
+                self.metrics.appended(took);
+                return Stored::Yes;
+            }
+            if self.core.borrow().leadership.term() != Some(epoch) {
+                return Stored::Unknown;
+            }
+            sleep(RECORD_RETRY).await;
+        }
+    }
+
+    /// Waits until an append of this term is among what was read.
+    async fn has_read(&self, epoch: Epoch, seq: Seq) {
+        loop {
+            let read = self.reads.notified();
+            {
+                let core = self.core.borrow();
+                let newest = core.ledger.leader();
+                if newest.is_some_and(|newest| core.leadership.has_read(newest, epoch, seq)) {
+                    return;
+                }
+            }
+            read.await;
+        }
+    }
+
+    /// Waits until clients' records are among what was read.
+    pub(crate) async fn have_read(&self, records: &[Record]) {
+        loop {
+            let read = self.reads.notified();
+            if records.iter().all(|record| self.core.borrow().ledger.holds(record)) {
+                return;
+            }
+            read.await;
+        }
+    }
+
+    /// Waits until another process leads than the one that takes records at `addr`.
+    pub(crate) async fn leader_changes(&self, addr: SocketAddr) {
+        loop {
+            let read = self.reads.notified();
+            if self.leader_addr() != Some(addr) {
+                return;
+            }
+            read.await;
+        }
+    }
+
+    /// Prepares the end of the process: it takes no term any more, and gives up the one it has.
+    pub(crate) async fn retire(self: &Rc<Self>) {
+        self.core.borrow_mut().stopping = true;
+        // Appends of a term are numbered without gaps, so the one under way is waited for.
+        for _ in 0..RELEASE_TRIES {
+            if self.recording.get().is_none() {
+                break;
+            }
+            sleep(RECORD_RETRY).await;
+        }
+        let release = {
+            let mut core = self.core.borrow_mut();
+            core.leadership.retire();
+            core.leadership.sign(true)
+        };
+        let Some((epoch, seq, sign)) = release else { return };
+        // From here on nothing is ordered, so a successor may begin as soon as it reads the record.
+        self.step(|core, now, out| core.leadership.resign(now, &mut out.leadership));
+        let fence = Some(Fence { epoch, seq });
+        let append = Append { records: vec![sign], fence };
+        for _ in 0..RELEASE_TRIES {
+            match self.store.append(&append).await {
+                AppendResult::Done | AppendResult::Fenced => return,
+                _ => sleep(RECORD_RETRY).await,
+            }
+        }
+    }
+}
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -16,6 +16,7 @@
 mod polls;
 mod preempt;
 mod pressure;
+mod queue;
 mod recording;
 mod worker;
 
@@ -25,8 +26,8 @@
         worker::{Copy, Need, Phase, Worker},
     },
     crate::{
-        Change, DirectoryChange, Entry, Interference, Ledger, Limits, Outcome, Record, RosterEntry,
-        RunId, Step, Submission, TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId,
+        Change, DirectoryChange, Interference, Ledger, Limits, Outcome, Record, RosterEntry, RunId,
+        Submission, TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId,
     },
     compact_str::CompactString,
     egretlb_types::{Epoch, Time},
@@ -331,161 +332,6 @@
     pub fn unaccounted(&self) -> usize {
         self.unaccounted.len()
     }
-
-    fn add_flow(&mut self, now: Time, id: WorkflowId, entry: &Entry, inherited: bool) {
-        if entry.progress.outcome.is_some() {
-            self.ended.push((now, id));
-            return;
-        }
-        if self.flows.contains_key(&id) {
-            return;
-        }
-        let Some(mut flow) = Flow::new(entry, inherited) else { return };
-        if entry.cancelled {
-            // Nothing of it is wanted any more: what is found running is stopped.
-            flow.outcome = Some(Outcome::Cancelled);
-            flow.occurrences.clear();
-            self.dirty.insert(id);
-        }
-        let begun: Vec<u32> = flow.occurrences.keys().copied().collect();
-        self.flows.insert(id, flow);
-        for number in begun {
-            self.open_steps(now, id, number);
-        }
-        self.begin_occurrences(now, id);
-    }
-
-    fn begin_due(&mut self, now: Time) {
-        let due = |flow: &Flow| flow.next < flow.submission.workflow.occurrences();
-        let ids: Vec<WorkflowId> =
-            self.flows.iter().filter(|(_, flow)| due(flow)).map(|(id, _)| *id).collect();
-        for id in ids {
-            self.begin_occurrences(now, id);
-        }
-    }
-
-    /// Begins the occurrences of a workflow that are due by the time of day.
-    fn begin_occurrences(&mut self, now: Time, id: WorkflowId) {
-        while let Some(flow) = self.flows.get_mut(&id) {
-            let number = flow.next;
-            let more = number < flow.submission.workflow.occurrences();
-            if flow.outcome.is_some() || !more || flow.due_at(number) > self.wall_ms {
-                return;
-            }
-            flow.next += 1;
-            if flow.complete.contains(&number) || flow.occurrences.contains_key(&number) {
-                continue;
-            }
-            let occurrence = flow.begin(None);
-            flow.occurrences.insert(number, occurrence);
-            self.open_steps(now, id, number);
-        }
-    }
-
-    /// Opens the steps of an occurrence for which all earlier ones are done, and queues their tasks.
-    fn open_steps(&mut self, now: Time, id: WorkflowId, number: u32) {
-        let Some(flow) = self.flows.get_mut(&id) else { return };
-        let steps = &flow.submission.workflow.steps;
-        let (priority, due_ms) = (flow.submission.priority, flow.due_ms);
-        let attempts = flow.submission.max_attempts;
-        let Some(occurrence) = flow.occurrences.get_mut(&number) else { return };
-        let done: Vec<bool> = occurrence.steps.iter().map(flow::StepState::is_done).collect();
-        for (step_no, state) in (0u16..).zip(&mut occurrence.steps) {
-            let waits =
-                steps[usize::from(step_no)].after.iter().any(|after| !done[usize::from(*after)]);
-            if state.open || waits {
-                continue;
-            }
-            state.open = true;
-            if state.tasks.iter().any(|task| task.waits() && task.is_spent(attempts)) {
-                self.spent.insert(id);
-            }
-            let waiting = (0u32..).zip(&state.tasks).filter(|(_, task)| task.waits());
-            state.queue = waiting.map(|(index, _)| index).collect();
-            if !state.queue.is_empty() {
-                let lasting = steps[usize::from(step_no)].lasting;
-                state.since = now;
-                self.ready.insert(Ready {
-                    priority,
-                    lasting,
-                    due_ms,
-                    workflow: id,
-                    occurrence: number,
-                    step: step_no,
-                });
-            }
-        }
-    }
-
-    fn cancel(&mut self, now: Time, id: WorkflowId, out: &mut Vec<Effect>) {
-        self.end_flow(now, id, Outcome::Cancelled, out);
-    }
-
-    /// Ends a workflow: what of it runs is stopped, the outcome is recorded.
-    fn end_flow(&mut self, now: Time, id: WorkflowId, outcome: Outcome, out: &mut Vec<Effect>) {
-        let Some(flow) = self.flows.get_mut(&id) else { return };
-        if flow.outcome.is_some() {
-            return;
-        }
-        flow.outcome = Some(outcome);
-        self.dirty.insert(id);
-        self.ready.retain(|ready| ready.workflow != id);
-        let tasks = flow.occurrences.values().flat_map(|occurrence| &occurrence.steps);
-        let copies: Vec<(WorkerId, RunId)> =
-            tasks.flat_map(|step| &step.tasks).flat_map(|task| task.copies.clone()).collect();
-        flow.occurrences.clear();
-        log::debug!(workflow:% = id, outcome:? = outcome, copies = copies.len(); "workflow_ended");
-        for (worker, run) in copies {
-            self.stop_runs(now, &worker, out, |task, of| task.workflow == id && of == run);
-        }
-    }
-
-    fn step(&self, task: TaskId) -> Option<&Step> {
-        let flow = self.flows.get(&task.workflow)?;
-        flow.submission.workflow.steps.get(usize::from(task.step))
-    }
-
-    fn task_mut(&mut self, task: TaskId) -> Option<&mut flow::TaskState> {
-        let flow = self.flows.get_mut(&task.workflow)?;
-        let occurrence = flow.occurrences.get_mut(&task.occurrence)?;
-        let step = occurrence.steps.get_mut(usize::from(task.step))?;
-        step.tasks.get_mut(task.index as usize)
-    }
-
-    /// Queues a task that isn't done and runs nowhere.
-    fn queue(&mut self, now: Time, task: TaskId) {
-        let Some(flow) = self.flows.get_mut(&task.workflow) else { return };
-        if flow.outcome.is_some() {
-            return;
-        }
-        let (priority, due_ms) = (flow.submission.priority, flow.due_ms);
-        let Some(occurrence) = flow.occurrences.get_mut(&task.occurrence) else { return };
-        let Some(step) = occurrence.steps.get_mut(usize::from(task.step)) else { return };
-        let Some(state) = step.tasks.get(task.index as usize) else { return };
-        if !step.open || !state.waits() {
-            return;
-        }
-        if state.is_spent(flow.submission.max_attempts) {
-            self.spent.insert(task.workflow);
-            return;
-        }
-        if step.queue.contains(&task.index) {
-            return;
-        }
-        if step.queue.is_empty() {
-            step.since = now;
-        }
-        step.queue.push_front(task.index);
-        let lasting = flow.submission.workflow.steps[usize::from(task.step)].lasting;
-        self.ready.insert(Ready {
-            priority,
-            lasting,
-            due_ms,
-            workflow: task.workflow,
-            occurrence: task.occurrence,
-            step: task.step,
-        });
-    }
 }
 
 /// A worker of which only the roster's entry is known: it is asked and gets no work.
