Move tasks that stand still or are far too slow

A task that may run twice gets a copy elsewhere, another one is stopped and goes on elsewhere. The test standing_tasks fails without it: the workflow waits for a minute.

--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -94,6 +94,7 @@
         }
         self.reconcile(now, id, sent, reply, out);
         self.watch(now, id, out);
+        self.chase(now, id, out);
     }
 
     fn on_end(&mut self, now: Time, id: &WorkerId, end: &End, out: &mut Vec<Effect>) {
@@ -253,6 +254,9 @@
             self.adopt(now, id, clock_ms, running, out);
             return;
         };
+        if copy.percent != percent {
+            copy.moved_at = now;
+        }
         copy.percent = percent;
         copy.figure = running.figure;
         match copy.phase {
@@ -269,9 +273,6 @@
         if !running.saved.is_empty() {
             state.saved.clone_from(&running.saved);
         }
-        if percent != state.moved.1 {
-            state.moved = (now, percent);
-        }
     }
 
     /// A run that this leader didn't start: a predecessor did. It is kept if its task still waits.
@@ -309,7 +310,6 @@
         if let Some(state) = self.task_mut(task) {
             state.copies.push((id.clone(), run));
             state.saved.clone_from(&running.saved);
-            state.moved = (now, percent);
         }
         self.unqueue(task);
     }
--- a/crates/workflow/src/scheduler/flow.rs
+++ b/crates/workflow/src/scheduler/flow.rs
@@ -24,8 +24,6 @@
     pub(crate) saved: CompactString,
     /// Where it failed last: the next run goes elsewhere if it can.
     pub(crate) avoid: Option<WorkerId>,
-    /// When it was last seen to get on, and how far it was.
-    pub(crate) moved: (Time, u32),
 }
 
 impl TaskState {
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod pressure;
 mod queue;
 mod recording;
+mod stragglers;
 mod worker;
 
 use {
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -172,7 +172,7 @@
         RunId((last.0 + 1).max(base))
     }
 
-    fn start(
+    pub(super) fn start(
         &mut self,
         now: Time,
         task: TaskId,
@@ -193,7 +193,6 @@
         let Some(state) = self.task_mut(task) else { return };
         state.last_run = run;
         state.copies.push((id.clone(), run));
-        state.moved = (now, 0);
         let saved =
             if need.step.checkpoints { state.saved.clone() } else { CompactString::default() };
         let Some(flow) = self.flows.get_mut(&task.workflow) else { return };
@@ -214,7 +213,7 @@
     }
 
     /// The worker for a task, if one can take it.
-    fn choose(
+    pub(super) fn choose(
         &mut self,
         now: Time,
         task: TaskId,
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -43,6 +43,8 @@
     pub(crate) phase: Phase,
     /// When it was started, or found.
     pub(crate) placed: Time,
+    /// When it was last seen to get on.
+    pub(crate) moved_at: Time,
     pub(crate) percent: u32,
     /// The last figure: a serving task's tail in milliseconds, another one's use of the processor.
     pub(crate) figure: u32,
@@ -99,6 +101,7 @@
         Copy {
             phase,
             placed: now,
+            moved_at: now,
             percent: 0,
             figure: 0,
             image,
--- a/crates/workflow/tests/lost_workers.rs
+++ b/crates/workflow/tests/lost_workers.rs
@@ -155,3 +155,22 @@
     assert!(world.workers.iter().all(|worker| worker.running.is_empty()));
     assert_eq!(world.state(id), Some(State::Ended(Outcome::Cancelled)));
 }
+
+/// Tasks of one worker stand still while it answers and looks well. They are moved; a workflow would
+/// otherwise wait for them for as long as the worker's trouble lasts.
+#[test]
+fn standing_tasks() {
+    for speculative in [false, true] {
+        let mut world = world(10);
+        let mut slow = step(12, 800);
+        slow.speculative = speculative;
+        let id = world.submit(1, &submission(vec![slow]));
+        world.run(Duration::from_millis(300));
+        let busy = world.workers.iter().position(|worker| !worker.running.is_empty());
+        let busy = busy.expect("tasks run");
+        world.workers[busy].stand_still(60_000);
+        let took = world.run_until(10 * SECOND, |world| world.completed(id));
+        assert!(took.is_some_and(|took| took < Duration::from_millis(3_500)), "{took:?}");
+        assert_eq!(world.checker.faults, Vec::<String>::new());
+    }
+}
--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -201,6 +201,14 @@
         StopResult::Confirmed { clock_ms: self.clock_ms(now) }
     }
 
+    /// What runs doesn't get on for so many milliseconds.
+    pub fn stand_still(&mut self, span_ms: u64) {
+        for run in self.running.values_mut() {
+            run.ends_at += span_ms;
+            run.began += span_ms;
+        }
+    }
+
     /// All that runs is gone without a trace; the worker comes back with another id, or not.
     pub fn crash(&mut self, checker: &mut Checker) {
         self.up = false;
