A soak over real processes, and the daemon's command line

The soak kills, pauses, ends and restarts three daemons by signals while the store turns calls away and loses answers, and checks what clients were told against what the workers ran.

--- a/crates/egretlbd/src/main.rs
+++ b/crates/egretlbd/src/main.rs
@@ -1,12 +1,21 @@
 //! The daemon of each entry VM.
 
+mod args;
+
 use {
+    crate::args::Asked,
     egretlb_platform::{JsonFormats, LogStore, RpcWorkers, Settings, SettingsError},
     egretlb_runtime::{Listeners, Node, NodeOptions, run},
     egretlb_telemetry::LogOptions,
     egretlb_workflow::Limits,
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    std::{fmt, io, net::SocketAddr, process::ExitCode, rc::Rc},
+    std::{
+        env, fmt,
+        io::{self, Write},
+        net::SocketAddr,
+        process::ExitCode,
+        rc::Rc,
+    },
     tokio::{
         net::TcpListener,
         runtime::Builder,
@@ -45,32 +54,41 @@
 
 /// Exit codes. Scripts rely on them: none changes its meaning.
 mod exit {
+    pub(super) const USAGE: u8 = 2;
     pub(super) const SETTINGS: u8 = 3;
     pub(super) const CANT_START: u8 = 4;
 }
 
-/// How often `-v` is given: once logs each start and end of a task.
-fn verbose() -> usize {
-    let mut args = pico_args::Arguments::from_env();
-    std::iter::from_fn(|| args.contains(["-v", "--verbose"]).then_some(())).count()
-}
-
 fn main() -> ExitCode {
-    match start() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("egretlbd: {error}");
-            let settings = matches!(error, StartError::Settings(_));
-            ExitCode::from(if settings { exit::SETTINGS } else { exit::CANT_START })
+    match args::parse(env::args_os().skip(1).collect()) {
+        Ok(Asked::Help { long }) => print(&args::help(long)),
+        Ok(Asked::Version) => print(concat!("egretlbd ", env!("CARGO_PKG_VERSION"), "\n")),
+        Ok(Asked::Check) => report(Settings::read().map(drop).map_err(StartError::Settings)),
+        Ok(Asked::Run { verbose, quiet }) => report(start(verbose, quiet)),
+        Err(message) => {
+            eprintln!("egretlbd: {message}; see egretlbd --help");
+            ExitCode::from(exit::USAGE)
         }
     }
 }
 
-fn start() -> Result<(), StartError> {
+/// Writes to standard output; a reader that has gone is no failure of the daemon.
+fn print(text: &str) -> ExitCode {
+    let _ = io::stdout().write_all(text.as_bytes());
+    ExitCode::SUCCESS
+}
+
+fn report(result: Result<(), StartError>) -> ExitCode {
+    let Err(error) = result else { return ExitCode::SUCCESS };
+    eprintln!("egretlbd: {error}");
+    let settings = matches!(error, StartError::Settings(_));
+    ExitCode::from(if settings { exit::SETTINGS } else { exit::CANT_START })
+}
+
+fn start(verbose: usize, quiet: usize) -> Result<(), StartError> {
     let settings = Settings::read().map_err(StartError::Settings)?;
-    if let Err(error) = egretlb_telemetry::init(
-        LogOptions::new(&settings.node_name).verbosity(verbose(), 0).queued(),
-    ) {
+    let options = LogOptions::new(&settings.node_name).verbosity(verbose, quiet).queued();
+    if let Err(error) = egretlb_telemetry::init(options) {
         eprintln!("egretlbd: {error}");
     }
     let runtime = Builder::new_current_thread().enable_all().build().map_err(StartError::System)?;
--- /dev/null
+++ b/crates/egretlbd/tests/fault_soak.rs
@@ -0,0 +1,264 @@
+//! A soak over real processes: daemons that are killed, stopped, paused and restarted by signals, and a
+//! store that turns calls away and loses answers, in series and overlapping, from a seed.
+//!
+//! CI plays two seeds. By hand: `EGRETLB_SOAK_SEEDS=1..51 cargo test --release -p egretlbd --test
+//! fault_soak -- --nocapture`. Each process has an address of its own on the loopback network.
+
+#[path = "../../../platform/tests/support/mod.rs"]
+mod support;
+
+use {
+    bytes::Bytes,
+    egretlb_http::{Answer, Client},
+    http::Method,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    rustix::process::{Pid, Signal, kill_process},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        env, fs,
+        net::SocketAddr,
+        process::{Child, Command, Stdio},
+        time::{Duration, Instant},
+    },
+    support::{Platform, on_one_thread},
+    tokio::time::sleep,
+};
+
+/// Seeds that CI plays, and those that ever failed, each with its cause.
+const SEEDS: [u64; 2] = [1, 2];
+
+const DAEMONS: usize = 3;
+const WORKERS: usize = 4;
+
+/// How long faults come.
+const TROUBLE: Duration = Duration::from_secs(8);
+
+/// All work must be finished so long after the last fault. Far above what is needed, since the machine
+/// may be busy.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A paused daemon doesn't answer; the client tries another one next.
+const PATIENCE_OF_CLIENTS: Duration = Duration::from_millis(700);
+
+struct Daemon {
+    number: usize,
+    settings: String,
+    clients: SocketAddr,
+    child: Option<Child>,
+}
+
+impl Daemon {
+    fn new(number: usize, seed: u64, store: SocketAddr) -> Daemon {
+        let process = std::process::id();
+        // An address for each daemon of each run on this machine, so that ports never collide.
+        let ip = format!("127.{}.{}.{}", 64 + seed % 64, process % 250 + 1, number + 1);
+        let clients = format!("{ip}:7801");
+        let settings = serde_json::json!({
+            "nodeName": format!("soak-{number}"), "zone": "centre", "ip": ip,
+            "listen": {"front": clients, "ready": format!("{ip}:7802")},
+            "internalPorts": [7803, 7810], "limits": {"cpuShare": 0.25}, "controlMode": "rpc",
+            "bounds": {"maxHoldMs": 6_000, "status_s": 120},
+            "platform": {"addr": store.to_string(), "form": "log"},
+        });
+        let path = env::temp_dir().join(format!("egretlb-soak-{process}-{seed}-{number}.json"));
+        fs::write(&path, settings.to_string()).expect("the settings can be written");
+        let settings = path.display().to_string();
+        let clients = clients.parse().expect("it is an address");
+        let mut daemon = Daemon { number, settings, clients, child: None };
+        daemon.start();
+        daemon
+    }
+
+    fn start(&mut self) {
+        if self.child.is_some() {
+            return;
+        }
+        let child = Command::new(env!("CARGO_BIN_EXE_egretlbd"))
+            .env("EGRETLB_NODE_FILE", &self.settings)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+        self.child = Some(child);
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().and_then(|child| Pid::from_raw(child.id().cast_signed()));
+        if let Some(id) = id {
+            // A process that has ended by itself takes no signal.
+            let _ = kill_process(id, signal);
+        }
+    }
+
+    /// Ends the process and waits for its end; a paused one has to go on first.
+    fn end(&mut self) {
+        self.signal(Signal::KILL);
+        self.signal(Signal::CONT);
+        if let Some(mut child) = self.child.take() {
+            let _ = child.wait();
+        }
+    }
+
+    /// Notes a process that has ended by itself after a signal.
+    fn reap(&mut self) {
+        if self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_)))) {
+            self.child = None;
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.end();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+struct Soak {
+    rng: SmallRng,
+    platform: Platform,
+    daemons: Vec<Daemon>,
+    accepted: BTreeSet<String>,
+    next: u64,
+    faults: Vec<String>,
+}
+
+const WORK: &str = r#"{"spec":"work","steps":[{"count":3,"cpu":500,"memMb":64,"estRuntimeMs":120},
+    {"count":2,"cpu":500,"memMb":64,"estRuntimeMs":120,"after":[0]}]}"#;
+
+async fn ask(addr: SocketAddr, method: Method, path: &str, body: &str) -> Option<Answer> {
+    let headers = [("host", "host.example".to_string())];
+    let body = Bytes::copy_from_slice(body.as_bytes());
+    Client::new(addr, 0).call(method, path, &headers, body, PATIENCE_OF_CLIENTS).await.ok()
+}
+
+impl Soak {
+    async fn new(seed: u64) -> Soak {
+        let platform = Platform::start(WORKERS).await;
+        let daemons =
+            (0..DAEMONS).map(|number| Daemon::new(number, seed, platform.store_addr)).collect();
+        Soak {
+            rng: SmallRng::seed_from_u64(seed),
+            platform,
+            daemons,
+            accepted: BTreeSet::new(),
+            next: seed << 32,
+            faults: Vec::new(),
+        }
+    }
+
+    /// One fault, or the end of one.
+    fn disturb(&mut self) {
+        let daemon = self.rng.random_range(0..DAEMONS);
+        let kind = self.rng.random_range(0..8);
+        let daemon = &mut self.daemons[daemon];
+        daemon.reap();
+        match kind {
+            0 => daemon.end(),
+            1 => daemon.signal(Signal::STOP),
+            2 => daemon.signal(Signal::TERM),
+            3 => daemon.signal(Signal::HUP),
+            4 => self.platform.store.borrow_mut().busy = true,
+            5 => self.platform.store.borrow_mut().lose_answers = 2,
+            _ => {
+                daemon.signal(Signal::CONT);
+                daemon.start();
+                self.platform.store.borrow_mut().busy = false;
+            }
+        }
+    }
+
+    fn heal(&mut self) {
+        self.platform.store.borrow_mut().busy = false;
+        self.platform.store.borrow_mut().lose_answers = 0;
+        for daemon in &mut self.daemons {
+            daemon.end();
+            daemon.start();
+        }
+    }
+
+    async fn submit(&mut self) {
+        self.next += 1;
+        let path = format!("/queue/{:016x}", self.next);
+        let daemon = self.rng.random_range(0..DAEMONS);
+        let addr = self.daemons[daemon].clients;
+        if let Some(answer) = ask(addr, Method::POST, &path, WORK).await
+            && answer.status == 200
+        {
+            self.accepted.insert(path);
+        }
+    }
+
+    /// No task runs at two workers.
+    fn check(&mut self) {
+        let mut seen: BTreeMap<String, usize> = BTreeMap::new();
+        for (number, worker) in self.platform.workers.iter().enumerate() {
+            for task in worker.borrow_mut().running_tasks() {
+                if let Some(other) = seen.insert(task.clone(), number) {
+                    self.faults.push(format!("{task} runs at workers {other} and {number}"));
+                }
+            }
+        }
+    }
+
+    /// All accepted work is shown as completed by whichever daemon is asked.
+    async fn settle(&mut self) {
+        let begun = Instant::now();
+        let mut open = self.accepted.clone();
+        while !open.is_empty() && begun.elapsed() < PATIENCE {
+            for path in open.clone() {
+                let daemon = self.rng.random_range(0..DAEMONS);
+                let Daemon { number, clients, .. } = self.daemons[daemon];
+                let Some(answer) = ask(clients, Method::GET, &path, "").await else { continue };
+                if answer.status == 410 {
+                    self.faults.push(format!("{path} was accepted and is unknown at {number}"));
+                    open.remove(&path);
+                } else if answer.body == br#"{"state":"completed"}"#.as_slice() {
+                    open.remove(&path);
+                }
+            }
+            self.check();
+            sleep(Duration::from_millis(50)).await;
+        }
+        for path in open {
+            self.faults.push(format!("{path} was accepted and isn't completed"));
+        }
+    }
+}
+
+async fn play(seed: u64) -> (usize, Vec<String>) {
+    let mut soak = Soak::new(seed).await;
+    sleep(Duration::from_millis(800)).await;
+    let begun = Instant::now();
+    while begun.elapsed() < TROUBLE {
+        if soak.rng.random_bool(0.25) {
+            soak.disturb();
+        }
+        soak.submit().await;
+        soak.check();
+        sleep(Duration::from_millis(40)).await;
+    }
+    soak.heal();
+    soak.settle().await;
+    (soak.accepted.len(), std::mem::take(&mut soak.faults))
+}
+
+fn seeds() -> Vec<u64> {
+    let range = env::var("EGRETLB_SOAK_SEEDS").ok();
+    let range = range.as_deref().and_then(|range| range.split_once(".."));
+    let number = |text: &str| text.parse::<u64>().expect("seeds are given as FIRST..END");
+    range.map_or(SEEDS.to_vec(), |(first, end)| (number(first)..number(end)).collect())
+}
+
+/// Processes die, stand still and come back while clients hand work in, and the store is away or loses
+/// answers. What a client was told is accepted must be finished once, and known everywhere.
+#[test]
+fn faults_from_outside() {
+    on_one_thread(async {
+        for seed in seeds() {
+            let (accepted, faults) = play(seed).await;
+            println!("seed {seed}: {accepted} workflows accepted, {} faults", faults.len());
+            assert_eq!(faults, Vec::<String>::new(), "seed {seed}");
+        }
+    });
+}
