--- a/crates/egretlbd/src/main.rs
+++ b/crates/egretlbd/src/main.rs
@@ -102,7 +102,7 @@
         peers: listen(settings.peers()).await?,
     };
     let limits = Limits {
-        max_lease: settings.max_lease(),
+        lease: Limits::default().lease.min(settings.max_lease()),
         retention: settings.retention() * 2,
         ..Limits::default()
     };
--- a/crates/workflow/src/directory.rs
+++ b/crates/workflow/src/directory.rs
@@ -31,8 +31,6 @@
     pub labels: SmallVec<[CompactString; 2]>,
     /// Whether it takes work.
     pub state: WorkerState,
-    /// How long it stays slow after its start, in milliseconds.
-    pub cold_ms: u32,
 }
 
 impl WorkerInfo {
--- a/crates/workflow/src/leadership/mod.rs
+++ b/crates/workflow/src/leadership/mod.rs
@@ -24,7 +24,7 @@
 
 /// What this process is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Role {
+enum Role {
     /// It follows.
     Follower,
     /// It has appended a claim and waits for what became of it.
@@ -38,8 +38,6 @@
     Leader {
         /// Its epoch.
         epoch: Epoch,
-        /// When its claim was acknowledged.
-        since: Time,
     },
 }
 
@@ -160,16 +158,11 @@
         record.incarnation == self.incarnation && record.node == self.node
     }
 
-    /// What this process is.
-    pub fn role(&self) -> Role {
-        self.role
-    }
-
     /// The epoch under which orders may be given now. Asked again right before each order is sent: a
     /// process may have been paused since it decided.
     pub fn authority(&self, now: Time) -> Option<Epoch> {
         match self.role {
-            Role::Leader { epoch, .. } if now < self.proven + self.limits.authority => Some(epoch),
+            Role::Leader { epoch } if now < self.proven + self.limits.authority => Some(epoch),
             _ => None,
         }
     }
@@ -177,16 +170,11 @@
     /// The epoch of the term, whether or not orders may be given.
     pub fn term(&self) -> Option<Epoch> {
         match self.role {
-            Role::Leader { epoch, .. } => Some(epoch),
+            Role::Leader { epoch } => Some(epoch),
             _ => None,
         }
     }
 
-    /// Whether a sign of life is due.
-    pub fn heartbeat_due(&self, now: Time, last_sent: Time) -> bool {
-        matches!(self.role, Role::Leader { .. }) && now.since(last_sent) >= self.limits.heartbeat
-    }
-
     /// The epoch and the number of the next append of this term, and the record that goes with it: a sign
     /// of life, or the end of the term.
     pub fn sign(&mut self, released: bool) -> Option<(Epoch, Seq, Record)> {
@@ -237,10 +225,10 @@
         self.own_predecessor = !own && self.addr.is_some() && record.addr == self.addr;
         match self.role {
             Role::Claiming { epoch, sent } if own && record.epoch == epoch => {
-                self.elect(now, sent, epoch, out);
+                self.elect(sent, epoch, out);
             }
             Role::Claiming { epoch, .. } if record.epoch >= epoch => self.role = Role::Follower,
-            Role::Leader { epoch, .. } if record.epoch > epoch => self.resign(now, out),
+            Role::Leader { epoch } if record.epoch > epoch => self.resign(now, out),
             _ => {}
         }
     }
@@ -329,8 +317,8 @@
         }
     }
 
-    fn elect(&mut self, now: Time, sent: Time, epoch: Epoch, out: &mut Vec<LeadershipEffect>) {
-        self.role = Role::Leader { epoch, since: now };
+    fn elect(&mut self, sent: Time, epoch: Epoch, out: &mut Vec<LeadershipEffect>) {
+        self.role = Role::Leader { epoch };
         self.known = epoch;
         self.proven = sent;
         out.push(LeadershipEffect::Elected { epoch });
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -22,7 +22,7 @@
     directory::{DirectoryChange, WorkerInfo, WorkerState},
     ids::{IdError, RunId, TaskId, WorkerId, WorkflowId},
     interference::{Average, Exposure, ImageNo, Interference, set},
-    leadership::{AppendResult, Leadership, LeadershipEffect, Role},
+    leadership::{AppendResult, Leadership, LeadershipEffect},
     ledger::{Change, Entry, Ledger, State},
     limits::Limits,
     record::{
--- a/crates/workflow/src/limits.rs
+++ b/crates/workflow/src/limits.rs
@@ -6,9 +6,7 @@
 /// others are chosen here.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
-    /// The longest lease a worker grants. The platform's bound.
-    pub max_lease: Duration,
-    /// The lease that is asked for. It must outlast the change of a leader (2 s) and most of a pause of
+    /// The lease that is asked for, at most the platform's bound. It must outlast the change of a leader (2 s) and most of a pause of
     /// the store; a longer one delays the restart of what ran on a worker that was lost.
     pub lease: Duration,
     /// Leases are counted on the worker's clock, which may be this much slow, in percent. The
@@ -43,9 +41,6 @@
     pub order_timeout: Duration,
     /// Ends and states are gathered for this long before they are recorded.
     pub record_gap: Duration,
-    /// How long a new leader waits for the workers' first answers before it starts what certainly
-    /// doesn't run anywhere.
-    pub survey: Duration,
     /// How long the state of an ended workflow is kept. Twice the platform's bound for states.
     pub retention: Duration,
 }
@@ -53,7 +48,6 @@
 impl Default for Limits {
     fn default() -> Self {
         Limits {
-            max_lease: Duration::from_secs(6),
             lease: Duration::from_secs(5),
             clock_slow_percent: 2,
             authority: Duration::from_secs(4),
@@ -67,7 +61,6 @@
             silent_after: Duration::from_millis(1_200),
             order_timeout: Duration::from_millis(500),
             record_gap: Duration::from_millis(20),
-            survey: Duration::from_millis(300),
             retention: Duration::from_secs(240),
         }
     }
--- a/crates/workflow/src/routes.rs
+++ b/crates/workflow/src/routes.rs
@@ -30,10 +30,6 @@
     pub version: u64,
     /// All queues.
     pub routes: Vec<Route>,
-    /// Services whose workers start whatever they are told, so that capacity is ours to keep.
-    pub unguarded: Vec<CompactString>,
-    /// The largest body taken from a client, in bytes.
-    pub max_body_bytes: usize,
 }
 
 /// Why a configuration can't be used.
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -345,6 +345,5 @@
         capacity: egretlb_types::Resources::default(),
         labels: smallvec::SmallVec::new(),
         state: WorkerState::Draining,
-        cold_ms: 0,
     }
 }
--- /dev/null
+++ b/crates/workflow/tests/support/messages.rs
@@ -0,0 +1,282 @@
+//! The world's messages: appends, orders and their answers, and the faults that befall them.
+
+use {
+    super::{
+        node::Wish,
+        worker::StartOrder,
+        world::{STEP, World},
+    },
+    egretlb_types::{Epoch, Seq, Time},
+    egretlb_workflow::{
+        AppendResult, Effect, HoldResult, Record, RunId, StartResult, StopResult, TaskId, WorkerId,
+    },
+    rand::Rng,
+    std::time::Duration,
+};
+
+pub enum Msg {
+    Append {
+        node: usize,
+        incarnation: u64,
+        sent: Time,
+        records: Vec<Record>,
+        fence: (Epoch, Seq),
+        claim: bool,
+    },
+    Appended {
+        node: usize,
+        incarnation: u64,
+        sent: Time,
+        records: Vec<Record>,
+        fence: (Epoch, Seq),
+        claim: bool,
+        result: AppendResult,
+    },
+    Order {
+        node: usize,
+        incarnation: u64,
+        epoch: Epoch,
+        sent: Time,
+        effect: Effect,
+    },
+    Answer {
+        node: usize,
+        incarnation: u64,
+        epoch: Epoch,
+        sent: Time,
+        answer: Answer,
+    },
+}
+
+pub enum Answer {
+    Hold(WorkerId, HoldResult),
+    Start(WorkerId, TaskId, RunId, StartResult),
+    Stop(WorkerId, TaskId, RunId, StopResult),
+}
+
+impl World {
+    pub fn perform(&mut self, node: usize, wishes: Vec<Wish>) {
+        let incarnation = self.nodes[node].incarnation;
+        let sent = self.now;
+        for wish in wishes {
+            match wish {
+                Wish::Claim { epoch, seq, records } => {
+                    let fence = (epoch, seq);
+                    self.send(Msg::Append { node, incarnation, sent, records, fence, claim: true });
+                }
+                Wish::Effect(epoch, Effect::Record { mut records }) => {
+                    let leadership = &mut self.nodes[node].leadership;
+                    if leadership.term() != Some(epoch) {
+                        continue;
+                    }
+                    let Some((_, seq, sign)) = leadership.sign(false) else { continue };
+                    records.push(sign);
+                    let fence = (epoch, seq);
+                    self.send(Msg::Append {
+                        node,
+                        incarnation,
+                        sent,
+                        records,
+                        fence,
+                        claim: false,
+                    });
+                }
+                Wish::Effect(_, Effect::Outranked) => {
+                    let mut out = Vec::new();
+                    let node = &mut self.nodes[node];
+                    node.leadership.on_outranked(sent, &mut out);
+                    node.apply(sent, out, &mut Vec::new());
+                }
+                Wish::Effect(epoch, effect) => {
+                    self.send(Msg::Order { node, incarnation, epoch, sent, effect });
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, msg: Msg) {
+        let steps = self.rng.random_range(1..=3);
+        self.messages.push((self.now + STEP * steps, msg));
+    }
+
+    pub fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.messages).into_iter().partition(|(at, _)| *at <= now);
+        self.messages = later;
+        for (_, msg) in due {
+            match msg {
+                Msg::Append { node, incarnation, sent, records, fence, claim } => {
+                    self.append(node, incarnation, (sent, records, fence), claim);
+                }
+                Msg::Order { node, incarnation, epoch, sent, effect } => {
+                    self.order(node, incarnation, epoch, sent, effect);
+                }
+                msg => self.answer(msg),
+            }
+        }
+    }
+
+    fn append(
+        &mut self,
+        node: usize,
+        incarnation: u64,
+        append: (Time, Vec<Record>, (Epoch, Seq)),
+        claim: bool,
+    ) {
+        let (sent, records, fence) = append;
+        let reached = self.nodes[node].reaches_store && !self.store_down;
+        let mut result = AppendResult::Rejected;
+        if reached {
+            result = self.store.append(&records, Some(fence));
+            if self.rng.random_range(0..1_000) < self.lost_appends {
+                result = AppendResult::Unknown;
+            }
+        }
+        self.send(Msg::Appended { node, incarnation, sent, records, fence, claim, result });
+    }
+
+    fn order(&mut self, node: usize, incarnation: u64, epoch: Epoch, sent: Time, effect: Effect) {
+        let now = self.now;
+        let (Effect::Hold { worker: id, .. }
+        | Effect::Start { worker: id, .. }
+        | Effect::Stop { worker: id, .. }) = &effect
+        else {
+            return;
+        };
+        let id = id.clone();
+        let Some(index) = self.workers.iter().position(|worker| worker.info.id == id) else {
+            return;
+        };
+        let cut = self.nodes[node].cut_from.contains(&index);
+        let late = self.rng.random_range(0..1_000) < self.late_orders;
+        if late && now.since(sent) < Duration::from_millis(100) {
+            let wait = Duration::from_millis(self.rng.random_range(2_000..12_000));
+            let lost = Msg::Order { node, incarnation, epoch, sent, effect: effect.clone() };
+            self.messages.push((now + wait, lost));
+        }
+        let (worker, checker) = (&mut self.workers[index], &mut self.checker);
+        let unanswered = cut || late || !worker.up;
+        let answer = match effect {
+            Effect::Hold { epoch, recorded, until_ms, .. } => {
+                let result = if unanswered {
+                    HoldResult::Failed
+                } else {
+                    worker.hold(now, epoch, recorded, until_ms, checker)
+                };
+                Answer::Hold(id, result)
+            }
+            Effect::Start { epoch, task, run, submission, until_ms, .. } => {
+                let result = if unanswered {
+                    StartResult::Unknown
+                } else {
+                    let order = StartOrder { epoch, task, run, submission, until_ms };
+                    worker.start(now, &order, checker)
+                };
+                Answer::Start(id, task, run, result)
+            }
+            Effect::Stop { epoch, task, run, .. } => {
+                let result = if unanswered {
+                    StopResult::Unknown
+                } else {
+                    worker.stop(now, epoch, task, run, checker)
+                };
+                Answer::Stop(id, task, run, result)
+            }
+            Effect::Record { .. } | Effect::Outranked => return,
+        };
+        // A call without an answer is given up after half a second.
+        let wait = if unanswered { Duration::from_millis(500) } else { STEP };
+        self.messages.push((now + wait, Msg::Answer { node, incarnation, epoch, sent, answer }));
+    }
+
+    fn answer(&mut self, msg: Msg) {
+        let (Msg::Appended { node, incarnation, .. } | Msg::Answer { node, incarnation, .. }) =
+            &msg
+        else {
+            return;
+        };
+        let (node, now) = (*node, self.now);
+        let receiver = &self.nodes[node];
+        if !receiver.up || receiver.incarnation != *incarnation {
+            return;
+        }
+        if !receiver.runs(now) {
+            self.messages.push((receiver.frozen_until, msg));
+            return;
+        }
+        let mut wishes = Vec::new();
+        match msg {
+            Msg::Appended { claim: true, result, .. } => {
+                self.nodes[node].leadership.on_claim(now, result);
+            }
+            Msg::Appended { sent, records, fence, result, .. } => {
+                self.on_appended(node, (sent, records, fence), result, &mut wishes);
+            }
+            Msg::Answer { epoch, sent, answer, .. } => {
+                self.on_answer(node, epoch, sent, answer, &mut wishes);
+            }
+            Msg::Append { .. } | Msg::Order { .. } => {}
+        }
+        self.perform(node, wishes);
+    }
+
+    fn on_appended(
+        &mut self,
+        index: usize,
+        append: (Time, Vec<Record>, (Epoch, Seq)),
+        result: AppendResult,
+        wishes: &mut Vec<Wish>,
+    ) {
+        let now = self.now;
+        let (sent, records, fence) = append;
+        let node = &mut self.nodes[index];
+        let mut out = Vec::new();
+        if node.leadership.term() != Some(fence.0) {
+            return;
+        }
+        node.leadership.on_append(now, sent, result, &mut out);
+        node.apply(now, out, wishes);
+        match result {
+            AppendResult::Done => {
+                if let Some(scheduler) = &mut node.scheduler {
+                    scheduler.on_recorded(now);
+                }
+            }
+            AppendResult::Rejected | AppendResult::Unknown => {
+                let incarnation = node.incarnation;
+                let again =
+                    Msg::Append { node: index, incarnation, sent, records, fence, claim: false };
+                self.messages.push((now + Duration::from_millis(60), again));
+            }
+            AppendResult::Conflict | AppendResult::Fenced => {}
+        }
+    }
+
+    fn on_answer(
+        &mut self,
+        index: usize,
+        epoch: Epoch,
+        sent: Time,
+        answer: Answer,
+        wishes: &mut Vec<Wish>,
+    ) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        if node.leadership.term() != Some(epoch) {
+            return;
+        }
+        let Some(scheduler) = &mut node.scheduler else { return };
+        let mut effects = Vec::new();
+        match answer {
+            Answer::Hold(id, result) => scheduler.on_hold(now, &id, sent, &result, &mut effects),
+            Answer::Start(id, task, run, result) => {
+                scheduler.on_start(now, &id, task, run, result, &mut effects);
+            }
+            Answer::Stop(id, task, run, result) => {
+                scheduler.on_stop(now, &id, task, run, result, &mut effects);
+            }
+        }
+        node.wish(effects, wishes);
+    }
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod checker;
+pub mod messages;
 pub mod node;
 pub mod store;
 pub mod worker;
--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -62,7 +62,6 @@
                 },
                 labels: [format_compact!("rack-{}", number / 4)].into_iter().collect(),
                 state: WorkerState::Ready,
-                cold_ms: 0,
             },
             up: true,
             rate: 1_000,
