--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -34,5 +34,5 @@
         Effect, End, EndKind, HoldReply, HoldResult, Measures, RunningTask, Scheduler, StartResult,
         StopResult,
     },
-    spec::{Repeat, SpecError, Step, Workflow},
+    spec::{MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS_PER_STEP, Repeat, SpecError, Step, Workflow},
 };
