Let VMs with less than a fifth of a core lead last

With the order of claims spread over 0.2 s, a read of a slow store that takes half a second decides who comes first. Weak VMs now claim 0.8 s later, 1.6 s after a silent leader. The test weak_waits fails without it.

--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -57,9 +57,19 @@
     options.incarnation.hash(&mut hasher);
     let chance = u32::try_from(hasher.finish() % u64::from(CHANCE_RANGE)).unwrap_or(0);
     let weakness = FULL_POWER.saturating_sub(options.power) * (999 - CHANCE_RANGE) / FULL_POWER;
-    weakness + chance
+    let behind = if options.power < FIT_POWER { FIT_RANGE } else { 0 };
+    weakness + chance + behind
 }
 
+/// A VM with a smaller share of a core is unfit to lead, in thousandths. One of 120 led 350 workers, and
+/// started a task four seconds after its cancellation was acknowledged.
+const FIT_POWER: u32 = 200;
+
+/// Unfit VMs come so much later, in thousandths of the spread: 1.6 s, and half of that after a leader
+/// that gave up its term. A slow store delays what VMs read by half a second, which otherwise lets a
+/// weak one come first.
+const FIT_RANGE: u32 = 4_000;
+
 /// VMs with this share of a core and more are equally fit to lead, in thousandths.
 const FULL_POWER: u32 = 500;
 
--- a/crates/workflow/src/leadership/mod.rs
+++ b/crates/workflow/src/leadership/mod.rs
@@ -112,6 +112,9 @@
 /// process that claims an epoch would be told that it has it.
 const SEQ_STARTS: u64 = 1 << 31;
 
+/// The last place: twice the ordinary silence after a leader's last sign is waited at most.
+const LAST_PLACE: u32 = 5_000;
+
 /// The pause after a rejected claim. Either another one has got through, which is read by then, or the
 /// store takes no appends, and claims of all VMs must not add to that.
 const CLAIM_AGAIN: Duration = Duration::from_millis(400);
@@ -121,7 +124,9 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 impl Leadership {
-    /// A follower that has read nothing yet. `place` spreads the followers' claims, from 0 to 999.
+    /// A follower that has read nothing yet. `place` spreads the followers' claims, in thousandths of
+    /// [`Limits::takeover_spread`]: up to 999 for those that are fit to lead, up to 5,000 for those that
+    /// had better not.
     pub fn new(
         now: Time,
         node: impl Into<CompactString>,
@@ -134,7 +139,7 @@
             incarnation,
             addr: None,
             limits,
-            place: place.min(999),
+            place: place.min(LAST_PLACE),
             role: Role::Follower,
             quiet_since: now,
             claim_after: now,
--- a/crates/workflow/tests/leader_changes.rs
+++ b/crates/workflow/tests/leader_changes.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use {
-    egretlb_workflow::Limits,
+    egretlb_types::{Epoch, Seq},
+    egretlb_workflow::{LeaderRecord, Leadership, Limits},
     std::time::Duration,
     support::{step, submission, world::World},
 };
@@ -173,3 +174,32 @@
     }
     assert!(noticed);
 }
+
+/// The leader gives up its term while the store is slow, so that some VMs read it half a second later
+/// than others. A VM too weak to lead must not come first for that: it would read cancellations seconds
+/// late and start what was cancelled.
+#[test]
+fn weak_waits() {
+    let claims_after = |place: u32| {
+        let mut now = egretlb_types::Time::from_secs(10);
+        let mut leadership = Leadership::new(now, "node", 7, place, Limits::default());
+        let gone = LeaderRecord {
+            node: "other".into(),
+            incarnation: 1,
+            epoch: Epoch(3),
+            released: true,
+            addr: None,
+            seq: Seq(9),
+        };
+        leadership.on_leader(now, &gone, &mut Vec::new());
+        let begun = now;
+        let mut out = Vec::new();
+        while out.is_empty() {
+            now = now + Duration::from_millis(20);
+            leadership.tick(now, true, &mut out);
+        }
+        now.since(begun)
+    };
+    assert!(claims_after(999) < Duration::from_millis(250));
+    assert!(claims_after(4_000) > Duration::from_millis(750));
+}
