Ask for each start again right before it is sent, and bound those under way

Cause: a VM with 0.12 of a core led 350 workers. Decided starts waited behind two orders at a time for each worker, and behind the VM's own backlog; copies of slow tasks left it 3 s after they were decided, when the tasks were done.

Ruled out: ends taken in late (they were noted 1.2 s before the start), a second leader (both runs of one epoch).

Change: the turn at a worker moved from the adapter to the runtime, which asks the scheduler again once the turn has come; 64 starts at most are decided and unanswered; a leader whose appends get through while its reads lag by 1.5 s starts nothing.

--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -27,6 +27,8 @@
     pub(crate) at_end: bool,
     /// When the last read was answered.
     pub(crate) fresh: Option<Time>,
+    /// When the last read that reached the end was sent: what was recorded before is known.
+    pub(crate) known_to: Option<Time>,
 }
 
 /// The state of a node.
@@ -124,11 +126,13 @@
     pub(crate) fn tick(&mut self, now: Time, wall_ms: u64, out: &mut Effects) {
         let caught_up = self.work.loaded && self.work.at_end && !self.stopping;
         self.leadership.tick(now, caught_up, &mut out.leadership);
+        let behind = self.is_behind();
         // A process that ends begins nothing: its last append must be settled before it gives up its term.
         if !self.stopping
             && self.leadership.authority(now).is_some()
             && let Some(scheduler) = &mut self.scheduler
         {
+            scheduler.set_behind(behind);
             scheduler.tick(now, wall_ms, &mut out.scheduler);
         }
     }
@@ -144,6 +148,13 @@
         self.work.loaded && self.work.fresh.is_some_and(|at| now.since(at) < STALE_AFTER)
     }
 
+    /// Whether this leader's appends reach the store while its reads lag: clients are told elsewhere that
+    /// their workflows are cancelled, and this process doesn't know. While the store is away nobody is
+    /// told anything, and neither gets through.
+    fn is_behind(&self) -> bool {
+        self.work.known_to.is_none_or(|known| self.leadership.proven().since(known) >= BEHIND_AFTER)
+    }
+
     /// Who leads, for logs.
     pub(crate) fn leader(&self) -> CompactString {
         self.ledger.leader().map_or_else(CompactString::default, |leader| leader.node.clone())
@@ -153,3 +164,7 @@
 /// Reads are answered several times a second, since a leader leaves a sign of life each 250 ms. After
 /// this long without one the state shown here may be too old to say that something doesn't exist.
 const STALE_AFTER: std::time::Duration = std::time::Duration::from_millis(1_800);
+
+/// A leader whose reads lag so far behind its appends starts nothing. Reads wait for 0.6 s at most, and a
+/// start is sent within half a second; what was cancelled must not start after 3 s.
+const BEHIND_AFTER: std::time::Duration = std::time::Duration::from_millis(1_500);
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -96,7 +96,7 @@
             if topic == Topic::Directory {
                 node.directory_loaded(&found);
             }
-            node.read_done(topic, Reading { loaded: true, at_end: false, fresh: None });
+            node.read_done(topic, Reading { loaded: true, ..Reading::default() });
             return Some(next);
         }
     }
@@ -104,6 +104,7 @@
 
 /// Reads once; returns whether the topic can be read on from `next`.
 async fn tail(node: &Rc<Node>, topic: Topic, next: &mut Offset) -> bool {
+    let sent = node.clock().now();
     match node.store().read(topic, *next, wait(topic)).await {
         ReadResult::Records { records, end } => {
             for stored in &records {
@@ -112,7 +113,8 @@
             }
             let fresh: Option<Time> = Some(node.clock().now());
             let at_end = *next >= end;
-            node.read_done(topic, Reading { loaded: true, at_end, fresh });
+            let known_to = at_end.then_some(sent);
+            node.read_done(topic, Reading { loaded: true, at_end, fresh, known_to });
             true
         }
         ReadResult::Forgotten => false,
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -6,6 +6,7 @@
         border::{Append, Fence, Formats, Store, Topic, Workers},
         clock::Clock,
         core::{Core, Effects, Reading},
+        orders::Turns,
         peers::{Leader, Waiting},
     },
     compact_str::CompactString,
@@ -90,6 +91,7 @@
     /// Since when the leader's append under way has had no success.
     pub(crate) recording: Cell<Option<Time>>,
     pub(crate) clock: Clock,
+    pub(crate) turns: Turns,
     wake: Notify,
     /// Told of each answered read of the system's own records.
     pub(crate) reads: Notify,
@@ -118,6 +120,7 @@
             waiting: RefCell::default(),
             recording: Cell::new(None),
             clock,
+            turns: Turns::default(),
             wake: Notify::new(),
             reads: Notify::new(),
         })
@@ -249,7 +252,8 @@
 
     pub(crate) fn read_done(self: &Rc<Self>, topic: Topic, reading: Reading) {
         if topic == Topic::Work {
-            self.core.borrow_mut().work = reading;
+            let work = &mut self.core.borrow_mut().work;
+            *work = Reading { known_to: reading.known_to.or(work.known_to), ..reading };
             self.reads.notify_waiters();
         }
     }
--- a/crates/runtime/src/orders.rs
+++ b/crates/runtime/src/orders.rs
@@ -6,11 +6,36 @@
         node::Node,
     },
     egretlb_types::{Epoch, Time},
-    egretlb_workflow::{Effect, HoldResult, Scheduler, StartResult, StopResult},
-    std::rc::Rc,
-    tokio::task::spawn_local,
+    egretlb_workflow::{
+        Effect, HoldResult, RunId, Scheduler, StartResult, StopResult, TaskId, WorkerId,
+    },
+    std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc},
+    tokio::{
+        sync::{OwnedSemaphorePermit, Semaphore},
+        task::spawn_local,
+    },
 };
 
+/// Orders under way at one worker, each on a connection of its own: one that gets no answer doesn't
+/// stop the others. More would open connections that are seldom used again.
+const ORDERS_AT_ONCE: usize = 2;
+
+/// Whose turn it is to send an order to a worker.
+#[derive(Debug, Default)]
+pub(crate) struct Turns {
+    at: RefCell<HashMap<SocketAddr, Arc<Semaphore>>>,
+}
+
+impl Turns {
+    /// Waits for a turn at `addr`, which ends when what is returned is dropped.
+    async fn take(&self, addr: SocketAddr) -> Option<OwnedSemaphorePermit> {
+        let new = || Arc::new(Semaphore::new(ORDERS_AT_ONCE));
+        let semaphore = Arc::clone(self.at.borrow_mut().entry(addr).or_insert_with(new));
+        // The semaphore is never closed.
+        semaphore.acquire_owned().await.ok()
+    }
+}
+
 impl Node {
     /// Performs what the scheduler decided.
     pub(crate) fn perform(self: &Rc<Self>, effect: Effect) {
@@ -66,12 +91,20 @@
         });
     }
 
+    /// Whether a start that was decided may still be sent.
+    fn may_start(&self, epoch: Epoch, worker: &WorkerId, task: TaskId, run: RunId) -> bool {
+        let core = self.core.borrow();
+        let wanted = |scheduler: &Scheduler| scheduler.wants(worker, task, run);
+        self.may_order(epoch) && core.scheduler.as_ref().is_some_and(wanted)
+    }
+
     async fn start(self: Rc<Self>, effect: Effect) {
         let Effect::Start { worker, addr, epoch, task, run, submission, until_ms, saved } = effect
         else {
             return;
         };
-        let result = if self.may_order(epoch) {
+        let turn = self.turns.take(addr).await;
+        let result = if self.may_start(epoch, &worker, task, run) {
             let payload = submission.workflow.payload.as_str();
             let worker = &worker;
             let saved = saved.as_str();
@@ -79,15 +112,17 @@
                 .start(StartCall { worker, addr, epoch, task, run, payload, until_ms, saved })
                 .await
         } else {
-            StartResult::NotSent
+            StartResult::Withheld
         };
+        drop(turn);
         self.with_scheduler(epoch, |scheduler, now, out| {
             scheduler.on_start(now, &worker, task, run, result, out);
         });
     }
 
     async fn stop(self: Rc<Self>, call: StopCall) {
-        let StopCall { worker, epoch, task, run, .. } = call.clone();
+        let StopCall { worker, addr, epoch, task, run } = call.clone();
+        let _turn = self.turns.take(addr).await;
         let result =
             if self.may_order(epoch) { self.workers.stop(call).await } else { StopResult::Unknown };
         self.with_scheduler(epoch, |scheduler, now, out| {
--- a/crates/workflow/src/leadership/mod.rs
+++ b/crates/workflow/src/leadership/mod.rs
@@ -322,6 +322,11 @@
         }
     }
 
+    /// When the last acknowledged append of this term was sent: the store was reached after that.
+    pub fn proven(&self) -> Time {
+        self.proven
+    }
+
     fn elect(&mut self, sent: Time, epoch: Epoch, out: &mut Vec<LeadershipEffect>) {
         self.role = Role::Leader { epoch };
         self.known = epoch;
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -141,6 +141,10 @@
     learned_news: bool,
     /// When a task that ends soon last found no room.
     crowded_at: Option<Time>,
+    /// Starts that were decided and not answered.
+    starts_under_way: usize,
+    /// The records are read too late to start anything.
+    behind: bool,
     measures: Measures,
     wall_ms: u64,
 }
@@ -190,6 +194,8 @@
             learned_at: now,
             learned_news: false,
             crowded_at: None,
+            starts_under_way: 0,
+            behind: false,
             measures: Measures::default(),
             wall_ms,
         };
--- a/crates/workflow/src/scheduler/orders.rs
+++ b/crates/workflow/src/scheduler/orders.rs
@@ -33,6 +33,8 @@
     OtherIncarnation,
     /// Not run: nothing was sent.
     NotSent,
+    /// Not run: it wasn't wanted any more when its turn came.
+    Withheld,
     /// It may run, now or later.
     Unknown,
 }
@@ -60,11 +62,39 @@
 /// An unwell worker gets nothing for so long.
 const UNWELL_PAUSE: Duration = Duration::from_secs(1);
 
+/// The most starts that are decided and not answered. A VM that is too weak for its load performs them
+/// seconds after they were decided: with 350 workers and 0.12 of a core, copies of tasks were started
+/// 3 s after those tasks were done. What isn't decided yet waits in the queue, in its order. Far above
+/// what a worker's answer within 10 ms needs (10 at 1,000 starts a second), and enough for a tenth of
+/// 500 workers to leave one start each unanswered.
+const MOST_STARTS_UNDER_WAY: usize = 64;
+
 /// A stop that isn't confirmed is sent again after this.
 const STOP_AGAIN: Duration = Duration::from_millis(700);
 
 impl Scheduler {
-    /// What became of a start.
+    /// Whether a start that was decided is still wanted. It is asked right before the start is sent:
+    /// while it waited for its turn, its workflow may have been cancelled, or another copy of its task
+    /// may be done.
+    pub fn wants(&self, id: &WorkerId, task: TaskId, run: RunId) -> bool {
+        let copy = self.workers.get(id).and_then(|worker| worker.copies.get(&(task, run)));
+        !self.behind && copy.is_some_and(|copy| copy.phase == Phase::Starting)
+    }
+
+    /// Whether more starts may be decided now.
+    pub(super) fn may_start(&self) -> bool {
+        !self.behind && self.starts_under_way < MOST_STARTS_UNDER_WAY
+    }
+
+    /// Tells whether the records are read too late to start anything: what was cancelled since isn't
+    /// known.
+    pub fn set_behind(&mut self, behind: bool) {
+        if std::mem::replace(&mut self.behind, behind) != behind {
+            log::warn!(behind; "records_read_late");
+        }
+    }
+
+    /// What became of a start. Each start is answered once.
     pub fn on_start(
         &mut self,
         now: Time,
@@ -74,6 +104,7 @@
         result: StartResult,
         out: &mut Vec<Effect>,
     ) {
+        self.starts_under_way = self.starts_under_way.saturating_sub(1);
         match result {
             StartResult::Started { clock_ms } => self.on_started(now, id, task, run, clock_ms),
             StartResult::Outranked => out.push(Effect::Outranked),
@@ -83,6 +114,7 @@
             StartResult::Unwell | StartResult::NotSent => {
                 self.reject_start(now, id, task, run, UNWELL_PAUSE);
             }
+            StartResult::Withheld => self.drop_copy(now, id, task, run),
             StartResult::OldRun
             | StartResult::Late
             | StartResult::BadTicket
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -29,6 +29,9 @@
         let mut unmet: SmallVec<[Unmet; 8]> = SmallVec::new();
         let keys: Vec<Ready> = self.ready.iter().copied().collect();
         for key in keys {
+            if !self.may_start() {
+                return;
+            }
             if self.place_step(now, key, &mut unmet, out) {
                 self.ready.remove(&key);
             }
@@ -68,6 +71,9 @@
         let need = Need::new(&step, &mut self.interference);
         loop {
             let Some(index) = self.front(key) else { return true };
+            if !self.may_start() {
+                return false;
+            }
             let task = task_of(key, index);
             let Some(worker) = self.choose(now, task, &service, &need) else {
                 self.make_room(now, key, &service, &step, out);
@@ -200,6 +206,7 @@
             self.dirty.insert(task.workflow);
         }
         log::debug!(task:%, run:%, worker:% = id; "task_started");
+        self.starts_under_way += 1;
         out.push(Effect::Start {
             worker: id.clone(),
             addr,
--- a/crates/workflow/src/scheduler/stragglers.rs
+++ b/crates/workflow/src/scheduler/stragglers.rs
@@ -92,6 +92,9 @@
             return;
         }
         state.avoid = Some(id.clone());
+        if step.speculative && !self.may_start() {
+            return;
+        }
         let need = Need::new(&step, &mut self.interference);
         // Without another place it is better off where it is.
         let Some(other) = self.choose(now, task, &service, &need) else { return };
--- /dev/null
+++ b/crates/workflow/tests/held_orders.rs
@@ -0,0 +1,81 @@
+//! Orders that wait at the leader before they are sent.
+
+mod support;
+
+use {
+    egretlb_workflow::{Limits, State},
+    std::time::Duration,
+    support::{step, submission, world::World},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A weak VM leads many workers, and orders leave it 2 s after they were decided. A worker stands still for
+/// a moment, a copy of its task is decided, and then the task is done after all. Were the copy started
+/// two seconds later all the same, an owner would get a second letter.
+#[test]
+fn copy_of_done() {
+    let mut world = World::new(21, 2, 4, Limits::default());
+    world.run(2 * SECOND);
+    let mut twice = step(4, 1_500);
+    twice.speculative = true;
+    let id = world.submit(1, &submission(vec![twice]));
+    world.run_until(SECOND, |world| world.checker.starts == 4);
+    world.order_wait = 2 * SECOND;
+    for worker in &mut world.workers {
+        worker.stand_still(1_100);
+    }
+    assert!(world.run_until(4 * SECOND, |world| world.completed(id)).is_some());
+    world.run(4 * SECOND);
+    assert_eq!(world.checker.starts, 4);
+    assert_eq!(world.checker.faults, Vec::<String>::new());
+}
+
+/// A workflow is cancelled while its starts wait for their turn. None of them is sent.
+#[test]
+fn start_of_cancelled() {
+    let mut world = World::new(22, 2, 4, Limits::default());
+    world.run(2 * SECOND);
+    world.order_wait = 2 * SECOND;
+    let id = world.submit(1, &submission(vec![step(4, 500)]));
+    world.run(SECOND);
+    world.cancel(id);
+    world.run(4 * SECOND);
+    assert_eq!(world.checker.starts, 0);
+    assert!(matches!(world.state(id), Some(State::Ended(_))));
+}
+
+/// Far more tasks come than a weak VM can start. What it has decided stays few, so that what it sends is
+/// never old; without that bound starts were sent seconds late, and rejected since their leases had passed.
+#[test]
+fn few_under_way() {
+    let mut world = World::new(23, 2, 4, Limits::default());
+    for _ in 0..40 {
+        world.add_worker(8);
+    }
+    world.run(2 * SECOND);
+    world.order_wait = SECOND;
+    world.submit(1, &submission(vec![step(300, 100)]));
+    world.run(Duration::from_millis(500));
+    assert_eq!(world.checker.starts, 0);
+    world.run(Duration::from_millis(600));
+    assert_eq!(world.checker.starts, 64);
+}
+
+/// The leader's appends get through, but its reads lag: cancellations that clients were told of elsewhere
+/// don't reach it. It starts nothing until its reads catch up.
+#[test]
+fn reads_lag() {
+    let mut world = World::new(24, 2, 4, Limits::default());
+    world.run(2 * SECOND);
+    let leader = world.leader().expect("somebody leads by now");
+    let behind = |world: &mut World, behind: bool| {
+        world.nodes[leader].scheduler.as_mut().expect("it leads").set_behind(behind);
+    };
+    behind(&mut world, true);
+    let id = world.submit(1, &submission(vec![step(4, 500)]));
+    world.run(SECOND);
+    assert_eq!(world.checker.starts, 0);
+    behind(&mut world, false);
+    assert!(world.run_until(2 * SECOND, |world| world.completed(id)).is_some());
+}
--- a/crates/workflow/tests/support/messages.rs
+++ b/crates/workflow/tests/support/messages.rs
@@ -88,7 +88,11 @@
                     node.apply(sent, out, &mut Vec::new());
                 }
                 Wish::Effect(epoch, effect) => {
-                    self.send(Msg::Order { node, incarnation, epoch, sent, effect });
+                    let polls = matches!(effect, Effect::Hold { .. });
+                    let wait = if polls { Duration::ZERO } else { self.order_wait };
+                    let turn = self.now + wait + STEP;
+                    let msg = Msg::Order { node, incarnation, epoch, sent: turn, effect };
+                    self.messages.push((turn, msg));
                 }
             }
         }
@@ -145,6 +149,14 @@
             return;
         };
         let id = id.clone();
+        if let Effect::Start { task, run, .. } = &effect
+            && now == sent
+            && !self.wants(node, incarnation, &id, *task, *run)
+        {
+            let answer = Answer::Start(id, *task, *run, StartResult::Withheld);
+            self.messages.push((now, Msg::Answer { node, incarnation, epoch, sent, answer }));
+            return;
+        }
         let Some(index) = self.workers.iter().position(|worker| worker.info.id == id) else {
             return;
         };
@@ -190,6 +202,21 @@
         self.messages.push((now + wait, Msg::Answer { node, incarnation, epoch, sent, answer }));
     }
 
+    /// What a node asks itself when the turn of a start comes.
+    fn wants(
+        &self,
+        node: usize,
+        incarnation: u64,
+        id: &WorkerId,
+        task: TaskId,
+        run: RunId,
+    ) -> bool {
+        let node = &self.nodes[node];
+        // A node that was killed meanwhile had sent it already.
+        let runs = node.incarnation == incarnation && node.leads(self.now);
+        !runs || node.scheduler.as_ref().is_none_or(|scheduler| scheduler.wants(id, task, run))
+    }
+
     fn answer(&mut self, msg: Msg) {
         let (Msg::Appended { node, incarnation, .. } | Msg::Answer { node, incarnation, .. }) =
             &msg
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -28,6 +28,8 @@
     pub lost_appends: u32,
     /// Orders that get no answer and are carried out 2 to 12 s later, in thousandths.
     pub late_orders: u32,
+    /// How long orders wait at the node before they are sent, as on a VM that is too weak for its load.
+    pub order_wait: Duration,
     pub nodes: Vec<Node>,
     pub workers: Vec<Worker>,
     pub checker: Checker,
@@ -49,6 +51,7 @@
             store_down: false,
             lost_appends: 0,
             late_orders: 0,
+            order_wait: Duration::ZERO,
             nodes: Vec::new(),
             workers: Vec::new(),
             checker: Checker::default(),
