Let what is found running hold its task until its end is listed

Workers were cut off with starts in doubt and listed as silent; back from the cut they didn't know them, so the leader started the tasks elsewhere, and just then the store turned it away. Its successor found the new runs beside those that the records suppose, stopped them, and started the tasks again as soon as the supposed ones proved to be none, while the stops (0.4 s) were under way.

Ruled out: pacing (the code is older), orders of the deposed leader (its last start was 0.7 s before the election).

The test fails before.

--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -310,15 +310,18 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.insert(task, run, copy);
         }
-        if !wanted {
-            self.stop_runs(now, id, out, |of, number| of == task && number == run);
-            return;
-        }
+        // Also what isn't wanted holds its task until its end is listed: another copy may turn out not to
+        // run at all, and the task must not start anew while this one is being stopped.
         if let Some(state) = self.task_mut(task) {
             state.copies.push((id.clone(), run));
-            state.saved.clone_from(&running.saved);
+            if wanted {
+                state.saved.clone_from(&running.saved);
+            }
         }
         self.unqueue(task);
+        if !wanted {
+            self.stop_runs(now, id, out, |of, number| of == task && number == run);
+        }
     }
 
     fn unqueue(&mut self, task: TaskId) {
--- a/crates/workflow/tests/lost_workers.rs
+++ b/crates/workflow/tests/lost_workers.rs
@@ -174,3 +174,27 @@
         assert_eq!(world.checker.faults, Vec::<String>::new());
     }
 }
+
+/// A worker is cut off with a start in doubt, and the records list it as silent. Then it is back and doesn't
+/// know the run, so the leader starts the task elsewhere; at that moment the store turns the leader away.
+/// Its successor finds the new run beside the one that the records suppose, and stops it, which takes a
+/// while. Were the task queued again as soon as the supposed run proves to be none, it would run twice.
+#[test]
+fn found_beside_supposed() {
+    for seed in 0..12 {
+        let mut world = World::new(seed, 2, 4, Limits::default());
+        for worker in &mut world.workers {
+            worker.stop_ms = 400;
+        }
+        world.run(2 * SECOND);
+        let leader = world.leader().expect("somebody leads by now");
+        world.nodes[leader].cut_from = vec![0];
+        world.submit(1, &submission(vec![step(16, 9_000)]));
+        world.run(4 * SECOND);
+        world.nodes[leader].cut_from.clear();
+        world.nodes[leader].reaches_store = false;
+        world.run(5 * SECOND);
+        assert_ne!(world.leader(), Some(leader));
+        assert_eq!(world.checker.faults, Vec::<String>::new(), "seed {seed}");
+    }
+}
