Get tickets for steps that a policy allows only some workers to run

A queue with advice wasn't served at all: its starts were rejected by every worker. The leader now asks the platform's service in batches that its costs justify, one call at a time, remembers both answers, and places other work meanwhile.

--- a/crates/egretlbd/src/main.rs
+++ b/crates/egretlbd/src/main.rs
@@ -4,8 +4,8 @@
 
 use {
     crate::args::Asked,
-    egretlb_platform::{JsonFormats, LogStore, RpcWorkers, Settings, SettingsError},
-    egretlb_runtime::{Listeners, Node, NodeOptions, run},
+    egretlb_platform::{AdviceService, JsonFormats, LogStore, RpcWorkers, Settings, SettingsError},
+    egretlb_runtime::{Listeners, Node, NodeOptions, border::Platform, run},
     egretlb_telemetry::LogOptions,
     egretlb_workflow::Limits,
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -112,8 +112,13 @@
         power: settings.power(),
         limits,
     };
-    let store = Rc::new(LogStore::new(settings.store.addr));
-    let node = Node::new(options, store, Rc::new(RpcWorkers::default()), Rc::new(JsonFormats));
+    let platform = Platform {
+        store: Rc::new(LogStore::new(settings.store.addr)),
+        workers: Rc::new(RpcWorkers::default()),
+        advisor: Rc::new(AdviceService::new(settings.advisor)),
+        formats: Rc::new(JsonFormats),
+    };
+    let node = Node::new(options, platform);
     let mut term = signal(SignalKind::terminate()).map_err(StartError::System)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::System)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(StartError::System)?;
--- a/crates/runtime/src/border.rs
+++ b/crates/runtime/src/border.rs
@@ -5,11 +5,12 @@
     compact_str::CompactString,
     egretlb_types::{Epoch, Offset, Seq},
     egretlb_workflow::{
-        AppendResult, DirectoryChange, HoldResult, PaceResult, Record, RouteTable, RoutesError,
-        RunId, SpecError, StartResult, State, StopResult, TaskId, WorkerId, Workflow,
+        AdviceResult, AdviceTerms, AppendResult, DirectoryChange, HoldResult, PaceResult, Record,
+        RouteTable, RoutesError, RunId, SpecError, StartResult, State, StepId, StopResult, TaskId,
+        WorkerId, Workflow,
     },
     futures::future::LocalBoxFuture,
-    std::{fmt, net::SocketAddr, time::Duration},
+    std::{fmt, net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// A topic of the store.
@@ -142,6 +143,8 @@
     pub until_ms: u64,
     /// The checkpoint to resume from; empty for none.
     pub saved: &'a str,
+    /// Says that the worker may run it; empty if that needs no ticket.
+    pub ticket: &'a str,
 }
 
 /// A stop of a run.
@@ -191,6 +194,30 @@
     fn pace(&self, call: PaceCall) -> LocalBoxFuture<'_, PaceResult>;
 }
 
+/// The service that knows which workers a policy allows to run a step.
+pub trait Advisor {
+    /// Asks which of these workers may run the step.
+    fn advise<'a>(
+        &'a self,
+        step: StepId,
+        workers: &'a [WorkerId],
+        terms: AdviceTerms,
+    ) -> LocalBoxFuture<'a, AdviceResult>;
+}
+
+/// All that a node needs of the platform.
+#[derive(Clone)]
+pub struct Platform {
+    /// The store.
+    pub store: Rc<dyn Store>,
+    /// The workers.
+    pub workers: Rc<dyn Workers>,
+    /// Says which workers may run a step.
+    pub advisor: Rc<dyn Advisor>,
+    /// Formats of bodies.
+    pub formats: Rc<dyn Formats>,
+}
+
 /// What the operator published.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OperatorChange {
--- a/crates/runtime/src/clients.rs
+++ b/crates/runtime/src/clients.rs
@@ -107,6 +107,7 @@
         max_attempts: route.max_attempts,
         stretch_permille: route.stretch_permille,
         slack_ms: route.slack_ms,
+        advice: route.advice,
         taken_ms: node.clock().wall_ms(),
         workflow,
     };
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         append::{Appender, STUCK_AFTER},
-        border::{Append, Fence, Formats, Store, Topic, Workers},
+        border::{Advisor, Append, Fence, Formats, Platform, Store, Topic, Workers},
         clock::Clock,
         core::{Core, Effects, Reading},
         orders::Turns,
@@ -82,6 +82,7 @@
     pub(crate) core: RefCell<Core>,
     pub(crate) store: Rc<dyn Store>,
     pub(crate) workers: Rc<dyn Workers>,
+    pub(crate) advisor: Rc<dyn Advisor>,
     formats: Rc<dyn Formats>,
     pub(crate) appender: Rc<Appender>,
     pub(crate) leader: Leader,
@@ -99,12 +100,8 @@
 
 impl Node {
     /// A node that follows nothing yet.
-    pub fn new(
-        options: NodeOptions,
-        store: Rc<dyn Store>,
-        workers: Rc<dyn Workers>,
-        formats: Rc<dyn Formats>,
-    ) -> Rc<Node> {
+    pub fn new(options: NodeOptions, platform: Platform) -> Rc<Node> {
+        let Platform { store, workers, advisor, formats } = platform;
         let clock = Clock;
         let place = place(&options);
         let leadership =
@@ -113,6 +110,7 @@
             core: RefCell::new(Core::new(leadership, options.limits)),
             store,
             workers,
+            advisor,
             formats,
             appender: Rc::default(),
             leader: Leader::default(),
--- a/crates/runtime/src/orders.rs
+++ b/crates/runtime/src/orders.rs
@@ -7,7 +7,8 @@
     },
     egretlb_types::{Epoch, Time},
     egretlb_workflow::{
-        Effect, HoldResult, PaceResult, RunId, Scheduler, StartResult, StopResult, TaskId, WorkerId,
+        Effect, HoldResult, PaceResult, RunId, Scheduler, StartResult, StepId, StopResult, TaskId,
+        WorkerId,
     },
     std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc},
     tokio::{
@@ -55,6 +56,9 @@
                 let call = PaceCall { worker, addr, epoch, task, run, percent };
                 spawn_local(Rc::clone(self).pace(call));
             }
+            Effect::Advise { step, workers } => {
+                spawn_local(Rc::clone(self).advise(step, workers));
+            }
             Effect::Record { records } => {
                 spawn_local(Rc::clone(self).record(records));
             }
@@ -103,7 +107,8 @@
     }
 
     async fn start(self: Rc<Self>, effect: Effect) {
-        let Effect::Start { worker, addr, epoch, task, run, submission, until_ms, saved } = effect
+        let Effect::Start { worker, addr, epoch, task, run, submission, until_ms, saved, ticket } =
+            effect
         else {
             return;
         };
@@ -111,10 +116,10 @@
         let result = if self.may_start(epoch, &worker, task, run) {
             let payload = submission.workflow.payload.as_str();
             let worker = &worker;
-            let saved = saved.as_str();
-            self.workers
-                .start(StartCall { worker, addr, epoch, task, run, payload, until_ms, saved })
-                .await
+            let (saved, ticket) = (saved.as_str(), ticket.as_str());
+            let call =
+                StartCall { worker, addr, epoch, task, run, payload, until_ms, saved, ticket };
+            self.workers.start(call).await
         } else {
             StartResult::Withheld
         };
@@ -143,4 +148,16 @@
             scheduler.on_pace(now, &worker, task, run, result, out);
         });
     }
+
+    async fn advise(self: Rc<Self>, step: StepId, workers: Vec<WorkerId>) {
+        let known = {
+            let core = self.core.borrow();
+            let submission =
+                core.ledger.get(step.workflow).and_then(|entry| entry.submission.clone());
+            core.leadership.term().zip(submission.and_then(|submission| submission.advice))
+        };
+        let Some((epoch, terms)) = known else { return };
+        let result = self.advisor.advise(step, &workers, terms).await;
+        self.with_scheduler(epoch, |scheduler, now, _| scheduler.on_advice(now, step, result));
+    }
 }
--- a/crates/workflow/src/ids.rs
+++ b/crates/workflow/src/ids.rs
@@ -77,6 +77,41 @@
     }
 }
 
+impl TaskId {
+    /// The step that the task belongs to.
+    pub fn step_id(self) -> StepId {
+        StepId { workflow: self.workflow, occurrence: self.occurrence, step: self.step }
+    }
+}
+
+/// A step, in one occurrence of its workflow.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct StepId {
+    /// The workflow that the step belongs to.
+    pub workflow: WorkflowId,
+    /// Which repetition of the workflow, from 0.
+    pub occurrence: u32,
+    /// The step, from 0.
+    pub step: u16,
+}
+
+impl fmt::Display for StepId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let StepId { workflow, occurrence, step } = self;
+        write!(f, "{workflow}.{occurrence}.{step}")
+    }
+}
+
+impl FromStr for StepId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        // A step's id is that of any of its tasks without the index.
+        let task: TaskId = format!("{text}.0").parse()?;
+        Ok(task.step_id())
+    }
+}
+
 impl FromStr for TaskId {
     type Err = IdError;
 
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -20,7 +20,7 @@
 pub use crate::{
     bits::Bits,
     directory::{DirectoryChange, WorkerInfo, WorkerState},
-    ids::{IdError, RunId, TaskId, WorkerId, WorkflowId},
+    ids::{IdError, RunId, StepId, TaskId, WorkerId, WorkflowId},
     interference::{Exposure, ImageNo, Interference, pace_of, set},
     leadership::{AppendResult, Leadership, LeadershipEffect},
     ledger::{Change, Entry, Ledger, State},
@@ -29,10 +29,10 @@
         Key, LeaderRecord, OccurrenceProgress, Outcome, Progress, Record, RecordError, RosterEntry,
         StepProgress, Submission,
     },
-    routes::{Route, RouteTable, RoutesError},
+    routes::{AdviceTerms, Route, RouteTable, RoutesError},
     scheduler::{
-        Effect, End, EndKind, HoldReply, HoldResult, Measures, PaceResult, RunningTask, Scheduler,
-        StartResult, StopResult,
+        AdviceResult, Effect, End, EndKind, HoldReply, HoldResult, Measures, PaceResult,
+        RunningTask, Scheduler, StartResult, StopResult,
     },
     spec::{MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS_PER_STEP, Repeat, SpecError, Step, Workflow},
 };
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -6,7 +6,7 @@
 //! the leader alone, under its epoch.
 
 use {
-    crate::{Bits, RunId, TaskId, WorkerId, Workflow, WorkflowId},
+    crate::{AdviceTerms, Bits, RunId, TaskId, WorkerId, Workflow, WorkflowId},
     compact_str::CompactString,
     egretlb_types::{Epoch, Seq},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -14,7 +14,7 @@
 };
 
 /// The version of the values' form; a process passes over a record of another one.
-const FORM: u8 = 1;
+const FORM: u8 = 2;
 
 /// What a record is about.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -146,6 +146,8 @@
     pub stretch_permille: u32,
     /// And this much more, in milliseconds.
     pub slack_ms: u32,
+    /// Set if a policy allows only some workers to run a step.
+    pub advice: Option<AdviceTerms>,
     /// When it was taken, by the time of day of the process that took it, in milliseconds since 1970.
     pub taken_ms: u64,
     /// What the client sent.
--- a/crates/workflow/src/routes.rs
+++ b/crates/workflow/src/routes.rs
@@ -1,6 +1,21 @@
 //! The configuration in force: which requests go to which queue.
 
-use {compact_str::CompactString, std::fmt};
+use {
+    compact_str::CompactString,
+    serde::{Deserialize, Serialize},
+    std::fmt,
+};
+
+/// What it costs to be told which workers may run a step, where a policy allows only some.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct AdviceTerms {
+    /// How long an answer takes, in milliseconds.
+    pub decision_ms: u32,
+    /// How much longer for each worker that is asked about, in milliseconds.
+    pub per_worker_ms: u32,
+    /// How long a ticket is valid, in milliseconds.
+    pub validity_ms: u32,
+}
 
 /// A queue of workflows.
 #[derive(Clone, Debug, PartialEq)]
@@ -21,6 +36,8 @@
     pub stretch_permille: u32,
     /// And this much more, in milliseconds.
     pub slack_ms: u32,
+    /// Set if a policy allows only some workers to run a step.
+    pub advice: Option<AdviceTerms>,
 }
 
 /// One version of the configuration.
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 //!
 //! An end is acknowledged to the worker after it is recorded, so that it can't be lost between the two.
 
+mod advice;
 mod ends;
 mod flow;
 mod orders;
@@ -29,7 +30,7 @@
     },
     crate::{
         Change, DirectoryChange, Interference, Ledger, Limits, Outcome, Record, RosterEntry, RunId,
-        Submission, TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId,
+        StepId, Submission, TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId,
     },
     compact_str::CompactString,
     egretlb_types::{Epoch, Time},
@@ -42,6 +43,7 @@
 };
 
 pub use self::{
+    advice::AdviceResult,
     ends::{End, EndKind, HoldReply, RunningTask},
     orders::{StartResult, StopResult},
     pacing::PaceResult,
@@ -84,6 +86,8 @@
         until_ms: u64,
         /// The checkpoint to resume from; empty for none.
         saved: CompactString,
+        /// Says that the worker may run it; empty if that needs no ticket.
+        ticket: CompactString,
     },
     /// Stop a run, or keep it from starting if it hasn't arrived.
     Stop {
@@ -113,6 +117,13 @@
         /// The share, from 0 to 100.
         percent: u32,
     },
+    /// Ask which of these workers may run a step.
+    Advise {
+        /// The step.
+        step: StepId,
+        /// The workers, at most 100.
+        workers: Vec<WorkerId>,
+    },
     /// Append these records under the leader's epoch, repeating it until it is settled.
     Record {
         /// The records, perhaps none besides the leader's sign of life.
@@ -160,6 +171,7 @@
     learned_news: bool,
     /// When a task that ends soon last found no room.
     crowded_at: Option<Time>,
+    advice: advice::Advice,
     margin: pacing::Margin,
     /// Starts that were decided and not answered.
     starts_under_way: usize,
@@ -217,6 +229,7 @@
             learned_at: now,
             learned_news: false,
             crowded_at: None,
+            advice: advice::Advice::default(),
             margin: pacing::Margin::new(now),
             starts_under_way: 0,
             behind: false,
@@ -319,6 +332,7 @@
         self.begin_due(now);
         self.evacuate(now, out);
         self.place_ready(now, out);
+        self.ask_advice(now, out);
         self.poll(now, out);
         self.record(now, out);
     }
--- a/crates/workflow/src/scheduler/orders.rs
+++ b/crates/workflow/src/scheduler/orders.rs
@@ -114,11 +114,13 @@
             StartResult::Unwell | StartResult::NotSent => {
                 self.reject_start(now, id, task, run, UNWELL_PAUSE);
             }
+            StartResult::BadTicket => {
+                log::info!(task:%, run:%, worker:% = id; "ticket_rejected");
+                self.forget_ticket(task, id);
+                self.drop_copy(now, id, task, run);
+            }
             StartResult::Withheld => self.drop_copy(now, id, task, run),
-            StartResult::OldRun
-            | StartResult::Late
-            | StartResult::BadTicket
-            | StartResult::Invalid => {
+            StartResult::OldRun | StartResult::Late | StartResult::Invalid => {
                 log::warn!(task:%, run:%, worker:% = id, result:?; "start_rejected");
                 self.reject_start(now, id, task, run, Duration::ZERO);
             }
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -80,8 +80,9 @@
             }
             let task = task_of(key, index);
             let Some(worker) = self.choose(now, task, &service, &need) else {
+                let advised = self.want_advice(key);
                 self.make_room(now, key, &service, &step, out);
-                if step.label.is_none() && step.per_worker == 0 {
+                if step.label.is_none() && step.per_worker == 0 && !advised {
                     let Need { image, .. } = need;
                     let Step { resources, fills, .. } = step;
                     unmet.push(Unmet { service, resources, fills, image });
@@ -164,6 +165,7 @@
             }
         }
         if placed.len() < step.count as usize {
+            self.want_advice(key);
             return false;
         }
         let run = placed.iter().map(|(task, _)| self.next_run(*task)).max().unwrap_or_default();
@@ -214,6 +216,8 @@
         if !std::mem::replace(&mut flow.started, true) {
             self.dirty.insert(task.workflow);
         }
+        let ticket = self.ticket(now, task, id);
+        let Some(flow) = self.flows.get(&task.workflow) else { return };
         log::debug!(task:%, run:%, worker:% = id; "task_started");
         self.starts_under_way += 1;
         out.push(Effect::Start {
@@ -225,6 +229,7 @@
             submission: std::sync::Arc::clone(&flow.submission),
             until_ms,
             saved,
+            ticket,
         });
     }
 
@@ -237,12 +242,14 @@
         need: &Need<'_>,
     ) -> Option<WorkerId> {
         let avoid = self.task_mut(task).and_then(|state| state.avoid.clone());
+        let advised = self.needs_ticket(task.step_id()).is_some();
         let mut best: Option<(Fitness, &WorkerId)> = None;
         for (id, worker) in &self.workers {
             let suits = worker.info.service == *service
                 && avoid.as_ref() != Some(id)
                 && worker.takes_work(now, &self.limits)
-                && has_room(worker, task, need);
+                && has_room(worker, task, need)
+                && (!advised || self.allows(now, task, id));
             if !suits {
                 continue;
             }
--- a/crates/workflow/src/scheduler/preempt.rs
+++ b/crates/workflow/src/scheduler/preempt.rs
@@ -51,12 +51,16 @@
         self.crowded_at = Some(now);
         let waiting = self.queue_of(key).map_or(0, |queue| queue.len());
         let needed = u64::from(step.resources.cpu.0) * waiting as u64;
+        let Ready { workflow, occurrence, step: number, .. } = key;
+        let of_step = TaskId { workflow, occurrence, step: number, index: 0 };
         let mut freed: u64 = self.being_freed(service);
         for _ in 0..STOPS_PER_PASS {
             if freed >= needed {
                 return;
             }
-            let Some((id, task, run, cpu)) = self.victim(now, service, step) else { return };
+            let Some((id, task, run, cpu)) = self.victim(now, of_step, service, step) else {
+                return;
+            };
             freed += u64::from(cpu.0);
             self.measures.preempted += 1;
             log::info!(task:%, run:%, worker:% = id, waiting; "task_preempted");
@@ -76,6 +80,7 @@
     fn victim(
         &self,
         now: Time,
+        task: TaskId,
         service: &CompactString,
         step: &Step,
     ) -> Option<(WorkerId, TaskId, RunId, MilliCores)> {
@@ -83,6 +88,7 @@
         for (id, worker) in &self.workers {
             let suits = worker.info.service == *service
                 && worker.takes_work(now, &self.limits)
+                && self.allows(now, task, id)
                 && step.label.as_ref().is_none_or(|label| worker.info.has_label(label));
             if !suits {
                 continue;
--- /dev/null
+++ b/crates/workflow/tests/support/advisor.rs
@@ -0,0 +1,63 @@
+//! A stand-in of the service that says which workers may run a step.
+
+use {
+    compact_str::{CompactString, format_compact},
+    egretlb_types::Time,
+    egretlb_workflow::{AdviceResult, AdviceTerms, StepId, WorkerId},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+#[derive(Default)]
+pub struct Advisor {
+    pub allowed: BTreeSet<WorkerId>,
+    /// It turns calls away.
+    pub busy: bool,
+    /// It gives no answer.
+    pub silent: bool,
+    pub calls: u32,
+    /// Workers that were asked about, in all calls.
+    pub named: usize,
+    issued: BTreeMap<CompactString, Time>,
+}
+
+fn ticket(step: StepId, worker: &WorkerId) -> CompactString {
+    format_compact!("{step}@{worker}")
+}
+
+impl Advisor {
+    /// Answers, and says how long that takes.
+    pub fn answer(
+        &mut self,
+        now: Time,
+        step: StepId,
+        workers: &[WorkerId],
+        terms: AdviceTerms,
+    ) -> (AdviceResult, Duration) {
+        self.calls += 1;
+        if self.silent {
+            return (AdviceResult::Failed, Duration::from_secs(2));
+        }
+        if self.busy {
+            return (AdviceResult::Busy, Duration::from_millis(5));
+        }
+        self.named += workers.len();
+        let count = u32::try_from(workers.len()).expect("few workers");
+        let takes =
+            Duration::from_millis(u64::from(terms.decision_ms + terms.per_worker_ms * count));
+        let valid = Duration::from_millis(u64::from(terms.validity_ms));
+        let mut tickets = Vec::new();
+        for worker in workers.iter().filter(|worker| self.allowed.contains(*worker)) {
+            self.issued.insert(ticket(step, worker), now + takes + valid);
+            tickets.push((worker.clone(), ticket(step, worker)));
+        }
+        (AdviceResult::Allowed { tickets, validity_ms: terms.validity_ms }, takes)
+    }
+
+    /// Whether a worker takes a start with this ticket.
+    pub fn accepts(&self, now: Time, step: StepId, worker: &WorkerId, given: &str) -> bool {
+        given == ticket(step, worker) && self.issued.get(given).is_some_and(|until| now < *until)
+    }
+}
--- a/crates/workflow/tests/support/messages.rs
+++ b/crates/workflow/tests/support/messages.rs
@@ -8,8 +8,8 @@
     },
     egretlb_types::{Epoch, Seq, Time},
     egretlb_workflow::{
-        AppendResult, Effect, HoldResult, PaceResult, Record, RunId, StartResult, StopResult,
-        TaskId, WorkerId,
+        AdviceResult, AdviceTerms, AppendResult, Effect, HoldResult, PaceResult, Record, RunId,
+        StartResult, StepId, StopResult, TaskId, WorkerId,
     },
     rand::Rng,
     std::time::Duration,
@@ -54,8 +54,13 @@
     Start(WorkerId, TaskId, RunId, StartResult),
     Stop(WorkerId, TaskId, RunId, StopResult),
     Pace(WorkerId, TaskId, RunId, PaceResult),
+    Advice(StepId, AdviceResult),
 }
 
+/// What advice costs in this world.
+pub const TERMS: AdviceTerms =
+    AdviceTerms { decision_ms: 60, per_worker_ms: 10, validity_ms: 3_000 };
+
 impl World {
     pub fn perform(&mut self, node: usize, wishes: Vec<Wish>) {
         let incarnation = self.nodes[node].incarnation;
@@ -142,8 +147,25 @@
         self.send(Msg::Appended { node, incarnation, sent, records, fence, claim, result });
     }
 
+    /// The advisor takes its time for an answer.
+    fn advise(&mut self, node: usize, incarnation: u64, epoch: Epoch, effect: Effect) {
+        let Effect::Advise { step, workers } = effect else { return };
+        let now = self.now;
+        let entry = self.nodes[node].ledger.get(step.workflow);
+        let submission = entry.and_then(|entry| entry.submission.clone());
+        let terms = submission.and_then(|submission| submission.advice).unwrap_or(TERMS);
+        let (result, takes) = self.advisor.answer(now, step, &workers, terms);
+        let answer = Answer::Advice(step, result);
+        let msg = Msg::Answer { node, incarnation, epoch, sent: now, answer };
+        self.messages.push((now + takes, msg));
+    }
+
     fn order(&mut self, node: usize, incarnation: u64, epoch: Epoch, sent: Time, effect: Effect) {
         let now = self.now;
+        if matches!(effect, Effect::Advise { .. }) {
+            self.advise(node, incarnation, epoch, effect);
+            return;
+        }
         let (Effect::Hold { worker: id, .. }
         | Effect::Start { worker: id, .. }
         | Effect::Stop { worker: id, .. }
@@ -181,9 +203,14 @@
                 };
                 Answer::Hold(id, result)
             }
-            Effect::Start { epoch, task, run, submission, until_ms, .. } => {
+            Effect::Start { epoch, task, run, submission, until_ms, ticket, .. } => {
+                let step = task.step_id();
+                let ticketed =
+                    submission.advice.is_none() || self.advisor.accepts(now, step, &id, &ticket);
                 let result = if unanswered {
                     StartResult::Unknown
+                } else if !ticketed {
+                    StartResult::BadTicket
                 } else {
                     let order = StartOrder { epoch, task, run, submission, until_ms };
                     worker.start(now, &order, checker)
@@ -206,7 +233,7 @@
                 };
                 Answer::Pace(id, task, run, result)
             }
-            Effect::Record { .. } | Effect::Outranked => return,
+            Effect::Record { .. } | Effect::Outranked | Effect::Advise { .. } => return,
         };
         // A call without an answer is given up after half a second.
         let wait = if unanswered { Duration::from_millis(500) } else { STEP };
@@ -314,6 +341,7 @@
             Answer::Stop(id, task, run, result) => {
                 scheduler.on_stop(now, &id, task, run, result, &mut effects);
             }
+            Answer::Advice(step, result) => scheduler.on_advice(now, step, result),
             Answer::Pace(id, task, run, result) => {
                 scheduler.on_pace(now, &id, task, run, result, &mut effects);
             }
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+pub mod advisor;
 pub mod checker;
 pub mod messages;
 pub mod node;
@@ -39,6 +40,7 @@
         max_attempts: 3,
         stretch_permille: 2_000,
         slack_ms: 1_000,
+        advice: None,
         taken_ms: 0,
         workflow: Workflow { payload: CompactString::const_new("work"), steps, repeat: None },
     }
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -1,7 +1,9 @@
 //! The world: time passes in steps of 5 ms, and messages take one to three of them.
 
 use {
-    super::{checker::Checker, messages::Msg, node::Node, store::Store, worker::Worker},
+    super::{
+        advisor::Advisor, checker::Checker, messages::Msg, node::Node, store::Store, worker::Worker,
+    },
     egretlb_types::{Offset, Time},
     egretlb_workflow::{
         DirectoryChange, Key, LeadershipEffect, Limits, Outcome, Record, State, Submission,
@@ -30,6 +32,7 @@
     pub late_orders: u32,
     /// How long orders wait at the node before they are sent, as on a VM that is too weak for its load.
     pub order_wait: Duration,
+    pub advisor: Advisor,
     pub nodes: Vec<Node>,
     pub workers: Vec<Worker>,
     pub checker: Checker,
@@ -52,6 +55,7 @@
             lost_appends: 0,
             late_orders: 0,
             order_wait: Duration::ZERO,
+            advisor: Advisor::default(),
             nodes: Vec::new(),
             workers: Vec::new(),
             checker: Checker::default(),
