Take VMs through waves of upkeep in time, never more at once than allowed

The leader empties a VM (no new work, what can go on elsewhere is moved, of guarded steps only as many tasks as may be away, short work is waited for), records the order, gives it, repeats it until it is confirmed, and counts the VM as down until it is listed as up with another worker. Completion is told when all are back.

--- a/crates/egretlbd/src/main.rs
+++ b/crates/egretlbd/src/main.rs
@@ -4,7 +4,9 @@
 
 use {
     crate::args::Asked,
-    egretlb_platform::{AdviceService, JsonFormats, LogStore, RpcWorkers, Settings, SettingsError},
+    egretlb_platform::{
+        AdviceService, CloudFleet, JsonFormats, LogStore, RpcWorkers, Settings, SettingsError,
+    },
     egretlb_runtime::{Listeners, Node, NodeOptions, border::Platform, run},
     egretlb_telemetry::LogOptions,
     egretlb_workflow::Limits,
@@ -116,6 +118,7 @@
         store: Rc::new(LogStore::new(settings.store.addr)),
         workers: Rc::new(RpcWorkers::default()),
         advisor: Rc::new(AdviceService::new(settings.advisor)),
+        fleet: Rc::new(CloudFleet::new(settings.fleet.addr)),
         formats: Rc::new(JsonFormats),
     };
     let node = Node::new(options, platform);
--- a/crates/runtime/src/border.rs
+++ b/crates/runtime/src/border.rs
@@ -7,7 +7,7 @@
     egretlb_workflow::{
         AdviceResult, AdviceTerms, AppendResult, DirectoryChange, HoldResult, PaceResult, Record,
         RouteTable, RoutesError, RunId, SpecError, StartResult, State, StepId, StopResult, TaskId,
-        WorkerId, Workflow,
+        UpkeepResult, VmEntry, VmId, Wave, WaveState, WorkerId, Workflow,
     },
     futures::future::LocalBoxFuture,
     std::{fmt, net::SocketAddr, rc::Rc, time::Duration},
@@ -103,6 +103,9 @@
     /// Reads records from an offset on, waiting up to `wait` for the first.
     fn read(&self, topic: Topic, from: Offset, wait: Duration) -> LocalBoxFuture<'_, ReadResult>;
 
+    /// Tells the operator how far a wave of upkeep is.
+    fn tell_wave(&self, wave: u64, state: WaveState) -> LocalBoxFuture<'_, AppendResult>;
+
     /// Reads a page of the newest records, the first or the one after a key.
     fn newest(&self, topic: Topic, after: Option<Bytes>) -> LocalBoxFuture<'_, NewestResult>;
 }
@@ -205,6 +208,21 @@
     ) -> LocalBoxFuture<'a, AdviceResult>;
 }
 
+/// The platform's VMs.
+pub trait Fleet {
+    /// Lists all VMs; none if the platform doesn't answer.
+    fn list(&self) -> LocalBoxFuture<'_, Option<Vec<VmEntry>>>;
+
+    /// Begins a VM's upkeep, on behalf of the process `holder`.
+    fn upkeep<'a>(
+        &'a self,
+        holder: &'a str,
+        epoch: Epoch,
+        vm: &'a VmId,
+        wave: u64,
+    ) -> LocalBoxFuture<'a, UpkeepResult>;
+}
+
 /// All that a node needs of the platform.
 #[derive(Clone)]
 pub struct Platform {
@@ -214,6 +232,8 @@
     pub workers: Rc<dyn Workers>,
     /// Says which workers may run a step.
     pub advisor: Rc<dyn Advisor>,
+    /// The VMs.
+    pub fleet: Rc<dyn Fleet>,
     /// Formats of bodies.
     pub formats: Rc<dyn Formats>,
 }
@@ -223,6 +243,13 @@
 pub enum OperatorChange {
     /// A configuration.
     Routes(RouteTable),
+    /// A wave of upkeep is asked for, or taken back.
+    Wave {
+        /// Its number.
+        number: u64,
+        /// The wave.
+        wave: Option<Wave>,
+    },
     /// Something else that has no meaning here.
     Other,
 }
--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -6,7 +6,7 @@
     egretlb_types::Time,
     egretlb_workflow::{
         Change, DirectoryChange, Effect, Leadership, LeadershipEffect, Ledger, Limits, RouteTable,
-        Scheduler, WorkerId, WorkerInfo, WorkflowId,
+        Scheduler, Wave, WorkerId, WorkerInfo, WorkflowId,
     },
     std::collections::{BTreeMap, HashSet},
 };
@@ -40,6 +40,8 @@
     pub(crate) scheduler: Option<Scheduler>,
     pub(crate) directory: BTreeMap<WorkerId, WorkerInfo>,
     pub(crate) routes: Option<RouteTable>,
+    /// Waves of upkeep, and when the operator's request was read.
+    pub(crate) waves: BTreeMap<u64, (Time, Wave)>,
     pub(crate) work: Reading,
     /// Accepted here and not read yet.
     pub(crate) accepted: HashSet<WorkflowId>,
@@ -55,6 +57,7 @@
             scheduler: None,
             directory: BTreeMap::new(),
             routes: None,
+            waves: BTreeMap::new(),
             work: Reading::default(),
             accepted: HashSet::new(),
             stopping: false,
@@ -89,8 +92,12 @@
 
     /// The operator published something. A configuration never goes back: what is read anew after the
     /// history was forgotten may be older than what is in force.
-    pub(crate) fn on_operator(&mut self, change: OperatorChange) {
-        let OperatorChange::Routes(table) = change else { return };
+    pub(crate) fn on_operator(&mut self, now: Time, change: OperatorChange) {
+        let table = match change {
+            OperatorChange::Routes(table) => table,
+            OperatorChange::Wave { number, wave } => return self.on_wave(now, number, wave),
+            OperatorChange::Other => return,
+        };
         if self.routes.as_ref().is_some_and(|known| known.version >= table.version) {
             return;
         }
@@ -98,6 +105,16 @@
         self.routes = Some(table);
     }
 
+    fn on_wave(&mut self, now: Time, number: u64, wave: Option<Wave>) {
+        match &wave {
+            Some(wave) => drop(self.waves.entry(number).or_insert_with(|| (now, wave.clone()))),
+            None => drop(self.waves.remove(&number)),
+        }
+        if let Some(scheduler) = &mut self.scheduler {
+            scheduler.on_wave(now, number, wave, &self.ledger);
+        }
+    }
+
     /// A worker's entry changed.
     pub(crate) fn on_directory(&mut self, now: Time, change: DirectoryChange) {
         match &change {
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -134,7 +134,7 @@
         }
         Topic::Operator => {
             match node.formats().operator(&stored.key, &stored.value) {
-                Ok(change) => node.step(|core, _, _| core.on_operator(change)),
+                Ok(change) => node.step(|core, now, _| core.on_operator(now, change)),
                 Err(error) => log::error!(error:% = error; "configuration_rejected"),
             }
             None
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         append::{Appender, STUCK_AFTER},
-        border::{Advisor, Append, Fence, Formats, Platform, Store, Topic, Workers},
+        border::{Advisor, Append, Fence, Fleet, Formats, Platform, Store, Topic, Workers},
         clock::Clock,
         core::{Core, Effects, Reading},
         orders::Turns,
@@ -12,7 +12,9 @@
     compact_str::CompactString,
     egretlb_telemetry::{RunEvent, WorkflowMetrics},
     egretlb_types::{Epoch, Time},
-    egretlb_workflow::{Leadership, LeadershipEffect, Limits, Scheduler, WorkerId, WorkflowId},
+    egretlb_workflow::{
+        Leadership, LeadershipEffect, Limits, Scheduler, Wave, WorkerId, WorkflowId,
+    },
     std::{
         cell::{Cell, Ref, RefCell},
         collections::HashSet,
@@ -83,6 +85,8 @@
     pub(crate) store: Rc<dyn Store>,
     pub(crate) workers: Rc<dyn Workers>,
     pub(crate) advisor: Rc<dyn Advisor>,
+    pub(crate) fleet: Rc<dyn Fleet>,
+    pub(crate) name: CompactString,
     formats: Rc<dyn Formats>,
     pub(crate) appender: Rc<Appender>,
     pub(crate) leader: Leader,
@@ -101,7 +105,8 @@
 impl Node {
     /// A node that follows nothing yet.
     pub fn new(options: NodeOptions, platform: Platform) -> Rc<Node> {
-        let Platform { store, workers, advisor, formats } = platform;
+        let Platform { store, workers, advisor, fleet, formats } = platform;
+        let name = options.name.clone();
         let clock = Clock;
         let place = place(&options);
         let leadership =
@@ -111,6 +116,8 @@
             store,
             workers,
             advisor,
+            fleet,
+            name,
             formats,
             appender: Rc::default(),
             leader: Leader::default(),
@@ -286,12 +293,19 @@
         let (now, wall_ms) = (self.clock.now(), self.clock.wall_ms());
         let core = &mut *self.core.borrow_mut();
         let directory = core.directory.values().cloned();
-        let scheduler = Scheduler::new(now, wall_ms, epoch, core.limits, &core.ledger, directory);
+        let mut scheduler =
+            Scheduler::new(now, wall_ms, epoch, core.limits, &core.ledger, directory);
         log::info!(
             epoch:% = epoch, workers = core.directory.len(), workflows = scheduler.active(),
             unaccounted = scheduler.unaccounted();
             "elected"
         );
+        for (number, (asked, wave)) in &core.waves {
+            // What has passed of the wave's time is over.
+            let within = wave.within.saturating_sub(now.since(*asked));
+            let wave = Wave { within, ..wave.clone() };
+            scheduler.on_wave(now, *number, Some(wave), &core.ledger);
+        }
         core.scheduler = Some(scheduler);
         self.metrics.elected();
         self.wake.notify_one();
--- a/crates/runtime/src/orders.rs
+++ b/crates/runtime/src/orders.rs
@@ -7,13 +7,16 @@
     },
     egretlb_types::{Epoch, Time},
     egretlb_workflow::{
-        Effect, HoldResult, PaceResult, RunId, Scheduler, StartResult, StepId, StopResult, TaskId,
-        WorkerId,
+        AppendResult, Effect, HoldResult, PaceResult, RunId, Scheduler, StartResult, StepId,
+        StopResult, TaskId, UpkeepResult, VmId, WaveState, WorkerId,
+    },
+    std::{
+        cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
     },
-    std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc},
     tokio::{
         sync::{OwnedSemaphorePermit, Semaphore},
         task::spawn_local,
+        time::sleep,
     },
 };
 
@@ -21,6 +24,9 @@
 /// stop the others. More would open connections that are seldom used again.
 const ORDERS_AT_ONCE: usize = 2;
 
+/// The pause after the operator couldn't be told how far a wave is.
+const TELL_RETRY: Duration = Duration::from_millis(200);
+
 /// Whose turn it is to send an order to a worker.
 #[derive(Debug, Default)]
 pub(crate) struct Turns {
@@ -59,6 +65,15 @@
             Effect::Advise { step, workers } => {
                 spawn_local(Rc::clone(self).advise(step, workers));
             }
+            Effect::ListVms => {
+                spawn_local(Rc::clone(self).list_vms());
+            }
+            Effect::Upkeep { vm, wave, epoch } => {
+                spawn_local(Rc::clone(self).upkeep(vm, wave, epoch));
+            }
+            Effect::TellWave { wave, state } => {
+                spawn_local(Rc::clone(self).tell_wave(wave, state));
+            }
             Effect::Record { records } => {
                 spawn_local(Rc::clone(self).record(records));
             }
@@ -160,4 +175,36 @@
         let result = self.advisor.advise(step, &workers, terms).await;
         self.with_scheduler(epoch, |scheduler, now, _| scheduler.on_advice(now, step, result));
     }
+
+    async fn list_vms(self: Rc<Self>) {
+        let Some(epoch) = self.core.borrow().leadership.term() else { return };
+        let sent = self.clock.now();
+        let listed = self.fleet.list().await;
+        self.with_scheduler(epoch, |scheduler, _, _| scheduler.on_vms(sent, listed));
+    }
+
+    async fn upkeep(self: Rc<Self>, vm: VmId, wave: u64, epoch: Epoch) {
+        let result = if self.may_order(epoch) {
+            self.fleet.upkeep(&self.name, epoch, &vm, wave).await
+        } else {
+            UpkeepResult::Unknown
+        };
+        self.with_scheduler(epoch, |scheduler, now, out| {
+            scheduler.on_upkeep(now, wave, &vm, result, out);
+        });
+    }
+
+    async fn tell_wave(self: Rc<Self>, wave: u64, state: WaveState) {
+        let Some(epoch) = self.core.borrow().leadership.term() else { return };
+        let told = if self.may_order(epoch) {
+            self.store.tell_wave(wave, state).await
+        } else {
+            AppendResult::Unknown
+        };
+        let stored = told == AppendResult::Done;
+        if !stored {
+            sleep(TELL_RETRY).await;
+        }
+        self.with_scheduler(epoch, |scheduler, _, _| scheduler.on_told(wave, state, stored));
+    }
 }
--- a/crates/workflow/src/ledger/mod.rs
+++ b/crates/workflow/src/ledger/mod.rs
@@ -8,11 +8,14 @@
 use {
     crate::{
         Interference, Key, LeaderRecord, Outcome, Progress, Record, RecordError, RosterEntry,
-        Submission, WorkflowId, record::read_value,
+        Submission, WaveProgress, WorkflowId, record::read_value,
     },
     compact_str::CompactString,
     egretlb_types::Offset,
-    std::{collections::HashMap, sync::Arc},
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+    },
 };
 
 /// What a client is told of a workflow.
@@ -89,6 +92,7 @@
     leader: Option<(Offset, LeaderRecord)>,
     roster: Option<(Offset, Vec<RosterEntry>)>,
     learned: Option<(Offset, Interference)>,
+    waves: BTreeMap<u64, (Offset, WaveProgress)>,
 }
 
 impl Ledger {
@@ -117,6 +121,11 @@
         self.learned.as_ref().map(|(_, learned)| learned)
     }
 
+    /// How far a wave of upkeep is.
+    pub fn wave(&self, number: u64) -> Option<&WaveProgress> {
+        self.waves.get(&number).map(|(_, progress)| progress)
+    }
+
     /// Whether a client's record has been taken in.
     pub fn holds(&self, record: &Record) -> bool {
         match Key::from_bytes(&record.key) {
@@ -147,6 +156,7 @@
             Key::Leader => self.apply_leader(offset, value),
             Key::Roster => self.apply_roster(offset, value),
             Key::Learned => self.apply_learned(offset, value),
+            Key::Wave(number) => self.apply_wave(number, offset, value),
             Key::Submission(id) if value.is_empty() => {
                 self.entries.remove(&id);
                 Ok(Change::None)
@@ -186,6 +196,18 @@
         Ok(Change::None)
     }
 
+    fn apply_wave(
+        &mut self,
+        number: u64,
+        offset: Offset,
+        value: &[u8],
+    ) -> Result<Change, RecordError> {
+        if self.waves.get(&number).is_none_or(|(at, _)| *at < offset) {
+            self.waves.insert(number, (offset, read_value(value)?));
+        }
+        Ok(Change::None)
+    }
+
     /// The first submission of an id counts: a client that got no answer sends it again, and another
     /// process may have recorded it already.
     fn apply_submission(&mut self, id: WorkflowId, value: &[u8]) -> Result<Change, RecordError> {
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -16,6 +16,7 @@
 mod routes;
 mod scheduler;
 mod spec;
+mod upkeep;
 
 pub use crate::{
     bits::Bits,
@@ -35,4 +36,5 @@
         RunningTask, Scheduler, StartResult, StopResult,
     },
     spec::{MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS_PER_STEP, Repeat, SpecError, Step, Workflow},
+    upkeep::{UpkeepResult, VmEntry, VmId, VmState, Wave, WaveProgress, WaveState},
 };
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -25,6 +25,8 @@
     Roster,
     /// What a leader has learned of images.
     Learned,
+    /// How far a wave of upkeep is.
+    Wave(u64),
     /// A workflow's submission.
     Submission(WorkflowId),
     /// A workflow's cancellation.
@@ -70,6 +72,7 @@
             Key::Leader => b"leader".to_vec(),
             Key::Roster => b"roster".to_vec(),
             Key::Learned => b"learned".to_vec(),
+            Key::Wave(number) => format!("u/{number}").into_bytes(),
             Key::Submission(id) => format!("w/{id}").into_bytes(),
             Key::Cancel(id) => format!("c/{id}").into_bytes(),
             Key::Progress(id) => format!("p/{id}").into_bytes(),
@@ -90,6 +93,9 @@
         }
         let text = std::str::from_utf8(bytes).map_err(|_| RecordError::UnknownKey)?;
         let (kind, id) = text.split_once('/').ok_or(RecordError::UnknownKey)?;
+        if kind == "u" {
+            return id.parse().map(Key::Wave).map_err(|_| RecordError::UnknownKey);
+        }
         let id = id.parse().map_err(|_| RecordError::UnknownKey)?;
         match kind {
             "w" => Ok(Key::Submission(id)),
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod queue;
 mod recording;
 mod stragglers;
+mod upkeep;
 mod worker;
 
 use {
@@ -30,7 +31,7 @@
     },
     crate::{
         Change, DirectoryChange, Interference, Ledger, Limits, Outcome, Record, RosterEntry, RunId,
-        StepId, Submission, TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId,
+        StepId, Submission, TaskId, VmId, WaveState, WorkerId, WorkerInfo, WorkerState, WorkflowId,
     },
     compact_str::CompactString,
     egretlb_types::{Epoch, Time},
@@ -124,6 +125,24 @@
         /// The workers, at most 100.
         workers: Vec<WorkerId>,
     },
+    /// List the platform's VMs.
+    ListVms,
+    /// Begin a VM's upkeep.
+    Upkeep {
+        /// The VM.
+        vm: VmId,
+        /// The wave.
+        wave: u64,
+        /// The fencing token.
+        epoch: Epoch,
+    },
+    /// Tell the operator how far a wave is.
+    TellWave {
+        /// The wave.
+        wave: u64,
+        /// How far it is.
+        state: WaveState,
+    },
     /// Append these records under the leader's epoch, repeating it until it is settled.
     Record {
         /// The records, perhaps none besides the leader's sign of life.
@@ -172,6 +191,7 @@
     /// When a task that ends soon last found no room.
     crowded_at: Option<Time>,
     advice: advice::Advice,
+    upkeep: upkeep::Upkeep,
     margin: pacing::Margin,
     /// Starts that were decided and not answered.
     starts_under_way: usize,
@@ -230,6 +250,7 @@
             learned_news: false,
             crowded_at: None,
             advice: advice::Advice::default(),
+            upkeep: upkeep::Upkeep::default(),
             margin: pacing::Margin::new(now),
             starts_under_way: 0,
             behind: false,
@@ -331,6 +352,7 @@
         }
         self.begin_due(now);
         self.evacuate(now, out);
+        self.keep_up(now, out);
         self.place_ready(now, out);
         self.ask_advice(now, out);
         self.poll(now, out);
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -249,6 +249,7 @@
                 && avoid.as_ref() != Some(id)
                 && worker.takes_work(now, &self.limits)
                 && has_room(worker, task, need)
+                && !self.is_held(id)
                 && (!advised || self.allows(now, task, id));
             if !suits {
                 continue;
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Effect, Scheduler},
-    crate::{Key, Record, RosterEntry, WorkerId, WorkflowId},
+    crate::{Key, Record, RosterEntry, WaveProgress, WorkerId, WorkflowId},
     egretlb_types::Time,
     std::time::Duration,
 };
@@ -14,6 +14,7 @@
     ends: Vec<(WorkerId, u64)>,
     roster: Vec<(WorkerId, bool)>,
     ended: Vec<WorkflowId>,
+    waves: Vec<(u64, WaveProgress)>,
 }
 
 /// The most bytes of records in one append; far below the store's bound of 2 MB.
@@ -31,6 +32,7 @@
     fn has_news(&self) -> bool {
         self.clients_wait
             || self.roster_dirty
+            || self.upkeep.has_news()
             || !self.dirty.is_empty()
             || self.workers.values().any(|worker| worker.taken > worker.recorded)
     }
@@ -56,6 +58,10 @@
                 .map(|(id, worker)| (id.clone(), worker.taken))
                 .collect();
         }
+        recording.waves = self.upkeep.take_dirty();
+        for (number, progress) in &recording.waves {
+            records.push(Record::new(Key::Wave(*number), progress));
+        }
         self.record_roster(now, &mut recording, &mut records);
         self.forget(now, &mut records);
         self.record_learned(now, &mut records);
@@ -129,6 +135,7 @@
     /// The append under way is in the store.
     pub fn on_recorded(&mut self, now: Time) {
         let Some(recording) = self.recording.take() else { return };
+        self.upkeep.on_recorded(now, &recording.waves);
         for (id, number) in recording.ends {
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.recorded = worker.recorded.max(number);
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -74,6 +74,8 @@
     pub(crate) fills: bool,
     /// It can go on elsewhere without loss: it saves its progress, or lasts.
     pub(crate) moves: bool,
+    /// It runs until its workflow is cancelled.
+    pub(crate) lasts: bool,
     /// It lasts, and any number of its step's tasks may be away.
     pub(crate) yields: bool,
 }
@@ -129,6 +131,7 @@
             serves: step.target_ms > 0,
             fills: step.fills,
             moves: step.checkpoints || step.lasting,
+            lasts: step.lasting,
             yields: step.lasting && step.may_miss.is_none(),
         }
     }
--- a/crates/workflow/tests/support/messages.rs
+++ b/crates/workflow/tests/support/messages.rs
@@ -9,7 +9,7 @@
     egretlb_types::{Epoch, Seq, Time},
     egretlb_workflow::{
         AdviceResult, AdviceTerms, AppendResult, Effect, HoldResult, PaceResult, Record, RunId,
-        StartResult, StepId, StopResult, TaskId, WorkerId,
+        StartResult, StepId, StopResult, TaskId, UpkeepResult, VmEntry, VmId, WaveState, WorkerId,
     },
     rand::Rng,
     std::time::Duration,
@@ -55,6 +55,9 @@
     Stop(WorkerId, TaskId, RunId, StopResult),
     Pace(WorkerId, TaskId, RunId, PaceResult),
     Advice(StepId, AdviceResult),
+    Vms(Option<Vec<VmEntry>>),
+    Upkeep(u64, VmId, UpkeepResult),
+    Told(u64, WaveState),
 }
 
 /// What advice costs in this world.
@@ -147,24 +150,14 @@
         self.send(Msg::Appended { node, incarnation, sent, records, fence, claim, result });
     }
 
-    /// The advisor takes its time for an answer.
-    fn advise(&mut self, node: usize, incarnation: u64, epoch: Epoch, effect: Effect) {
-        let Effect::Advise { step, workers } = effect else { return };
-        let now = self.now;
-        let entry = self.nodes[node].ledger.get(step.workflow);
-        let submission = entry.and_then(|entry| entry.submission.clone());
-        let terms = submission.and_then(|submission| submission.advice).unwrap_or(TERMS);
-        let (result, takes) = self.advisor.answer(now, step, &workers, terms);
-        let answer = Answer::Advice(step, result);
-        let msg = Msg::Answer { node, incarnation, epoch, sent: now, answer };
-        self.messages.push((now + takes, msg));
-    }
-
     fn order(&mut self, node: usize, incarnation: u64, epoch: Epoch, sent: Time, effect: Effect) {
         let now = self.now;
-        if matches!(effect, Effect::Advise { .. }) {
-            self.advise(node, incarnation, epoch, effect);
-            return;
+        match effect {
+            Effect::Advise { .. } => return self.advise(node, incarnation, epoch, effect),
+            Effect::ListVms | Effect::Upkeep { .. } | Effect::TellWave { .. } => {
+                return self.keep_up(node, incarnation, epoch, sent, effect);
+            }
+            _ => {}
         }
         let (Effect::Hold { worker: id, .. }
         | Effect::Start { worker: id, .. }
@@ -192,9 +185,24 @@
             let lost = Msg::Order { node, incarnation, epoch, sent, effect: effect.clone() };
             self.messages.push((now + wait, lost));
         }
+        let unanswered = cut || late || !self.workers[index].up;
+        let Some(answer) = self.carry_out(index, id, effect, unanswered) else { return };
+        // A call without an answer is given up after half a second.
+        let wait = if unanswered { Duration::from_millis(500) } else { STEP };
+        self.messages.push((now + wait, Msg::Answer { node, incarnation, epoch, sent, answer }));
+    }
+
+    /// What a worker answers; `unanswered` orders aren't carried out.
+    fn carry_out(
+        &mut self,
+        index: usize,
+        id: WorkerId,
+        effect: Effect,
+        unanswered: bool,
+    ) -> Option<Answer> {
+        let now = self.now;
         let (worker, checker) = (&mut self.workers[index], &mut self.checker);
-        let unanswered = cut || late || !worker.up;
-        let answer = match effect {
+        Some(match effect {
             Effect::Hold { epoch, recorded, until_ms, .. } => {
                 let result = if unanswered {
                     HoldResult::Failed
@@ -233,11 +241,13 @@
                 };
                 Answer::Pace(id, task, run, result)
             }
-            Effect::Record { .. } | Effect::Outranked | Effect::Advise { .. } => return,
-        };
-        // A call without an answer is given up after half a second.
-        let wait = if unanswered { Duration::from_millis(500) } else { STEP };
-        self.messages.push((now + wait, Msg::Answer { node, incarnation, epoch, sent, answer }));
+            Effect::Record { .. }
+            | Effect::Outranked
+            | Effect::Advise { .. }
+            | Effect::ListVms
+            | Effect::Upkeep { .. }
+            | Effect::TellWave { .. } => return None,
+        })
     }
 
     /// What a node asks itself when the turn of a start comes.
@@ -342,6 +352,11 @@
                 scheduler.on_stop(now, &id, task, run, result, &mut effects);
             }
             Answer::Advice(step, result) => scheduler.on_advice(now, step, result),
+            Answer::Vms(listed) => scheduler.on_vms(sent, listed),
+            Answer::Upkeep(wave, vm, result) => {
+                scheduler.on_upkeep(now, wave, &vm, result, &mut effects);
+            }
+            Answer::Told(wave, state) => scheduler.on_told(wave, state, true),
             Answer::Pace(id, task, run, result) => {
                 scheduler.on_pace(now, &id, task, run, result, &mut effects);
             }
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -5,8 +5,10 @@
 
 pub mod advisor;
 pub mod checker;
+pub mod fleet;
 pub mod messages;
 pub mod node;
+pub mod services;
 pub mod store;
 pub mod worker;
 pub mod world;
--- /dev/null
+++ b/crates/workflow/tests/support/services.rs
@@ -0,0 +1,68 @@
+//! Calls to the platform's services beside store and workers: tickets, VMs and their upkeep.
+
+use {
+    super::{
+        messages::{Answer, Msg, TERMS},
+        worker::Worker,
+        world::{STEP, World},
+    },
+    egretlb_types::{Epoch, Time},
+    egretlb_workflow::{Effect, UpkeepResult},
+    rand::Rng,
+    std::time::Duration,
+};
+
+impl World {
+    /// Calls about VMs, which may get no answer and be carried out seconds later, as orders may.
+    pub fn keep_up(
+        &mut self,
+        node: usize,
+        incarnation: u64,
+        epoch: Epoch,
+        sent: Time,
+        effect: Effect,
+    ) {
+        let now = self.now;
+        let late = self.rng.random_range(0..1_000) < self.late_orders;
+        let answer = match &effect {
+            Effect::ListVms => Answer::Vms((!late).then(|| self.fleet.list())),
+            Effect::TellWave { wave, state } => {
+                self.fleet.told.push(*state);
+                Answer::Told(*wave, *state)
+            }
+            Effect::Upkeep { vm, wave, epoch } => {
+                let mut result = UpkeepResult::Unknown;
+                if late && now.since(sent) < Duration::from_millis(100) {
+                    let wait = Duration::from_millis(self.rng.random_range(2_000..12_000));
+                    let effect = effect.clone();
+                    let lost = Msg::Order { node, incarnation, epoch: *epoch, sent, effect };
+                    self.messages.push((now + wait, lost));
+                } else {
+                    let (known, ended) = self.fleet.begin(now, *epoch, vm);
+                    result = known;
+                    let ends = |worker: &&mut Worker| Some(&worker.info.id) == ended.as_ref();
+                    if let Some(worker) = self.workers.iter_mut().find(ends) {
+                        worker.crash(&mut self.checker);
+                    }
+                }
+                Answer::Upkeep(*wave, vm.clone(), result)
+            }
+            _ => return,
+        };
+        let msg = Msg::Answer { node, incarnation, epoch, sent, answer };
+        self.messages.push((now + STEP, msg));
+    }
+
+    /// The advisor takes its time for an answer.
+    pub fn advise(&mut self, node: usize, incarnation: u64, epoch: Epoch, effect: Effect) {
+        let Effect::Advise { step, workers } = effect else { return };
+        let now = self.now;
+        let entry = self.nodes[node].ledger.get(step.workflow);
+        let submission = entry.and_then(|entry| entry.submission.clone());
+        let terms = submission.and_then(|submission| submission.advice).unwrap_or(TERMS);
+        let (result, takes) = self.advisor.answer(now, step, &workers, terms);
+        let answer = Answer::Advice(step, result);
+        let msg = Msg::Answer { node, incarnation, epoch, sent: now, answer };
+        self.messages.push((now + takes, msg));
+    }
+}
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -2,11 +2,12 @@
 
 use {
     super::{
-        advisor::Advisor, checker::Checker, messages::Msg, node::Node, store::Store, worker::Worker,
+        advisor::Advisor, checker::Checker, fleet::Fleet, messages::Msg, node::Node, store::Store,
+        worker::Worker,
     },
     egretlb_types::{Offset, Time},
     egretlb_workflow::{
-        DirectoryChange, Key, LeadershipEffect, Limits, Outcome, Record, State, Submission,
+        DirectoryChange, Key, LeadershipEffect, Limits, Outcome, Record, State, Submission, Wave,
         WorkerId, WorkflowId,
     },
     rand::{SeedableRng, rngs::SmallRng},
@@ -33,6 +34,9 @@
     /// How long orders wait at the node before they are sent, as on a VM that is too weak for its load.
     pub order_wait: Duration,
     pub advisor: Advisor,
+    pub fleet: Fleet,
+    /// Waves that the operator asks for; nodes read them at once.
+    pub waves: Vec<(u64, Wave)>,
     pub nodes: Vec<Node>,
     pub workers: Vec<Worker>,
     pub checker: Checker,
@@ -56,6 +60,8 @@
             late_orders: 0,
             order_wait: Duration::ZERO,
             advisor: Advisor::default(),
+            fleet: Fleet::default(),
+            waves: Vec::new(),
             nodes: Vec::new(),
             workers: Vec::new(),
             checker: Checker::default(),
@@ -158,6 +164,7 @@
         for worker in &mut self.workers {
             worker.advance(self.now, &mut self.checker);
         }
+        self.end_upkeep();
         self.deliver();
         for index in 0..self.nodes.len() {
             if self.nodes[index].runs(self.now) {
@@ -166,6 +173,22 @@
         }
     }
 
+    /// VMs come back from their upkeep, with new workers.
+    fn end_upkeep(&mut self) {
+        for vm in self.fleet.back(self.now) {
+            let number = self.add_worker(8);
+            let worker = self.workers[number].info.id.clone();
+            self.fleet.vms.insert(vm, Some(worker));
+        }
+    }
+
+    /// Puts each worker on a VM of its number.
+    pub fn house(&mut self) {
+        for (number, worker) in self.workers.iter().enumerate() {
+            self.fleet.vms.insert(super::fleet::vm(number), Some(worker.info.id.clone()));
+        }
+    }
+
     fn step_node(&mut self, index: usize) {
         let now = self.now;
         let mut wishes = Vec::new();
@@ -196,6 +219,9 @@
         if node.leads(now)
             && let Some(scheduler) = &mut node.scheduler
         {
+            for (number, wave) in &self.waves {
+                scheduler.on_wave(now, *number, Some(wave.clone()), &node.ledger);
+            }
             scheduler.tick(now, now.as_micros() / 1_000, &mut effects);
         }
         node.wish(effects, &mut wishes);
