Claim only on fresh reads, lead under a late claim, list what may run at leaving workers

The cut VMs' reads hung for 1.3 s without failing, they claimed after 1.2 s, their claims arrived when the cut ended and deposed the leader. The next leader waited 9.2 s for four workers that had left just before.

Change: a claim needs a read answered within 1.1 s; a claim given up that is read after all is led under at once, proven from when that read was sent; the roster lists what may run at workers that announced their leaving, as it does for silent ones; a higher run found elsewhere frees a listed one, so it isn't stopped.

--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -105,6 +105,9 @@
 /// Reads once; returns whether the topic can be read on from `next`.
 async fn tail(node: &Rc<Node>, topic: Topic, next: &mut Offset) -> bool {
     let sent = node.clock().now();
+    if topic == Topic::Work {
+        node.read_sent(sent);
+    }
     match node.store().read(topic, *next, wait(topic)).await {
         ReadResult::Records { records, end } => {
             for stored in &records {
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -256,10 +256,17 @@
         self.step(|core, now, _| core.on_directory_loaded(now, found));
     }
 
+    /// A read of the system's own records is sent.
+    pub(crate) fn read_sent(&self, now: Time) {
+        self.core.borrow_mut().leadership.on_read_sent(now);
+    }
+
     pub(crate) fn read_done(self: &Rc<Self>, topic: Topic, reading: Reading) {
         if topic == Topic::Work {
-            let work = &mut self.core.borrow_mut().work;
-            *work = Reading { known_to: reading.known_to.or(work.known_to), ..reading };
+            let core = &mut *self.core.borrow_mut();
+            let known_to = reading.known_to.or(core.work.known_to);
+            core.work = Reading { known_to, ..reading };
+            core.leadership.on_read(self.clock.now());
             self.reads.notify_waiters();
         }
     }
--- a/crates/workflow/src/leadership/mod.rs
+++ b/crates/workflow/src/leadership/mod.rs
@@ -97,6 +97,11 @@
     /// Whether the quiet is the end of a term that its holder gave up.
     released: bool,
     known: Epoch,
+    /// The epoch of a claim that was given up; it may yet take effect.
+    given_up: Option<Epoch>,
+    /// When the last read was sent, and when one was last answered.
+    read_sent: Time,
+    read_at: Time,
     /// When the last acknowledged append of this term was sent.
     proven: Time,
     seq: Seq,
@@ -119,6 +124,11 @@
 /// store takes no appends, and claims of all VMs must not add to that.
 const CLAIM_AGAIN: Duration = Duration::from_millis(400);
 
+/// Without an answered read for this long the silence of a leader says nothing: the store may be out of
+/// reach, and a claim would be held up on its way and depose a leader that is well, seconds later. While
+/// nobody leads a read is answered each 0.75 s, by a slow store each second.
+const READ_FRESH: Duration = Duration::from_millis(1_100);
+
 /// A claim of which nothing is heard or read for so long is given up. Well above the answer of a slow
 /// store (300 ms), the appends queued before it (2 s at most), and the read that shows the claim.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -147,6 +157,9 @@
             own_predecessor: false,
             released: false,
             known: Epoch(0),
+            given_up: None,
+            read_sent: now,
+            read_at: now,
             proven: Time::ZERO,
             seq: Seq(incarnation % SEQ_STARTS),
             willing: true,
@@ -232,6 +245,12 @@
             Role::Claiming { epoch, sent } if own && record.epoch == epoch => {
                 self.elect(sent, epoch, out);
             }
+            // It was held up on its way and fences whoever leads by now, so it is made use of. When the read
+            // was sent that shows it, nobody else had claimed.
+            Role::Follower if own && self.given_up == Some(record.epoch) && !record.released => {
+                self.given_up = None;
+                self.elect(self.read_sent, record.epoch, out);
+            }
             Role::Claiming { epoch, .. } if record.epoch >= epoch => self.role = Role::Follower,
             Role::Leader { epoch } if record.epoch > epoch => self.resign(now, out),
             _ => {}
@@ -243,6 +262,16 @@
         self.quiet_since = now;
     }
 
+    /// A read of the records is sent.
+    pub fn on_read_sent(&mut self, now: Time) {
+        self.read_sent = now;
+    }
+
+    /// A read of the records was answered.
+    pub fn on_read(&mut self, now: Time) {
+        self.read_at = now;
+    }
+
     /// A read of the records failed or was cut off: silence since then says nothing.
     pub fn on_read_failed(&mut self, now: Time) {
         self.quiet_since = now;
@@ -255,7 +284,10 @@
         }
         self.last_tick = now;
         self.give_up_claim(now);
-        let may_claim = caught_up && self.willing && now >= self.claim_after;
+        let may_claim = caught_up
+            && self.willing
+            && now >= self.claim_after
+            && now.since(self.read_at) < READ_FRESH;
         if self.role != Role::Follower || !may_claim || !self.takeover_due(now) {
             return;
         }
@@ -298,6 +330,7 @@
             && now.since(sent) >= CLAIM_TIMEOUT
         {
             self.known = self.known.max(epoch);
+            self.given_up = Some(epoch);
             self.role = Role::Follower;
             self.quiet_since = now;
         }
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -27,8 +27,8 @@
     ledger::{Change, Entry, Ledger, State},
     limits::Limits,
     record::{
-        Key, LeaderRecord, OccurrenceProgress, Outcome, Progress, Record, RecordError, RosterEntry,
-        StepProgress, Submission,
+        Closed, Key, LeaderRecord, OccurrenceProgress, Outcome, Progress, Record, RecordError,
+        RosterEntry, StepProgress, Submission,
     },
     routes::{AdviceTerms, Route, RouteTable, RoutesError},
     scheduler::{
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -131,9 +131,17 @@
     pub id: WorkerId,
     /// Where it takes orders.
     pub addr: SocketAddr,
-    /// Set once the worker is silent and gets no more orders: the runs that may be under way there, and
-    /// no others.
-    pub silent: Option<Vec<(TaskId, RunId)>>,
+    /// Set once the worker gets no more starts.
+    pub closed: Option<Closed>,
+}
+
+/// What may run at a worker that gets no more starts, since it is silent or about to leave.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Closed {
+    /// The runs that may be under way there, and no others.
+    pub runs: Vec<(TaskId, RunId)>,
+    /// Whether their leases may still be renewed.
+    pub renewed: bool,
 }
 
 /// A workflow as it was accepted. It holds all that its queue's configuration says of it, so that it
--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -290,6 +290,7 @@
         out: &mut Vec<Effect>,
     ) {
         let RunningTask { task, run, percent, .. } = *running;
+        self.drop_supposed(task, run);
         let step = self.step(task).cloned();
         log::debug!(task:%, run:%, worker:% = id; "task_found");
         let wanted = match self.task_mut(task) {
@@ -324,6 +325,23 @@
         }
     }
 
+    /// Forgets runs that the records only suppose, where a higher one of the same task was found: the
+    /// predecessor started that one because the others had certainly ended.
+    fn drop_supposed(&mut self, task: TaskId, found: RunId) {
+        let Some(state) = self.task_mut(task) else { return };
+        let older: Vec<(WorkerId, RunId)> =
+            state.copies.iter().filter(|(_, run)| *run < found).cloned().collect();
+        for (id, run) in older {
+            let Some(worker) = self.workers.get_mut(&id).filter(|worker| !worker.surveyed) else {
+                continue;
+            };
+            worker.remove(task, run);
+            if let Some(state) = self.task_mut(task) {
+                state.copies.retain(|(at, number)| *at != id || *number != run);
+            }
+        }
+    }
+
     fn unqueue(&mut self, task: TaskId) {
         let Some(flow) = self.flows.get_mut(&task.workflow) else { return };
         flow.started = true;
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -263,11 +263,12 @@
             let mut worker = Worker::new(now, placeholder(entry));
             worker.present = false;
             worker.in_roster = true;
-            worker.listed_silent = entry.silent.is_some();
+            worker.listed_silent = entry.closed.as_ref().is_some_and(|closed| !closed.renewed);
+            worker.leaving = entry.closed.as_ref().is_some_and(|closed| closed.renewed);
             // The predecessor renewed nothing at a worker that it had listed as silent.
             let silent_bound = now + limits.lease_bound();
-            worker.lease_bound = if entry.silent.is_some() { silent_bound } else { lapsed };
-            if entry.silent.is_none() {
+            worker.lease_bound = if worker.listed_silent { silent_bound } else { lapsed };
+            if entry.closed.is_none() {
                 scheduler.unaccounted.insert(entry.id.clone(), lapsed);
             }
             scheduler.workers.insert(entry.id.clone(), worker);
@@ -279,7 +280,7 @@
             scheduler.add_flow(now, id, entry, true);
         }
         for entry in ledger.roster() {
-            for (task, run) in entry.silent.iter().flatten() {
+            for (task, run) in entry.closed.iter().flat_map(|closed| &closed.runs) {
                 scheduler.suppose(now, &entry.id, *task, *run);
             }
         }
@@ -326,6 +327,8 @@
             self.roster_dirty = true;
         }
         if drains && was_ready {
+            // A successor needn't wait for it: nothing else will be started there.
+            self.roster_dirty = true;
             log::info!(worker:% = id; "worker_drains");
         }
     }
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -135,7 +135,10 @@
         }
         // A worker that has fallen silent, or is heard again, changes the roster.
         let changed = |worker: &super::Worker| {
-            worker.in_roster && worker.is_silent(now, &limits) != worker.listed_silent
+            let silence = worker.lists_silent(now, &limits) != worker.listed_silent;
+            // What it ran has been moved: a successor that reads so holds nothing back.
+            let emptied = worker.leaving && worker.listed_runs > 0 && worker.copies.is_empty();
+            worker.in_roster && (silence || emptied)
         };
         self.roster_dirty |= self.workers.values().any(changed);
         self.unaccounted.retain(|_, until| now < *until);
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Effect, Scheduler},
-    crate::{Key, Record, RosterEntry, WaveProgress, WorkerId, WorkflowId},
+    crate::{Closed, Key, Record, RosterEntry, WaveProgress, WorkerId, WorkflowId},
     egretlb_types::Time,
     std::time::Duration,
 };
@@ -95,14 +95,16 @@
         }
         let mut roster = Vec::with_capacity(self.workers.len());
         for (id, worker) in &mut self.workers {
-            let silent = worker.is_silent(now, &self.limits);
+            let silent = worker.lists_silent(now, &self.limits);
+            let leaves = worker.leaves();
+            // From here on nothing is started there, since the record may be read before it is confirmed.
             worker.listed_silent |= silent;
+            worker.leaving |= leaves;
+            let runs = || worker.copies.keys().copied().collect();
+            let closed = (silent || leaves).then(|| Closed { runs: runs(), renewed: !silent });
+            worker.listed_runs = closed.as_ref().map_or(0, |closed| closed.runs.len());
             recording.roster.push((id.clone(), silent));
-            roster.push(RosterEntry {
-                id: id.clone(),
-                addr: worker.info.addr,
-                silent: silent.then(|| worker.copies.keys().copied().collect()),
-            });
+            roster.push(RosterEntry { id: id.clone(), addr: worker.info.addr, closed });
         }
         records.push(Record::new(Key::Roster, &roster));
     }
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -161,6 +161,10 @@
     /// The roster lists what may run there and nothing else; until a roster without that list is
     /// recorded, it gets no order that starts or renews anything.
     pub(crate) listed_silent: bool,
+    /// The roster lists what may run there since it is about to leave: nothing is started there any more.
+    pub(crate) leaving: bool,
+    /// How many runs the roster lists there.
+    pub(crate) listed_runs: usize,
     /// Its address refused a connection: no process listens there.
     pub(crate) refused: bool,
     /// It has answered under this epoch: what runs there is known, and no predecessor's order takes
@@ -210,6 +214,8 @@
             present: true,
             in_roster: false,
             listed_silent: false,
+            leaving: false,
+            listed_runs: 0,
             refused: false,
             surveyed: false,
             last_heard: None,
@@ -298,6 +304,16 @@
         self.surveyed && !self.is_responsive(now, limits)
     }
 
+    /// Whether the roster lists it as silent: it is, or a predecessor said so and it hasn't answered since.
+    pub(crate) fn lists_silent(&self, now: Time, limits: &Limits) -> bool {
+        self.is_silent(now, limits) || (!self.surveyed && self.listed_silent)
+    }
+
+    /// Whether it is about to leave, and what may run there is known.
+    pub(crate) fn leaves(&self) -> bool {
+        self.leaving || (self.surveyed && self.info.state == WorkerState::Draining)
+    }
+
     /// Whether it has certainly left: it had announced that, its entry is gone, and nothing listens at
     /// its address. Each alone may be something else: entries lapse by silence or are revoked, and a
     /// draining worker works on for seconds.
@@ -310,6 +326,7 @@
         self.present
             && self.in_roster
             && !self.listed_silent
+            && !self.leaving
             && self.surveyed
             && self.info.state == WorkerState::Ready
             && now >= self.barred_until
--- a/crates/workflow/tests/leader_changes.rs
+++ b/crates/workflow/tests/leader_changes.rs
@@ -6,7 +6,7 @@
     egretlb_types::{Epoch, Seq},
     egretlb_workflow::{LeaderRecord, Leadership, Limits},
     std::time::Duration,
-    support::{step, submission, world::World},
+    support::{messages::Msg, step, submission, world::World},
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -203,3 +203,48 @@
     assert!(claims_after(999) < Duration::from_millis(250));
     assert!(claims_after(4_000) > Duration::from_millis(750));
 }
+
+/// A follower is cut off from the store: its reads neither fail nor are answered for 1.3 s. Were it to take
+/// that for the leader's silence, its claim would arrive when the cut ends, seconds later, and depose a
+/// leader that is well.
+#[test]
+fn hung_reads() {
+    let mut world = World::new(51, 3, 4, Limits::default());
+    world.run(2 * SECOND);
+    let leader = world.leader().expect("somebody leads by now");
+    let other = (leader + 1) % 3;
+    world.nodes[other].reaches_store = false;
+    world.nodes[other].calls_hang = true;
+    world.run(5 * SECOND);
+    world.nodes[other].reaches_store = true;
+    world.run(3 * SECOND);
+    assert_eq!(world.leader(), Some(leader));
+    assert_eq!(world.nodes.iter().map(|node| node.elections).sum::<u32>(), 1);
+}
+
+/// The leader stands still for two seconds; a follower claims, and is cut off with its claim on the way. The
+/// leader goes on. When the cut ends the claim arrives and fences it at the store, so the claimant must lead
+/// under it at once; otherwise nobody would for another 1.5 s.
+#[test]
+fn late_claim() {
+    let mut world = World::new(52, 2, 4, Limits::default());
+    world.run(2 * SECOND);
+    let leader = world.leader().expect("somebody leads by now");
+    let claimant = 1 - leader;
+    world.freeze(leader, 2 * SECOND);
+    let claims = |world: &World| {
+        let claims = |msg: &(_, Msg)| matches!(msg.1, Msg::Append { claim: true, .. });
+        world.messages.iter().any(claims)
+    };
+    assert!(world.run_until(3 * SECOND, claims).is_some());
+    world.nodes[claimant].reaches_store = false;
+    world.nodes[claimant].calls_hang = true;
+    world.run(5 * SECOND);
+    assert_eq!(world.leader(), Some(leader));
+    world.nodes[claimant].reaches_store = true;
+    let id = world.submit(1, &submission(vec![step(4, 300)]));
+    let took = world.run_until(4 * SECOND, |world| world.completed(id));
+    assert!(took.is_some_and(|took| took < SECOND), "{took:?}");
+    assert_eq!(world.leader(), Some(claimant));
+    assert_eq!(world.checker.faults, Vec::<String>::new());
+}
--- a/crates/workflow/tests/lost_workers.rs
+++ b/crates/workflow/tests/lost_workers.rs
@@ -3,13 +3,20 @@
 mod support;
 
 use {
-    egretlb_workflow::{Limits, Outcome, State, WorkerState, WorkflowId},
+    egretlb_workflow::{Limits, Outcome, State, Step, WorkerState, WorkflowId},
     std::time::Duration,
     support::{step, submission, world::World},
 };
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// A step that waits for the first one.
+fn later_step(count: u32, ms: u32) -> Step {
+    let mut later = step(count, ms);
+    later.after.push(0);
+    later
+}
+
 fn world(seed: u64) -> World {
     let mut world = World::new(seed, 3, 6, Limits::default());
     world.run(2 * SECOND);
@@ -177,8 +184,9 @@
 
 /// A worker is cut off with a start in doubt, and the records list it as silent. Then it is back and doesn't
 /// know the run, so the leader starts the task elsewhere; at that moment the store turns the leader away.
-/// Its successor finds the new run beside the one that the records suppose, and stops it, which takes a
-/// while. Were the task queued again as soon as the supposed run proves to be none, it would run twice.
+/// Its successor finds the new run beside the one that the records suppose. Were it stopped for that one,
+/// which takes a while, and the task queued again as soon as the supposed run proves to be none, the task
+/// would run twice.
 #[test]
 fn found_beside_supposed() {
     for seed in 0..12 {
@@ -196,5 +204,52 @@
         world.run(5 * SECOND);
         assert_ne!(world.leader(), Some(leader));
         assert_eq!(world.checker.faults, Vec::<String>::new(), "seed {seed}");
+        // A higher run is the proof that the supposed one had ended, so it goes on.
+        assert_eq!(world.checker.starts, 16, "seed {seed}");
+    }
+}
+
+/// Workers announce that they leave, are emptied and go dark; the leader is killed just then. Its successor
+/// knows from the records that nothing runs there, so clients don't wait for nine seconds.
+#[test]
+fn left_before_takeover() {
+    let mut world = world(17);
+    let id = world.submit(1, &submission(vec![step(12, 700), later_step(12, 700)]));
+    world.run(Duration::from_millis(100));
+    for worker in [0, 1] {
+        world.workers[worker].info.state = WorkerState::Draining;
+    }
+    world.run(SECOND);
+    for worker in [0, 1] {
+        world.workers[worker].crash(&mut world.checker);
+    }
+    let leader = world.leader().expect("somebody leads by now");
+    world.kill(leader);
+    let took = world.run_until(12 * SECOND, |world| world.completed(id));
+    assert!(took.is_some_and(|took| took < 4 * SECOND), "{took:?}");
+    assert_eq!(world.checker.faults, Vec::<String>::new());
+}
+
+/// A worker that leaves is cut off with a task on it, and the leader is killed. Its successor starts that
+/// task elsewhere only once its lease must have lapsed, and all others at once.
+#[test]
+fn leaving_and_cut() {
+    let mut world = world(18);
+    let mut slow = step(6, 20_000);
+    slow.per_worker = 1;
+    world.submit(1, &submission(vec![slow]));
+    world.run(Duration::from_millis(300));
+    world.workers[0].info.state = WorkerState::Draining;
+    world.run(SECOND);
+    for node in &mut world.nodes {
+        node.cut_from = vec![0];
     }
+    let leader = world.leader().expect("somebody leads by now");
+    world.kill(leader);
+    let id = world.submit(2, &submission(vec![step(4, 400)]));
+    let took = world.run_until(12 * SECOND, |world| world.completed(id));
+    assert!(took.is_some_and(|took| took < 4 * SECOND), "{took:?}");
+    world.run(40 * SECOND);
+    assert!(world.completed(WorkflowId(1)));
+    assert_eq!(world.checker.faults, Vec::<String>::new());
 }
--- a/crates/workflow/tests/support/messages.rs
+++ b/crates/workflow/tests/support/messages.rs
@@ -60,6 +60,9 @@
     Told(u64, WaveState),
 }
 
+/// A hanging append is given up after this.
+const HANGS: Duration = Duration::from_millis(2_400);
+
 /// What advice costs in this world.
 pub const TERMS: AdviceTerms =
     AdviceTerms { decision_ms: 60, per_worker_ms: 10, validity_ms: 3_000 };
@@ -140,6 +143,15 @@
     ) {
         let (sent, records, fence) = append;
         let reached = self.nodes[node].reaches_store && !self.store_down;
+        if !reached && self.nodes[node].calls_hang {
+            if self.now.since(sent) >= HANGS && self.now.since(sent) < HANGS + STEP {
+                let (records, result) = (records.clone(), AppendResult::Unknown);
+                self.send(Msg::Appended { node, incarnation, sent, records, fence, claim, result });
+            }
+            let again = Msg::Append { node, incarnation, sent, records, fence, claim };
+            self.messages.push((self.now + STEP, again));
+            return;
+        }
         let mut result = AppendResult::Rejected;
         if reached {
             result = self.store.append(&records, Some(fence));
--- a/crates/workflow/tests/support/node.rs
+++ b/crates/workflow/tests/support/node.rs
@@ -17,6 +17,8 @@
     pub scheduler: Option<Scheduler>,
     pub next: Offset,
     pub reaches_store: bool,
+    /// While it can't reach the store its calls hang, and arrive once it can.
+    pub calls_hang: bool,
     /// Workers that it can't reach.
     pub cut_from: Vec<usize>,
     pub elections: u32,
@@ -47,6 +49,7 @@
             scheduler: None,
             next: Offset(0),
             reaches_store: true,
+            calls_hang: false,
             cut_from: Vec::new(),
             elections: 0,
             directory: Vec::new(),
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -199,6 +199,7 @@
         if self.steps.is_multiple_of(READ_EVERY) {
             if readable {
                 let from = self.nodes[index].next;
+                self.nodes[index].leadership.on_read_sent(now);
                 let records: Vec<(Offset, Record)> = self
                     .store
                     .from(from)
@@ -207,13 +208,14 @@
                 for (offset, record) in records {
                     wishes.extend(self.nodes[index].read(now, offset, &record.key, &record.value));
                 }
-            } else {
+                self.nodes[index].leadership.on_read(now);
+            } else if !self.nodes[index].calls_hang {
                 self.nodes[index].leadership.on_read_failed(now);
             }
         }
         let node = &mut self.nodes[index];
         let mut out: Vec<LeadershipEffect> = Vec::new();
-        node.leadership.tick(now, readable, &mut out);
+        node.leadership.tick(now, readable || node.calls_hang, &mut out);
         node.apply(now, out, &mut wishes);
         let mut effects = Vec::new();
         if node.leads(now)
