Tell from a workflow's id and the logs what became of it

`egretlb explain ID [FILE...]` reads log lines of all VMs in any order and tells what happened, in order and with its surroundings, and what follows.

--- a/crates/cli/src/args/lowered.rs
+++ b/crates/cli/src/args/lowered.rs
@@ -36,15 +36,45 @@
 /// The commands with what each needs.
 #[derive(Debug)]
 pub(crate) enum Command {
-    ConfigCheck { path: PathBuf },
-    ConfigDiff { path: PathBuf, servers: Servers },
-    ConfigApply { path: PathBuf, base: Option<Offset>, by: CompactString, servers: Servers },
-    ConfigShow { servers: Servers },
-    JobSubmit { source: JobSource, servers: Servers },
-    JobStatus { job: JobId, servers: Servers },
-    JobCancel { job: JobId, servers: Servers },
-    Status { servers: Servers },
-    Dump { addr: SocketAddr },
+    ConfigCheck {
+        path: PathBuf,
+    },
+    ConfigDiff {
+        path: PathBuf,
+        servers: Servers,
+    },
+    ConfigApply {
+        path: PathBuf,
+        base: Option<Offset>,
+        by: CompactString,
+        servers: Servers,
+    },
+    ConfigShow {
+        servers: Servers,
+    },
+    JobSubmit {
+        source: JobSource,
+        servers: Servers,
+    },
+    JobStatus {
+        job: JobId,
+        servers: Servers,
+    },
+    JobCancel {
+        job: JobId,
+        servers: Servers,
+    },
+    Status {
+        servers: Servers,
+    },
+    Dump {
+        addr: SocketAddr,
+    },
+    /// Without files, standard input is read.
+    Explain {
+        workflow: CompactString,
+        files: Vec<PathBuf>,
+    },
 }
 
 /// Where the job to submit is described.
@@ -116,6 +146,10 @@
             }
             ["status"] => Command::Status { servers: self.servers()? },
             ["dump", addr] => Command::Dump { addr: address(addr)? },
+            ["explain", workflow, ..] => Command::Explain {
+                workflow: workflow_id(workflow)?,
+                files: words[2..].iter().map(PathBuf::from).collect(),
+            },
             other => return Err(unknown_command(other)),
         };
         self.check_unused()?;
@@ -205,6 +239,17 @@
     })
 }
 
+/// A workflow's id, as clients choose it.
+fn workflow_id(text: &str) -> Result<CompactString, CliError> {
+    let hex = |c: u8| c.is_ascii_digit() || (b'a'..=b'f').contains(&c);
+    if text.len() == 16 && text.bytes().all(hex) {
+        return Ok(CompactString::new(text));
+    }
+    Err(CliError::Usage(format_compact!(
+        "{text:?} is no workflow's id; give its 16 hexadecimal digits"
+    )))
+}
+
 fn address(text: &str) -> Result<SocketAddr, CliError> {
     text.trim().parse().map_err(|_| {
         let text: String = text.chars().take(60).collect();
@@ -221,6 +266,7 @@
             format_compact!("{} needs a FILE", words.join(" "))
         }
         ["job", "status" | "cancel"] => format_compact!("{} needs a job's ID", words.join(" ")),
+        ["explain"] => CompactString::const_new("explain needs a workflow's ID"),
         ["dump"] => CompactString::const_new("dump needs the ADDR of a process"),
         ["config" | "job"] => format_compact!("{} needs a further word", words[0]),
         _ => format_compact!("there is no command {:?}", words.join(" ")),
--- /dev/null
+++ b/crates/cli/src/commands/explain.rs
@@ -0,0 +1,66 @@
+//! What became of a workflow, by the logs.
+
+use {
+    super::Cx,
+    crate::error::CliError,
+    compact_str::CompactString,
+    egretlb_explain::{Finding, Happening, Walk},
+    std::{
+        fs::File,
+        io::{self, BufRead, BufReader},
+        path::{Path, PathBuf},
+    },
+};
+
+pub(super) fn explain(
+    cx: &mut Cx<'_, '_>,
+    workflow: &CompactString,
+    files: &[PathBuf],
+) -> Result<(), CliError> {
+    let mut walk = Walk::new(workflow);
+    if files.is_empty() {
+        read(&mut walk, Path::new("standard input"), io::stdin().lock())?;
+    }
+    for path in files {
+        let file = File::open(path).map_err(|error| unreadable(path, error))?;
+        read(&mut walk, path, BufReader::new(file))?;
+    }
+    let explanation = walk.finish();
+    if cx.args.json {
+        cx.print_json(&explanation)?;
+    } else {
+        for Happening { at, node, event, pairs, own } in &explanation.happenings {
+            let mark = if *own { ' ' } else { '~' };
+            cx.print(format!("{mark} {at} {node} {event}"))?;
+            for (key, value) in pairs.iter().filter(|(key, _)| key != "level" && key != "workflow")
+            {
+                cx.print(format!(" {key}={value}"))?;
+            }
+            cx.print("\n")?;
+        }
+        cx.print(format!("\nworkflow {workflow}\n"))?;
+        for finding in &explanation.findings {
+            cx.print(format!("- {finding}\n"))?;
+        }
+    }
+    if explanation.findings.contains(&Finding::NotSeen) {
+        return Err(CliError::NoLines(workflow.clone()));
+    }
+    Ok(())
+}
+
+fn unreadable(path: &Path, error: io::Error) -> CliError {
+    CliError::ReadFile { path: path.to_path_buf(), error }
+}
+
+/// Takes in all lines. Logs may hold bytes that aren't text; such lines are read as far as they are.
+fn read(walk: &mut Walk, path: &Path, mut from: impl BufRead) -> Result<(), CliError> {
+    let mut buf = Vec::new();
+    loop {
+        buf.clear();
+        if from.read_until(b'\n', &mut buf).map_err(|error| unreadable(path, error))? == 0 {
+            return Ok(());
+        }
+        walk.take(String::from_utf8_lossy(&buf).trim_end());
+    }
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands.
 
 mod config;
+mod explain;
 mod job;
 mod look;
 
@@ -35,6 +36,7 @@
         Command::JobCancel { job, servers } => job::cancel(&mut cx, job, servers),
         Command::Status { servers } => look::status(&mut cx, servers),
         Command::Dump { addr } => look::dump(&mut cx, *addr),
+        Command::Explain { workflow, files } => explain::explain(&mut cx, workflow, files),
     }
 }
 
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -62,6 +62,8 @@
     },
     /// There is no such job.
     NoSuchJob(JobId),
+    /// No line of the logs names the workflow.
+    NoLines(CompactString),
     /// No daemon gave a whole answer in time.
     Unavailable {
         /// What the last try of each kind met with.
@@ -85,7 +87,7 @@
             CliError::ReadFile { .. } | CliError::Output(_) => Exit::Failed,
             CliError::Faults { .. } | CliError::InvalidThere(_) => Exit::Faults,
             CliError::LostRace { .. } => Exit::LostRace,
-            CliError::NoSuchJob(_) => Exit::NotFound,
+            CliError::NoSuchJob(_) | CliError::NoLines(_) => Exit::NotFound,
             CliError::Unavailable { .. } => Exit::Unavailable,
             CliError::Refused(_) => Exit::Refused,
             CliError::OutputClosed => Exit::Done,
@@ -131,6 +133,10 @@
                 "there is no job {job}; check its name, or it ended so long ago that it is \
                  forgotten"
             ),
+            CliError::NoLines(workflow) => write!(
+                f,
+                "no line names workflow {workflow}; check the id, and give the logs of all VMs"
+            ),
             CliError::Unavailable { last, change: true } => write!(
                 f,
                 "no answer in time ({last}); it may or may not have been done: give the same \
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -15,6 +15,7 @@
   job cancel ID         cancel a job
   status                list the nodes and what they have in force
   dump ADDR             show what one process knows
+  explain ID [FILE...]  tell from logs what became of a workflow
 
 --help says more, with all options and exit codes.
 ";
@@ -57,6 +58,10 @@
                         force at each.
   dump ADDR             Show what the process at ADDR (ip:port, its operators'
                         address) knows. No request bodies.
+  explain ID [FILE...]  Tell what became of the workflow ID, by the log lines
+                        of all VMs in FILE... or on standard input: what
+                        happened in order (~ marks its surroundings), then
+                        what follows. Asks no daemon.
 
 Options.
 
@@ -78,7 +83,7 @@
   2  the command line is wrong; nothing was tried
   3  the file has faults; nothing was changed
   4  another configuration was accepted first; nothing was changed
-  5  there is no such job
+  5  there is no such job, or no line names the workflow
   6  no answer in time; a change may have been made, and the same command
      again is safe
   7  refused; nothing was changed
--- /dev/null
+++ b/crates/explain/tests/three_walks.rs
@@ -0,0 +1,96 @@
+//! Three kinds of failed requests, from the id to the cause, by lines as the daemons write them.
+
+use egretlb_explain::{Finding, Walk};
+
+const ID: &str = "97aa5350f2a720be";
+
+/// Lines with the time in seconds, the VM, and the rest.
+fn walk(lines: &[(f64, &str, &str)]) -> Vec<Finding> {
+    let mut walk = Walk::new(ID);
+    // Logs of several VMs come one after the other, so lines aren't in the order of time.
+    for (at, node, rest) in lines.iter().rev() {
+        walk.take(&format!("ts=2026-10-11T16:07:{at:06.3}Z level=info node={node} event={rest}"));
+    }
+    walk.finish().findings
+}
+
+/// A surveyor complains that a check came late. Its leader had been killed just after it was accepted.
+#[test]
+fn owner_killed() {
+    let findings = walk(&[
+        (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
+        (2.600, "entry-2", "elected epoch=4 workers=66 workflows=80 unaccounted=66"),
+        (2.640, "entry-2", "survey_complete epoch=4"),
+        (2.650, "entry-2", "workflow_started workflow=97aa5350f2a720be worker=w-1"),
+        (3.900, "entry-2", "workflow_ended workflow=97aa5350f2a720be outcome=Completed"),
+    ]);
+    assert_eq!(findings[0].to_string(), "accepted at 2026-10-11T16:07:01.000Z by entry-1");
+    assert!(findings.contains(&Finding::StartedLate { waited_ms: 1_650, leaders: 1 }));
+    assert!(matches!(
+        &findings[2],
+        Finding::LeaderChanged { node, surveyed_after_ms: Some(40), .. } if node == "entry-2"
+    ));
+    assert!(matches!(&findings[3], Finding::Ended { took_ms: Some(2_900), .. }));
+}
+
+/// A client was told that nobody knows whether its batch is stored. The store's answer was lost; the client
+/// asked again, and the batch ran once.
+#[test]
+fn answer_lost() {
+    let findings = walk(&[
+        (1.000, "entry-1", "append_given_up records=3 stored=Unknown"),
+        (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Unknown"),
+        (1.400, "entry-3", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
+        (1.410, "entry-2", "workflow_started workflow=97aa5350f2a720be worker=w-1"),
+        (2.000, "entry-2", "workflow_ended workflow=97aa5350f2a720be outcome=Completed"),
+    ]);
+    assert_eq!(findings[0], Finding::AnsweredUnknown { times: 1 });
+    assert!(matches!(&findings[1], Finding::Accepted { refused_before: 1, .. }));
+}
+
+/// A workflow failed. A grey worker failed its tasks, and those of others, until the attempts were used up.
+#[test]
+fn grey_workers() {
+    let findings = walk(&[
+        (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
+        (1.010, "entry-2", "workflow_started workflow=97aa5350f2a720be worker=w-1"),
+        (1.300, "entry-2", "task_failed task=97aa5350f2a720be.0.0.4 run=1 worker=w-1 attempts=1"),
+        (1.350, "entry-2", "worker_quarantined worker=w-1 failures=2"),
+        (1.360, "entry-2", "worker_quarantined worker=w-77 failures=2"),
+        (1.700, "entry-2", "task_failed task=97aa5350f2a720be.0.0.4 run=2 worker=w-2 attempts=2"),
+        (1.710, "entry-2", "workflow_ended workflow=97aa5350f2a720be outcome=Failed copies=3"),
+    ]);
+    assert!(findings.iter().any(|finding| finding.to_string() == "runs failed: 1 at w-1 1 at w-2"));
+    // Another worker's trouble has nothing to do with it.
+    let at_fault = Finding::WorkersAtFault { workers: vec!["w-1".into()] };
+    assert!(findings.contains(&at_fault));
+    assert!(matches!(findings.last(), Some(Finding::Ended { outcome, .. }) if outcome == "Failed"));
+}
+
+#[test]
+fn refused_only() {
+    let findings = walk(&[
+        (1.000, "entry-1", "append_given_up records=3 stored=No"),
+        (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=No"),
+        (2.100, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=No"),
+    ]);
+    assert_eq!(findings, [Finding::Refused { times: 2, store_failed: true }]);
+}
+
+#[test]
+fn never_seen() {
+    let findings =
+        walk(&[(1.0, "entry-1", "submitted workflow=00000000000000a1 route=r stored=Yes")]);
+    assert_eq!(findings, [Finding::NotSeen]);
+}
+
+/// Lines were dropped while it ran: what isn't there may have happened.
+#[test]
+fn lines_missing() {
+    let findings = walk(&[
+        (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
+        (1.500, "entry-1", "log_lines_dropped lines=12"),
+        (2.000, "entry-2", "workflow_ended workflow=97aa5350f2a720be outcome=Completed"),
+    ]);
+    assert_eq!(findings.last(), Some(&Finding::LinesMissing { lines: 12 }));
+}
--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -181,7 +181,7 @@
         let Some(flow) = self.flows.get_mut(&task.workflow) else { return };
         flow.complete(task.occurrence);
         if flow.outcome.is_some() {
-            log::debug!(workflow:% = task.workflow; "workflow_completed");
+            log::info!(workflow:% = task.workflow, outcome = "Completed"; "workflow_ended");
         }
     }
 
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -214,6 +214,7 @@
             if need.step.checkpoints { state.saved.clone() } else { CompactString::default() };
         let Some(flow) = self.flows.get_mut(&task.workflow) else { return };
         if !std::mem::replace(&mut flow.started, true) {
+            log::info!(workflow:% = task.workflow, worker:% = id; "workflow_started");
             self.dirty.insert(task.workflow);
         }
         let ticket = self.ticket(now, task, id);
--- a/crates/workflow/src/scheduler/queue.rs
+++ b/crates/workflow/src/scheduler/queue.rs
@@ -120,7 +120,7 @@
         flow.occurrences.clear();
         self.forget_load(id);
         self.forget_advice(id);
-        log::debug!(workflow:% = id, outcome:? = outcome, copies = copies.len(); "workflow_ended");
+        log::info!(workflow:% = id, outcome:? = outcome, copies = copies.len(); "workflow_ended");
         for (worker, run) in copies {
             self.stop_runs(now, &worker, out, |task, of| task.workflow == id && of == run);
         }
