--- a/crates/cli/tests/helper/mod.rs
+++ b/crates/cli/tests/helper/mod.rs
@@ -1,5 +1,7 @@
 //! Drives the program `egretlb`, and answers it in a daemon's place.
 
+#![allow(dead_code)]
+
 use {
     egretlb_net::http::{HttpServer, read_body},
     oxhttp::model::{Body, Response},
