Say why a task isn't running, and which dependency is lost

The daemon's state, read by `egretlb dump`, lists the steps that wait with the reason for each; one line when reads of a topic begin to fail, with what goes on without it, and one when they are answered again.

--- a/crates/runtime/src/border.rs
+++ b/crates/runtime/src/border.rs
@@ -14,7 +14,7 @@
 };
 
 /// A topic of the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Topic {
     /// The system's own records.
     Work,
--- /dev/null
+++ b/crates/runtime/src/dump.rs
@@ -0,0 +1,72 @@
+//! What a process knows, for whoever looks into it. Without clients' payloads, and bounded in size.
+
+use {crate::node::Node, egretlb_types::Time, serde::Serialize, std::time::Duration};
+
+/// The most steps that are listed: at 200 bytes each 200 KB.
+const MOST_STEPS: usize = 1_000;
+
+#[derive(Serialize)]
+struct Dump {
+    leads: bool,
+    leader: String,
+    /// The version of the configuration in force.
+    configuration: Option<u64>,
+    ready: bool,
+    workflows: usize,
+    workers: usize,
+    /// How long ago the records were last read; none if never.
+    records_read_ms: Option<u64>,
+    /// Workers that the new leader waits for.
+    unaccounted: usize,
+    /// Steps with tasks that wait, the first of them first. Only the leader knows.
+    waiting: Vec<Waiting>,
+    /// Set if not all are listed.
+    more_waiting: bool,
+}
+
+#[derive(Serialize)]
+struct Waiting {
+    step: String,
+    tasks: usize,
+    waited_ms: u64,
+    reason: String,
+}
+
+fn ms(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Node {
+    /// The state as JSON.
+    pub(crate) fn dump(&self, now: Time) -> Vec<u8> {
+        let core = &mut *self.core.borrow_mut();
+        let ready = core.is_ready(now);
+        let leader = core.leader().to_string();
+        let mut dump = Dump {
+            leads: core.scheduler.is_some(),
+            leader,
+            configuration: core.routes.as_ref().map(|routes| routes.version),
+            ready,
+            workflows: core.ledger.iter().count(),
+            workers: core.directory.len(),
+            records_read_ms: core.work.fresh.map(|at| ms(now.since(at))),
+            unaccounted: 0,
+            waiting: Vec::new(),
+            more_waiting: false,
+        };
+        if let Some(scheduler) = &mut core.scheduler {
+            dump.unaccounted = scheduler.unaccounted();
+            dump.more_waiting = scheduler.waiting() > MOST_STEPS;
+            let steps = scheduler.waiting_steps(now, MOST_STEPS);
+            let row = |waiting: egretlb_workflow::WaitingStep| Waiting {
+                step: waiting.step.to_string(),
+                tasks: waiting.tasks,
+                waited_ms: ms(waiting.waited),
+                reason: waiting.reason.to_string(),
+            };
+            dump.waiting = steps.into_iter().map(row).collect();
+        }
+        // Plain data always has a form in JSON.
+        serde_json::to_vec(&dump).unwrap_or_default()
+    }
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -10,6 +10,7 @@
 mod clients;
 mod clock;
 mod core;
+mod dump;
 mod follow;
 mod node;
 mod orders;
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -17,7 +17,7 @@
     },
     std::{
         cell::{Cell, Ref, RefCell},
-        collections::HashSet,
+        collections::{BTreeMap, HashSet},
         hash::{DefaultHasher, Hash, Hasher},
         net::SocketAddr,
         rc::Rc,
@@ -79,6 +79,15 @@
 /// The part of the range that chance decides.
 const CHANCE_RANGE: u32 = 300;
 
+/// What goes on without a topic of the store, for the log.
+fn still_works(topic: Topic) -> &'static str {
+    match topic {
+        Topic::Work => "what runs; orders for 4 s; known states",
+        Topic::Operator => "the configuration in force",
+        Topic::Directory => "workers that are known",
+    }
+}
+
 /// A node.
 pub struct Node {
     pub(crate) core: RefCell<Core>,
@@ -95,6 +104,8 @@
     pub(crate) waiting: RefCell<Vec<Waiting>>,
     /// Since when the leader's append under way has had no success.
     pub(crate) recording: Cell<Option<Time>>,
+    /// Topics whose reads fail, and since when.
+    lost: RefCell<BTreeMap<Topic, Time>>,
     pub(crate) clock: Clock,
     pub(crate) turns: Turns,
     wake: Notify,
@@ -124,6 +135,7 @@
             metrics: WorkflowMetrics::new(),
             waiting: RefCell::default(),
             recording: Cell::new(None),
+            lost: RefCell::default(),
             clock,
             turns: Turns::default(),
             wake: Notify::new(),
@@ -267,14 +279,24 @@
             let known_to = reading.known_to.or(core.work.known_to);
             core.work = Reading { known_to, ..reading };
             core.leadership.on_read(self.clock.now());
+        }
+        if let Some(since) = self.lost.borrow_mut().remove(&topic) {
+            let after_ms = self.clock.now().since(since).as_millis() as u64;
+            log::info!(topic:% = topic, after_ms; "store_regained");
+        }
+        if topic == Topic::Work {
             self.reads.notify_waiters();
         }
     }
 
     pub(crate) fn read_failed(self: &Rc<Self>, topic: Topic) {
+        let now = self.clock.now();
+        if !self.lost.borrow().contains_key(&topic) {
+            log::warn!(topic:% = topic, works = still_works(topic); "store_lost");
+            self.lost.borrow_mut().insert(topic, now);
+        }
         log::debug!(topic:% = topic; "read_failed");
         if topic == Topic::Work {
-            let now = self.clock.now();
             let mut core = self.core.borrow_mut();
             core.work.at_end = false;
             core.leadership.on_read_failed(now);
--- a/crates/runtime/src/peers.rs
+++ b/crates/runtime/src/peers.rs
@@ -82,6 +82,9 @@
     }
 }
 
+/// Where the state is read, as with the other daemons, so that the operator's command finds it.
+const STATE: &str = "/state";
+
 /// Where metrics are read.
 const METRICS: &str = "/metrics";
 
@@ -92,6 +95,10 @@
         let content_type = METRICS_CONTENT_TYPE;
         return Response { body, content_type, ..Response::empty(status::STORED) };
     }
+    if req.method == Method::GET && req.path == STATE {
+        let body = Bytes::from(node.dump(node.clock().now()));
+        return Response { body, ..Response::empty(status::STORED) };
+    }
     let record = req.body.filter(|_| req.path == PATH).and_then(|body| Record::from_bytes(&body));
     let Some(record) = record else { return Response::empty(status::REJECTED) };
     if !node.may_lead() {
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -10,6 +10,7 @@
 //! An end is acknowledged to the worker after it is recorded, so that it can't be lost between the two.
 
 mod advice;
+mod dump;
 mod ends;
 mod flow;
 mod orders;
@@ -45,6 +46,7 @@
 
 pub use self::{
     advice::AdviceResult,
+    dump::{Reason, WaitingStep},
     ends::{End, EndKind, HoldReply, RunningTask},
     orders::{StartResult, StopResult},
     pacing::PaceResult,
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -108,7 +108,7 @@
     }
 
     /// How long a step's queue hasn't been empty.
-    fn step_wait(&self, now: Time, key: Ready) -> Duration {
+    pub(super) fn step_wait(&self, now: Time, key: Ready) -> Duration {
         let flow = self.flows.get(&key.workflow);
         let occurrence = flow.and_then(|flow| flow.occurrences.get(&key.occurrence));
         let step = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(key.step)));
@@ -319,7 +319,7 @@
 ///
 /// Fillers of one worker share what the others leave; more of them than that would each be slowed down,
 /// and those first in the queue are better served one after the other.
-fn has_room(worker: &Worker, task: TaskId, need: &Need<'_>) -> bool {
+pub(super) fn has_room(worker: &Worker, task: TaskId, need: &Need<'_>) -> bool {
     let step = need.step;
     let free = worker.free();
     if !need.hard.fits(&free) {
