--- a/crates/egretlbd/tests/fault_soak.rs
+++ b/crates/egretlbd/tests/fault_soak.rs
@@ -1,5 +1,6 @@
-//! A soak over real processes: daemons that are killed, stopped, paused and restarted by signals, and a
-//! store that turns calls away and loses answers, in series and overlapping, from a seed.
+//! A soak over real processes: daemons that are killed, stopped, paused and restarted by signals, a store
+//! that turns calls away and loses answers, and connections to store and workers that are delayed, held
+//! back in both directions or one, silenced and reset by proxies; in series and overlapping, from a seed.
 //!
 //! CI plays two seeds. By hand: `EGRETLB_SOAK_SEEDS=1..51 cargo test --release -p egretlbd --test
 //! fault_soak -- --nocapture`. Each process has an address of its own on the loopback network.
@@ -20,7 +21,10 @@
         process::{Child, Command, Stdio},
         time::{Duration, Instant},
     },
-    support::{Platform, on_one_thread},
+    support::{
+        Platform, on_one_thread,
+        proxy::{Proxy, Trouble},
+    },
     tokio::time::sleep,
 };
 
@@ -43,7 +47,8 @@
 struct Daemon {
     number: usize,
     settings: String,
-    clients: SocketAddr,
+    /// Keeps its connections open until the process is gone, as clients do.
+    client: Client,
     child: Option<Child>,
 }
 
@@ -63,8 +68,8 @@
         let path = env::temp_dir().join(format!("egretlb-soak-{process}-{seed}-{number}.json"));
         fs::write(&path, settings.to_string()).expect("the settings can be written");
         let settings = path.display().to_string();
-        let clients = clients.parse().expect("it is an address");
-        let mut daemon = Daemon { number, settings, clients, child: None };
+        let client = Client::new(clients.parse().expect("it is an address"), 2);
+        let mut daemon = Daemon { number, settings, client, child: None };
         daemon.start();
         daemon
     }
@@ -117,6 +122,9 @@
 struct Soak {
     rng: SmallRng,
     platform: Platform,
+    /// Between each daemon and the store.
+    to_store: Vec<Proxy>,
+    to_workers: Vec<Proxy>,
     daemons: Vec<Daemon>,
     accepted: BTreeSet<String>,
     next: u64,
@@ -126,20 +134,27 @@
 const WORK: &str = r#"{"spec":"work","steps":[{"count":3,"cpu":500,"memMb":64,"estRuntimeMs":120},
     {"count":2,"cpu":500,"memMb":64,"estRuntimeMs":120,"after":[0]}]}"#;
 
-async fn ask(addr: SocketAddr, method: Method, path: &str, body: &str) -> Option<Answer> {
+async fn ask(client: Client, method: Method, path: &str, body: &str) -> Option<Answer> {
     let headers = [("host", "host.example".to_string())];
     let body = Bytes::copy_from_slice(body.as_bytes());
-    Client::new(addr, 0).call(method, path, &headers, body, PATIENCE_OF_CLIENTS).await.ok()
+    client.call(method, path, &headers, body, PATIENCE_OF_CLIENTS).await.ok()
 }
 
 impl Soak {
     async fn new(seed: u64) -> Soak {
-        let platform = Platform::start(WORKERS).await;
-        let daemons =
-            (0..DAEMONS).map(|number| Daemon::new(number, seed, platform.store_addr)).collect();
+        let mut platform = Platform::start(WORKERS).await;
+        let to_workers = platform.proxy_workers().await;
+        let mut to_store = Vec::new();
+        for _ in 0..DAEMONS {
+            to_store.push(Proxy::start(platform.store_addr).await);
+        }
+        let daemon = |(number, proxy): (usize, &Proxy)| Daemon::new(number, seed, proxy.addr);
+        let daemons = to_store.iter().enumerate().map(daemon).collect();
         Soak {
             rng: SmallRng::seed_from_u64(seed),
             platform,
+            to_store,
+            to_workers,
             daemons,
             accepted: BTreeSet::new(),
             next: seed << 32,
@@ -150,7 +165,11 @@
     /// One fault, or the end of one.
     fn disturb(&mut self) {
         let daemon = self.rng.random_range(0..DAEMONS);
-        let kind = self.rng.random_range(0..8);
+        let kind = self.rng.random_range(0..13);
+        if kind >= 8 {
+            self.disturb_links();
+            return;
+        }
         let daemon = &mut self.daemons[daemon];
         daemon.reap();
         match kind {
@@ -168,7 +187,24 @@
         }
     }
 
+    /// Trouble of the connections to the store from one daemon, or of those to one worker.
+    fn disturb_links(&mut self) {
+        let links = if self.rng.random_bool(0.5) { &self.to_store } else { &self.to_workers };
+        let link = &links[self.rng.random_range(0..links.len())];
+        match self.rng.random_range(0..7) {
+            0 => link.silence_open(),
+            1 => link.reset_open(),
+            2 => link.set(Trouble::Delay(self.rng.random_range(20..300))),
+            3 => link.set(Trouble::Cut),
+            4 => link.set(Trouble::CutBack),
+            _ => link.set(Trouble::None),
+        }
+    }
+
     fn heal(&mut self) {
+        for link in self.to_store.iter().chain(&self.to_workers) {
+            link.set(Trouble::None);
+        }
         self.platform.store.borrow_mut().busy = false;
         self.platform.store.borrow_mut().lose_answers = 0;
         for daemon in &mut self.daemons {
@@ -181,8 +217,8 @@
         self.next += 1;
         let path = format!("/queue/{:016x}", self.next);
         let daemon = self.rng.random_range(0..DAEMONS);
-        let addr = self.daemons[daemon].clients;
-        if let Some(answer) = ask(addr, Method::POST, &path, WORK).await
+        let client = self.daemons[daemon].client.clone();
+        if let Some(answer) = ask(client, Method::POST, &path, WORK).await
             && answer.status == 200
         {
             self.accepted.insert(path);
@@ -208,8 +244,9 @@
         while !open.is_empty() && begun.elapsed() < PATIENCE {
             for path in open.clone() {
                 let daemon = self.rng.random_range(0..DAEMONS);
-                let Daemon { number, clients, .. } = self.daemons[daemon];
-                let Some(answer) = ask(clients, Method::GET, &path, "").await else { continue };
+                let Daemon { number, ref client, .. } = self.daemons[daemon];
+                let answer = ask(client.clone(), Method::GET, &path, "").await;
+                let Some(answer) = answer else { continue };
                 if answer.status == 410 {
                     self.faults.push(format!("{path} was accepted and is unknown at {number}"));
                     open.remove(&path);
