--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -31,7 +31,7 @@
 };
 
 /// Several events are followed by one pass over what waits; a task waits this much longer for it.
-const TICK_GAP: Duration = Duration::from_millis(1);
+const TICK_GAP: Duration = Duration::from_millis(3);
 
 /// How often a leader looks at its timers.
 const LEADER_TICK: Duration = Duration::from_millis(20);
--- a/crates/workflow/src/scheduler/pacing.rs
+++ b/crates/workflow/src/scheduler/pacing.rs
@@ -12,6 +12,7 @@
     super::{Copy, Effect, Phase, Scheduler, Worker, pressure::NOTICEABLE, worker::FULL_PACE},
     crate::{ImageNo, RunId, TaskId, WorkerId, WorkflowId, interference::Exposure},
     egretlb_types::Time,
+    smallvec::SmallVec,
     std::time::Duration,
 };
 
@@ -210,11 +211,22 @@
 
     /// What fillers may take in all, as far as is known, from the pace of a serving image at a worker.
     pub(super) fn budget_of(&self, worker: &Worker, image: ImageNo) -> f32 {
-        let serving = worker.copies.iter().filter(|(_, copy)| copy.serves && copy.image == image);
-        let own = serving.map(|((task, _), _)| {
-            self.loads.get(&task.workflow).map_or(UNKNOWN_OWN, |load| load.own)
-        });
-        (own.reduce(f32::min).unwrap_or(UNKNOWN_OWN) - SAFE_PACE) / self.margin.factor
+        let own = worker.own_paces.iter().find(|(known, _)| *known == image);
+        (own.map_or(UNKNOWN_OWN, |(_, own)| *own) - SAFE_PACE) / self.margin.factor
+    }
+
+    /// Notes at a worker the lowest own pace of each image that serves there. It is asked for with each
+    /// task that looks for a place, and changes little until the worker is heard again.
+    fn note_own_paces(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.own_paces.clear();
+        for ((task, _), copy) in worker.copies.iter().filter(|(_, copy)| copy.serves) {
+            let own = self.loads.get(&task.workflow).map_or(UNKNOWN_OWN, |load| load.own);
+            match worker.own_paces.iter_mut().find(|(image, _)| *image == copy.image) {
+                Some((_, lowest)) => *lowest = lowest.min(own),
+                None => worker.own_paces.push((copy.image, own)),
+            }
+        }
     }
 
     /// Forgets what is known of a workflow's load.
@@ -224,14 +236,16 @@
 
     /// Sets the paces of a worker's fillers by what its serving tasks can bear.
     pub(super) fn pace_fillers(&mut self, now: Time, id: &WorkerId, out: &mut Vec<Effect>) {
+        self.note_own_paces(id);
         let Some(worker) = self.workers.get(id) else { return };
         if worker.filling == 0 {
             return;
         }
+        let bearable = self.bearable_shares(worker);
         let mut changes: Vec<(TaskId, RunId, u32)> = Vec::new();
         for ((task, run), copy) in &worker.copies {
             if copy.fills && matches!(copy.phase, Phase::Running { .. }) {
-                let pace = self.fitting_pace(worker, copy);
+                let pace = self.fitting_pace(worker, &bearable, copy);
                 if worth_telling(copy, pace) {
                     changes.push((*task, *run, pace));
                 }
@@ -254,20 +268,26 @@
         self.move_slowed(now, id, out);
     }
 
+    /// For each image that serves at a worker, the share of their full pace at which it bears all fillers.
+    fn bearable_shares(&self, worker: &Worker) -> SmallVec<[(ImageNo, f32); 4]> {
+        let fillers = || worker.copies.values().filter(|copy| copy.fills);
+        let share = |serving: ImageNo| {
+            let all: f32 = fillers()
+                .map(|copy| self.interference.pressure(serving, copy.image, copy.cores()))
+                .sum();
+            self.budget_of(worker, serving).max(0.0) / all.max(f32::MIN_POSITIVE)
+        };
+        worker.serving_images.iter().map(|(serving, _)| (*serving, share(*serving))).collect()
+    }
+
     /// The pace at which the serving tasks of a worker can bear a filler, in percent.
-    fn fitting_pace(&self, worker: &Worker, filler: &Copy) -> u32 {
+    fn fitting_pace(&self, worker: &Worker, bearable: &[(ImageNo, f32)], filler: &Copy) -> u32 {
         let mut share: f32 = if worker.serving > 0 { worker.trust } else { 1.0 };
-        for (serving, _) in &worker.serving_images {
+        for (serving, bears) in bearable {
             let own = self.interference.pressure(*serving, filler.image, filler.cores());
-            if own < NOTICEABLE {
-                continue;
+            if own >= NOTICEABLE {
+                share = share.min(*bears);
             }
-            let pressing = worker.copies.values().filter(|copy| copy.fills);
-            let all: f32 = pressing
-                .map(|copy| self.interference.pressure(*serving, copy.image, copy.cores()))
-                .sum();
-            let budget = self.budget_of(worker, *serving).max(0.0);
-            share = share.min(budget / all);
         }
         let steps = (share.clamp(0.0, 1.0) * FULL_PACE as f32 / PACE_STEP).floor();
         (steps * PACE_STEP) as u32
