Place a rack-sensitive gang in one rack

The field was read and not used: such a gang started wherever its members found room, and took half as long again (remoteFactor 1.5; 3 on the other site) if they stood in two racks. Now the rack with the least room that holds it whole; if none does, it waits for one for 2 s.

--- a/crates/types/src/resources.rs
+++ b/crates/types/src/resources.rs
@@ -102,6 +102,14 @@
         }
     }
 
+    /// How many times `part` fits; the largest number if it takes nothing.
+    pub fn times(&self, part: &Resources) -> u32 {
+        let times = |room: u32, each: u32| room.checked_div(each).unwrap_or(u32::MAX);
+        times(self.cpu.0, part.cpu.0)
+            .min(times(self.memory.0, part.memory.0))
+            .min(times(self.accelerators.0, part.accelerators.0))
+    }
+
     /// The larger of the two in each part.
     pub fn max(&self, other: &Resources) -> Resources {
         Resources {
--- a/crates/workflow/src/directory.rs
+++ b/crates/workflow/src/directory.rs
@@ -34,6 +34,11 @@
 }
 
 impl WorkerInfo {
+    /// The rack that it stands in: the last of its labels.
+    pub fn rack(&self) -> Option<&str> {
+        self.labels.last().map(CompactString::as_str)
+    }
+
     /// Whether the worker carries `label`, which may be its kind or its rack.
     pub fn has_label(&self, label: &str) -> bool {
         self.labels.iter().any(|own| own == label)
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -6,13 +6,17 @@
     compact_str::CompactString,
     egretlb_types::{Resources, Time},
     smallvec::SmallVec,
-    std::time::Duration,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// Run numbers of one leader begin at its epoch times this. So a number is never used twice, also if a
 /// predecessor's run was never heard of, and a start of ours is never rejected as an old one.
 const RUNS_PER_EPOCH: u64 = 1_000;
 
+/// A gang that is slower across racks waits so long for one with room for all of it; across racks it takes
+/// half as long again and more.
+const RACK_PATIENCE: Duration = Duration::from_secs(2);
+
 /// A demand that found no worker: what takes as much or more finds none either in the same pass.
 #[derive(Clone, Debug)]
 struct Unmet {
@@ -149,7 +153,14 @@
         if waiting < step.count as usize {
             return false;
         }
-        let need = Need::new(step, &mut self.interference);
+        let mut need = Need::new(step, &mut self.interference);
+        let rack =
+            step.rack_sensitive.then(|| self.roomy_rack(now, task_of(key, 0), service, &need));
+        need.rack = rack.as_ref().and_then(|rack| rack.as_deref());
+        let patient = step.rack_sensitive && self.step_wait(now, key) < RACK_PATIENCE;
+        if patient && need.rack.is_none() {
+            return false;
+        }
         let mut placed: Vec<(TaskId, WorkerId)> = Vec::with_capacity(waiting);
         for index in 0..step.count {
             let task = task_of(key, index);
@@ -183,6 +194,32 @@
         true
     }
 
+    /// The rack with the least room of those that hold all members of a gang.
+    fn roomy_rack(
+        &self,
+        now: Time,
+        task: TaskId,
+        service: &CompactString,
+        need: &Need<'_>,
+    ) -> Option<CompactString> {
+        let mut places: BTreeMap<&str, u32> = BTreeMap::new();
+        for (id, worker) in &self.workers {
+            let suits = worker.info.service == *service
+                && worker.takes_work(now, &self.limits)
+                && !self.is_held(id)
+                && self.allows(now, task, id)
+                && has_room(worker, task, need);
+            let Some(rack) = worker.info.rack().filter(|_| suits) else { continue };
+            let fits = worker.free().times(&need.hard);
+            let most =
+                if need.step.per_worker == 0 { fits } else { need.step.per_worker.min(fits) };
+            let places = places.entry(rack).or_default();
+            *places = places.saturating_add(most);
+        }
+        let holds = places.into_iter().filter(|(_, places)| *places >= need.step.count);
+        holds.min_by_key(|(_, places)| *places).map(|(rack, _)| CompactString::new(rack))
+    }
+
     fn next_run(&mut self, task: TaskId) -> RunId {
         let base = self.epoch.0 * RUNS_PER_EPOCH;
         let last = self.task_mut(task).map_or(RunId(0), |state| state.last_run);
@@ -328,6 +365,9 @@
     if step.label.as_ref().is_some_and(|label| !worker.info.has_label(label)) {
         return false;
     }
+    if need.rack.is_some() && need.rack != worker.info.rack() {
+        return false;
+    }
     let crowded = worker.over_target || left_over(worker) < i64::from(step.resources.cpu.0);
     if step.fills && crowded {
         return false;
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -89,6 +89,8 @@
     /// Processor time of a filling task, counted against other fillers only.
     pub(crate) soft: MilliCores,
     pub(crate) image: ImageNo,
+    /// Only workers of this rack will do.
+    pub(crate) rack: Option<&'a str>,
 }
 
 impl<'a> Need<'a> {
@@ -98,7 +100,7 @@
         if step.fills {
             soft = std::mem::take(&mut hard.cpu);
         }
-        Need { step, hard, soft, image: interference.image(&step.image) }
+        Need { step, hard, soft, image: interference.image(&step.image), rack: None }
     }
 
     /// The processor time that a filling task asks for, in cores.
@@ -109,7 +111,7 @@
 
 impl Copy {
     pub(crate) fn new(now: Time, need: &Need<'_>, phase: Phase) -> Copy {
-        let Need { step, hard, soft, image } = *need;
+        let Need { step, hard, soft, image, .. } = *need;
         Copy {
             phase,
             placed: now,
