Judge a task's progress only after eight percent of its estimate

Cause: progress comes in whole percents. A task of 12 s shows 1 percent after 0.22 s where 1.8 are due, which was taken for a slow worker: each such task was moved, up to twice.

--- a/crates/workflow/src/scheduler/stragglers.rs
+++ b/crates/workflow/src/scheduler/stragglers.rs
@@ -51,6 +51,10 @@
 /// A speed is measured over this long at least.
 const SPEED_SPAN: Duration = Duration::from_millis(100);
 
+/// And over this share of a task's estimate, in percent: progress comes in whole percents, and one of two
+/// would be off by a half.
+const SPEED_PERCENT: u32 = 8;
+
 /// A worker below this share of the usual speed is slow.
 const SLOW_SPEED: f32 = 0.5;
 
@@ -67,9 +71,15 @@
         (self.began, self.moved_at, self.sampled) = (now, now, (now, 0));
     }
 
+    /// The shortest time over which its progress says anything.
+    fn telling_span(&self) -> Duration {
+        Duration::from_millis(u64::from(self.estimate_ms)) * SPEED_PERCENT / 100
+    }
+
     /// Whether it began too lately to be judged by its progress.
     pub(super) fn is_fresh(&self, now: Time) -> bool {
-        self.estimate_ms > 0 && now.since(self.began) < JUDGED_AFTER
+        let judged_after = JUDGED_AFTER.max(self.telling_span());
+        self.estimate_ms > 0 && now.since(self.began) < judged_after
     }
 
     /// How fast it got on since that was last measured, as a multiple of what was estimated.
@@ -79,7 +89,8 @@
         let runs = matches!(self.phase, Phase::Running { .. });
         // While it resumes from a checkpoint it stands still in any case.
         let stands = percent == before && passed < RESUMED_AFTER;
-        if self.estimate_ms == 0 || !runs || passed < SPEED_SPAN || stands || percent < before {
+        let soon = passed < SPEED_SPAN.max(self.telling_span());
+        if self.estimate_ms == 0 || !runs || soon || stands || percent < before {
             return None;
         }
         self.sampled = (now, percent);
@@ -91,7 +102,7 @@
     fn lags(&self, now: Time, resumed: bool) -> bool {
         let ran = now.since(self.began);
         let patience = if resumed { RESUMED_AFTER } else { JUDGED_AFTER };
-        if self.estimate_ms == 0 || ran < patience {
+        if self.estimate_ms == 0 || ran < patience.max(self.telling_span()) {
             return false;
         }
         let whole =
--- a/crates/workflow/tests/slow_workers.rs
+++ b/crates/workflow/tests/slow_workers.rs
@@ -71,3 +71,23 @@
     assert!(world.checker.starts <= 24, "{}", world.checker.starts);
     assert!(matches!(world.state(id), Some(State::Ended(_))));
 }
+
+/// Tasks of many seconds get on by a percent at a time. One percent where two were due is no sign of a slow
+/// worker; were it taken for one, half of the workers would be shunned and tasks be moved for nothing.
+#[test]
+fn long_tasks_judged_later() {
+    for seed in 20..26 {
+        let mut world = World::new(seed, 2, 6, Limits::default());
+        world.run(2 * SECOND);
+        let id = world.submit(1, &submission(vec![step(18, 12_000)]));
+        world.run(3 * SECOND);
+        let held: Vec<usize> = world.workers.iter().map(|worker| worker.running.len()).collect();
+        assert!(held.iter().all(|count| *count == 3), "seed {seed}: {held:?}");
+        world.submit(2, &submission(vec![step(12, 500)]));
+        world.run(200 * SECOND / 1_000);
+        let held: Vec<usize> = world.workers.iter().map(|worker| worker.running.len()).collect();
+        assert!(held.iter().all(|count| *count == 5), "seed {seed}: {held:?}");
+        assert!(world.run_until(12 * SECOND, |world| world.completed(id)).is_some());
+        assert_eq!(world.checker.starts, 30);
+    }
+}
--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -166,8 +166,11 @@
         }
         let clock_ms = self.clock_ms(now);
         let percent = |run: &Run| {
-            let left = run.left_at(clock_ms, self.slowness) / (run.whole_ms / 100).max(1);
-            if run.step.lasting { 100 } else { 100 - u32::try_from(left.min(100)).unwrap_or(100) }
+            if run.step.lasting {
+                return 100;
+            }
+            let worked = run.whole_ms - run.left_at(clock_ms, self.slowness);
+            u32::try_from(worked * 100 / run.whole_ms.max(1)).unwrap_or(100)
         };
         let fillers = self.running.values().filter(|run| run.step.fills);
         let tail_ms =
