Split effects, gangs and upkeep off the scheduler's files; name the headroom

Pace meant two things: the share at which a filler works, and the inverse of a serving task's tail. The latter is its headroom now; the factor on fillers' pressure is a caution, not a margin. No change of behaviour.

--- a/crates/workflow/src/interference.rs
+++ b/crates/workflow/src/interference.rs
@@ -9,12 +9,12 @@
 //!
 //! A worker is taken as a queue: the tail of a serving task grows with the inverse of what load leaves
 //! free. So the inverse of the tail, as a multiple of the target, is linear in loads: what the task has by
-//! itself, its *own pace*, less a weight for each core that a filler image uses. The target is missed where
+//! itself, its *own headroom*, less a weight for each core that a filler image uses. The target is missed where
 //! less than 1 is left. In recorded days this explained 30 and 34% of what changes between workers at a
 //! time; a form linear in the logarithm of the tail explained 24 and 28%, and judged a pair that presses
 //! hard at the peak of the serving task's load by how little it does in the valley.
 //!
-//! The tasks of one workflow have the same load at a time, wherever they run. So their own pace is followed
+//! The tasks of one workflow have the same load at a time, wherever they run. So their own headroom is followed
 //! over all workers, and what one of them lacks beside its fillers is put down to these by recursive least
 //! squares. Comparing each figure with the same task's average found weights a third too low, and a tenth
 //! of them two thirds too low; this finds half of them within a tenth.
@@ -39,7 +39,7 @@
 /// An expected figure below this counts as this much when its noise is reckoned.
 const LEAST_EXPECTED: f32 = 0.2;
 
-/// The error of a workflow's own pace, as a share of it: its load changes by some tenths in the second
+/// The error of a workflow's own headroom, as a share of it: its load changes by some tenths in the second
 /// over which it is averaged.
 const OWN_NOISE: f32 = 0.15;
 
@@ -100,7 +100,7 @@
 
 /// The inverse of a tail that is given as a multiple of its target: what is left of the worker for the
 /// serving task, where 1 just meets the target.
-pub fn pace_of(ratio: f32) -> f32 {
+pub fn headroom_of(ratio: f32) -> f32 {
     1.0 / ratio.max(MIN_RATIO)
 }
 
@@ -134,13 +134,13 @@
         image.column
     }
 
-    /// Takes in at what pace `count` tasks of a serving image were, beside the fillers' use, where their
-    /// own pace is `own`.
+    /// Takes in at what headroom `count` tasks of a serving image were, beside the fillers' use, where their
+    /// own headroom is `own`.
     pub fn observe(
         &mut self,
         serving: ImageNo,
         own: f32,
-        pace: f32,
+        headroom: f32,
         count: f32,
         exposure: &Exposure,
     ) {
@@ -148,7 +148,7 @@
         let Some(image) = self.images.get_mut(usize::from(serving.0)) else { return };
         image.row.grow(size);
         let use_of: Vec<f32> = (0..size).map(|i| at(exposure, i)).collect();
-        image.row.learn(&use_of, own, pace, count);
+        image.row.learn(&use_of, own, headroom, count);
     }
 
     fn pair(&self, serving: ImageNo, filler: ImageNo) -> Option<(&Row, usize)> {
@@ -156,7 +156,7 @@
         Some((row, self.images.get(usize::from(filler.0))?.column?))
     }
 
-    /// What a filler takes from a serving image's pace with `cores` in use, by a cautious estimate.
+    /// What a filler takes from a serving image's headroom with `cores` in use, by a cautious estimate.
     pub fn pressure(&self, serving: ImageNo, filler: ImageNo, cores: f32) -> f32 {
         let Some((row, column)) = self.pair(serving, filler) else {
             let unseen = self.columns < MAX_FILLERS;
@@ -165,7 +165,7 @@
         (row.weight(column) + CAUTION * row.error(column)) * cores
     }
 
-    /// What fillers' use takes from a serving image's pace, by the best estimate.
+    /// What fillers' use takes from a serving image's headroom, by the best estimate.
     pub fn taken(&self, serving: ImageNo, exposure: &Exposure) -> f32 {
         let Some(image) = self.images.get(usize::from(serving.0)) else { return 0.0 };
         exposure.iter().enumerate().map(|(column, cores)| image.row.weight(column) * cores).sum()
@@ -219,9 +219,9 @@
         sum.max(0.0).sqrt()
     }
 
-    /// One step of recursive least squares: beside `exposure`, `count` tasks whose own pace is `own` were
-    /// at `pace`.
-    fn learn(&mut self, exposure: &[f32], own: f32, pace: f32, count: f32) {
+    /// One step of recursive least squares: beside `exposure`, `count` tasks whose own headroom is `own` were
+    /// at `headroom`.
+    fn learn(&mut self, exposure: &[f32], own: f32, headroom: f32, count: f32) {
         let size = self.weights.len();
         let spread = &mut self.spread;
         let mut gain: Vec<f32> = Vec::with_capacity(size);
@@ -233,7 +233,7 @@
         let figure = NOISE * (own - taken).max(LEAST_EXPECTED) / count.sqrt();
         let noise = NOISE_FACTOR * figure.hypot(OWN_NOISE * own);
         let scale = noise * noise + gain.iter().zip(exposure).map(|(g, x)| g * x).sum::<f32>();
-        let error = own - pace - taken;
+        let error = own - headroom - taken;
         for row in 0..size {
             self.weights[row] += gain[row] / scale * error;
             for column in 0..size {
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -22,7 +22,7 @@
     bits::Bits,
     directory::{DirectoryChange, WorkerInfo, WorkerState},
     ids::{IdError, RunId, StepId, TaskId, WorkerId, WorkflowId},
-    interference::{Exposure, ImageNo, Interference, pace_of, set},
+    interference::{Exposure, ImageNo, Interference, headroom_of, set},
     leadership::{AppendResult, Leadership, LeadershipEffect},
     ledger::{Change, Entry, Ledger, State},
     limits::Limits,
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -11,8 +11,10 @@
 
 mod advice;
 mod dump;
+mod effect;
 mod ends;
 mod flow;
+mod gangs;
 mod orders;
 mod pacing;
 mod place;
@@ -31,15 +33,13 @@
         worker::{Copy, Need, Phase, Worker},
     },
     crate::{
-        Change, DirectoryChange, Interference, Ledger, Limits, Outcome, Record, RosterEntry, RunId,
-        StepId, Submission, TaskId, VmId, WaveState, WorkerId, WorkerInfo, WorkerState, WorkflowId,
+        Change, DirectoryChange, Interference, Ledger, Limits, Outcome, RosterEntry, RunId, TaskId,
+        WorkerId, WorkerInfo, WorkerState, WorkflowId,
     },
     compact_str::CompactString,
     egretlb_types::{Epoch, Time},
     std::{
         collections::{BTreeMap, BTreeSet},
-        net::SocketAddr,
-        sync::Arc,
         time::Duration,
     },
 };
@@ -47,113 +47,13 @@
 pub use self::{
     advice::AdviceResult,
     dump::{Reason, WaitingStep},
+    effect::Effect,
     ends::{End, EndKind, HoldReply, RunningTask},
     orders::{StartResult, StopResult},
     pacing::PaceResult,
     polls::HoldResult,
 };
 
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    /// Ask a worker what runs and what ended there, and renew the leases there.
-    Hold {
-        /// The worker.
-        worker: WorkerId,
-        /// Where it takes orders.
-        addr: SocketAddr,
-        /// The fencing token.
-        epoch: Epoch,
-        /// Ends up to here may be forgotten.
-        recorded: u64,
-        /// The end of the leases on the worker's clock; none leaves them as they are.
-        until_ms: Option<u64>,
-        /// How long the answer may wait for the next end, in milliseconds.
-        wait_ms: u64,
-    },
-    /// Start a task.
-    Start {
-        /// The worker.
-        worker: WorkerId,
-        /// Where it takes orders.
-        addr: SocketAddr,
-        /// The fencing token.
-        epoch: Epoch,
-        /// The task.
-        task: TaskId,
-        /// The number of the start.
-        run: RunId,
-        /// Holds the payload.
-        submission: Arc<Submission>,
-        /// The end of the lease on the worker's clock.
-        until_ms: u64,
-        /// The checkpoint to resume from; empty for none.
-        saved: CompactString,
-        /// Says that the worker may run it; empty if that needs no ticket.
-        ticket: CompactString,
-    },
-    /// Stop a run, or keep it from starting if it hasn't arrived.
-    Stop {
-        /// The worker.
-        worker: WorkerId,
-        /// Where it takes orders.
-        addr: SocketAddr,
-        /// The fencing token.
-        epoch: Epoch,
-        /// The task.
-        task: TaskId,
-        /// The number of the start.
-        run: RunId,
-    },
-    /// Let a filler work, and disturb, at this share of its pace.
-    Pace {
-        /// The worker.
-        worker: WorkerId,
-        /// Where it takes orders.
-        addr: SocketAddr,
-        /// The fencing token.
-        epoch: Epoch,
-        /// The task.
-        task: TaskId,
-        /// The number of the start.
-        run: RunId,
-        /// The share, from 0 to 100.
-        percent: u32,
-    },
-    /// Ask which of these workers may run a step.
-    Advise {
-        /// The step.
-        step: StepId,
-        /// The workers, at most 100.
-        workers: Vec<WorkerId>,
-    },
-    /// List the platform's VMs.
-    ListVms,
-    /// Begin a VM's upkeep.
-    Upkeep {
-        /// The VM.
-        vm: VmId,
-        /// The wave.
-        wave: u64,
-        /// The fencing token.
-        epoch: Epoch,
-    },
-    /// Tell the operator how far a wave is.
-    TellWave {
-        /// The wave.
-        wave: u64,
-        /// How far it is.
-        state: WaveState,
-    },
-    /// Append these records under the leader's epoch, repeating it until it is settled.
-    Record {
-        /// The records, perhaps none besides the leader's sign of life.
-        records: Vec<Record>,
-    },
-    /// A worker obeys a higher epoch: this process leads no longer.
-    Outranked,
-}
-
 /// A step that has tasks to start. The order is that of the queue.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Ready {
@@ -194,7 +94,7 @@
     crowded_at: Option<Time>,
     advice: advice::Advice,
     upkeep: upkeep::Upkeep,
-    margin: pacing::Margin,
+    caution: pacing::Caution,
     /// Starts that were decided and not answered.
     starts_under_way: usize,
     /// The records are read too late to start anything.
@@ -253,7 +153,7 @@
             crowded_at: None,
             advice: advice::Advice::default(),
             upkeep: upkeep::Upkeep::default(),
-            margin: pacing::Margin::new(now),
+            caution: pacing::Caution::new(now),
             starts_under_way: 0,
             behind: false,
             measures: Measures::default(),
--- a/crates/workflow/src/scheduler/pacing.rs
+++ b/crates/workflow/src/scheduler/pacing.rs
@@ -5,7 +5,7 @@
 //! of fillers without a worker; stopping fillers when a target is missed throws their work away, and takes
 //! a second in all. A change of pace works within a tenth of a second and loses nothing.
 //!
-//! Each answer of a worker tells at what pace its serving tasks would be without fillers. What is left up to
+//! Each answer of a worker tells what headroom its serving tasks would have without fillers. What is left up to
 //! the target is shared by the fillers that press, each at the pace that fits.
 
 use {
@@ -29,16 +29,15 @@
     Unknown,
 }
 
-/// Serving tasks are left this pace. 1 just meets their target, and single figures stray by a fifth.
-const SAFE_PACE: f32 = 1.15;
+/// Serving tasks are left this headroom. 1 just meets their target, and single figures stray by a fifth.
+const SAFE_HEADROOM: f32 = 1.15;
 
 /// What fillers are known to take counts so many times while none of them waits: what an image takes
 /// changes threefold within seconds, and it can run elsewhere.
 const MOST_CAUTION: f32 = 5.0;
 
 /// And so many times once fillers have waited for [`LONG_WAIT`]: on days with three serving tasks in four
-/// of images that most fillers press on, more caution left these late by a minute. Over 16 days, one factor
-/// of 1.2 gave a worth of 0.70 and 0.82, one that moves between the two 0.72 and 0.83.
+/// of images that most fillers press on, more caution left these late by a minute.
 const LEAST_CAUTION: f32 = 1.2;
 
 /// Fillers have a second and as long as they run to spare; this much of it may be spent waiting.
@@ -47,7 +46,7 @@
 /// How fast the factor grows again once fillers don't wait, each second.
 const CAUTION_GROWTH: f32 = 1.0;
 
-/// The span over which a workflow's own pace is averaged: its load changes by a tenth within half a second,
+/// The span over which a workflow's own headroom is averaged: its load changes by a tenth within half a second,
 /// and single figures stray by a fifth.
 const LOAD_SPAN: Duration = Duration::from_millis(700);
 
@@ -57,13 +56,13 @@
 /// A load that wasn't measured for so long isn't learned from.
 const LOAD_FORGOTTEN: Duration = Duration::from_millis(1_500);
 
-/// With this standard error of what its fillers take, a figure counts half in a workflow's own pace.
+/// With this standard error of what its fillers take, a figure counts half in a workflow's own headroom.
 const MUCH_UNSURE: f32 = 0.3;
 
-/// The pace of a serving task that has no figure yet: where tasks alone are at the peak of their load.
+/// The headroom of a serving task that has no figure yet: where tasks alone are at the peak of their load.
 const UNKNOWN_OWN: f32 = 1.6;
 
-/// How far a single figure strays by itself, as a share of it. A pace that is below 1 by less isn't a
+/// How far a single figure strays by itself, as a share of it. A headroom that is below 1 by less isn't a
 /// sign of anything.
 const FIGURE_NOISE: f32 = 0.2;
 
@@ -91,14 +90,14 @@
 
 /// How many times over the pressure of fillers is counted: often while none of them waits, hardly otherwise.
 #[derive(Debug)]
-pub(super) struct Margin {
+pub(super) struct Caution {
     factor: f32,
     at: Time,
 }
 
-impl Margin {
-    pub(super) fn new(now: Time) -> Margin {
-        Margin { factor: MOST_CAUTION, at: now }
+impl Caution {
+    pub(super) fn new(now: Time) -> Caution {
+        Caution { factor: MOST_CAUTION, at: now }
     }
 
     /// Takes in how long fillers have waited for a worker, the longest of them.
@@ -114,7 +113,7 @@
 /// The serving tasks of one workflow.
 #[derive(Clone, Debug)]
 pub(super) struct Load {
-    /// The pace that they would have without fillers; a moving average over all workers.
+    /// The headroom that they would have without fillers; a moving average over all workers.
     own: f32,
     at: Time,
     /// A worker that it was measured at, and whether it was at others, too: of what one worker shows alone
@@ -127,7 +126,7 @@
 pub(super) struct Fresh {
     pub(super) workflow: WorkflowId,
     pub(super) image: ImageNo,
-    /// The sum of their paces.
+    /// The sum of their headrooms.
     pub(super) sum: f32,
     pub(super) count: f32,
 }
@@ -186,11 +185,11 @@
         now: Time,
         id: &WorkerId,
         (workflow, image): (WorkflowId, ImageNo),
-        (pace, count): (f32, f32),
+        (headroom, count): (f32, f32),
         exposure: &Exposure,
     ) {
         let interference = &mut self.interference;
-        let own = pace + interference.taken(image, exposure);
+        let own = headroom + interference.taken(image, exposure);
         let Some(load) = self.loads.get_mut(&workflow) else {
             let load = Load { own, at: now, first: id.clone(), elsewhere: false };
             self.loads.insert(workflow, load);
@@ -199,7 +198,7 @@
         load.elsewhere |= load.first != *id;
         let elapsed = now.since(load.at);
         if load.elsewhere && elapsed < LOAD_FORGOTTEN {
-            interference.observe(image, load.own, pace, count, exposure);
+            interference.observe(image, load.own, headroom, count, exposure);
         }
         // What is measured beside fillers of which little is known says little.
         let unsure = interference.unsure(image, exposure) / MUCH_UNSURE;
@@ -209,22 +208,22 @@
         load.at = now;
     }
 
-    /// What fillers may take in all, as far as is known, from the pace of a serving image at a worker.
+    /// What fillers may take in all, as far as is known, from the headroom of a serving image at a worker.
     pub(super) fn budget_of(&self, worker: &Worker, image: ImageNo) -> f32 {
-        let own = worker.own_paces.iter().find(|(known, _)| *known == image);
-        (own.map_or(UNKNOWN_OWN, |(_, own)| *own) - SAFE_PACE) / self.margin.factor
+        let own = worker.own_headrooms.iter().find(|(known, _)| *known == image);
+        (own.map_or(UNKNOWN_OWN, |(_, own)| *own) - SAFE_HEADROOM) / self.caution.factor
     }
 
-    /// Notes at a worker the lowest own pace of each image that serves there. It is asked for with each
+    /// Notes at a worker the lowest own headroom of each image that serves there. It is asked for with each
     /// task that looks for a place, and changes little until the worker is heard again.
-    fn note_own_paces(&mut self, id: &WorkerId) {
+    fn note_own_headrooms(&mut self, id: &WorkerId) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.own_paces.clear();
+        worker.own_headrooms.clear();
         for ((task, _), copy) in worker.copies.iter().filter(|(_, copy)| copy.serves) {
             let own = self.loads.get(&task.workflow).map_or(UNKNOWN_OWN, |load| load.own);
-            match worker.own_paces.iter_mut().find(|(image, _)| *image == copy.image) {
+            match worker.own_headrooms.iter_mut().find(|(image, _)| *image == copy.image) {
                 Some((_, lowest)) => *lowest = lowest.min(own),
-                None => worker.own_paces.push((copy.image, own)),
+                None => worker.own_headrooms.push((copy.image, own)),
             }
         }
     }
@@ -236,7 +235,7 @@
 
     /// Sets the paces of a worker's fillers by what its serving tasks can bear.
     pub(super) fn pace_fillers(&mut self, now: Time, id: &WorkerId, out: &mut Vec<Effect>) {
-        self.note_own_paces(id);
+        self.note_own_headrooms(id);
         let Some(worker) = self.workers.get(id) else { return };
         if worker.filling == 0 {
             return;
--- a/crates/workflow/src/scheduler/pressure.rs
+++ b/crates/workflow/src/scheduler/pressure.rs
@@ -4,7 +4,7 @@
     super::{Copy, Effect, Need, Phase, Scheduler, Worker, pacing::Fresh},
     crate::{
         RunId, TaskId, WorkerId, WorkflowId,
-        interference::{Exposure, ImageNo, Interference, pace_of, set},
+        interference::{Exposure, ImageNo, Interference, headroom_of, set},
     },
     egretlb_types::Time,
     smallvec::SmallVec,
@@ -34,21 +34,21 @@
 /// The pause between two reliefs at a worker: the figures show the first one by then.
 const RELIEF_GAP: Duration = Duration::from_millis(600);
 
-/// A filler that takes less than this from a serving task's pace isn't worth holding back or avoiding: a
-/// pace is 2.2 at the usual load, and single figures stray by a fifth.
+/// A filler that takes less than this from a serving task's headroom isn't worth holding back or avoiding: a
+/// headroom is 2.2 at the usual load, and single figures stray by a fifth.
 pub(super) const NOTICEABLE: f32 = 0.08;
 
 /// Pressures are compared in steps of this size; finer ones are noise.
 const PRESSURE_STEP: f32 = 0.1;
 
 /// Adds a figure to those of its workflow.
-fn add(fresh: &mut SmallVec<[Fresh; 4]>, workflow: WorkflowId, image: ImageNo, pace: f32) {
+fn add(fresh: &mut SmallVec<[Fresh; 4]>, workflow: WorkflowId, image: ImageNo, headroom: f32) {
     match fresh.iter_mut().find(|known| known.workflow == workflow) {
         Some(known) => {
-            known.sum += pace;
+            known.sum += headroom;
             known.count += 1.0;
         }
-        None => fresh.push(Fresh { workflow, image, sum: pace, count: 1.0 }),
+        None => fresh.push(Fresh { workflow, image, sum: headroom, count: 1.0 }),
     }
 }
 
@@ -106,7 +106,7 @@
             // The same figure is listed again until the next one is due; it counts once.
             if copy.figure != copy.taken_figure {
                 copy.taken_figure = copy.figure;
-                add(&mut fresh, task.workflow, copy.image, pace_of(ratio));
+                add(&mut fresh, task.workflow, copy.image, headroom_of(ratio));
             }
             if ratio <= CLEARED {
                 copy.over_since = None;
@@ -178,7 +178,7 @@
         Some((highest / PRESSURE_STEP) as u32)
     }
 
-    /// What all fillers of a worker take from a serving image's pace there.
+    /// What all fillers of a worker take from a serving image's headroom there.
     fn pressure_on(&self, worker: &Worker, serving: ImageNo) -> f32 {
         let pressure = |(image, cpu): &(ImageNo, u32)| {
             self.interference.pressure(serving, *image, *cpu as f32 / 1_000.0)
--- a/crates/workflow/src/scheduler/upkeep.rs
+++ b/crates/workflow/src/scheduler/upkeep/mod.rs
@@ -6,17 +6,18 @@
 //! recorded before it is given: a call without an answer may be carried out seconds later, and until it is
 //! repeated with success the VM counts as down.
 
+mod stages;
+
+pub(super) use self::stages::Upkeep;
+
 use {
+    self::stages::{Run, Stage},
     super::{Copy, Effect, Phase, Scheduler},
     crate::{
-        Ledger, RunId, TaskId, UpkeepResult, VmEntry, VmId, VmState, Wave, WaveProgress, WaveState,
-        WorkerId,
+        Ledger, RunId, TaskId, UpkeepResult, VmEntry, VmId, VmState, Wave, WaveState, WorkerId,
     },
     egretlb_types::Time,
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        time::Duration,
-    },
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// How often the VMs are listed while a wave is under way. A listing takes some pages of the 60 a second
@@ -30,132 +31,6 @@
 /// The pause before an order is repeated.
 const ORDER_AGAIN: Duration = Duration::from_millis(400);
 
-/// How far a VM of a wave is.
-#[derive(Clone, Debug, Eq, PartialEq)]
-enum Stage {
-    /// It gets no new work and is emptied.
-    Emptying {
-        /// The worker on it.
-        worker: WorkerId,
-        /// Since when.
-        since: Time,
-    },
-    /// The order is to be recorded.
-    Recording {
-        /// The worker on it.
-        worker: Option<WorkerId>,
-    },
-    /// The order is recorded: it may be carried out at any time until it is confirmed.
-    Ordered {
-        /// The worker that was on it.
-        worker: Option<WorkerId>,
-        /// When it was last sent, if it is under way.
-        sent: Option<Time>,
-        /// Not again before.
-        again: Time,
-    },
-    /// It has begun.
-    Down {
-        /// The worker that was on it.
-        worker: Option<WorkerId>,
-        /// Since when.
-        since: Time,
-    },
-    /// It has been through it, or it isn't there any more.
-    Finished,
-}
-
-#[derive(Debug)]
-struct Run {
-    wave: Wave,
-    due: Time,
-    stages: BTreeMap<VmId, Stage>,
-    /// What the operator was last told, and whether that is stored.
-    told: Option<(WaveState, bool)>,
-}
-
-impl Run {
-    /// VMs that are down, or may be.
-    fn down(&self) -> usize {
-        let away = |stage: &&Stage| {
-            matches!(stage, Stage::Recording { .. } | Stage::Ordered { .. } | Stage::Down { .. })
-        };
-        self.stages.values().filter(away).count()
-    }
-
-    fn emptying(&self) -> usize {
-        self.stages.values().filter(|stage| matches!(stage, Stage::Emptying { .. })).count()
-    }
-
-    fn is_finished(&self) -> bool {
-        self.wave.vms.iter().all(|vm| self.stages.get(vm) == Some(&Stage::Finished))
-    }
-
-    fn progress(&self) -> WaveProgress {
-        let mut progress = WaveProgress::default();
-        for (vm, stage) in &self.stages {
-            match stage {
-                Stage::Emptying { .. } => {}
-                Stage::Recording { worker }
-                | Stage::Ordered { worker, .. }
-                | Stage::Down { worker, .. } => progress.ordered.push((vm.clone(), worker.clone())),
-                Stage::Finished => progress.finished.push(vm.clone()),
-            }
-        }
-        progress
-    }
-}
-
-/// All waves, and the VMs as last listed.
-#[derive(Debug, Default)]
-pub(super) struct Upkeep {
-    runs: BTreeMap<u64, Run>,
-    vms: BTreeMap<VmId, VmEntry>,
-    /// When the listing under way was asked for.
-    listing: Option<Time>,
-    /// When the last complete listing was asked for.
-    listed: Option<Time>,
-    dirty: BTreeSet<u64>,
-}
-
-impl Upkeep {
-    /// Workers that get no new work.
-    fn is_held(&self, id: &WorkerId) -> bool {
-        let held = |stage: &Stage| match stage {
-            Stage::Emptying { worker, .. } => worker == id,
-            Stage::Recording { worker }
-            | Stage::Ordered { worker, .. }
-            | Stage::Down { worker, .. } => worker.as_ref() == Some(id),
-            Stage::Finished => false,
-        };
-        self.runs.values().any(|run| run.stages.values().any(held))
-    }
-
-    /// What is to be recorded, with the waves that it is of.
-    pub(super) fn take_dirty(&mut self) -> Vec<(u64, WaveProgress)> {
-        let dirty = std::mem::take(&mut self.dirty);
-        let progress = |number: &u64| Some((*number, self.runs.get(number)?.progress()));
-        dirty.iter().filter_map(progress).collect()
-    }
-
-    pub(super) fn has_news(&self) -> bool {
-        !self.dirty.is_empty()
-    }
-
-    /// The progress of these waves is recorded: what it orders may be ordered.
-    pub(super) fn on_recorded(&mut self, now: Time, recorded: &[(u64, WaveProgress)]) {
-        for (number, progress) in recorded {
-            let Some(run) = self.runs.get_mut(number) else { continue };
-            for (vm, worker) in &progress.ordered {
-                if let Some(stage @ Stage::Recording { .. }) = run.stages.get_mut(vm) {
-                    let worker = worker.clone();
-                    *stage = Stage::Ordered { worker, sent: None, again: now };
-                }
-            }
-        }
-    }
-}
-
 impl Scheduler {
     /// The operator asks for a wave of upkeep, or takes it back.
     pub fn on_wave(&mut self, now: Time, number: u64, wave: Option<Wave>, ledger: &Ledger) {
@@ -232,12 +107,12 @@
     }
 
     /// Whether a worker gets no new work since its VM is about to go down.
-    pub(super) fn is_held(&self, id: &WorkerId) -> bool {
+    pub(in crate::scheduler) fn is_held(&self, id: &WorkerId) -> bool {
         !self.upkeep.runs.is_empty() && self.upkeep.is_held(id)
     }
 
     /// Does what is due for the waves.
-    pub(super) fn keep_up(&mut self, now: Time, out: &mut Vec<Effect>) {
+    pub(in crate::scheduler) fn keep_up(&mut self, now: Time, out: &mut Vec<Effect>) {
         if self.upkeep.runs.is_empty() {
             return;
         }
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -202,8 +202,8 @@
     pub(crate) exposures: VecDeque<(Time, Exposure)>,
     /// A serving task is over its target: no filler is added.
     pub(crate) over_target: bool,
-    /// The lowest own pace of each image that serves here, as last noted.
-    pub(crate) own_paces: SmallVec<[(ImageNo, f32); 4]>,
+    /// The lowest own headroom of each image that serves here, as last noted.
+    pub(crate) own_headrooms: SmallVec<[(ImageNo, f32); 4]>,
     /// The share of their pace that fillers get after a serving task went over its target for a reason
     /// that isn't known, from 0 to 1.
     pub(crate) trust: f32,
@@ -241,7 +241,7 @@
             barred_until: Time::ZERO,
             exposures: VecDeque::new(),
             over_target: false,
-            own_paces: SmallVec::new(),
+            own_headrooms: SmallVec::new(),
             trust: 1.0,
             relieved_at: Time::ZERO,
         }
--- a/crates/workflow/tests/pair_learning.rs
+++ b/crates/workflow/tests/pair_learning.rs
@@ -7,7 +7,7 @@
 };
 
 /// Figures of a workflow's serving tasks, whose own load swings threefold each 14 s, beside fillers that
-/// come and go. A core of a filler takes its weight of their pace. The own pace is known from other workers,
+/// come and go. A core of a filler takes its weight of their headroom. The own headroom is known from other workers,
 /// with an error; each figure strays by a fifth.
 fn observe(
     learned: &mut Interference,
@@ -21,13 +21,13 @@
         let phase = figure as f32 * 0.5 / 14.0 * std::f32::consts::TAU;
         let own = 2.6 + 1.0 * phase.sin();
         let mut exposure = Exposure::new();
-        let mut pace = own;
+        let mut headroom = own;
         for (column, weight) in weights.iter().enumerate() {
             let cores = if rng.random_bool(0.4) { rng.random_range(2.0..8.0) } else { 0.0 };
             set(&mut exposure, column, cores);
-            pace -= weight * cores;
+            headroom -= weight * cores;
         }
-        let measured = pace.max(0.1) * rng.random_range(0.8..1.2);
+        let measured = headroom.max(0.1) * rng.random_range(0.8..1.2);
         let known = own * rng.random_range(0.9..1.1);
         learned.observe(serving, known, measured, 2.0, &exposure);
     }
@@ -42,7 +42,7 @@
     images
 }
 
-/// One filler image of six takes a tenth of a serving task's pace with each core. The swing of the task's
+/// One filler image of six takes a tenth of a serving task's headroom with each core. The swing of the task's
 /// own load is larger than that; were it put down to fillers, harmless ones would find no worker.
 #[test]
 fn bad_pair_found() {
@@ -60,7 +60,7 @@
     }
 }
 
-/// A pair that takes all of the pace must be known after a few of its figures: each second of it costs the
+/// A pair that takes all of the headroom must be known after a few of its figures: each second of it costs the
 /// serving task's users.
 #[test]
 fn drastic_pair_found_soon() {
