--- a/crates/workflow/src/scheduler/upkeep/mod.rs
+++ b/crates/workflow/src/scheduler/upkeep/mod.rs
@@ -11,7 +11,7 @@
 pub(super) use self::stages::Upkeep;
 
 use {
-    self::stages::{Run, Stage},
+    self::stages::{Stage, WaveRun},
     super::{Copy, Effect, Phase, Scheduler},
     crate::{
         Ledger, RunId, TaskId, UpkeepResult, VmEntry, VmId, VmState, Wave, WaveState, WorkerId,
@@ -42,7 +42,7 @@
             return;
         }
         log::info!(wave = number, vms = wave.vms.len(), cap = wave.cap; "wave_begins");
-        let mut run = Run { due: now + wave.within, wave, stages: BTreeMap::new(), told: None };
+        let mut run = WaveRun { due: now + wave.within, wave, stages: BTreeMap::new(), told: None };
         if let Some(progress) = ledger.wave(number) {
             for (vm, worker) in &progress.ordered {
                 let stage = Stage::Ordered { worker: worker.clone(), sent: None, again: now };
--- a/crates/workflow/src/scheduler/upkeep/stages.rs
+++ b/crates/workflow/src/scheduler/upkeep/stages.rs
@@ -41,8 +41,9 @@
     Finished,
 }
 
+/// A wave under way.
 #[derive(Debug)]
-pub(super) struct Run {
+pub(super) struct WaveRun {
     pub(super) wave: Wave,
     pub(super) due: Time,
     pub(super) stages: BTreeMap<VmId, Stage>,
@@ -50,7 +51,7 @@
     pub(super) told: Option<(WaveState, bool)>,
 }
 
-impl Run {
+impl WaveRun {
     /// VMs that are down, or may be.
     pub(super) fn down(&self) -> usize {
         let away = |stage: &&Stage| {
@@ -85,7 +86,7 @@
 /// All waves, and the VMs as last listed.
 #[derive(Debug, Default)]
 pub(in crate::scheduler) struct Upkeep {
-    pub(super) runs: BTreeMap<u64, Run>,
+    pub(super) runs: BTreeMap<u64, WaveRun>,
     pub(super) vms: BTreeMap<VmId, VmEntry>,
     /// When the listing under way was asked for.
     pub(super) listing: Option<Time>,
