--- /dev/null
+++ b/crates/workflow/tests/successive_leaders.rs
@@ -0,0 +1,125 @@
+//! A worker is lost shortly before the leader, and the leaders after that one don't last either.
+
+mod support;
+
+use {
+    egretlb_workflow::{Limits, Step, TaskId, WorkflowId},
+    std::time::Duration,
+    support::{step, submission, world::World},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// What passes between the kill of a process and its next start.
+const RESTART: Duration = Duration::from_millis(700);
+
+fn lasting(count: u32) -> Step {
+    Step { lasting: true, per_worker: 1, ..step(count, 0) }
+}
+
+/// A world in which each of six workers runs a lasting task, and one worker is free.
+fn world(seed: u64) -> (World, WorkflowId) {
+    let mut world = World::new(seed, 3, 6, Limits::default());
+    world.run(2 * SECOND);
+    let id = world.submit(1, &submission(vec![lasting(6)]));
+    world.run(2 * SECOND);
+    world.add_worker(8);
+    world.run(SECOND);
+    (world, id)
+}
+
+fn all_run(world: &World, id: WorkflowId) -> bool {
+    let task = |index| TaskId { workflow: id, occurrence: 0, step: 0, index };
+    (0..6).all(|index| world.checker.is_running(task(index)))
+}
+
+/// A worker that runs something is lost.
+fn lose_worker(world: &mut World) {
+    let busy = world.workers.iter().position(|worker| !worker.running.is_empty());
+    world.workers[busy.expect("six tasks run")].crash(&mut world.checker);
+}
+
+/// The leading process is killed, and started again at the same address.
+fn restart_leader(world: &mut World) {
+    let leader = world.leader().expect("somebody leads");
+    world.kill(leader);
+    world.run(RESTART);
+    world.restart(leader);
+}
+
+/// A worker loses power, and the leading process is killed before it has noticed; it is started again at the
+/// same address, and once more eight seconds later. Each time the new process has to wait until what ran at the
+/// lost worker must have lapsed. Did each count that span anew and in full, although its predecessor has
+/// certainly ended, the users of a lasting task would be without it for twenty seconds.
+#[test]
+fn restarted_twice() {
+    for seed in 0..8 {
+        let (mut world, id) = world(seed);
+        lose_worker(&mut world);
+        world.run(SECOND);
+        restart_leader(&mut world);
+        // The longest lease on a slow clock, the survey and a start.
+        let took = world.run_until(8 * SECOND, |world| all_run(world, id));
+        assert!(took.is_some_and(|took| took < Duration::from_millis(5_800)), "{seed}: {took:?}");
+        restart_leader(&mut world);
+        world.run(2 * SECOND);
+        assert!(all_run(&world, id), "{seed}");
+        assert_eq!(world.checker.faults, Vec::<String>::new(), "{seed}");
+    }
+}
+
+/// A worker and the leader's VM lose power together; the next leader's process is killed and started again
+/// every three seconds. What ran at the lost worker has lapsed nine seconds after the first leader's last
+/// order, however many leaders come after it. Did each of them wait anew, the lasting task would stand still
+/// for as long as leaders change.
+#[test]
+fn each_waits_on() {
+    for seed in 0..8 {
+        let (mut world, id) = world(seed);
+        lose_worker(&mut world);
+        let first = world.leader().expect("somebody leads");
+        world.kill(first);
+        let begin = world.now;
+        for _ in 0..3 {
+            world.run(3 * SECOND);
+            if !all_run(&world, id) {
+                restart_leader(&mut world);
+            }
+        }
+        assert!(world.run_until(8 * SECOND, |world| all_run(world, id)).is_some(), "{seed}");
+        // The first one's authority, the longest lease, and what the last restart took.
+        let took = world.now.since(begin);
+        assert!(took < Duration::from_millis(11_500), "{seed}: {took:?}");
+        assert_eq!(world.checker.faults, Vec::<String>::new(), "{seed}");
+    }
+}
+
+/// A worker is cut off from all VMs and runs on while leaders change. Its task is started elsewhere only after
+/// its lease has lapsed on its own clock, which is 2% slow, however the wait is handed on.
+#[test]
+fn cut_off_and_running() {
+    for seed in 0..24 {
+        let (mut world, id) = world(seed);
+        let busy = world.workers.iter().position(|worker| !worker.running.is_empty());
+        let busy = busy.expect("six tasks run");
+        world.workers[busy].rate = 980;
+        for node in &mut world.nodes {
+            node.cut_from = vec![busy];
+        }
+        for pause in [300 + 200 * seed, 2_500, 900] {
+            world.run(Duration::from_millis(pause));
+            if let Some(leader) = world.leader() {
+                world.kill(leader);
+                world.run(RESTART);
+                world.restart(leader);
+                world.nodes[leader].cut_from = vec![busy];
+            }
+        }
+        assert!(world.run_until(20 * SECOND, |world| all_run(world, id)).is_some(), "{seed}");
+        for node in &mut world.nodes {
+            node.cut_from.clear();
+        }
+        world.run(4 * SECOND);
+        assert_eq!(world.checker.faults, Vec::<String>::new(), "{seed}");
+    }
+}
