Hand the wait for lost workers on from leader to leader

Cause: nothing that a leader starts is on record, so its successor holds all that it inherits until each worker of the roster has answered or must have lapsed. That span, 9.2 s, was counted in full from each election: also where the predecessor's process had certainly ended, and anew by the next leader, since the records didn't say what had been waited out. Two workers lost a second before the leader's process was killed held back all inherited work for 8.4 s of one term and 9.2 s of the next; the third leader, for which they were off the roster, began at once.

Ruled out, by the workers' own stories: that the tasks were started and stopped again and again. By what was placed all the time: that no room was seen.

Mended: a sign of life says how long its leader has led, and the roster says, in that leader's time, when what may run at a worker that is silent or hasn't answered must have lapsed; the leader starts and renews nothing there until a roster that takes it back is recorded. A successor waits for what is left. A predecessor that gave up its term, or whose address the new process has now, renews nothing any more; another one's authority counts from its last sign of life. Without a roster of the last leader itself (it writes one once all have answered, or after 0.4 s) the wait is as long as before.

--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -13,7 +13,7 @@
     egretlb_telemetry::{RunEvent, WorkflowMetrics},
     egretlb_types::{Epoch, Time},
     egretlb_workflow::{
-        Leadership, LeadershipEffect, Limits, Scheduler, Wave, WorkerId, WorkflowId,
+        Leadership, LeadershipEffect, Limits, Scheduler, Succession, Wave, WorkerId, WorkflowId,
     },
     std::{
         cell::{Cell, Ref, RefCell},
@@ -309,7 +309,7 @@
                 let fence = Some(Fence { epoch, seq });
                 spawn_local(Rc::clone(self).claim(Append { records, fence }));
             }
-            LeadershipEffect::Elected { epoch } => self.begin_term(epoch),
+            LeadershipEffect::Elected { epoch, succession } => self.begin_term(epoch, succession),
             LeadershipEffect::Deposed => {
                 let leader = self.core.borrow().leader();
                 log::info!(leader:% = leader; "deposed");
@@ -318,12 +318,13 @@
         }
     }
 
-    fn begin_term(self: &Rc<Self>, epoch: Epoch) {
+    fn begin_term(self: &Rc<Self>, epoch: Epoch, succession: Succession) {
         let (now, wall_ms) = (self.clock.now(), self.clock.wall_ms());
         let core = &mut *self.core.borrow_mut();
         let directory = core.directory.values().cloned();
+        let term = (epoch, succession);
         let mut scheduler =
-            Scheduler::new(now, wall_ms, epoch, core.limits, &core.ledger, directory);
+            Scheduler::new(now, wall_ms, term, core.limits, &core.ledger, directory);
         log::info!(
             epoch:% = epoch, workers = core.directory.len(), workflows = scheduler.active(),
             unaccounted = scheduler.unaccounted();
--- a/crates/workflow/src/leadership/mod.rs
+++ b/crates/workflow/src/leadership/mod.rs
@@ -15,7 +15,12 @@
 //! that was acknowledged. The successor counts the same span from when it has read its claim, which is
 //! later, and then a lease, before it takes such a worker's tasks as ended.
 
+mod succession;
+
+pub use self::succession::Succession;
+
 use {
+    self::succession::Sign,
     crate::{Key, LeaderRecord, Limits, Record},
     compact_str::CompactString,
     egretlb_types::{Epoch, Seq, Time},
@@ -57,6 +62,8 @@
     Elected {
         /// Its epoch.
         epoch: Epoch,
+        /// What its predecessors may still do.
+        succession: Succession,
     },
     /// This process leads no longer.
     Deposed,
@@ -96,6 +103,10 @@
     own_predecessor: bool,
     /// Whether the quiet is the end of a term that its holder gave up.
     released: bool,
+    /// The newest leader's last sign of life.
+    newest: Option<Sign>,
+    /// When this process's term began.
+    began: Time,
     known: Epoch,
     /// The epoch of a claim that was given up; it may yet take effect.
     given_up: Option<Epoch>,
@@ -156,6 +167,8 @@
             last_tick: now,
             own_predecessor: false,
             released: false,
+            newest: None,
+            began: now,
             known: Epoch(0),
             given_up: None,
             read_sent: now,
@@ -195,9 +208,14 @@
 
     /// The epoch and the number of the next append of this term, and the record that goes with it: a sign
     /// of life, or the end of the term.
-    pub fn sign(&mut self, released: bool) -> Option<(Epoch, Seq, Record)> {
+    pub fn sign(&mut self, now: Time, released: bool) -> Option<(Epoch, Seq, Record)> {
         let epoch = self.term()?;
         let seq = self.next_seq();
+        let term_ms = u64::try_from(now.since(self.began).as_millis()).unwrap_or(u64::MAX);
+        Some((epoch, seq, self.record(epoch, seq, released, term_ms)))
+    }
+
+    fn record(&self, epoch: Epoch, seq: Seq, released: bool, term_ms: u64) -> Record {
         let record = LeaderRecord {
             node: self.node.clone(),
             incarnation: self.incarnation,
@@ -205,8 +223,9 @@
             released,
             addr: self.addr,
             seq,
+            term_ms,
         };
-        Some((epoch, seq, Record::new(Key::Leader, &record)))
+        Record::new(Key::Leader, &record)
     }
 
     /// Whether an append of this term is among what was read.
@@ -243,18 +262,22 @@
         self.own_predecessor = !own && self.addr.is_some() && record.addr == self.addr;
         match self.role {
             Role::Claiming { epoch, sent } if own && record.epoch == epoch => {
-                self.elect(sent, epoch, out);
+                self.elect(now, sent, epoch, out);
             }
             // It was held up on its way and fences whoever leads by now, so it is made use of. When the read
             // was sent that shows it, nobody else had claimed.
             Role::Follower if own && self.given_up == Some(record.epoch) && !record.released => {
                 self.given_up = None;
-                self.elect(self.read_sent, record.epoch, out);
+                self.elect(now, self.read_sent, record.epoch, out);
             }
             Role::Claiming { epoch, .. } if record.epoch >= epoch => self.role = Role::Follower,
             Role::Leader { epoch } if record.epoch > epoch => self.resign(now, out),
             _ => {}
         }
+        // A term of this very process is over once it claims another, and so is that of an earlier process at
+        // its address.
+        let over = record.released || own || self.own_predecessor;
+        self.newest = Some(Sign::new(record, now, over));
     }
 
     /// Something else that only a leader writes was read.
@@ -294,19 +317,8 @@
         let epoch = self.known.next();
         self.role = Role::Claiming { epoch, sent: now };
         let seq = self.next_seq();
-        let record = LeaderRecord {
-            node: self.node.clone(),
-            incarnation: self.incarnation,
-            epoch,
-            released: false,
-            addr: self.addr,
-            seq,
-        };
-        out.push(LeadershipEffect::Claim {
-            epoch,
-            seq,
-            records: vec![Record::new(Key::Leader, &record)],
-        });
+        let records = vec![self.record(epoch, seq, false, 0)];
+        out.push(LeadershipEffect::Claim { epoch, seq, records });
     }
 
     fn takeover_due(&self, now: Time) -> bool {
@@ -360,11 +372,13 @@
         self.proven
     }
 
-    fn elect(&mut self, sent: Time, epoch: Epoch, out: &mut Vec<LeadershipEffect>) {
+    fn elect(&mut self, now: Time, sent: Time, epoch: Epoch, out: &mut Vec<LeadershipEffect>) {
         self.role = Role::Leader { epoch };
         self.known = epoch;
         self.proven = sent;
-        out.push(LeadershipEffect::Elected { epoch });
+        self.began = sent;
+        let succession = Succession::new(now, sent, &self.limits, self.newest, epoch);
+        out.push(LeadershipEffect::Elected { epoch, succession });
     }
 
     /// What became of an append under this term that was sent at `sent`.
--- a/crates/workflow/src/ledger/mod.rs
+++ b/crates/workflow/src/ledger/mod.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        Interference, Key, LeaderRecord, Outcome, Progress, Record, RecordError, RosterEntry,
+        Interference, Key, LeaderRecord, Outcome, Progress, Record, RecordError, Roster,
         Submission, WaveProgress, WorkflowId, record::read_value,
     },
     compact_str::CompactString,
@@ -90,7 +90,7 @@
 pub struct Ledger {
     entries: HashMap<WorkflowId, Entry>,
     leader: Option<(Offset, LeaderRecord)>,
-    roster: Option<(Offset, Vec<RosterEntry>)>,
+    roster: Option<(Offset, Roster)>,
     learned: Option<(Offset, Interference)>,
     waves: BTreeMap<u64, (Offset, WaveProgress)>,
 }
@@ -112,8 +112,8 @@
     }
 
     /// Workers that may run something by a leader's orders.
-    pub fn roster(&self) -> &[RosterEntry] {
-        self.roster.as_ref().map_or(&[], |(_, roster)| roster)
+    pub fn roster(&self) -> Option<&Roster> {
+        self.roster.as_ref().map(|(_, roster)| roster)
     }
 
     /// What the last leader had learned of images.
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -23,12 +23,12 @@
     directory::{DirectoryChange, WorkerInfo, WorkerState},
     ids::{IdError, RunId, StepId, TaskId, WorkerId, WorkflowId},
     interference::{Exposure, ImageNo, Interference, headroom_of, set},
-    leadership::{AppendResult, Leadership, LeadershipEffect},
+    leadership::{AppendResult, Leadership, LeadershipEffect, Succession},
     ledger::{Change, Entry, Ledger, State},
     limits::Limits,
     record::{
-        Closed, Key, LeaderRecord, OccurrenceProgress, Outcome, Progress, Record, RecordError,
-        RosterEntry, StepProgress, Submission,
+        Key, LeaderRecord, OccurrenceProgress, Outcome, Progress, Record, RecordError, Roster,
+        RosterEntry, Standing, StepProgress, Submission,
     },
     routes::{AdviceTerms, Route, RouteTable, RoutesError},
     scheduler::{
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -14,7 +14,7 @@
 };
 
 /// The version of the values' form; a process passes over a record of another one.
-const FORM: u8 = 2;
+const FORM: u8 = 3;
 
 /// What a record is about.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -122,6 +122,17 @@
     /// The number of the append that this record came with: a leader that reads it knows that the append
     /// took effect, also if its answer was lost.
     pub seq: Seq,
+    /// How long it had led when it sent this, in milliseconds. The roster's times count from the same moment.
+    pub term_ms: u64,
+}
+
+/// The workers that may run something by a leader's orders.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Roster {
+    /// The leader that wrote it.
+    pub epoch: Epoch,
+    /// The workers.
+    pub entries: Vec<RosterEntry>,
 }
 
 /// A worker that may run something by a leader's orders.
@@ -131,17 +142,33 @@
     pub id: WorkerId,
     /// Where it takes orders.
     pub addr: SocketAddr,
-    /// Set once the worker gets no more starts.
-    pub closed: Option<Closed>,
+    /// What a successor has to know of what runs there.
+    pub standing: Standing,
 }
 
-/// What may run at a worker that gets no more starts, since it is silent or about to leave.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Closed {
-    /// The runs that may be under way there, and no others.
-    pub runs: Vec<(TaskId, RunId)>,
-    /// Whether their leases may still be renewed.
-    pub renewed: bool,
+/// What may run at a worker. Times are in milliseconds of the roster's writer's term: a successor learns from
+/// the writer's last sign of life how much of them is over, and needn't wait anew for what has been waited out.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Standing {
+    /// It has answered in this term, and anything may be started there.
+    Open,
+    /// It is silent: nothing is started or renewed there until a roster that says otherwise is recorded.
+    Silent {
+        /// The runs that may be under way there, and no others.
+        runs: Vec<(TaskId, RunId)>,
+        /// When they must have lapsed.
+        lapses_ms: u64,
+    },
+    /// It is about to leave: nothing is started there any more, but leases may still be renewed.
+    Leaving {
+        /// The runs that may be under way there, and no others.
+        runs: Vec<(TaskId, RunId)>,
+    },
+    /// It hasn't answered in this term: a leader before may have started anything there, this one nothing.
+    Unanswered {
+        /// When all that runs there must have lapsed.
+        lapses_ms: u64,
+    },
 }
 
 /// A workflow as it was accepted. It holds all that its queue's configuration says of it, so that it
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -24,19 +24,19 @@
 mod queue;
 mod recording;
 mod stragglers;
+mod survey;
 mod upkeep;
 mod worker;
 
 use {
     self::{
         flow::Flow,
-        worker::{Copy, Need, Phase, Worker},
+        worker::{Copy, Inherited, Need, Phase, Worker},
     },
     crate::{
-        Change, DirectoryChange, Interference, Ledger, Limits, Outcome, RosterEntry, RunId, TaskId,
+        Change, DirectoryChange, Interference, Ledger, Limits, Outcome, RunId, Succession, TaskId,
         WorkerId, WorkerInfo, WorkerState, WorkflowId,
     },
-    compact_str::CompactString,
     egretlb_types::{Epoch, Time},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -70,6 +70,7 @@
 #[derive(Debug)]
 pub struct Scheduler {
     epoch: Epoch,
+    succession: Succession,
     limits: Limits,
     workers: BTreeMap<WorkerId, Worker>,
     flows: BTreeMap<WorkflowId, Flow>,
@@ -127,13 +128,14 @@
     pub fn new(
         now: Time,
         wall_ms: u64,
-        epoch: Epoch,
+        (epoch, succession): (Epoch, Succession),
         limits: Limits,
         ledger: &Ledger,
         directory: impl IntoIterator<Item = WorkerInfo>,
     ) -> Scheduler {
         let mut scheduler = Scheduler {
             epoch,
+            succession,
             limits,
             workers: BTreeMap::new(),
             flows: BTreeMap::new(),
@@ -141,7 +143,7 @@
             unaccounted: BTreeMap::new(),
             dirty: BTreeSet::new(),
             spent: BTreeSet::new(),
-            roster_dirty: false,
+            roster_dirty: ledger.roster().is_some(),
             clients_wait: false,
             recording: None,
             recorded_at: now,
@@ -159,51 +161,17 @@
             measures: Measures::default(),
             wall_ms,
         };
-        // The predecessor may have renewed a lease just before its authority ended.
-        let lapsed = now + limits.authority + limits.lease_bound();
-        for entry in ledger.roster() {
-            let mut worker = Worker::new(now, placeholder(entry));
-            worker.present = false;
-            worker.in_roster = true;
-            worker.listed_silent = entry.closed.as_ref().is_some_and(|closed| !closed.renewed);
-            worker.leaving = entry.closed.as_ref().is_some_and(|closed| closed.renewed);
-            // The predecessor renewed nothing at a worker that it had listed as silent.
-            let silent_bound = now + limits.lease_bound();
-            worker.lease_bound = if worker.listed_silent { silent_bound } else { lapsed };
-            if entry.closed.is_none() {
-                scheduler.unaccounted.insert(entry.id.clone(), lapsed);
-            }
-            scheduler.workers.insert(entry.id.clone(), worker);
-        }
+        scheduler.inherit_workers(now, ledger);
         for info in directory {
             scheduler.on_directory(now, DirectoryChange::Present(info));
         }
         for (id, entry) in ledger.iter() {
             scheduler.add_flow(now, id, entry, true);
         }
-        for entry in ledger.roster() {
-            for (task, run) in entry.closed.iter().flat_map(|closed| &closed.runs) {
-                scheduler.suppose(now, &entry.id, *task, *run);
-            }
-        }
+        scheduler.inherit_runs(now, ledger);
         scheduler
     }
 
-    /// Takes a run at a silent worker as under way, until the worker answers or its leases have lapsed.
-    fn suppose(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId) {
-        let step = self.step(task).cloned().unwrap_or_default();
-        let need = Need::new(&step, &mut self.interference);
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.insert(task, run, Copy::new(now, &need, Phase::Running { clock_ms: 0 }));
-        }
-        if let Some(state) = self.task_mut(task)
-            && !state.done
-        {
-            state.copies.push((id.clone(), run));
-            state.last_run = state.last_run.max(run);
-        }
-    }
-
     /// The worker's directory entry changed.
     pub fn on_directory(&mut self, now: Time, change: DirectoryChange) {
         match change {
@@ -305,16 +273,3 @@
         self.unaccounted.len()
     }
 }
-
-/// A worker of which only the roster's entry is known: it is asked and gets no work.
-fn placeholder(entry: &RosterEntry) -> WorkerInfo {
-    WorkerInfo {
-        id: entry.id.clone(),
-        addr: entry.addr,
-        service: CompactString::default(),
-        data_centre: CompactString::default(),
-        capacity: egretlb_types::Resources::default(),
-        labels: smallvec::SmallVec::new(),
-        state: WorkerState::Draining,
-    }
-}
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Effect, Scheduler},
-    crate::{Closed, Key, Record, RosterEntry, WaveProgress, WorkerId, WorkflowId},
+    crate::{Key, Record, Roster, RosterEntry, Standing, WaveProgress, WorkerId, WorkflowId},
     egretlb_types::Time,
     std::time::Duration,
 };
@@ -29,9 +29,9 @@
 
 impl Scheduler {
     /// Whether the next append has something to say.
-    fn has_news(&self) -> bool {
+    fn has_news(&self, now: Time) -> bool {
         self.clients_wait
-            || self.roster_dirty
+            || (self.roster_dirty && self.may_write_roster(now))
             || self.upkeep.has_news()
             || !self.dirty.is_empty()
             || self.workers.values().any(|worker| worker.taken > worker.recorded)
@@ -43,7 +43,7 @@
             return;
         }
         let beat = now.since(self.recorded_at) >= self.limits.heartbeat;
-        let due = self.has_news() && now.since(self.recorded_at) >= self.limits.record_gap;
+        let due = self.has_news(now) && now.since(self.recorded_at) >= self.limits.record_gap;
         if !beat && !due {
             return;
         }
@@ -90,22 +90,29 @@
     }
 
     fn record_roster(&mut self, now: Time, recording: &mut Recording, records: &mut Vec<Record>) {
-        if !std::mem::take(&mut self.roster_dirty) {
+        if !self.roster_dirty || !self.may_write_roster(now) {
             return;
         }
-        let mut roster = Vec::with_capacity(self.workers.len());
-        for (id, worker) in &mut self.workers {
-            let silent = worker.lists_silent(now, &self.limits);
-            let leaves = worker.leaves();
+        self.roster_dirty = false;
+        let mut entries = Vec::with_capacity(self.workers.len());
+        for (id, worker) in &self.workers {
+            let standing = self.standing(now, worker);
+            entries.push(RosterEntry { id: id.clone(), addr: worker.info.addr, standing });
+        }
+        for entry in &entries {
+            let Some(worker) = self.workers.get_mut(&entry.id) else { continue };
+            let silent =
+                matches!(entry.standing, Standing::Silent { .. } | Standing::Unanswered { .. });
             // From here on nothing is started there, since the record may be read before it is confirmed.
             worker.listed_silent |= silent;
-            worker.leaving |= leaves;
-            let runs = || worker.copies.keys().copied().collect();
-            let closed = (silent || leaves).then(|| Closed { runs: runs(), renewed: !silent });
-            worker.listed_runs = closed.as_ref().map_or(0, |closed| closed.runs.len());
-            recording.roster.push((id.clone(), silent));
-            roster.push(RosterEntry { id: id.clone(), addr: worker.info.addr, closed });
+            worker.leaving |= worker.leaves();
+            worker.listed_runs = match &entry.standing {
+                Standing::Silent { runs, .. } | Standing::Leaving { runs } => runs.len(),
+                Standing::Open | Standing::Unanswered { .. } => 0,
+            };
+            recording.roster.push((entry.id.clone(), silent));
         }
+        let roster = Roster { epoch: self.epoch, entries };
         records.push(Record::new(Key::Roster, &roster));
     }
 
--- /dev/null
+++ b/crates/workflow/src/scheduler/survey.rs
@@ -0,0 +1,128 @@
+//! What a leader takes over from the one before it: the workers that may run something, and until when.
+//!
+//! Nothing that a predecessor started is on record, so whatever is inherited waits until each worker has
+//! answered, or until what runs at it must have lapsed. Two things keep that wait short. A predecessor whose
+//! process has certainly ended, or which gave up its term, renews nothing any more. And a leader records which
+//! workers haven't answered it, and when what runs there must have lapsed: a successor waits only for what is
+//! left of that. Otherwise one lost worker would hold back all inherited work for nine seconds after each change
+//! of the leader, however long it has been lost.
+
+use {
+    super::{Copy, Inherited, Need, Phase, Scheduler, Worker},
+    crate::{
+        Ledger, Roster, RosterEntry, RunId, Standing, TaskId, WorkerId, WorkerInfo, WorkerState,
+    },
+    compact_str::CompactString,
+    egretlb_types::{Resources, Time},
+    std::time::Duration,
+};
+
+/// A leader writes no roster of its own for so long, unless all workers have answered before. An answer takes
+/// some 30 ms; a roster that lists workers as unanswered bars them until the next one is recorded.
+const SURVEY_GRACE: Duration = Duration::from_millis(400);
+
+impl Scheduler {
+    /// Takes over the workers of the last roster: they are asked, and get no work before they answer.
+    pub(super) fn inherit_workers(&mut self, now: Time, ledger: &Ledger) {
+        let Some(roster) = ledger.roster() else { return };
+        for entry in &roster.entries {
+            let mut worker = Worker::new(now, placeholder(entry));
+            worker.present = false;
+            worker.in_roster = true;
+            worker.lease_bound = self.lapses_at(now, roster, &entry.standing);
+            worker.leaving = matches!(entry.standing, Standing::Leaving { .. });
+            worker.listed_silent =
+                matches!(entry.standing, Standing::Silent { .. } | Standing::Unanswered { .. });
+            let known =
+                matches!(entry.standing, Standing::Silent { .. } | Standing::Leaving { .. });
+            worker.inherited = Some(if known { Inherited::Listed } else { Inherited::Unlisted });
+            if !known {
+                self.unaccounted.insert(entry.id.clone(), worker.lease_bound);
+            }
+            self.workers.insert(entry.id.clone(), worker);
+        }
+    }
+
+    /// Takes the runs that the last roster lists as under way.
+    pub(super) fn inherit_runs(&mut self, now: Time, ledger: &Ledger) {
+        let Some(roster) = ledger.roster() else { return };
+        for entry in &roster.entries {
+            let (Standing::Silent { runs, .. } | Standing::Leaving { runs }) = &entry.standing
+            else {
+                continue;
+            };
+            for (task, run) in runs {
+                self.suppose(now, &entry.id, *task, *run);
+            }
+        }
+    }
+
+    /// When all that leaders before this one started at a worker must have lapsed.
+    fn lapses_at(&self, now: Time, roster: &Roster, standing: &Standing) -> Time {
+        let lease = self.limits.lease_bound();
+        // The last leader wrote no roster, so who of its predecessors may still give orders isn't known. All
+        // of them had lost their authority so long after the last leader's claim at the latest.
+        let latest = now + self.limits.authority + lease;
+        let known = self.succession.is_of(roster.epoch);
+        match standing {
+            Standing::Open | Standing::Leaving { .. } if known => {
+                self.succession.orders_until() + lease
+            }
+            Standing::Silent { lapses_ms, .. } | Standing::Unanswered { lapses_ms } if known => {
+                latest.min(self.succession.time_of(*lapses_ms))
+            }
+            // Nobody has renewed anything there since the roster was written.
+            Standing::Silent { .. } => now + lease,
+            Standing::Open | Standing::Leaving { .. } | Standing::Unanswered { .. } => latest,
+        }
+    }
+
+    /// Takes a run at a silent worker as under way, until the worker answers or its leases have lapsed.
+    fn suppose(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId) {
+        let step = self.step(task).cloned().unwrap_or_default();
+        let need = Need::new(&step, &mut self.interference);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.insert(task, run, Copy::new(now, &need, Phase::Running { clock_ms: 0 }));
+        }
+        if let Some(state) = self.task_mut(task)
+            && !state.done
+        {
+            state.copies.push((id.clone(), run));
+            state.last_run = state.last_run.max(run);
+        }
+    }
+
+    /// Whether the roster may be written: it must tell which workers haven't answered, and they get a moment.
+    pub(super) fn may_write_roster(&self, now: Time) -> bool {
+        self.unaccounted.is_empty() || now.since(self.succession.began) >= SURVEY_GRACE
+    }
+
+    /// What the roster says of a worker.
+    pub(super) fn standing(&self, now: Time, worker: &Worker) -> Standing {
+        let runs = || worker.copies.keys().copied().collect();
+        let lapses_ms = self.succession.term_ms(worker.lease_bound);
+        if worker.inherited == Some(Inherited::Unlisted) && !worker.surveyed {
+            return Standing::Unanswered { lapses_ms };
+        }
+        if worker.lists_silent(now, &self.limits) {
+            return Standing::Silent { runs: runs(), lapses_ms };
+        }
+        if worker.leaves() {
+            return Standing::Leaving { runs: runs() };
+        }
+        Standing::Open
+    }
+}
+
+/// A worker of which only the roster's entry is known: it is asked and gets no work.
+fn placeholder(entry: &RosterEntry) -> WorkerInfo {
+    WorkerInfo {
+        id: entry.id.clone(),
+        addr: entry.addr,
+        service: CompactString::default(),
+        data_centre: CompactString::default(),
+        capacity: Resources::default(),
+        labels: smallvec::SmallVec::new(),
+        state: WorkerState::Draining,
+    }
+}
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -152,6 +152,15 @@
 /// The pace of a filler that nothing holds back, in percent.
 pub(crate) const FULL_PACE: u32 = 100;
 
+/// What is known of a worker that a predecessor's roster names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Inherited {
+    /// The roster lists what may run there.
+    Listed,
+    /// Anything may run there.
+    Unlisted,
+}
+
 /// A worker and what may run there by our orders.
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -160,6 +169,8 @@
     pub(crate) present: bool,
     /// The roster in the store names it, so a successor knows to ask it.
     pub(crate) in_roster: bool,
+    /// Set if a predecessor's roster names it.
+    pub(crate) inherited: Option<Inherited>,
     /// The roster lists what may run there and nothing else; until a roster without that list is
     /// recorded, it gets no order that starts or renews anything.
     pub(crate) listed_silent: bool,
@@ -217,6 +228,7 @@
             info,
             present: true,
             in_roster: false,
+            inherited: None,
             listed_silent: false,
             leaving: false,
             listed_runs: 0,
@@ -309,9 +321,10 @@
         self.surveyed && !self.is_responsive(now, limits)
     }
 
-    /// Whether the roster lists it as silent: it is, or a predecessor said so and it hasn't answered since.
+    /// Whether the roster lists it as one that gets no orders: it is silent, or was taken over from a
+    /// predecessor and hasn't answered since.
     pub(crate) fn lists_silent(&self, now: Time, limits: &Limits) -> bool {
-        self.is_silent(now, limits) || (!self.surveyed && self.listed_silent)
+        self.is_silent(now, limits) || (!self.surveyed && self.inherited.is_some())
     }
 
     /// Whether it is about to leave, and what may run there is known.
--- a/crates/workflow/tests/leader_changes.rs
+++ b/crates/workflow/tests/leader_changes.rs
@@ -190,6 +190,7 @@
             released: true,
             addr: None,
             seq: Seq(9),
+            term_ms: 0,
         };
         leadership.on_leader(now, &gone, &mut Vec::new());
         let begun = now;
