--- a/crates/workflow/tests/successive_leaders.rs
+++ b/crates/workflow/tests/successive_leaders.rs
@@ -95,6 +95,22 @@
     }
 }
 
+/// A worker and the leader's VM lose power together. Until what ran at the worker must have lapsed, the next
+/// leader holds back all that it took over, and its clients' work stands still.
+#[test]
+fn lost_together() {
+    for seed in 0..8 {
+        let (mut world, id) = world(seed);
+        lose_worker(&mut world);
+        let first = world.leader().expect("somebody leads");
+        world.kill(first);
+        // No lease outlasts the leader's last sign of life by more than seven seconds and a slow clock's share.
+        let took = world.run_until(12 * SECOND, |world| all_run(world, id));
+        assert!(took.is_some_and(|took| took < Duration::from_millis(7_400)), "{seed}: {took:?}");
+        assert_eq!(world.checker.faults, Vec::<String>::new(), "{seed}");
+    }
+}
+
 /// A worker is cut off from all VMs and runs on while leaders change. Its task is started elsewhere only after
 /// its lease has lapsed on its own clock, which is 2% slow, however the wait is handed on.
 #[test]
