--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -150,7 +150,6 @@
             && let Some(scheduler) = &mut self.scheduler
         {
             scheduler.set_behind(behind);
-            scheduler.set_proven(self.leadership.proven());
             scheduler.tick(now, wall_ms, &mut out.scheduler);
         }
     }
--- a/crates/workflow/src/leadership/succession.rs
+++ b/crates/workflow/src/leadership/succession.rs
@@ -29,7 +29,7 @@
     /// When this term began: its own recorded times count from here.
     pub began: Time,
     predecessor: Epoch,
-    granted_until: Time,
+    orders_until: Time,
     read_at: Time,
     term_ms: u64,
 }
@@ -43,26 +43,24 @@
         sign: Option<Sign>,
         claimed: Epoch,
     ) -> Succession {
-        let latest = now + limits.reach_bound();
+        let latest = now + limits.authority;
         let Some(sign) = sign.filter(|sign| sign.epoch < claimed) else {
             let predecessor = Epoch(0);
             return Succession {
                 began,
                 predecessor,
-                granted_until: latest,
+                orders_until: latest,
                 read_at: now,
                 term_ms: 0,
             };
         };
-        // It counts from before it sent the sign, and that was before the sign was read.
-        let mut granted_until = latest.min(sign.read_at + limits.reach_bound());
-        if sign.over {
-            granted_until = granted_until.min(now + limits.lease_bound());
-        }
+        // It counts its authority from before it sent the sign, and that was before the sign was read.
+        let orders_until =
+            if sign.over { now } else { latest.min(sign.read_at + limits.authority) };
         Succession {
             began,
             predecessor: sign.epoch,
-            granted_until,
+            orders_until,
             read_at: sign.read_at,
             term_ms: sign.term_ms,
         }
@@ -73,9 +71,9 @@
         self.predecessor == writer
     }
 
-    /// When all leases that the last leader granted have run out.
-    pub(crate) fn granted_until(&self) -> Time {
-        self.granted_until
+    /// The last leader gives no orders from then on.
+    pub(crate) fn orders_until(&self) -> Time {
+        self.orders_until
     }
 
     /// A time of the last leader's term on this process's clock, or a moment later: the sign that tells how long
--- a/crates/workflow/src/limits.rs
+++ b/crates/workflow/src/limits.rs
@@ -16,11 +16,6 @@
     /// pause of the store of some seconds; a successor waits for this long for workers that it can't
     /// reach, so a longer one delays those.
     pub authority: Duration,
-    /// No lease ends later than this after the sending of the leader's last recorded sign of life. While
-    /// the store answers that shortens none; without it what runs lapses after 7 s in place of 9 s, and a
-    /// successor waits as much less for a worker that was lost with the leader. It covers outages of the
-    /// store of some 5 s, with an append that was given up in between.
-    pub lease_reach: Duration,
     /// A leader leaves a sign of life in the store at least this often; four fit into
     /// [`Limits::takeover_after`], so one lost answer deposes nobody.
     pub heartbeat: Duration,
@@ -56,7 +51,6 @@
             lease: Duration::from_secs(5),
             clock_slow_percent: 2,
             authority: Duration::from_secs(4),
-            lease_reach: Duration::from_secs(7),
             heartbeat: Duration::from_millis(250),
             takeover_after: Duration::from_millis(1_200),
             takeover_spread: Duration::from_millis(400),
@@ -83,12 +77,6 @@
     pub fn bound_of(&self, span: Duration) -> Duration {
         span + span * self.clock_slow_percent / 100 + LEASE_MARGIN
     }
-
-    /// How long after the sending of a leader's last recorded sign of life all that it granted may go on.
-    pub fn reach_bound(&self) -> Duration {
-        let reach = self.lease_reach + self.lease * self.clock_slow_percent / 100 + LEASE_MARGIN;
-        reach.min(self.authority + self.lease_bound())
-    }
 }
 
 /// Covers the rounding of clocks to milliseconds and the kill at the worker.
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -72,8 +72,6 @@
     epoch: Epoch,
     succession: Succession,
     limits: Limits,
-    /// When the last acknowledged append of this term was sent.
-    proven: Time,
     workers: BTreeMap<WorkerId, Worker>,
     flows: BTreeMap<WorkflowId, Flow>,
     ready: BTreeSet<Ready>,
@@ -139,7 +137,6 @@
             epoch,
             succession,
             limits,
-            proven: succession.began,
             workers: BTreeMap::new(),
             flows: BTreeMap::new(),
             ready: BTreeSet::new(),
@@ -219,17 +216,6 @@
         }
     }
 
-    /// Tells when the last acknowledged append of this term was sent: leases end some time after it at the
-    /// latest.
-    pub fn set_proven(&mut self, proven: Time) {
-        self.proven = proven;
-    }
-
-    /// The span of a lease that is granted now, at most `longest`.
-    fn lease_span(&self, now: Time, longest: Duration) -> Duration {
-        longest.min((self.proven + self.limits.lease_reach).since(now))
-    }
-
     /// Time has passed: begins what is due, places tasks, polls workers, records.
     pub fn tick(&mut self, now: Time, wall_ms: u64, out: &mut Vec<Effect>) {
         self.wall_ms = wall_ms;
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -149,9 +149,8 @@
     ) {
         let run = run.unwrap_or_else(|| self.next_run(task));
         let limits = self.limits;
-        let span = self.lease_span(now, limits.lease);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let Some(until_ms) = worker.lease_until(now, span, limits.bound_of(span)) else {
+        let Some(until_ms) = worker.lease_until(now, limits.lease, limits.lease_bound()) else {
             return;
         };
         let addr = worker.info.addr;
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -73,7 +73,6 @@
     pub(super) fn poll(&mut self, now: Time, out: &mut Vec<Effect>) {
         self.repeat_stops(now, out);
         let (epoch, limits) = (self.epoch, self.limits);
-        let full_span = self.lease_span(now, limits.lease);
         for (id, worker) in &mut self.workers {
             if worker.poll_sent.is_some() || now < worker.poll_at {
                 continue;
@@ -91,7 +90,7 @@
             let until_ms = if renews && busy {
                 // What is left on a leaving worker ends with it, and is started again that much sooner.
                 let leaves = worker.info.state == WorkerState::Draining;
-                let span = if leaves { LEAVING_LEASE.min(full_span) } else { full_span };
+                let span = if leaves { LEAVING_LEASE } else { limits.lease };
                 worker.lease_until(now, span, limits.bound_of(span))
             } else {
                 None
--- a/crates/workflow/src/scheduler/survey.rs
+++ b/crates/workflow/src/scheduler/survey.rs
@@ -59,17 +59,20 @@
 
     /// When all that leaders before this one started at a worker must have lapsed.
     fn lapses_at(&self, now: Time, roster: &Roster, standing: &Standing) -> Time {
-        // If the last leader wrote no roster, who of its predecessors may still give orders isn't known. But
-        // none of them has recorded anything after the last leader's claim.
-        let latest = now + self.limits.reach_bound();
+        let lease = self.limits.lease_bound();
+        // The last leader wrote no roster, so who of its predecessors may still give orders isn't known. All
+        // of them had lost their authority so long after the last leader's claim at the latest.
+        let latest = now + self.limits.authority + lease;
         let known = self.succession.is_of(roster.epoch);
         match standing {
-            Standing::Open | Standing::Leaving { .. } if known => self.succession.granted_until(),
+            Standing::Open | Standing::Leaving { .. } if known => {
+                self.succession.orders_until() + lease
+            }
             Standing::Silent { lapses_ms, .. } | Standing::Unanswered { lapses_ms } if known => {
                 latest.min(self.succession.time_of(*lapses_ms))
             }
             // Nobody has renewed anything there since the roster was written.
-            Standing::Silent { .. } => now + self.limits.lease_bound(),
+            Standing::Silent { .. } => now + lease,
             Standing::Open | Standing::Leaving { .. } | Standing::Unanswered { .. } => latest,
         }
     }
