Wait for what is read in a module of its own, so that appends need no node

Five files of the runtime knew each other through the node. What waits for something among the records (an append whose answer is lost, another leader, a workflow) asks Reads now; the appender has only that and the store. The loop that does so stood four times. No change in what is done: the platform's tests over sockets pass.

--- a/crates/runtime/src/append.rs
+++ b/crates/runtime/src/append.rs
@@ -1,7 +1,11 @@
 //! Group commit of what clients submit: what arrives while an append is under way goes into the next.
 
 use {
-    crate::{border::Append, clock::Clock, node::Node},
+    crate::{
+        border::{Append, Store},
+        clock::Clock,
+        reads::Reads,
+    },
     egretlb_types::Time,
     egretlb_workflow::{AppendResult, Record},
     std::{
@@ -50,8 +54,9 @@
 }
 
 /// Appends clients' records in batches.
-#[derive(Default)]
 pub(crate) struct Appender {
+    store: Rc<dyn Store>,
+    reads: Rc<Reads>,
     waiting: RefCell<Vec<Waiting>>,
     notify: Notify,
     clock: Clock,
@@ -60,6 +65,18 @@
 }
 
 impl Appender {
+    /// Appends to `store`; `reads` tells of appends whose answer is lost.
+    pub(crate) fn new(store: Rc<dyn Store>, reads: Rc<Reads>) -> Appender {
+        Appender {
+            store,
+            reads,
+            waiting: RefCell::default(),
+            notify: Notify::new(),
+            clock: Clock,
+            trying: Cell::new(None),
+        }
+    }
+
     /// Whether appends don't get through.
     pub(crate) fn is_stuck(&self) -> bool {
         self.trying.get().is_some_and(|since| self.clock.now().since(since) >= STUCK_AFTER)
@@ -78,7 +95,7 @@
     }
 
     /// Appends for as long as the process runs.
-    pub(crate) async fn run(self: Rc<Self>, node: Rc<Node>) {
+    pub(crate) async fn run(self: Rc<Self>) {
         loop {
             let batch = self.take();
             if batch.is_empty() {
@@ -88,7 +105,7 @@
             let (records, senders): (Vec<Record>, Vec<_>) =
                 batch.into_iter().map(|waiting| (waiting.record, waiting.tx)).unzip();
             let append = Append { records, fence: None };
-            let stored = self.commit(&node, &append).await;
+            let stored = self.commit(&append).await;
             for tx in senders {
                 // A client that has left doesn't wait for the result.
                 let _ = tx.send(stored);
@@ -107,11 +124,11 @@
         waiting.drain(..count).collect()
     }
 
-    async fn commit(&self, node: &Node, append: &Append) -> Stored {
+    async fn commit(&self, append: &Append) -> Stored {
         let begun = self.clock.now();
         self.trying.set(Some(begun));
         let records = append.records.len();
-        let stored = self.persist(begun, node, append).await;
+        let stored = self.persist(begun, append).await;
         self.trying.set(None);
         if stored != Stored::Yes {
             log::warn!(records, stored:? = stored; "append_given_up");
@@ -120,14 +137,14 @@
         stored
     }
 
-    async fn persist(&self, begun: Time, node: &Node, append: &Append) -> Stored {
+    async fn persist(&self, begun: Time, append: &Append) -> Stored {
         let mut uncertain = false;
         let mut tries = 0;
         loop {
             // An append whose answer is lost is found among what is read.
             let result = tokio::select! {
-                result = node.store().append(append) => result,
-                () = node.have_read(&append.records) => AppendResult::Done,
+                result = self.store.append(append) => result,
+                () = self.reads.clients_records(&append.records) => AppendResult::Done,
             };
             match result {
                 AppendResult::Done => return Stored::Yes,
--- a/crates/runtime/src/clients.rs
+++ b/crates/runtime/src/clients.rs
@@ -163,23 +163,15 @@
 async fn find(node: &Rc<Node>, id: WorkflowId, arrived: Time, req: &Request) -> Found {
     let own = node.formats().deadline(&req.headers);
     let patience = own.map_or(CATCH_UP, |own| CATCH_UP.min(own * CATCH_UP_PERCENT / 100));
-    let look = async {
-        loop {
-            let read = node.reads.notified();
-            {
-                let core = node.core();
-                if let Some(entry) = core.ledger.get(id) {
-                    return Found::State(entry.state());
-                }
-                if core.accepted.contains(&id) {
-                    return Found::State(State::Queued);
-                }
-                if core.work.at_end && core.work.fresh.is_some_and(|at| at > arrived) {
-                    return Found::Nothing;
-                }
-            }
-            read.await;
+    let look = node.reads.find(|core| {
+        if let Some(entry) = core.ledger.get(id) {
+            return Some(Found::State(entry.state()));
         }
-    };
+        if core.accepted.contains(&id) {
+            return Some(Found::State(State::Queued));
+        }
+        let read_on = core.work.at_end && core.work.fresh.is_some_and(|at| at > arrived);
+        read_on.then_some(Found::Nothing)
+    });
     timeout(patience, look).await.unwrap_or(Found::Unknown)
 }
--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -8,7 +8,10 @@
         Change, DirectoryChange, Effect, Leadership, LeadershipEffect, Ledger, Limits, RouteTable,
         Scheduler, Wave, WorkerId, WorkerInfo, WorkflowId,
     },
-    std::collections::{BTreeMap, HashSet},
+    std::{
+        collections::{BTreeMap, HashSet},
+        net::SocketAddr,
+    },
 };
 
 /// What a step of the node asks for.
@@ -172,6 +175,12 @@
         self.work.known_to.is_none_or(|known| self.leadership.proven().since(known) >= BEHIND_AFTER)
     }
 
+    /// Where another process that leads takes records.
+    pub(crate) fn other_leader(&self) -> Option<SocketAddr> {
+        let leader = self.ledger.leader().filter(|leader| !leader.released)?;
+        if self.leadership.is_own(leader) { None } else { leader.addr }
+    }
+
     /// Who leads, for logs.
     pub(crate) fn leader(&self) -> CompactString {
         self.ledger.leader().map_or_else(CompactString::default, |leader| leader.node.clone())
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -15,6 +15,7 @@
 mod node;
 mod orders;
 mod peers;
+mod reads;
 mod records;
 mod serve;
 
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -8,6 +8,7 @@
         core::{Core, Effects, Reading},
         orders::Turns,
         peers::{Leader, Waiting},
+        reads::Reads,
     },
     compact_str::CompactString,
     egretlb_telemetry::{RunEvent, WorkflowMetrics},
@@ -90,7 +91,7 @@
 
 /// A node.
 pub struct Node {
-    pub(crate) core: RefCell<Core>,
+    pub(crate) core: Rc<RefCell<Core>>,
     pub(crate) store: Rc<dyn Store>,
     pub(crate) workers: Rc<dyn Workers>,
     pub(crate) advisor: Rc<dyn Advisor>,
@@ -109,8 +110,7 @@
     pub(crate) clock: Clock,
     pub(crate) turns: Turns,
     wake: Notify,
-    /// Told of each answered read of the system's own records.
-    pub(crate) reads: Notify,
+    pub(crate) reads: Rc<Reads>,
 }
 
 impl Node {
@@ -122,15 +122,18 @@
         let place = place(&options);
         let leadership =
             Leadership::new(clock.now(), options.name, options.incarnation, place, options.limits);
+        let core = Rc::new(RefCell::new(Core::new(leadership, options.limits)));
+        let reads = Rc::new(Reads::new(Rc::clone(&core)));
+        let appender = Appender::new(Rc::clone(&store), Rc::clone(&reads));
         Rc::new(Node {
-            core: RefCell::new(Core::new(leadership, options.limits)),
+            core,
             store,
             workers,
             advisor,
             fleet,
             name,
             formats,
-            appender: Rc::default(),
+            appender: Rc::new(appender),
             leader: Leader::default(),
             metrics: WorkflowMetrics::new(),
             waiting: RefCell::default(),
@@ -139,7 +142,7 @@
             clock,
             turns: Turns::default(),
             wake: Notify::new(),
-            reads: Notify::new(),
+            reads,
         })
     }
 
@@ -173,13 +176,6 @@
         core.scheduler.is_some() && core.leadership.authority(self.clock.now()).is_some()
     }
 
-    /// Where another process that leads takes records.
-    pub(crate) fn leader_addr(&self) -> Option<SocketAddr> {
-        let core = self.core.borrow();
-        let leader = core.ledger.leader().filter(|leader| !leader.released)?;
-        if core.leadership.is_own(leader) { None } else { leader.addr }
-    }
-
     /// Where followers may hand records in, once this process leads.
     pub(crate) fn listen_at(&self, addr: SocketAddr) {
         self.core.borrow_mut().leadership.listen_at(addr);
@@ -209,7 +205,7 @@
         for topic in [Topic::Operator, Topic::Work, Topic::Directory] {
             spawn_local(crate::follow::follow(Rc::clone(self), topic));
         }
-        spawn_local(Rc::clone(&self.appender).run(Rc::clone(self)));
+        spawn_local(Rc::clone(&self.appender).run());
         spawn_local(Rc::clone(self).tick_on());
     }
 
@@ -285,7 +281,7 @@
             log::info!(topic:% = topic, after_ms; "store_regained");
         }
         if topic == Topic::Work {
-            self.reads.notify_waiters();
+            self.reads.announce();
         }
     }
 
--- a/crates/runtime/src/peers.rs
+++ b/crates/runtime/src/peers.rs
@@ -114,9 +114,10 @@
 impl Node {
     /// Gets a client's record stored, by the leader if that works, else by an append of our own.
     pub(crate) async fn store_record(self: &Rc<Self>, record: Record) -> Stored {
+        let other = self.core().other_leader();
         let handed = if self.may_lead() {
             Handed::Settled(self.store_as_leader(record.clone()).await)
-        } else if let Some(addr) = self.leader_addr() {
+        } else if let Some(addr) = other {
             self.hand_over(addr, &record).await
         } else {
             Handed::NotTaken
@@ -138,8 +139,8 @@
     async fn hand_over(&self, addr: SocketAddr, record: &Record) -> Handed {
         tokio::select! {
             handed = self.leader.store(addr, record) => handed,
-            () = self.have_read(std::slice::from_ref(record)) => Handed::Settled(Stored::Yes),
-            () = self.leader_changes(addr) => Handed::Unknown,
+            () = self.reads.clients_records(std::slice::from_ref(record)) => Handed::Settled(Stored::Yes),
+            () = self.reads.other_leader(addr) => Handed::Unknown,
         }
     }
 
--- /dev/null
+++ b/crates/runtime/src/reads.rs
@@ -0,0 +1,61 @@
+//! What has been read of the system's own records, for whoever waits for something among them.
+
+use {
+    crate::core::Core,
+    egretlb_types::{Epoch, Seq},
+    egretlb_workflow::Record,
+    std::{cell::RefCell, net::SocketAddr, rc::Rc},
+    tokio::sync::Notify,
+};
+
+/// The records as far as they were read. An append whose answer is lost, or another process's taking over, is
+/// learned of here.
+pub(crate) struct Reads {
+    core: Rc<RefCell<Core>>,
+    answered: Notify,
+}
+
+impl Reads {
+    /// Nothing has been read yet.
+    pub(crate) fn new(core: Rc<RefCell<Core>>) -> Reads {
+        Reads { core, answered: Notify::new() }
+    }
+
+    /// A read of the records was answered, and what it returned was taken in.
+    pub(crate) fn announce(&self) {
+        self.answered.notify_waiters();
+    }
+
+    /// Waits until `look` finds what it looks for: at once, or after one of the next reads.
+    pub(crate) async fn find<T>(&self, look: impl Fn(&Core) -> Option<T>) -> T {
+        loop {
+            // Asked for first: a read that is answered while `look` runs isn't missed.
+            let answered = self.answered.notified();
+            let found = look(&self.core.borrow());
+            if let Some(found) = found {
+                return found;
+            }
+            answered.await;
+        }
+    }
+
+    /// Waits until an append of this process's term is among what was read.
+    pub(crate) async fn own_append(&self, epoch: Epoch, seq: Seq) {
+        self.find(|core| {
+            let newest = core.ledger.leader()?;
+            core.leadership.has_read(newest, epoch, seq).then_some(())
+        })
+        .await;
+    }
+
+    /// Waits until clients' records are among what was read.
+    pub(crate) async fn clients_records(&self, records: &[Record]) {
+        self.find(|core| records.iter().all(|record| core.ledger.holds(record)).then_some(()))
+            .await;
+    }
+
+    /// Waits until another process leads than the one that takes records at `addr`.
+    pub(crate) async fn other_leader(&self, addr: SocketAddr) {
+        self.find(|core| (core.other_leader() != Some(addr)).then_some(())).await;
+    }
+}
--- a/crates/runtime/src/records.rs
+++ b/crates/runtime/src/records.rs
@@ -1,4 +1,4 @@
-//! Appends of the leader, and what tells that an append took effect.
+//! Appends of the leader.
 
 use {
     crate::{
@@ -7,9 +7,9 @@
         node::Node,
         peers::Waiting,
     },
-    egretlb_types::{Epoch, Offset, Seq},
+    egretlb_types::Offset,
     egretlb_workflow::{AppendResult, Record},
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{rc::Rc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -62,7 +62,7 @@
         loop {
             let result = tokio::select! {
                 result = self.store.append(&append) => result,
-                () = self.has_read(epoch, seq) => AppendResult::Done,
+                () = self.reads.own_append(epoch, seq) => AppendResult::Done,
             };
             let took = self.clock.now().since(sent);
             if took >= SLOW_APPEND {
@@ -90,43 +90,6 @@
         }
     }
 
-    /// Waits until an append of this term is among what was read.
-    async fn has_read(&self, epoch: Epoch, seq: Seq) {
-        loop {
-            let read = self.reads.notified();
-            {
-                let core = self.core.borrow();
-                let newest = core.ledger.leader();
-                if newest.is_some_and(|newest| core.leadership.has_read(newest, epoch, seq)) {
-                    return;
-                }
-            }
-            read.await;
-        }
-    }
-
-    /// Waits until clients' records are among what was read.
-    pub(crate) async fn have_read(&self, records: &[Record]) {
-        loop {
-            let read = self.reads.notified();
-            if records.iter().all(|record| self.core.borrow().ledger.holds(record)) {
-                return;
-            }
-            read.await;
-        }
-    }
-
-    /// Waits until another process leads than the one that takes records at `addr`.
-    pub(crate) async fn leader_changes(&self, addr: SocketAddr) {
-        loop {
-            let read = self.reads.notified();
-            if self.leader_addr() != Some(addr) {
-                return;
-            }
-            read.await;
-        }
-    }
-
     /// Prepares the end of the process: it takes no term any more, and gives up the one it has.
     pub(crate) async fn retire(self: &Rc<Self>) {
         self.core.borrow_mut().stopping = true;
