Tests: workers back at old addresses, and lapsed entries around a change of the leader

The tests' world lets a lost worker come back at its address, refuses connections where a process or its network does, and lets entries lapse.

--- a/crates/workflow/tests/support/messages.rs
+++ b/crates/workflow/tests/support/messages.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         node::Wish,
-        worker::StartOrder,
+        worker::{StartOrder, Worker},
         world::{STEP, World},
     },
     egretlb_types::{Epoch, Seq, Time},
@@ -60,6 +60,19 @@
     Told(u64, WaveState),
 }
 
+/// What an order meets at the address that it is sent to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Meets {
+    /// The worker.
+    Worker,
+    /// No answer; it isn't carried out.
+    Silence,
+    /// Nothing listens there, or something on the way turns connections away.
+    Refusal,
+    /// A later incarnation of the worker.
+    Successor,
+}
+
 /// A hanging append is given up after this.
 const HANGS: Duration = Duration::from_millis(2_400);
 
@@ -190,36 +203,53 @@
         let Some(index) = self.workers.iter().position(|worker| worker.info.id == id) else {
             return;
         };
-        let cut = self.nodes[node].cut_from.contains(&index);
         let late = self.rng.random_range(0..1_000) < self.late_orders;
         if late && now.since(sent) < Duration::from_millis(100) {
             let wait = Duration::from_millis(self.rng.random_range(2_000..12_000));
             let lost = Msg::Order { node, incarnation, epoch, sent, effect: effect.clone() };
             self.messages.push((now + wait, lost));
         }
-        let unanswered = cut || late || !self.workers[index].up;
-        let Some(answer) = self.carry_out(index, id, effect, unanswered) else { return };
+        let meets = if late { Meets::Silence } else { self.meets(node, index) };
+        let Some(answer) = self.carry_out(index, id, effect, meets) else { return };
         // A call without an answer is given up after half a second.
-        let wait = if unanswered { Duration::from_millis(500) } else { STEP };
+        let wait = if meets == Meets::Silence { Duration::from_millis(500) } else { STEP };
         self.messages.push((now + wait, Msg::Answer { node, incarnation, epoch, sent, answer }));
     }
 
-    /// What a worker answers; `unanswered` orders aren't carried out.
+    /// What orders of a node to a worker meet.
+    fn meets(&self, node: usize, index: usize) -> Meets {
+        let node = &self.nodes[node];
+        let worker = &self.workers[index];
+        let addr = worker.info.addr;
+        let listens = |other: &Worker| other.up && other.info.addr == addr;
+        let there = self.workers.iter().position(listens);
+        match there {
+            _ if node.cut_from.contains(&index) => Meets::Silence,
+            _ if node.refused_by.contains(&index) => Meets::Refusal,
+            Some(there) if there == index => Meets::Worker,
+            Some(_) => Meets::Successor,
+            None if worker.vm_up => Meets::Refusal,
+            None => Meets::Silence,
+        }
+    }
+
+    /// What a worker answers to an order, or what else becomes of it.
     fn carry_out(
         &mut self,
         index: usize,
         id: WorkerId,
         effect: Effect,
-        unanswered: bool,
+        meets: Meets,
     ) -> Option<Answer> {
         let now = self.now;
         let (worker, checker) = (&mut self.workers[index], &mut self.checker);
         Some(match effect {
             Effect::Hold { epoch, recorded, until_ms, .. } => {
-                let result = if unanswered {
-                    HoldResult::Failed
-                } else {
-                    worker.hold(now, epoch, recorded, until_ms, checker)
+                let result = match meets {
+                    Meets::Worker => worker.hold(now, epoch, recorded, until_ms, checker),
+                    Meets::Silence => HoldResult::Failed,
+                    Meets::Refusal => HoldResult::Refused,
+                    Meets::Successor => HoldResult::OtherIncarnation,
                 };
                 Answer::Hold(id, result)
             }
@@ -227,29 +257,29 @@
                 let step = task.step_id();
                 let ticketed =
                     submission.advice.is_none() || self.advisor.accepts(now, step, &id, &ticket);
-                let result = if unanswered {
-                    StartResult::Unknown
-                } else if !ticketed {
-                    StartResult::BadTicket
-                } else {
-                    let order = StartOrder { epoch, task, run, submission, until_ms };
-                    worker.start(now, &order, checker)
+                let order = StartOrder { epoch, task, run, submission, until_ms };
+                let result = match meets {
+                    Meets::Worker if !ticketed => StartResult::BadTicket,
+                    Meets::Worker => worker.start(now, &order, checker),
+                    Meets::Silence => StartResult::Unknown,
+                    Meets::Refusal => StartResult::NotSent,
+                    Meets::Successor => StartResult::OtherIncarnation,
                 };
                 Answer::Start(id, task, run, result)
             }
             Effect::Stop { epoch, task, run, .. } => {
-                let result = if unanswered {
-                    StopResult::Unknown
-                } else {
-                    worker.stop(now, epoch, task, run, checker)
+                let result = match meets {
+                    Meets::Worker => worker.stop(now, epoch, task, run, checker),
+                    Meets::Silence | Meets::Refusal => StopResult::Unknown,
+                    Meets::Successor => StopResult::OtherIncarnation,
                 };
                 Answer::Stop(id, task, run, result)
             }
             Effect::Pace { epoch, task, run, percent, .. } => {
-                let result = if unanswered {
-                    PaceResult::Unknown
-                } else {
-                    worker.pace(now, epoch, (task, run), percent)
+                let result = match meets {
+                    Meets::Worker => worker.pace(now, epoch, (task, run), percent),
+                    Meets::Silence | Meets::Refusal => PaceResult::Unknown,
+                    Meets::Successor => PaceResult::OtherIncarnation,
                 };
                 Answer::Pace(id, task, run, result)
             }
--- a/crates/workflow/tests/support/node.rs
+++ b/crates/workflow/tests/support/node.rs
@@ -21,6 +21,8 @@
     pub calls_hang: bool,
     /// Workers that it can't reach.
     pub cut_from: Vec<usize>,
+    /// Workers that are well and whose network turns its connections away.
+    pub refused_by: Vec<usize>,
     pub elections: u32,
     pub directory: Vec<WorkerInfo>,
     pub incarnation: u64,
@@ -51,6 +53,7 @@
             reaches_store: true,
             calls_hang: false,
             cut_from: Vec::new(),
+            refused_by: Vec::new(),
             elections: 0,
             directory: Vec::new(),
             incarnation,
--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -45,6 +45,10 @@
 pub struct Worker {
     pub info: WorkerInfo,
     pub up: bool,
+    /// Its VM runs, so that connections are refused once the worker is gone.
+    pub vm_up: bool,
+    /// Its entry is in the directory while it is up.
+    pub listed: bool,
     /// The worker's clock runs at this share of real time, in thousandths.
     pub rate: u64,
     pub running: BTreeMap<TaskId, Run>,
@@ -87,6 +91,8 @@
                 state: WorkerState::Ready,
             },
             up: true,
+            vm_up: true,
+            listed: true,
             rate: 1_000,
             running: BTreeMap::new(),
             ended: Vec::new(),
@@ -277,8 +283,15 @@
         }
     }
 
-    /// All that runs is gone without a trace; the worker comes back with another id, or not.
+    /// Its VM loses power. All that runs is gone without a trace; the worker comes back with another id, or
+    /// not.
     pub fn crash(&mut self, checker: &mut Checker) {
+        self.exit(checker);
+        self.vm_up = false;
+    }
+
+    /// Its process ends, and the VM runs on.
+    pub fn exit(&mut self, checker: &mut Checker) {
         self.up = false;
         for (task, run) in std::mem::take(&mut self.running) {
             checker.vanished(&self.info.id, task, run.run);
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -88,6 +88,14 @@
         self.workers.len() - 1
     }
 
+    /// A worker that is gone comes back at its address, with another id.
+    pub fn revive(&mut self, number: usize) -> usize {
+        let addr = self.workers[number].info.addr;
+        let revived = self.add_worker(8);
+        self.workers[revived].info.addr = addr;
+        revived
+    }
+
     /// A client's workflow, recorded at once.
     pub fn submit(&mut self, id: u64, submission: &Submission) -> WorkflowId {
         let id = WorkflowId(id);
@@ -233,7 +241,7 @@
     fn read_directory(&mut self, index: usize) {
         let now = self.now;
         let present: Vec<_> =
-            self.workers.iter().filter(|worker| worker.up).map(|w| w.info.clone()).collect();
+            self.workers.iter().filter(|w| w.up && w.listed).map(|w| w.info.clone()).collect();
         let node = &mut self.nodes[index];
         let gone: Vec<WorkerId> = node
             .directory
