Take a worker that only the roster knows for leaving only if it was listed so

Cause: a successor's placeholder for a worker without an entry in the directory stood as draining. Entries also lapse while workers or the store are cut off. So a worker that was well (1) was gone at the first refused connection, and its tasks were started a second time while they ran; (2) was recorded as leaving after the survey and got nothing for the rest of the term, entry or not; (3) got leases of 2 s instead of 5 s.

--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -306,8 +306,12 @@
     }
 }
 
-/// A worker of which only the roster's entry is known: it is asked and gets no work.
+/// A worker of which only the roster's entry is known: it is asked, and gets no work while its own entry is
+/// missing. It counts as leaving only if the predecessor listed that. Entries also lapse while a worker or
+/// the store is cut off, and a worker that is well would be taken for one that left as soon as a connection is
+/// refused (its tasks would run twice), or be passed over for the whole term once its entry is back.
 fn placeholder(entry: &RosterEntry) -> WorkerInfo {
+    let leaves = entry.closed.as_ref().is_some_and(|closed| closed.renewed);
     WorkerInfo {
         id: entry.id.clone(),
         addr: entry.addr,
@@ -315,6 +319,6 @@
         data_centre: CompactString::default(),
         capacity: egretlb_types::Resources::default(),
         labels: smallvec::SmallVec::new(),
-        state: WorkerState::Draining,
+        state: if leaves { WorkerState::Draining } else { WorkerState::Ready },
     }
 }
