--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -19,8 +19,9 @@
 /// How often nodes read the store.
 const READ_EVERY: u64 = 4;
 
-/// How often nodes read the directory.
+/// How often the leader reads the directory, and how often the others do, in steps.
 const DIRECTORY_EVERY: u64 = 50;
+const DIRECTORY_FOLLOWER_EVERY: u64 = 300;
 
 pub struct World {
     pub now: Time,
@@ -200,10 +201,15 @@
     fn step_node(&mut self, index: usize) {
         let now = self.now;
         let mut wishes = Vec::new();
-        if self.steps.is_multiple_of(DIRECTORY_EVERY) || self.nodes[index].directory.is_empty() {
+        let readable = self.nodes[index].reaches_store && !self.store_down;
+        let node = &self.nodes[index];
+        let leads = node.scheduler.is_some();
+        let every = if leads { DIRECTORY_EVERY } else { DIRECTORY_FOLLOWER_EVERY };
+        if readable
+            && ((self.steps + 70 * index as u64).is_multiple_of(every) || node.directory.is_empty())
+        {
             self.read_directory(index);
         }
-        let readable = self.nodes[index].reaches_store && !self.store_down;
         if self.steps.is_multiple_of(READ_EVERY) {
             if readable {
                 let from = self.nodes[index].next;
