--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -19,8 +19,9 @@
 /// How often nodes read the store.
 const READ_EVERY: u64 = 4;
 
-/// How often nodes read the directory.
+/// How often the leader reads the directory, and how often the others do, in steps.
 const DIRECTORY_EVERY: u64 = 50;
+const DIRECTORY_FOLLOWER_EVERY: u64 = 300;
 
 pub struct World {
     pub now: Time,
@@ -88,6 +89,14 @@
         self.workers.len() - 1
     }
 
+    /// A worker that is gone comes back at its address, with another id.
+    pub fn revive(&mut self, number: usize) -> usize {
+        let addr = self.workers[number].info.addr;
+        let revived = self.add_worker(8);
+        self.workers[revived].info.addr = addr;
+        revived
+    }
+
     /// A client's workflow, recorded at once.
     pub fn submit(&mut self, id: u64, submission: &Submission) -> WorkflowId {
         let id = WorkflowId(id);
@@ -192,10 +201,15 @@
     fn step_node(&mut self, index: usize) {
         let now = self.now;
         let mut wishes = Vec::new();
-        if self.steps.is_multiple_of(DIRECTORY_EVERY) || self.nodes[index].directory.is_empty() {
+        let readable = self.nodes[index].reaches_store && !self.store_down;
+        let node = &self.nodes[index];
+        let leads = node.scheduler.is_some();
+        let every = if leads { DIRECTORY_EVERY } else { DIRECTORY_FOLLOWER_EVERY };
+        if readable
+            && ((self.steps + 70 * index as u64).is_multiple_of(every) || node.directory.is_empty())
+        {
             self.read_directory(index);
         }
-        let readable = self.nodes[index].reaches_store && !self.store_down;
         if self.steps.is_multiple_of(READ_EVERY) {
             if readable {
                 let from = self.nodes[index].next;
@@ -233,7 +247,7 @@
     fn read_directory(&mut self, index: usize) {
         let now = self.now;
         let present: Vec<_> =
-            self.workers.iter().filter(|worker| worker.up).map(|w| w.info.clone()).collect();
+            self.workers.iter().filter(|w| w.up && w.listed).map(|w| w.info.clone()).collect();
         let node = &mut self.nodes[index];
         let gone: Vec<WorkerId> = node
             .directory
