--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -45,6 +45,8 @@
 pub struct Worker {
     pub info: WorkerInfo,
     pub up: bool,
+    /// Its entry is in the directory, while it is up.
+    pub listed: bool,
     /// The worker's clock runs at this share of real time, in thousandths.
     pub rate: u64,
     pub running: BTreeMap<TaskId, Run>,
@@ -87,6 +89,7 @@
                 state: WorkerState::Ready,
             },
             up: true,
+            listed: true,
             rate: 1_000,
             running: BTreeMap::new(),
             ended: Vec::new(),
