Take a worker for leaving by its own word only, and take it back

Cause: a new leader knows some workers by the roster alone, since their entries are missing: they lapsed while the store was away, or the process led before it had read the directory. Such a worker counted as draining; at the next change of the roster it was recorded as about to leave, a mark that nothing removed, neither its entry coming back as ready nor the next leader, which read the mark from the records. It got no work for the rest of its life.

Now a worker of the roster counts as leaving only if the roster or its entry says so, and the mark is taken back as silence is: a roster without it is recorded first, then work goes there.

Ruled out by traces: a run held for an answer, giving way again and again, tasks not known to be wanted, supposed runs that never lapse. Each task was in its step's queue, the step was in the order, and the only worker with room was ready, heard, in the roster and marked.

--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -164,6 +164,7 @@
         for entry in ledger.roster() {
             let mut worker = Worker::new(now, placeholder(entry));
             worker.present = false;
+            worker.known = false;
             worker.in_roster = true;
             worker.listed_silent = entry.closed.as_ref().is_some_and(|closed| !closed.renewed);
             worker.leaving = entry.closed.as_ref().is_some_and(|closed| closed.renewed);
@@ -225,6 +226,7 @@
         let was_ready = worker.info.state == WorkerState::Ready;
         worker.info = info;
         worker.present = true;
+        worker.known = true;
         if !worker.in_roster {
             self.roster_dirty = true;
         }
@@ -306,8 +308,11 @@
     }
 }
 
-/// A worker of which only the roster's entry is known: it is asked and gets no work.
+/// A worker of which only the roster's entry is known: it is asked and gets no work. It counts as about to
+/// leave only if the roster says so: entries are missing also while the store is away, and where a process
+/// that has just started leads before it has read them.
 fn placeholder(entry: &RosterEntry) -> WorkerInfo {
+    let leaves = entry.closed.as_ref().is_some_and(|closed| closed.renewed);
     WorkerInfo {
         id: entry.id.clone(),
         addr: entry.addr,
@@ -315,6 +320,6 @@
         data_centre: CompactString::default(),
         capacity: egretlb_types::Resources::default(),
         labels: smallvec::SmallVec::new(),
-        state: WorkerState::Draining,
+        state: if leaves { WorkerState::Draining } else { WorkerState::Ready },
     }
 }
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -133,12 +133,11 @@
         for id in silent {
             self.drop_lapsed(now, &id);
         }
-        // A worker that has fallen silent, or is heard again, changes the roster.
+        // A worker that has fallen silent, is heard again, or leaves or stays after all, changes the roster.
         let changed = |worker: &super::Worker| {
-            let silence = worker.lists_silent(now, &limits) != worker.listed_silent;
             // What it ran has been moved: a successor that reads so holds nothing back.
             let emptied = worker.leaving && worker.listed_runs > 0 && worker.copies.is_empty();
-            worker.in_roster && (silence || emptied)
+            worker.differs_from_roster(now, &limits) || (worker.in_roster && emptied)
         };
         self.roster_dirty |= self.workers.values().any(changed);
         self.unaccounted.retain(|_, until| now < *until);
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -12,11 +12,19 @@
 pub(super) struct Recording {
     /// Ends up to here are recorded once it is done.
     ends: Vec<(WorkerId, u64)>,
-    roster: Vec<(WorkerId, bool)>,
+    roster: Vec<Listed>,
     ended: Vec<WorkflowId>,
     waves: Vec<(u64, WaveProgress)>,
 }
 
+/// What the roster says of a worker.
+#[derive(Debug)]
+struct Listed {
+    id: WorkerId,
+    silent: bool,
+    leaving: bool,
+}
+
 /// The most bytes of records in one append; far below the store's bound of 2 MB.
 const RECORD_BYTES: usize = 512 * 1024;
 
@@ -96,14 +104,14 @@
         let mut roster = Vec::with_capacity(self.workers.len());
         for (id, worker) in &mut self.workers {
             let silent = worker.lists_silent(now, &self.limits);
-            let leaves = worker.leaves();
+            let leaving = worker.leaves();
             // From here on nothing is started there, since the record may be read before it is confirmed.
             worker.listed_silent |= silent;
-            worker.leaving |= leaves;
+            worker.leaving |= leaving;
             let runs = || worker.copies.keys().copied().collect();
-            let closed = (silent || leaves).then(|| Closed { runs: runs(), renewed: !silent });
+            let closed = (silent || leaving).then(|| Closed { runs: runs(), renewed: !silent });
             worker.listed_runs = closed.as_ref().map_or(0, |closed| closed.runs.len());
-            recording.roster.push((id.clone(), silent));
+            recording.roster.push(Listed { id: id.clone(), silent, leaving });
             roster.push(RosterEntry { id: id.clone(), addr: worker.info.addr, closed });
         }
         records.push(Record::new(Key::Roster, &roster));
@@ -143,10 +151,11 @@
                 worker.recorded = worker.recorded.max(number);
             }
         }
-        for (id, silent) in recording.roster {
+        for Listed { id, silent, leaving } in recording.roster {
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.in_roster = true;
                 worker.listed_silent = silent;
+                worker.leaving = leaving;
             }
         }
         for id in recording.ended {
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -158,12 +158,15 @@
     pub(crate) info: WorkerInfo,
     /// Its entry is in the directory.
     pub(crate) present: bool,
+    /// Its entry was read in this term; before that only what the roster says of it is known.
+    pub(crate) known: bool,
     /// The roster in the store names it, so a successor knows to ask it.
     pub(crate) in_roster: bool,
     /// The roster lists what may run there and nothing else; until a roster without that list is
     /// recorded, it gets no order that starts or renews anything.
     pub(crate) listed_silent: bool,
-    /// The roster lists what may run there since it is about to leave: nothing is started there any more.
+    /// The roster lists what may run there since it is about to leave: nothing is started there until a
+    /// roster without that list is recorded.
     pub(crate) leaving: bool,
     /// How many runs the roster lists there.
     pub(crate) listed_runs: usize,
@@ -216,6 +219,7 @@
         Worker {
             info,
             present: true,
+            known: true,
             in_roster: false,
             listed_silent: false,
             leaving: false,
@@ -314,16 +318,25 @@
         self.is_silent(now, limits) || (!self.surveyed && self.listed_silent)
     }
 
-    /// Whether it is about to leave, and what may run there is known.
+    /// Whether it is about to leave, by its own word, and what may run there is known. Its entry may have
+    /// been missing for a while, or have been read late: what was once taken for leaving may turn out to
+    /// stay, and its room would be lost for good if that weren't taken back.
     pub(crate) fn leaves(&self) -> bool {
-        self.leaving || (self.surveyed && self.info.state == WorkerState::Draining)
+        self.info.state == WorkerState::Draining && (self.leaving || self.surveyed)
     }
 
-    /// Whether it has certainly left: it had announced that, its entry is gone, and nothing listens at
-    /// its address. Each alone may be something else: entries lapse by silence or are revoked, and a
-    /// draining worker works on for seconds.
+    /// Whether the roster has to say something else of it: whether it is silent, or about to leave.
+    pub(crate) fn differs_from_roster(&self, now: Time, limits: &Limits) -> bool {
+        let silence = self.lists_silent(now, limits) != self.listed_silent;
+        self.in_roster && (silence || self.leaves() != self.leaving)
+    }
+
+    /// Whether it has certainly left: it had announced that, or this leader has never seen its entry; its
+    /// entry is gone; and nothing listens at its address. Each alone may be something else: entries lapse
+    /// by silence or are revoked, and a draining worker works on for seconds.
     pub(crate) fn has_left(&self) -> bool {
-        self.info.state == WorkerState::Draining && !self.present && self.refused
+        let expected = self.info.state == WorkerState::Draining || !self.known;
+        expected && !self.present && self.refused
     }
 
     /// Whether it may get a new task.
