--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -115,7 +115,7 @@
         self.lease_until = self.lease_until.max(until_ms.min(longest));
     }
 
-    fn finish(&mut self, task: TaskId, kind: EndKind, checker: &mut Checker) {
+    pub fn finish(&mut self, task: TaskId, kind: EndKind, checker: &mut Checker) {
         let Some(run) = self.running.remove(&task) else { return };
         self.stopped.insert(task, run.run);
         checker.ended(&self.info.id, task, run.run, kind, self.next_end);
