Let a task go back to where it failed if nothing else has room

Cause: the worker at which a task failed last was excluded for good, though the rule is that it goes elsewhere if it can. In a full service the room that the task has left is the only one, so it waited until something else ended; the tasks of its step waited behind it, and what takes as much was held to find no room either in the same pass. Beside that, a worker under quarantine (two failures in a row, which chance brings about) was passed over for 4 s also where nothing else had room.

Now a lasting task goes back at once if nothing else has room, one that ends soon after 2 s; tasks of the step that needn't keep away pass it. A lasting task that has waited for 2 s is tried at a worker under quarantine, at most once in 2 s.

--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -140,8 +140,9 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.failures += 1;
         if worker.failures >= self.limits.faulty_after {
-            worker.barred_until = now + self.limits.quarantine;
+            worker.quarantined_until = now + self.limits.quarantine;
             log::warn!(worker:% = id, failures = worker.failures; "worker_quarantined");
+            self.quarantined.push(id.clone());
         }
     }
 
@@ -187,8 +188,8 @@
 
     fn on_failed(&mut self, now: Time, id: &WorkerId, end: &End) {
         let lasting = self.step(end.task).is_none_or(|step| step.lasting);
+        self.avoid(now, end.task, id);
         let Some(state) = self.task_mut(end.task) else { return };
-        state.avoid = Some(id.clone());
         if !lasting && !state.failed.contains(&end.run) {
             state.failed.push(end.run);
         }
--- /dev/null
+++ b/crates/workflow/src/scheduler/fallback.rs
@@ -0,0 +1,134 @@
+//! Where a task goes when the workers that it would rather have are full.
+//!
+//! Load: the workers are full of tasks that last for minutes, so the only room is often what a failed task
+//! has just left. A task that kept away from there would wait until something else ends; so would one for
+//! which the only room is at a worker under quarantine, where two failures in a row may be chance.
+
+use {
+    super::{Need, Ready, Scheduler, place::task_of},
+    crate::{TaskId, WorkerId},
+    compact_str::CompactString,
+    egretlb_types::Time,
+    std::time::Duration,
+};
+
+/// A task that ends soon keeps away from where it failed or was slow for so long, then it goes there if
+/// nothing else has room. A worker that fails all runs is under quarantine by then, and a slow one shows
+/// it. A task that lasts goes back at once, since its users are without it meanwhile and another failure
+/// costs it nothing.
+const KEEP_AWAY: Duration = Duration::from_secs(2);
+
+/// A task that lasts has waited for so long when it is tried at a worker under quarantine. The platform
+/// takes it as forgotten after 3 s with room for it.
+const LAST_RESORT: Duration = Duration::from_secs(2);
+
+/// A worker that a task is better off without.
+#[derive(Clone, Debug)]
+pub(crate) struct Avoided {
+    pub(crate) worker: WorkerId,
+    pub(crate) since: Time,
+}
+
+impl Scheduler {
+    /// Notes that a task failed at a worker or is slow there: it goes elsewhere if it can.
+    pub(super) fn avoid(&mut self, now: Time, task: TaskId, id: &WorkerId) {
+        if let Some(state) = self.task_mut(task) {
+            state.avoid = Some(Avoided { worker: id.clone(), since: now });
+        }
+    }
+
+    /// The worker for a task, if one can take it.
+    pub(super) fn choose(
+        &mut self,
+        now: Time,
+        task: TaskId,
+        service: &CompactString,
+        need: &Need<'_>,
+    ) -> Option<WorkerId> {
+        let elsewhere = self.choose_elsewhere(now, task, service, need);
+        elsewhere
+            .or_else(|| self.choose_again(now, task, service, need))
+            .or_else(|| self.choose_quarantined(now, task, service, need))
+    }
+
+    /// The worker that a task avoids, once it needn't any more.
+    fn choose_again(
+        &mut self,
+        now: Time,
+        task: TaskId,
+        service: &CompactString,
+        need: &Need<'_>,
+    ) -> Option<WorkerId> {
+        let Avoided { worker: avoided, since } = self.task_mut(task)?.avoid.clone()?;
+        if !need.step.lasting && now.since(since) < KEEP_AWAY {
+            return None;
+        }
+        let again = self.workers.get_key_value(&avoided);
+        let again = again.filter(|(_, worker)| worker.takes_work(now, &self.limits));
+        self.best(now, task, service, need, again.into_iter())
+    }
+
+    /// A worker under quarantine, for a task that lasts and has waited long enough.
+    pub(super) fn choose_quarantined(
+        &mut self,
+        now: Time,
+        task: TaskId,
+        service: &CompactString,
+        need: &Need<'_>,
+    ) -> Option<WorkerId> {
+        if !need.step.lasting || !self.is_last_resort(now, task) {
+            return None;
+        }
+        // Where it has just failed it would fail again and again.
+        let avoid = self.task_mut(task).and_then(|state| state.avoid.clone());
+        let avoid = avoid.filter(|avoid| now.since(avoid.since) < LAST_RESORT);
+        let workers = self.quarantined.iter().filter_map(|id| self.workers.get_key_value(id));
+        let workers = workers.filter(|(id, worker)| {
+            worker.takes_any_work(now, &self.limits)
+                && avoid.as_ref().is_none_or(|avoid| avoid.worker != **id)
+        });
+        self.best(now, task, service, need, workers)
+    }
+
+    /// Whether a step of lasting tasks may try a worker under quarantine: there is one, and the step has
+    /// waited long enough.
+    pub(super) fn is_last_resort(&self, now: Time, task: TaskId) -> bool {
+        !self.quarantined.is_empty() && self.waited(now, task.step_id()) >= LAST_RESORT
+    }
+
+    /// Forgets workers that aren't under quarantine any more.
+    pub(super) fn release_quarantined(&mut self, now: Time) {
+        let workers = &self.workers;
+        let held = |id: &WorkerId| workers.get(id).is_some_and(|w| now < w.quarantined_until);
+        self.quarantined.retain(held);
+        self.quarantined.sort_unstable();
+        self.quarantined.dedup();
+    }
+
+    /// Whether the first task of a step that waits still keeps away from a worker.
+    pub(super) fn front_keeps_away(&mut self, now: Time, key: Ready) -> bool {
+        let Some(index) = self.front(key) else { return false };
+        self.keeps_away(now, task_of(key, index))
+    }
+
+    fn keeps_away(&mut self, now: Time, task: TaskId) -> bool {
+        let lasting = self.step(task).is_some_and(|step| step.lasting);
+        let avoid = self.task_mut(task).and_then(|state| state.avoid.as_ref());
+        !lasting && avoid.is_some_and(|avoid| now.since(avoid.since) < KEEP_AWAY)
+    }
+
+    /// Puts a task that needn't keep away from any worker before those that must; returns whether there was
+    /// one. Otherwise one task that has failed would hold up all others of its step.
+    pub(super) fn bring_forward(&mut self, now: Time, key: Ready) -> bool {
+        if !self.front_keeps_away(now, key) {
+            return false;
+        }
+        let waiting: Vec<u32> = self.queue_of(key).into_iter().flatten().map(|i| *i).collect();
+        let free = waiting.iter().position(|index| !self.keeps_away(now, task_of(key, *index)));
+        let Some(place) = free else { return false };
+        if let Some(queue) = self.queue_of(key) {
+            queue.swap(0, place);
+        }
+        true
+    }
+}
--- a/crates/workflow/src/scheduler/flow.rs
+++ b/crates/workflow/src/scheduler/flow.rs
@@ -1,6 +1,7 @@
 //! What the leader knows of a workflow that hasn't ended.
 
 use {
+    super::fallback::Avoided,
     crate::{
         Entry, OccurrenceProgress, Outcome, Progress, RunId, StepProgress, Submission, WorkerId,
     },
@@ -22,8 +23,8 @@
     pub(crate) copies: SmallVec<[(WorkerId, RunId); 1]>,
     pub(crate) last_run: RunId,
     pub(crate) saved: CompactString,
-    /// Where it failed last: the next run goes elsewhere if it can.
-    pub(crate) avoid: Option<WorkerId>,
+    /// Where it failed or was slow last: the next run goes elsewhere if it can.
+    pub(crate) avoid: Option<Avoided>,
     /// How often it left a worker where it was slow.
     pub(crate) left: u8,
 }
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -13,6 +13,7 @@
 mod dump;
 mod effect;
 mod ends;
+mod fallback;
 mod flow;
 mod gangs;
 mod orders;
@@ -92,6 +93,8 @@
     learned_news: bool,
     /// When a task that ends soon last found no room.
     crowded_at: Option<Time>,
+    /// Workers under quarantine, and maybe some that have just left it.
+    quarantined: Vec<WorkerId>,
     advice: advice::Advice,
     upkeep: upkeep::Upkeep,
     caution: pacing::Caution,
@@ -151,6 +154,7 @@
             learned_at: now,
             learned_news: false,
             crowded_at: None,
+            quarantined: Vec::new(),
             advice: advice::Advice::default(),
             upkeep: upkeep::Upkeep::default(),
             caution: pacing::Caution::new(now),
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Copy, Effect, Need, Phase, Ready, Scheduler, Worker, flow::TaskState},
-    crate::{RunId, Step, TaskId, WorkerId, interference::ImageNo},
+    crate::{RunId, Step, StepId, TaskId, WorkerId, interference::ImageNo},
     compact_str::CompactString,
     egretlb_types::{Resources, Time},
     smallvec::SmallVec,
@@ -63,7 +63,8 @@
                 && known.image == image
                 && known.resources.fits(&step.resources)
         };
-        if unmet.iter().any(hopeless) {
+        let hopeless = unmet.iter().any(hopeless);
+        if hopeless && !(step.lasting && self.is_last_resort(now, task_of(key, 0))) {
             return false;
         }
         if step.lasting && self.gives_way(now, key) {
@@ -79,10 +80,19 @@
                 return false;
             }
             let task = task_of(key, index);
-            let Some(worker) = self.choose(now, task, &service, &need) else {
+            let chosen = if hopeless {
+                self.choose_quarantined(now, task, &service, &need)
+            } else {
+                self.choose(now, task, &service, &need)
+            };
+            let Some(worker) = chosen else {
+                if self.bring_forward(now, key) {
+                    continue;
+                }
+                let keeps_away = self.front_keeps_away(now, key);
                 let advised = self.want_advice(key);
                 self.make_room(now, key, &service, &step, out);
-                if step.label.is_none() && step.per_worker == 0 && !advised {
+                if step.label.is_none() && step.per_worker == 0 && !advised && !keeps_away {
                     let Need { image, .. } = need;
                     let Step { resources, fills, .. } = step;
                     unmet.push(Unmet { service, resources, fills, image });
@@ -109,9 +119,14 @@
 
     /// How long a step's queue hasn't been empty.
     pub(super) fn step_wait(&self, now: Time, key: Ready) -> Duration {
-        let flow = self.flows.get(&key.workflow);
-        let occurrence = flow.and_then(|flow| flow.occurrences.get(&key.occurrence));
-        let step = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(key.step)));
+        self.waited(now, task_of(key, 0).step_id())
+    }
+
+    /// The same for the step of this id.
+    pub(super) fn waited(&self, now: Time, id: StepId) -> Duration {
+        let flow = self.flows.get(&id.workflow);
+        let occurrence = flow.and_then(|flow| flow.occurrences.get(&id.occurrence));
+        let step = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(id.step)));
         step.map_or(Duration::ZERO, |step| now.since(step.since))
     }
 
@@ -183,8 +198,8 @@
         });
     }
 
-    /// The worker for a task, if one can take it.
-    pub(super) fn choose(
+    /// The worker for a task that doesn't go where it failed or was slow.
+    pub(super) fn choose_elsewhere(
         &mut self,
         now: Time,
         task: TaskId,
@@ -192,12 +207,26 @@
         need: &Need<'_>,
     ) -> Option<WorkerId> {
         let avoid = self.task_mut(task).and_then(|state| state.avoid.clone());
+        let avoid = avoid.map(|avoid| avoid.worker);
+        let workers = self.workers.iter().filter(|(id, worker)| {
+            avoid.as_ref() != Some(*id) && worker.takes_work(now, &self.limits)
+        });
+        self.best(now, task, service, need, workers)
+    }
+
+    /// The best of these workers for a task, if one has room.
+    pub(super) fn best<'a>(
+        &self,
+        now: Time,
+        task: TaskId,
+        service: &CompactString,
+        need: &Need<'_>,
+        workers: impl Iterator<Item = (&'a WorkerId, &'a Worker)>,
+    ) -> Option<WorkerId> {
         let advised = self.needs_ticket(task.step_id()).is_some();
         let mut best: Option<(Fitness, &WorkerId)> = None;
-        for (id, worker) in &self.workers {
+        for (id, worker) in workers {
             let suits = worker.info.service == *service
-                && avoid.as_ref() != Some(id)
-                && worker.takes_work(now, &self.limits)
                 && has_room(worker, task, need)
                 && !self.is_held(id)
                 && (!advised || self.allows(now, task, id));
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -141,6 +141,7 @@
         };
         self.roster_dirty |= self.workers.values().any(changed);
         self.unaccounted.retain(|_, until| now < *until);
+        self.release_quarantined(now);
     }
 
     fn drop_lapsed(&mut self, now: Time, id: &WorkerId) {
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -1,8 +1,8 @@
 //! What is recorded in the store: progress of workflows, the roster.
 
 use {
-    super::{Effect, Scheduler},
-    crate::{Closed, Key, Record, RosterEntry, WaveProgress, WorkerId, WorkflowId},
+    super::{Effect, Scheduler, Worker},
+    crate::{Closed, Key, Limits, Record, RosterEntry, WaveProgress, WorkerId, WorkflowId},
     egretlb_types::Time,
     std::time::Duration,
 };
@@ -35,6 +35,14 @@
 /// The most old workflows forgotten in one append.
 const FORGET_PER_APPEND: usize = 200;
 
+impl Worker {
+    /// Whether the roster has to say something else of it: whether it is silent, or about to leave.
+    pub(crate) fn differs_from_roster(&self, now: Time, limits: &Limits) -> bool {
+        let silence = self.lists_silent(now, limits) != self.listed_silent;
+        self.in_roster && (silence || self.leaves() != self.leaving)
+    }
+}
+
 impl Scheduler {
     /// Whether the next append has something to say.
     fn has_news(&self) -> bool {
--- a/crates/workflow/src/scheduler/stragglers.rs
+++ b/crates/workflow/src/scheduler/stragglers.rs
@@ -183,10 +183,9 @@
         let Some(step) = self.step(task).cloned() else { return false };
         let Some(flow) = self.flows.get(&task.workflow) else { return false };
         let service = flow.submission.service.clone();
-        let Some(state) = self.task_mut(task) else { return false };
-        state.avoid = Some(id.clone());
+        self.avoid(now, task, id);
         let need = Need::new(&step, &mut self.interference);
-        self.choose(now, task, &service, &need).is_some()
+        self.choose_elsewhere(now, task, &service, &need).is_some()
     }
 
     fn move_straggler(
@@ -204,13 +203,13 @@
         if state.copies.len() > 1 || state.left >= MOST_MOVES {
             return;
         }
-        state.avoid = Some(id.clone());
+        self.avoid(now, task, id);
         if step.speculative && !self.may_start() {
             return;
         }
         let need = Need::new(&step, &mut self.interference);
         // Without another place it is better off where it is.
-        let Some(other) = self.choose(now, task, &service, &need) else { return };
+        let Some(other) = self.choose_elsewhere(now, task, &service, &need) else { return };
         log::info!(task:%, run:%, worker:% = id, copied = step.speculative; "straggler_moved");
         if let Some(state) = self.task_mut(task) {
             state.left += 1;
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -201,6 +201,8 @@
     pub(crate) failures: u32,
     /// It gets nothing new before.
     pub(crate) barred_until: Time,
+    /// It failed one run after another: before this it gets only what can't go elsewhere.
+    pub(crate) quarantined_until: Time,
     /// The fillers that ran until a time, for the last half second.
     pub(crate) exposures: VecDeque<(Time, Exposure)>,
     /// A serving task is over its target: no filler is added.
@@ -243,6 +245,7 @@
             speed: None,
             failures: 0,
             barred_until: Time::ZERO,
+            quarantined_until: Time::ZERO,
             exposures: VecDeque::new(),
             over_target: false,
             own_headrooms: SmallVec::new(),
@@ -325,12 +328,6 @@
         self.info.state == WorkerState::Draining && (self.leaving || self.surveyed)
     }
 
-    /// Whether the roster has to say something else of it: whether it is silent, or about to leave.
-    pub(crate) fn differs_from_roster(&self, now: Time, limits: &Limits) -> bool {
-        let silence = self.lists_silent(now, limits) != self.listed_silent;
-        self.in_roster && (silence || self.leaves() != self.leaving)
-    }
-
     /// Whether it has certainly left: it had announced that, or this leader has never seen its entry; its
     /// entry is gone; and nothing listens at its address. Each alone may be something else: entries lapse
     /// by silence or are revoked, and a draining worker works on for seconds.
@@ -341,6 +338,11 @@
 
     /// Whether it may get a new task.
     pub(crate) fn takes_work(&self, now: Time, limits: &Limits) -> bool {
+        now >= self.quarantined_until && self.takes_any_work(now, limits)
+    }
+
+    /// Whether it may get a new task that can't go elsewhere.
+    pub(crate) fn takes_any_work(&self, now: Time, limits: &Limits) -> bool {
         self.present
             && self.in_roster
             && !self.listed_silent
