Show tasks that the scheduler has lost sight of, and test that there are none

A task whose turn has come is either in its step's queue, with the step in the order, or held by runs that are known at workers.

--- a/crates/runtime/src/dump.rs
+++ b/crates/runtime/src/dump.rs
@@ -5,6 +5,9 @@
 /// The most steps that are listed: at 200 bytes each 200 KB.
 const MOST_STEPS: usize = 1_000;
 
+/// The most stranded tasks that are listed: the first ones show what kind they are.
+const MOST_STRANDED: usize = 100;
+
 #[derive(Serialize)]
 struct Dump {
     leads: bool,
@@ -18,6 +21,8 @@
     records_read_ms: Option<u64>,
     /// Workers that the new leader waits for.
     unaccounted: usize,
+    /// Tasks that nothing would ever start; there is none unless the scheduler has a fault.
+    stranded: Vec<String>,
     /// Steps with tasks that wait, the first of them first. Only the leader knows.
     waiting: Vec<Waiting>,
     /// Set if not all are listed.
@@ -51,11 +56,14 @@
             workers: core.directory.len(),
             records_read_ms: core.work.fresh.map(|at| ms(now.since(at))),
             unaccounted: 0,
+            stranded: Vec::new(),
             waiting: Vec::new(),
             more_waiting: false,
         };
         if let Some(scheduler) = &mut core.scheduler {
             dump.unaccounted = scheduler.unaccounted();
+            let stranded = scheduler.stranded().into_iter().take(MOST_STRANDED);
+            dump.stranded = stranded.map(|task| task.to_string()).collect();
             dump.more_waiting = scheduler.waiting() > MOST_STEPS;
             let steps = scheduler.waiting_steps(now, MOST_STEPS);
             let row = |waiting: egretlb_workflow::WaitingStep| Waiting {
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -10,6 +10,7 @@
 //! An end is acknowledged to the worker after it is recorded, so that it can't be lost between the two.
 
 mod advice;
+mod audit;
 mod dump;
 mod effect;
 mod ends;
