Let the watch over passed-over tasks notice what was mended

Short work took all room for good, so no room lasted for 3 s: the test passed on the old code, too. Now it is quiet later on. A worker lost right before the leader is left out: what may run there is held back by design.

--- a/crates/workflow/tests/lasting_waits.rs
+++ b/crates/workflow/tests/lasting_waits.rs
@@ -146,64 +146,81 @@
         && (step.per_worker == 0 || siblings < step.per_worker as usize)
 }
 
-/// Something goes wrong at a worker or with the leader.
+/// Two things go wrong, at workers or with the leader. A worker is not lost right before the leader: what
+/// may run there is rightly held back until its leases have lapsed.
 fn disturb(world: &mut World, tasks: &[(TaskId, Step)]) {
-    let worker = world.rng.random_range(0..world.workers.len());
-    match world.rng.random_range(0..6) {
-        0 => {
-            let leader = world.leader().expect("somebody leads");
-            world.kill(leader);
-            world.run(Duration::from_millis(500));
-            world.restart(leader);
-        }
-        1 => {
-            world.workers[worker].crash(&mut world.checker);
-            world.add_worker(8);
-        }
-        2 => world.workers[worker].listed = false,
-        3 => world.workers[worker].info.state = WorkerState::Draining,
-        _ => {
-            for _ in 0..2 {
-                let (task, _) = &tasks[world.rng.random_range(0..tasks.len())];
-                if world.checker.is_running(*task) {
-                    fail(world, *task);
+    let kinds = [world.rng.random_range(0..5), world.rng.random_range(0..5)];
+    let both_lost = kinds.contains(&0) && kinds.contains(&1);
+    for kind in kinds.into_iter().filter(|kind| !both_lost || *kind != 1) {
+        let worker = world.rng.random_range(0..world.workers.len());
+        match kind {
+            0 => {
+                let leader = world.leader().expect("somebody leads");
+                world.kill(leader);
+                world.run(2 * SECOND);
+                world.restart(leader);
+            }
+            1 => {
+                world.workers[worker].crash(&mut world.checker);
+                world.add_worker(8);
+            }
+            2 => world.workers[worker].listed = false,
+            3 => {
+                world.workers[worker].info.state = WorkerState::Draining;
+                world.add_worker(8);
+            }
+            _ => {
+                let running = |(task, _): &&(TaskId, Step)| world.checker.is_running(*task);
+                let running: Vec<TaskId> = tasks.iter().filter(running).map(|(t, _)| *t).collect();
+                if !running.is_empty() {
+                    let chosen = world.rng.random_range(0..running.len());
+                    fail(world, running[chosen]);
                 }
             }
         }
     }
 }
 
-/// Lasting tasks of several sizes hold most of a service, and short work takes what is left all the time.
+fn submit_short(world: &mut World, id: u64) {
+    let ms = world.rng.random_range(200..800);
+    let mut short = step(world.rng.random_range(1..4), ms);
+    short.resources.cpu = MilliCores(world.rng.random_range(500..2_000));
+    world.submit(id, &submission(vec![short]));
+}
+
+/// Submits lasting tasks of several sizes, which take nearly all of six workers.
+fn submit_lasting(world: &mut World) -> Vec<(TaskId, Step)> {
+    let mut tasks = Vec::new();
+    for (id, count, cores) in [(1, 2, 8), (2, 2, 5), (3, 3, 3), (4, 4, 2)] {
+        let mut step = lasting(count, cores);
+        step.per_worker = world.rng.random_range(0..2);
+        let id = world.submit(id, &submission(vec![step.clone()]));
+        tasks.extend((0..count).map(|index| (TaskId { index, ..first_task(id) }, step.clone())));
+    }
+    tasks
+}
+
+/// Lasting tasks of several sizes hold most of a service, and short work takes what is left for a while.
 /// Tasks fail, workers and leaders go, and then all is calm. However full the service is, no lasting task is
 /// passed over while there is room for it; its users would see it stand still for no reason.
 #[test]
 fn none_passed_over() {
-    for seed in 0..24 {
+    for seed in 0..60 {
         let mut world = World::new(seed, 3, 6, Limits::default());
         world.run(2 * SECOND);
-        let mut tasks: Vec<(TaskId, Step)> = Vec::new();
-        for (id, cores) in [(1, 6), (2, 4), (3, 3), (4, 5), (5, 2)] {
-            let mut step = lasting(3, cores);
-            step.per_worker = world.rng.random_range(0..2);
-            let id = world.submit(id, &submission(vec![step.clone()]));
-            tasks.extend((0..3).map(|index| (TaskId { index, ..first_task(id) }, step.clone())));
-        }
+        let tasks = submit_lasting(&mut world);
         let mut watch = Watch::default();
-        for round in 0u64..400 {
-            if round.is_multiple_of(3) {
-                let mut short =
-                    step(world.rng.random_range(1..5), world.rng.random_range(200..1_500));
-                short.resources.cpu = MilliCores(world.rng.random_range(500..3_000));
-                world.submit(100 + round, &submission(vec![short]));
+        for round in 0u64..480 {
+            // Later on it is quiet, so that room that is left stays.
+            if round.is_multiple_of(4) && round % 160 < 60 {
+                submit_short(&mut world, 100 + round);
             }
-            if round < 240 && round.is_multiple_of(60) {
+            if round.is_multiple_of(160) {
                 disturb(&mut world, &tasks);
                 watch.calm_since = world.now;
             }
-            if round.is_multiple_of(60) && round > 0 {
-                for worker in &mut world.workers {
-                    worker.listed = true;
-                }
+            if round % 160 == 15 {
+                world.workers.iter_mut().for_each(|worker| worker.listed = true);
             }
             for _ in 0..10 {
                 world.run(Duration::from_millis(10));
