Test workers that leave orders unanswered while polls look well

The roomiest workers are mute, all 64 starts under way wait there for their turn, two at a time and half a second each, and what is given up is decided for them again; 24 workers that are well stand idle. The test world can now let orders at a worker wait for each other, as the runtime does.

--- a/crates/workflow/tests/late_orders.rs
+++ b/crates/workflow/tests/late_orders.rs
@@ -27,6 +27,25 @@
     assert_eq!(world.checker.faults, Vec::<String>::new());
 }
 
+/// A few workers leave orders unanswered while their polls look well. Orders at one worker wait for each
+/// other, and starts under way are bounded; were more and more starts sent to these workers, soon all that
+/// are under way would wait there, and work for all the others would stand still with them.
+#[test]
+fn mute_workers() {
+    let mut world = World::new(6, 2, 24, Limits::default());
+    world.orders_at_once = Some(2);
+    for _ in 0..4 {
+        let large = world.add_worker(64);
+        world.workers[large].mute = true;
+    }
+    world.run(2 * SECOND);
+    world.submit(1, &submission(vec![step(1_500, 100)]));
+    world.run(3 * SECOND);
+    let started = world.checker.starts;
+    assert!(started > 1_400, "{started}");
+    assert_eq!(world.checker.faults, Vec::<String>::new());
+}
+
 /// Answers of the store are lost after it appended. The leader repeats the same append; were it to
 /// number it anew, every later one would be rejected and no end be acknowledged again.
 #[test]
--- a/crates/workflow/tests/support/messages.rs
+++ b/crates/workflow/tests/support/messages.rs
@@ -179,6 +179,12 @@
             return;
         };
         let id = id.clone();
+        let polls = matches!(effect, Effect::Hold { .. });
+        if let Some(turn) = self.turn_at(&id).filter(|turn| !polls && *turn > now) {
+            let msg = Msg::Order { node, incarnation, epoch, sent: turn, effect };
+            self.messages.push((turn, msg));
+            return;
+        }
         if let Effect::Start { task, run, .. } = &effect
             && now == sent
             && !self.wants(node, incarnation, &id, *task, *run)
@@ -197,13 +203,26 @@
             let lost = Msg::Order { node, incarnation, epoch, sent, effect: effect.clone() };
             self.messages.push((now + wait, lost));
         }
-        let unanswered = cut || late || !self.workers[index].up;
-        let Some(answer) = self.carry_out(index, id, effect, unanswered) else { return };
+        let mute = self.workers[index].mute && !polls;
+        let unanswered = cut || late || mute || !self.workers[index].up;
         // A call without an answer is given up after half a second.
         let wait = if unanswered { Duration::from_millis(500) } else { STEP };
+        if !polls {
+            self.turns.entry(id.clone()).or_default().push(now + wait);
+        }
+        let Some(answer) = self.carry_out(index, id, effect, unanswered) else { return };
         self.messages.push((now + wait, Msg::Answer { node, incarnation, epoch, sent, answer }));
     }
 
+    /// When the next order may be sent to a worker; none if orders don't wait for each other.
+    fn turn_at(&mut self, id: &WorkerId) -> Option<Time> {
+        let (now, most) = (self.now, self.orders_at_once?);
+        let busy = self.turns.entry(id.clone()).or_default();
+        busy.retain(|until| *until > now);
+        busy.sort_unstable();
+        busy.len().checked_sub(most).map(|first| busy[first])
+    }
+
     /// What a worker answers; `unanswered` orders aren't carried out.
     fn carry_out(
         &mut self,
--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -56,6 +56,8 @@
     pub lease_until: u64,
     pub stopped: BTreeMap<TaskId, RunId>,
     pub fails_all: bool,
+    /// Orders get no answer and aren't carried out; polls are answered.
+    pub mute: bool,
     /// Tail latency that serving tasks have alone, in milliseconds.
     pub tail_ms: u32,
     /// What each filler at full pace adds to it.
@@ -98,6 +100,7 @@
             lease_until: 0,
             stopped: BTreeMap::new(),
             fails_all: false,
+            mute: false,
             tail_ms: 1,
             pressure_ms: 0,
             slowness: 100,
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -11,7 +11,7 @@
         WorkerId, WorkflowId,
     },
     rand::{SeedableRng, rngs::SmallRng},
-    std::time::Duration,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 pub const STEP: Duration = Duration::from_millis(5);
@@ -33,6 +33,10 @@
     pub late_orders: u32,
     /// How long orders wait at the node before they are sent, as on a VM that is too weak for its load.
     pub order_wait: Duration,
+    /// Whether orders wait while so many at the same worker have no answer; none if they don't wait.
+    pub orders_at_once: Option<usize>,
+    /// When the last orders at each worker are answered or given up.
+    pub turns: BTreeMap<WorkerId, Vec<Time>>,
     pub advisor: Advisor,
     pub fleet: Fleet,
     /// Waves that the operator asks for; nodes read them at once.
@@ -59,6 +63,8 @@
             lost_appends: 0,
             late_orders: 0,
             order_wait: Duration::ZERO,
+            orders_at_once: None,
+            turns: BTreeMap::new(),
             advisor: Advisor::default(),
             fleet: Fleet::default(),
             waves: Vec::new(),
