Send a worker that leaves starts unanswered one at a time

Cause: starts to a worker wait there for each other, two at a time, and one without an answer takes half a second. A worker that leaves orders unanswered while its polls look well gets no work done, so it has most room and draws most of what is decided; soon all 64 starts under way wait at a few such workers, and nothing is started elsewhere.

Now a worker that has left a start unanswered gets none for a second, then one at a time until it answers an order; what was decided for it and waits for its turn goes elsewhere.

--- a/crates/workflow/src/scheduler/orders.rs
+++ b/crates/workflow/src/scheduler/orders.rs
@@ -1,7 +1,7 @@
 //! Starts and stops, and what became of them.
 
 use {
-    super::{Effect, Phase, Scheduler},
+    super::{Copy, Effect, Phase, Scheduler, Worker},
     crate::{RunId, TaskId, WorkerId},
     egretlb_types::Time,
     std::time::Duration,
@@ -69,16 +69,39 @@
 /// 500 workers to leave one start each unanswered.
 const MOST_STARTS_UNDER_WAY: usize = 64;
 
+/// A worker that left a start unanswered is tried with another one after this long, and with one at a time
+/// until it answers. Orders wait at a worker for the unanswered ones before them, half a second each; were
+/// more decided for it meanwhile, all starts under way would soon wait there, and workers that are well would
+/// stand idle (no start in 3 s with 4 mute workers beside 24 others).
+const DOUBT_PAUSE: Duration = Duration::from_secs(1);
+
 /// A stop that isn't confirmed is sent again after this.
 const STOP_AGAIN: Duration = Duration::from_millis(700);
 
+impl Worker {
+    /// Whether it gets no start since it has left one unanswered.
+    pub(super) fn is_doubted(&self, now: Time) -> bool {
+        let tried = || self.copies.values().any(|copy| copy.phase == Phase::Starting);
+        self.doubted.is_some_and(|since| now.since(since) < DOUBT_PAUSE || tried())
+    }
+
+    /// Whether a start was decided before the worker left another one unanswered.
+    fn is_outdated(&self, copy: &Copy) -> bool {
+        self.doubted.is_some_and(|since| copy.placed <= since)
+    }
+}
+
 impl Scheduler {
     /// Whether a start that was decided is still wanted. It is asked right before the start is sent:
-    /// while it waited for its turn, its workflow may have been cancelled, or another copy of its task
-    /// may be done.
+    /// while it waited for its turn, its workflow may have been cancelled, another copy of its task may be
+    /// done, or the worker may have stopped answering.
     pub fn wants(&self, id: &WorkerId, task: TaskId, run: RunId) -> bool {
-        let copy = self.workers.get(id).and_then(|worker| worker.copies.get(&(task, run)));
-        !self.behind && copy.is_some_and(|copy| copy.phase == Phase::Starting)
+        let Some(worker) = self.workers.get(id) else { return false };
+        let Some(copy) = worker.copies.get(&(task, run)) else { return false };
+        // A gang without one of its members does nothing, so all of them are tried.
+        let gang = self.step(task).is_some_and(|step| step.gang);
+        let goes_elsewhere = worker.is_outdated(copy) && !gang;
+        !self.behind && copy.phase == Phase::Starting && !goes_elsewhere
     }
 
     /// Whether more starts may be decided now.
@@ -105,6 +128,9 @@
         out: &mut Vec<Effect>,
     ) {
         self.starts_under_way = self.starts_under_way.saturating_sub(1);
+        if !matches!(result, StartResult::Unknown | StartResult::NotSent | StartResult::Withheld) {
+            self.on_answered(id);
+        }
         match result {
             StartResult::Started { clock_ms } => self.on_started(now, id, task, run, clock_ms),
             StartResult::Outranked => out.push(Effect::Outranked),
@@ -137,9 +163,17 @@
         }
     }
 
+    /// The worker has answered an order.
+    fn on_answered(&mut self, id: &WorkerId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.doubted = None;
+        }
+    }
+
     fn on_start_unknown(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.poll_at = now;
+        worker.doubted = Some(now);
         if let Some(copy) = worker.copies.get_mut(&(task, run))
             && copy.phase == Phase::Starting
         {
@@ -193,6 +227,7 @@
     ) {
         match result {
             StopResult::Confirmed { clock_ms } => {
+                self.on_answered(id);
                 let Some(worker) = self.workers.get_mut(id) else { return };
                 worker.heard(now, clock_ms);
                 if let Some(copy) = worker.copies.get_mut(&(task, run))
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -203,6 +203,8 @@
     pub(crate) barred_until: Time,
     /// It failed one run after another: before this it gets only what can't go elsewhere.
     pub(crate) quarantined_until: Time,
+    /// When it last left a start unanswered; none once it has answered an order since.
+    pub(crate) doubted: Option<Time>,
     /// The fillers that ran until a time, for the last half second.
     pub(crate) exposures: VecDeque<(Time, Exposure)>,
     /// A serving task is over its target: no filler is added.
@@ -246,6 +248,7 @@
             failures: 0,
             barred_until: Time::ZERO,
             quarantined_until: Time::ZERO,
+            doubted: None,
             exposures: VecDeque::new(),
             over_target: false,
             own_headrooms: SmallVec::new(),
@@ -350,6 +353,7 @@
             && self.surveyed
             && self.info.state == WorkerState::Ready
             && now >= self.barred_until
+            && !self.is_doubted(now)
             && self.is_responsive(now, limits)
     }
 
