--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -10,9 +10,11 @@
 //! An end is acknowledged to the worker after it is recorded, so that it can't be lost between the two.
 
 mod advice;
+mod audit;
 mod dump;
 mod effect;
 mod ends;
+mod fallback;
 mod flow;
 mod gangs;
 mod orders;
@@ -93,6 +95,8 @@
     learned_news: bool,
     /// When a task that ends soon last found no room.
     crowded_at: Option<Time>,
+    /// Workers under quarantine, and maybe some that have just left it.
+    quarantined: Vec<WorkerId>,
     advice: advice::Advice,
     upkeep: upkeep::Upkeep,
     caution: pacing::Caution,
@@ -153,6 +157,7 @@
             learned_at: now,
             learned_news: false,
             crowded_at: None,
+            quarantined: Vec::new(),
             advice: advice::Advice::default(),
             upkeep: upkeep::Upkeep::default(),
             caution: pacing::Caution::new(now),
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -1,8 +1,10 @@
 //! What is recorded in the store: progress of workflows, the roster.
 
 use {
-    super::{Effect, Scheduler},
-    crate::{Key, Record, Roster, RosterEntry, Standing, WaveProgress, WorkerId, WorkflowId},
+    super::{Effect, Scheduler, Worker},
+    crate::{
+        Key, Limits, Record, Roster, RosterEntry, Standing, WaveProgress, WorkerId, WorkflowId,
+    },
     egretlb_types::Time,
     std::time::Duration,
 };
@@ -12,11 +14,19 @@
 pub(super) struct Recording {
     /// Ends up to here are recorded once it is done.
     ends: Vec<(WorkerId, u64)>,
-    roster: Vec<(WorkerId, bool)>,
+    roster: Vec<Listed>,
     ended: Vec<WorkflowId>,
     waves: Vec<(u64, WaveProgress)>,
 }
 
+/// What the roster says of a worker.
+#[derive(Debug)]
+struct Listed {
+    id: WorkerId,
+    silent: bool,
+    leaving: bool,
+}
+
 /// The most bytes of records in one append; far below the store's bound of 2 MB.
 const RECORD_BYTES: usize = 512 * 1024;
 
@@ -27,6 +37,14 @@
 /// The most old workflows forgotten in one append.
 const FORGET_PER_APPEND: usize = 200;
 
+impl Worker {
+    /// Whether the roster has to say something else of it: whether it is silent, or about to leave.
+    pub(crate) fn differs_from_roster(&self, now: Time, limits: &Limits) -> bool {
+        let silence = self.lists_silent(now, limits) != self.listed_silent;
+        self.in_roster && (silence || self.leaves() != self.leaving)
+    }
+}
+
 impl Scheduler {
     /// Whether the next append has something to say.
     fn has_news(&self, now: Time) -> bool {
@@ -105,12 +123,13 @@
                 matches!(entry.standing, Standing::Silent { .. } | Standing::Unanswered { .. });
             // From here on nothing is started there, since the record may be read before it is confirmed.
             worker.listed_silent |= silent;
-            worker.leaving |= worker.leaves();
+            let leaving = worker.leaves();
+            worker.leaving |= leaving;
             worker.listed_runs = match &entry.standing {
                 Standing::Silent { runs, .. } | Standing::Leaving { runs } => runs.len(),
                 Standing::Open | Standing::Unanswered { .. } => 0,
             };
-            recording.roster.push((entry.id.clone(), silent));
+            recording.roster.push(Listed { id: entry.id.clone(), silent, leaving });
         }
         let roster = Roster { epoch: self.epoch, entries };
         records.push(Record::new(Key::Roster, &roster));
@@ -150,10 +169,11 @@
                 worker.recorded = worker.recorded.max(number);
             }
         }
-        for (id, silent) in recording.roster {
+        for Listed { id, silent, leaving } in recording.roster {
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.in_roster = true;
                 worker.listed_silent = silent;
+                worker.leaving = leaving;
             }
         }
         for id in recording.ended {
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -174,7 +174,8 @@
     /// The roster lists what may run there and nothing else; until a roster without that list is
     /// recorded, it gets no order that starts or renews anything.
     pub(crate) listed_silent: bool,
-    /// The roster lists what may run there since it is about to leave: nothing is started there any more.
+    /// The roster lists what may run there since it is about to leave: nothing is started there until a
+    /// roster without that list is recorded.
     pub(crate) leaving: bool,
     /// How many runs the roster lists there.
     pub(crate) listed_runs: usize,
@@ -209,6 +210,10 @@
     pub(crate) failures: u32,
     /// It gets nothing new before.
     pub(crate) barred_until: Time,
+    /// It failed one run after another: before this it gets only what can't go elsewhere.
+    pub(crate) quarantined_until: Time,
+    /// When it last left a start unanswered; none once it has answered an order since.
+    pub(crate) doubted: Option<Time>,
     /// The fillers that ran until a time, for the last half second.
     pub(crate) exposures: VecDeque<(Time, Exposure)>,
     /// A serving task is over its target: no filler is added.
@@ -251,6 +256,8 @@
             speed: None,
             failures: 0,
             barred_until: Time::ZERO,
+            quarantined_until: Time::ZERO,
+            doubted: None,
             exposures: VecDeque::new(),
             over_target: false,
             own_headrooms: SmallVec::new(),
@@ -327,9 +334,11 @@
         self.is_silent(now, limits) || (!self.surveyed && self.inherited.is_some())
     }
 
-    /// Whether it is about to leave, and what may run there is known.
+    /// Whether it is about to leave, by its own word, and what may run there is known. Its entry may have
+    /// been missing for a while, or have been read late: what was once taken for leaving may turn out to
+    /// stay, and its room would be lost for good if that weren't taken back.
     pub(crate) fn leaves(&self) -> bool {
-        self.leaving || (self.surveyed && self.info.state == WorkerState::Draining)
+        self.info.state == WorkerState::Draining && (self.leaving || self.surveyed)
     }
 
     /// Whether it has certainly left: it had announced that, its entry is gone, and nothing listens at
@@ -341,6 +350,11 @@
 
     /// Whether it may get a new task.
     pub(crate) fn takes_work(&self, now: Time, limits: &Limits) -> bool {
+        now >= self.quarantined_until && self.takes_any_work(now, limits)
+    }
+
+    /// Whether it may get a new task that can't go elsewhere.
+    pub(crate) fn takes_any_work(&self, now: Time, limits: &Limits) -> bool {
         self.present
             && self.in_roster
             && !self.listed_silent
@@ -348,6 +362,7 @@
             && self.surveyed
             && self.info.state == WorkerState::Ready
             && now >= self.barred_until
+            && !self.is_doubted(now)
             && self.is_responsive(now, limits)
     }
 
--- a/crates/workflow/tests/support/messages.rs
+++ b/crates/workflow/tests/support/messages.rs
@@ -192,6 +192,12 @@
             return;
         };
         let id = id.clone();
+        let polls = matches!(effect, Effect::Hold { .. });
+        if let Some(turn) = self.turn_at(&id).filter(|turn| !polls && *turn > now) {
+            let msg = Msg::Order { node, incarnation, epoch, sent: turn, effect };
+            self.messages.push((turn, msg));
+            return;
+        }
         if let Effect::Start { task, run, .. } = &effect
             && now == sent
             && !self.wants(node, incarnation, &id, *task, *run)
@@ -209,13 +215,26 @@
             let lost = Msg::Order { node, incarnation, epoch, sent, effect: effect.clone() };
             self.messages.push((now + wait, lost));
         }
-        let meets = if late { Meets::Silence } else { self.meets(node, index) };
-        let Some(answer) = self.carry_out(index, id, effect, meets) else { return };
+        let mute = self.workers[index].mute && !polls;
+        let meets = if late || mute { Meets::Silence } else { self.meets(node, index) };
         // A call without an answer is given up after half a second.
         let wait = if meets == Meets::Silence { Duration::from_millis(500) } else { STEP };
+        if !polls {
+            self.turns.entry(id.clone()).or_default().push(now + wait);
+        }
+        let Some(answer) = self.carry_out(index, id, effect, meets) else { return };
         self.messages.push((now + wait, Msg::Answer { node, incarnation, epoch, sent, answer }));
     }
 
+    /// When the next order may be sent to a worker; none if orders don't wait for each other.
+    fn turn_at(&mut self, id: &WorkerId) -> Option<Time> {
+        let (now, most) = (self.now, self.orders_at_once?);
+        let busy = self.turns.entry(id.clone()).or_default();
+        busy.retain(|until| *until > now);
+        busy.sort_unstable();
+        busy.len().checked_sub(most).map(|first| busy[first])
+    }
+
     /// What orders of a node to a worker meet.
     fn meets(&self, node: usize, index: usize) -> Meets {
         let node = &self.nodes[node];
--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -58,6 +58,8 @@
     pub lease_until: u64,
     pub stopped: BTreeMap<TaskId, RunId>,
     pub fails_all: bool,
+    /// Orders get no answer and aren't carried out; polls are answered.
+    pub mute: bool,
     /// Tail latency that serving tasks have alone, in milliseconds.
     pub tail_ms: u32,
     /// What each filler at full pace adds to it.
@@ -101,6 +103,7 @@
             lease_until: 0,
             stopped: BTreeMap::new(),
             fails_all: false,
+            mute: false,
             tail_ms: 1,
             pressure_ms: 0,
             slowness: 100,
@@ -118,7 +121,7 @@
         self.lease_until = self.lease_until.max(until_ms.min(longest));
     }
 
-    fn finish(&mut self, task: TaskId, kind: EndKind, checker: &mut Checker) {
+    pub fn finish(&mut self, task: TaskId, kind: EndKind, checker: &mut Checker) {
         let Some(run) = self.running.remove(&task) else { return };
         self.stopped.insert(task, run.run);
         checker.ended(&self.info.id, task, run.run, kind, self.next_end);
