--- a/crates/workflow/tests/support/store.rs
+++ b/crates/workflow/tests/support/store.rs
@@ -11,6 +11,8 @@
     records: Vec<Record>,
     epoch: Epoch,
     seq: Option<Seq>,
+    /// Appends of this term are refused.
+    pub refused: Option<Epoch>,
 }
 
 impl Store {
@@ -19,6 +21,9 @@
     }
 
     pub fn append(&mut self, records: &[Record], fence: Option<(Epoch, Seq)>) -> AppendResult {
+        if fence.is_some_and(|(epoch, _)| Some(epoch) == self.refused) {
+            return AppendResult::Rejected;
+        }
         if let Some((epoch, seq)) = fence {
             if epoch < self.epoch {
                 return AppendResult::Fenced;
