A leader whose authority has lapsed goes on sending signs of life, and ends a term that isn't recorded

Cause: signs of life came from Scheduler::tick, which the node only calls while its leader has authority. A leader frozen, or without the store, for longer than its authority (4 s) with no append under way never sent one again; with one under way that append got through, but had been sent too long ago to prove anything, and was the last. Where other VMs live they claim after 1.2 s of silence; a lone one held its office without orders for ever.

Ruled out: the append's number out of order at the store (the log shows append_slow result=Done after 5.4 s); a panic of the tick's task (the pass after that append ended a cancelled workflow); the client of appends (submissions were stored by it all along).

Mend: without authority the leader asks for signs alone. One that is stored proves that nobody has claimed, by the same argument as any other, so the term goes on with its knowledge: no survey, no wait for lost workers. If none is stored for takeover_after while the store answers reads, it ends the term (term_ended) and may claim at once, as after a term that was given up. An append that outlasts its term no longer clears the mark of the next one's.

--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -143,14 +143,18 @@
     pub(crate) fn tick(&mut self, now: Time, wall_ms: u64, out: &mut Effects) {
         let caught_up = self.work.loaded && self.work.at_end && !self.stopping;
         self.leadership.tick(now, caught_up, &mut out.leadership);
-        let behind = self.is_behind();
         // A process that ends begins nothing: its last append must be settled before it gives up its term.
-        if !self.stopping
-            && self.leadership.authority(now).is_some()
-            && let Some(scheduler) = &mut self.scheduler
-        {
+        if self.stopping {
+            return;
+        }
+        let behind = self.is_behind();
+        let authority = self.leadership.authority(now);
+        let Some(scheduler) = &mut self.scheduler else { return };
+        if authority.is_some() {
             scheduler.set_behind(behind);
             scheduler.tick(now, wall_ms, &mut out.scheduler);
+        } else {
+            scheduler.sign_only(now, &mut out.scheduler);
         }
     }
 
--- a/crates/runtime/src/records.rs
+++ b/crates/runtime/src/records.rs
@@ -29,9 +29,13 @@
     pub(crate) async fn record(self: Rc<Self>, mut records: Vec<Record>) {
         let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
         records.extend(waiting.iter().map(|waiting| waiting.record.clone()));
-        self.recording.set(Some(self.clock.now()));
+        let begun = self.clock.now();
+        self.recording.set(Some(begun));
         let stored = self.record_all(records).await;
-        self.recording.set(None);
+        // An append that outlasts its term ends beside those of the next.
+        if self.recording.get() == Some(begun) {
+            self.recording.set(None);
+        }
         if stored == Stored::Yes {
             self.take_in(&waiting);
         }
--- a/crates/workflow/src/leadership/mod.rs
+++ b/crates/workflow/src/leadership/mod.rs
@@ -14,6 +14,14 @@
 //! itself: it orders nothing once [`Limits::authority`] has passed since it *sent* the last append
 //! that was acknowledged. The successor counts the same span from when it has read its claim, which is
 //! later, and then a lease, before it takes such a worker's tasks as ended.
+//!
+//! A leader whose authority has lapsed goes on sending signs of life, and nothing else: one that is
+//! stored shows that nobody has claimed, and its term goes on with all that it knows. While the store
+//! answers reads and the sign still isn't stored for [`Limits::takeover_after`], it ends the term, as a
+//! follower would take over from a silent leader. Were it to hold its office without orders, it would do
+//! so for ever where no other VM is left, and all tasks would lapse.
+
+mod authority;
 
 use {
     crate::{Key, LeaderRecord, Limits, Record},
@@ -104,6 +112,8 @@
     read_at: Time,
     /// When the last acknowledged append of this term was sent.
     proven: Time,
+    /// Since when this leader has known that its authority has lapsed.
+    lapsed: Option<Time>,
     seq: Seq,
     willing: bool,
 }
@@ -161,6 +171,7 @@
             read_sent: now,
             read_at: now,
             proven: Time::ZERO,
+            lapsed: None,
             seq: Seq(incarnation % SEQ_STARTS),
             willing: true,
         }
@@ -176,15 +187,6 @@
         record.incarnation == self.incarnation && record.node == self.node
     }
 
-    /// The epoch under which orders may be given now. Asked again right before each order is sent: a
-    /// process may have been paused since it decided.
-    pub fn authority(&self, now: Time) -> Option<Epoch> {
-        match self.role {
-            Role::Leader { epoch } if now < self.proven + self.limits.authority => Some(epoch),
-            _ => None,
-        }
-    }
-
     /// The epoch of the term, whether or not orders may be given.
     pub fn term(&self) -> Option<Epoch> {
         match self.role {
@@ -284,6 +286,7 @@
         }
         self.last_tick = now;
         self.give_up_claim(now);
+        self.watch_authority(now, out);
         let may_claim = caught_up
             && self.willing
             && now >= self.claim_after
@@ -355,11 +358,6 @@
         }
     }
 
-    /// When the last acknowledged append of this term was sent: the store was reached after that.
-    pub fn proven(&self) -> Time {
-        self.proven
-    }
-
     fn elect(&mut self, sent: Time, epoch: Epoch, out: &mut Vec<LeadershipEffect>) {
         self.role = Role::Leader { epoch };
         self.known = epoch;
@@ -367,21 +365,6 @@
         out.push(LeadershipEffect::Elected { epoch });
     }
 
-    /// What became of an append under this term that was sent at `sent`.
-    pub fn on_append(
-        &mut self,
-        now: Time,
-        sent: Time,
-        result: AppendResult,
-        out: &mut Vec<LeadershipEffect>,
-    ) {
-        match result {
-            AppendResult::Done => self.proven = self.proven.max(sent),
-            AppendResult::Fenced => self.resign(now, out),
-            AppendResult::Conflict | AppendResult::Rejected | AppendResult::Unknown => {}
-        }
-    }
-
     /// A worker has obeyed a higher epoch than ours.
     pub fn on_outranked(&mut self, now: Time, out: &mut Vec<LeadershipEffect>) {
         self.resign(now, out);
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -71,6 +71,18 @@
         out.push(Effect::Record { records });
     }
 
+    /// Sends a sign of life alone, if one is due and no append is under way. It is what a leader whose
+    /// authority has lapsed still does: it hasn't heard of any worker lately, and the roster that it
+    /// would record now would list all of them as silent.
+    pub fn sign_only(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.recording.is_some() || now.since(self.recorded_at) < self.limits.heartbeat {
+            return;
+        }
+        self.recorded_at = now;
+        self.recording = Some(Recording::default());
+        out.push(Effect::Record { records: Vec::new() });
+    }
+
     /// Adds the progress of changed workflows; returns whether some are left for the next append.
     fn record_progress(&mut self, recording: &mut Recording, records: &mut Vec<Record>) -> bool {
         let mut bytes = 0;
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -218,13 +218,16 @@
         node.leadership.tick(now, readable || node.calls_hang, &mut out);
         node.apply(now, out, &mut wishes);
         let mut effects = Vec::new();
-        if node.leads(now)
-            && let Some(scheduler) = &mut node.scheduler
-        {
+        let leads = node.leads(now);
+        if let Some(scheduler) = &mut node.scheduler {
             for (number, wave) in &self.waves {
                 scheduler.on_wave(now, *number, Some(wave.clone()), &node.ledger);
             }
-            scheduler.tick(now, now.as_micros() / 1_000, &mut effects);
+            if leads {
+                scheduler.tick(now, now.as_micros() / 1_000, &mut effects);
+            } else {
+                scheduler.sign_only(now, &mut effects);
+            }
         }
         node.wish(effects, &mut wishes);
         self.perform(index, wishes);
