A panic of any task ends egretlbd, with a log line

Until now the runtime caught the panic of a spawned task and went on without the task: no line in the log (the message went to standard error only), no exit, and a process that answers clients from a state that no longer changes, or leads without orders. Now the process logs panicked with place and message, gives the log's writer 100 ms and ends with 101.

--- a/crates/egretlbd/src/main.rs
+++ b/crates/egretlbd/src/main.rs
@@ -93,6 +93,7 @@
     if let Err(error) = egretlb_telemetry::init(options) {
         eprintln!("egretlbd: {error}");
     }
+    egretlb_telemetry::exit_on_panic();
     let runtime = Builder::new_current_thread().enable_all().build().map_err(StartError::System)?;
     LocalSet::new().block_on(&runtime, serve(settings))
 }
