--- a/crates/workflow/tests/support/messages.rs
+++ b/crates/workflow/tests/support/messages.rs
@@ -153,6 +153,16 @@
             return;
         }
         let mut result = AppendResult::Rejected;
+        if reached && sent + STEP * 3 >= self.now && self.is_late() {
+            let wait = Duration::from_millis(self.rng.random_range(100..3_000));
+            let held_up =
+                Msg::Append { node, incarnation, sent, records: records.clone(), fence, claim };
+            self.messages.push((self.now + wait, held_up));
+            let result = AppendResult::Unknown;
+            let lost = Msg::Appended { node, incarnation, sent, records, fence, claim, result };
+            self.messages.push((sent + HANGS, lost));
+            return;
+        }
         if reached {
             result = self.store.append(&records, Some(fence));
             if self.rng.random_range(0..1_000) < self.lost_appends {
@@ -162,6 +172,10 @@
         self.send(Msg::Appended { node, incarnation, sent, records, fence, claim, result });
     }
 
+    fn is_late(&mut self) -> bool {
+        self.late_appends > 0 && self.rng.random_range(0..1_000) < self.late_appends
+    }
+
     fn order(&mut self, node: usize, incarnation: u64, epoch: Epoch, sent: Time, effect: Effect) {
         let now = self.now;
         match effect {
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -29,6 +29,8 @@
     pub store_down: bool,
     /// Appends that take effect without an answer, in thousandths.
     pub lost_appends: u32,
+    /// Appends that get no answer and arrive at the store 0.1 to 3 s later, in thousandths.
+    pub late_appends: u32,
     /// Orders that get no answer and are carried out 2 to 12 s later, in thousandths.
     pub late_orders: u32,
     /// How long orders wait at the node before they are sent, as on a VM that is too weak for its load.
@@ -57,6 +59,7 @@
             store: Store::default(),
             store_down: false,
             lost_appends: 0,
+            late_appends: 0,
             late_orders: 0,
             order_wait: Duration::ZERO,
             advisor: Advisor::default(),
