--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -30,6 +30,8 @@
     pub store_down: bool,
     /// Appends that take effect without an answer, in thousandths.
     pub lost_appends: u32,
+    /// Appends that get no answer and arrive at the store 0.1 to 3 s later, in thousandths.
+    pub late_appends: u32,
     /// Orders that get no answer and are carried out 2 to 12 s later, in thousandths.
     pub late_orders: u32,
     /// How long orders wait at the node before they are sent, as on a VM that is too weak for its load.
@@ -62,6 +64,7 @@
             store: Store::default(),
             store_down: false,
             lost_appends: 0,
+            late_appends: 0,
             late_orders: 0,
             order_wait: Duration::ZERO,
             orders_at_once: None,
@@ -238,13 +241,16 @@
         node.leadership.tick(now, readable || node.calls_hang, &mut out);
         node.apply(now, out, &mut wishes);
         let mut effects = Vec::new();
-        if node.leads(now)
-            && let Some(scheduler) = &mut node.scheduler
-        {
+        let leads = node.leads(now);
+        if let Some(scheduler) = &mut node.scheduler {
             for (number, wave) in &self.waves {
                 scheduler.on_wave(now, *number, Some(wave.clone()), &node.ledger);
             }
-            scheduler.tick(now, now.as_micros() / 1_000, &mut effects);
+            if leads {
+                scheduler.tick(now, now.as_micros() / 1_000, &mut effects);
+            } else {
+                scheduler.sign_only(now, &mut effects);
+            }
         }
         node.wish(effects, &mut wishes);
         self.perform(index, wishes);
