--- a/crates/runtime/src/border.rs
+++ b/crates/runtime/src/border.rs
@@ -6,13 +6,18 @@
     egretlb_types::{Epoch, Offset, Seq},
     egretlb_workflow::{
         AdviceResult, AdviceTerms, AppendResult, DirectoryChange, HoldResult, PaceResult, Record,
-        RouteTable, RoutesError, RunId, SpecError, StartResult, State, StepId, StopResult, TaskId,
-        UpkeepResult, VmEntry, VmId, Wave, WaveState, WorkerId, Workflow,
+        RouteTable, RunId, SpecError, StartResult, State, StepId, StopResult, TaskId, UpkeepResult,
+        VmId, VmList, Wave, WaveState, WorkerId, Workflow,
     },
     futures::future::LocalBoxFuture,
     std::{fmt, net::SocketAddr, rc::Rc, time::Duration},
 };
 
+pub use {
+    crate::bad_entries::{BadEntry, Decoded},
+    egretlb_telemetry::EntryKind,
+};
+
 /// A topic of the store.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Topic {
@@ -52,6 +57,8 @@
     Records {
         /// The records.
         records: Vec<Stored>,
+        /// Where to read on. It is past records that can't be read, too: they would be met again for good.
+        next: Offset,
         /// Where the partition ended.
         end: Offset,
     },
@@ -68,10 +75,14 @@
     Page {
         /// The records.
         records: Vec<Stored>,
+        /// Keys whose newest records can't be read.
+        unreadable: Vec<Bytes>,
         /// Where the partition ended.
         end: Offset,
-        /// Whether another page follows the last key of this one.
-        more: bool,
+        /// The key after which another page follows, if there is one.
+        more: Option<Bytes>,
+        /// Whether each key could be read. Otherwise one that isn't here may be there all the same.
+        whole: bool,
     },
     /// No answer, or none that can be used.
     Failed,
@@ -101,13 +112,22 @@
     fn append<'a>(&'a self, append: &'a Append) -> LocalBoxFuture<'a, AppendResult>;
 
     /// Reads records from an offset on, waiting up to `wait` for the first.
-    fn read(&self, topic: Topic, from: Offset, wait: Duration) -> LocalBoxFuture<'_, ReadResult>;
+    fn read(
+        &self,
+        topic: Topic,
+        from: Offset,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Decoded<ReadResult>>;
 
     /// Tells the operator how far a wave of upkeep is.
     fn tell_wave(&self, wave: u64, state: WaveState) -> LocalBoxFuture<'_, AppendResult>;
 
     /// Reads a page of the newest records, the first or the one after a key.
-    fn newest(&self, topic: Topic, after: Option<Bytes>) -> LocalBoxFuture<'_, NewestResult>;
+    fn newest(
+        &self,
+        topic: Topic,
+        after: Option<Bytes>,
+    ) -> LocalBoxFuture<'_, Decoded<NewestResult>>;
 }
 
 /// A poll of a worker.
@@ -185,7 +205,7 @@
 /// The workers.
 pub trait Workers {
     /// Asks what runs and what ended.
-    fn hold(&self, call: HoldCall) -> LocalBoxFuture<'_, HoldResult>;
+    fn hold(&self, call: HoldCall) -> LocalBoxFuture<'_, Decoded<HoldResult>>;
 
     /// Starts a task.
     fn start<'a>(&'a self, call: StartCall<'a>) -> LocalBoxFuture<'a, StartResult>;
@@ -205,13 +225,13 @@
         step: StepId,
         workers: &'a [WorkerId],
         terms: AdviceTerms,
-    ) -> LocalBoxFuture<'a, AdviceResult>;
+    ) -> LocalBoxFuture<'a, Decoded<AdviceResult>>;
 }
 
 /// The platform's VMs.
 pub trait Fleet {
     /// Lists all VMs; none if the platform doesn't answer.
-    fn list(&self) -> LocalBoxFuture<'_, Option<Vec<VmEntry>>>;
+    fn list(&self) -> LocalBoxFuture<'_, Decoded<Option<VmList>>>;
 
     /// Begins a VM's upkeep, on behalf of the process `holder`.
     fn upkeep<'a>(
@@ -254,20 +274,22 @@
     Other,
 }
 
-/// Why an entry of the directory can't be read.
+/// Why an entry of the operator or of the directory can't be read.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct DirectoryError {
+pub struct EntryError {
+    /// What kind of entry it is.
+    pub kind: EntryKind,
     /// What the reader said.
     pub detail: CompactString,
 }
 
-impl fmt::Display for DirectoryError {
+impl fmt::Display for EntryError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "a worker's entry can't be read: {}; the worker gets no work", self.detail)
+        f.write_str(&self.detail)
     }
 }
 
-impl std::error::Error for DirectoryError {}
+impl std::error::Error for EntryError {}
 
 /// The formats of clients, operator and directory.
 pub trait Formats {
@@ -295,12 +317,12 @@
     /// # Errors
     ///
     /// The value can't be read.
-    fn operator(&self, key: &[u8], value: &[u8]) -> Result<OperatorChange, RoutesError>;
+    fn operator(&self, key: &[u8], value: &[u8]) -> Result<OperatorChange, EntryError>;
 
     /// What a worker's entry says.
     ///
     /// # Errors
     ///
     /// The entry can't be read.
-    fn directory(&self, key: &[u8], value: &[u8]) -> Result<DirectoryChange, DirectoryError>;
+    fn directory(&self, key: &[u8], value: &[u8]) -> Result<DirectoryChange, EntryError>;
 }
--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -1,14 +1,14 @@
 //! The state of a node, between two events.
 
 use {
-    crate::border::{OperatorChange, Stored},
+    crate::border::{BadEntry, EntryKind, OperatorChange, Stored},
     compact_str::CompactString,
     egretlb_types::Time,
     egretlb_workflow::{
         Change, DirectoryChange, Effect, Leadership, LeadershipEffect, Ledger, Limits, RouteTable,
         Scheduler, Wave, WorkerId, WorkerInfo, WorkflowId,
     },
-    std::collections::{BTreeMap, HashSet},
+    std::collections::{BTreeMap, BTreeSet, HashSet},
 };
 
 /// What a step of the node asks for.
@@ -16,6 +16,8 @@
 pub(crate) struct Effects {
     pub(crate) leadership: Vec<LeadershipEffect>,
     pub(crate) scheduler: Vec<Effect>,
+    /// Entries that can't be read.
+    pub(crate) bad: Vec<BadEntry>,
 }
 
 /// How far the records are read.
@@ -39,6 +41,8 @@
     pub(crate) leadership: Leadership,
     pub(crate) scheduler: Option<Scheduler>,
     pub(crate) directory: BTreeMap<WorkerId, WorkerInfo>,
+    /// Workers whose newest entry can't be read, the first of them.
+    unreadable: BTreeSet<WorkerId>,
     pub(crate) routes: Option<RouteTable>,
     /// Waves of upkeep, and when the operator's request was read.
     pub(crate) waves: BTreeMap<u64, (Time, Wave)>,
@@ -56,6 +60,7 @@
             leadership,
             scheduler: None,
             directory: BTreeMap::new(),
+            unreadable: BTreeSet::new(),
             routes: None,
             waves: BTreeMap::new(),
             work: Reading::default(),
@@ -69,7 +74,8 @@
         let change = match self.ledger.apply(stored.offset, &stored.key, &stored.value) {
             Ok(change) => change,
             Err(error) => {
-                log::warn!(offset:% = stored.offset, error:% = error; "record_passed_over");
+                let key = CompactString::from_utf8_lossy(&stored.key);
+                out.bad.push(BadEntry::new(EntryKind::Record, key, stored.offset.0, error));
                 return;
             }
         };
@@ -119,11 +125,21 @@
     pub(crate) fn on_directory(&mut self, now: Time, change: DirectoryChange) {
         match &change {
             DirectoryChange::Present(info) => {
+                self.unreadable.remove(&info.id);
                 self.directory.insert(info.id.clone(), info.clone());
             }
             DirectoryChange::Absent(id) => {
+                self.unreadable.remove(id);
                 self.directory.remove(id);
             }
+            DirectoryChange::Unreadable(id) => {
+                if let Some(info) = self.directory.get_mut(id) {
+                    info.lose_entry();
+                }
+                if self.unreadable.len() < MOST_UNREADABLE {
+                    self.unreadable.insert(id.clone());
+                }
+            }
         }
         if let Some(scheduler) = &mut self.scheduler {
             scheduler.on_directory(now, change);
@@ -132,13 +148,19 @@
 
     /// The directory was read anew: what isn't in it is absent.
     pub(crate) fn on_directory_loaded(&mut self, now: Time, found: &HashSet<WorkerId>) {
-        let missing: Vec<WorkerId> =
-            self.directory.keys().filter(|id| !found.contains(*id)).cloned().collect();
+        let known = self.directory.keys().chain(&self.unreadable);
+        let missing: Vec<WorkerId> = known.filter(|id| !found.contains(*id)).cloned().collect();
         for id in missing {
             self.on_directory(now, DirectoryChange::Absent(id));
         }
     }
 
+    /// What a scheduler that begins is told of the directory.
+    pub(crate) fn directory_changes(&self) -> impl Iterator<Item = DirectoryChange> {
+        let present = self.directory.values().cloned().map(DirectoryChange::Present);
+        present.chain(self.unreadable.iter().cloned().map(DirectoryChange::Unreadable))
+    }
+
     /// Time has passed.
     pub(crate) fn tick(&mut self, now: Time, wall_ms: u64, out: &mut Effects) {
         let caught_up = self.work.loaded && self.work.at_end && !self.stopping;
@@ -178,6 +200,10 @@
     }
 }
 
+/// The most workers whose entries can't be read that are remembered; another writer may leave any number of
+/// such entries. A worker beyond that counts as absent for a new leader until its own entry is read.
+const MOST_UNREADABLE: usize = 4_096;
+
 /// Reads are answered several times a second, since a leader leaves a sign of life each 250 ms. After
 /// this long without one the state shown here may be too old to say that something doesn't exist.
 const STALE_AFTER: std::time::Duration = std::time::Duration::from_millis(1_800);
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -2,13 +2,14 @@
 
 use {
     crate::{
-        border::{NewestResult, ReadResult, Stored, Topic},
+        border::{BadEntry, EntryError, EntryKind, NewestResult, ReadResult, Stored, Topic},
         core::Reading,
         node::Node,
     },
     bytes::Bytes,
+    compact_str::CompactString,
     egretlb_types::{Offset, Time},
-    egretlb_workflow::DirectoryChange,
+    egretlb_workflow::{DirectoryChange, WorkerId, WorkerState},
     std::{collections::HashSet, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
@@ -82,18 +83,25 @@
     let mut after: Option<Bytes> = None;
     let mut start = None;
     let mut found = HashSet::new();
+    let mut complete = true;
     loop {
-        let page = node.store().newest(topic, after.take()).await;
-        let NewestResult::Page { records, end, more } = page else { return None };
+        let page = node.heed(node.store().newest(topic, after.clone()).await);
+        let NewestResult::Page { records, unreadable, end, more, whole } = page else {
+            return None;
+        };
         let next = *start.get_or_insert(end);
-        after = records.last().map(|stored| stored.key.clone());
+        complete &= whole;
         for stored in &records {
-            if let Some(DirectoryChange::Present(info)) = apply(node, topic, stored) {
-                found.insert(info.id);
-            }
+            found.extend(apply(node, topic, stored));
         }
-        if !more || after.is_none() {
-            if topic == Topic::Directory {
+        if topic == Topic::Directory {
+            found.extend(unreadable.iter().map(|key| lose_entry(node, key)));
+        }
+        // The same page again would never end.
+        let stuck = more.is_some() && more == after;
+        after = more;
+        if after.is_none() || stuck {
+            if topic == Topic::Directory && complete && !stuck {
                 node.directory_loaded(&found);
             }
             node.read_done(topic, Reading { loaded: true, ..Reading::default() });
@@ -108,12 +116,13 @@
     if topic == Topic::Work {
         node.read_sent(sent);
     }
-    match node.store().read(topic, *next, wait(topic)).await {
-        ReadResult::Records { records, end } => {
+    let read = node.store().read(topic, *next, wait(topic)).await;
+    match node.heed(read) {
+        ReadResult::Records { records, next: on, end } => {
             for stored in &records {
                 apply(node, topic, stored);
-                *next = stored.offset.next();
             }
+            *next = on;
             let fresh: Option<Time> = Some(node.clock().now());
             let at_end = *next >= end;
             let known_to = at_end.then_some(sent);
@@ -129,7 +138,8 @@
     }
 }
 
-fn apply(node: &Rc<Node>, topic: Topic, stored: &Stored) -> Option<DirectoryChange> {
+/// Takes a record in; returns the worker whose entry it is. An entry that can't be read costs no other.
+fn apply(node: &Rc<Node>, topic: Topic, stored: &Stored) -> Option<WorkerId> {
     match topic {
         Topic::Work => {
             node.step(|core, now, out| core.on_work(now, stored, out));
@@ -138,19 +148,43 @@
         Topic::Operator => {
             match node.formats().operator(&stored.key, &stored.value) {
                 Ok(change) => node.step(|core, now, _| core.on_operator(now, change)),
-                Err(error) => log::error!(error:% = error; "configuration_rejected"),
+                // What was published before stays in force.
+                Err(error) => node.tell(&[bad_entry(stored, &error)]),
             }
             None
         }
-        Topic::Directory => match node.formats().directory(&stored.key, &stored.value) {
-            Ok(change) => {
-                node.step(|core, now, _| core.on_directory(now, change.clone()));
-                Some(change)
-            }
-            Err(error) => {
-                log::warn!(error:% = error; "directory_entry_rejected");
-                None
+        Topic::Directory => Some(apply_directory(node, stored)),
+    }
+}
+
+fn apply_directory(node: &Rc<Node>, stored: &Stored) -> WorkerId {
+    match node.formats().directory(&stored.key, &stored.value) {
+        Ok(change) => {
+            let id = change.worker().clone();
+            if matches!(&change, DirectoryChange::Present(info) if info.state == WorkerState::Other)
+            {
+                let detail = CompactString::const_new("a state that isn't known");
+                let error = EntryError { kind: EntryKind::Worker, detail };
+                node.tell(&[bad_entry(stored, &error)]);
             }
-        },
+            node.step(|core, now, _| core.on_directory(now, change));
+            id
+        }
+        Err(error) => {
+            node.tell(&[bad_entry(stored, &error)]);
+            lose_entry(node, &stored.key)
+        }
     }
 }
+
+/// A worker's newest entry can't be read.
+fn lose_entry(node: &Rc<Node>, key: &[u8]) -> WorkerId {
+    let id = WorkerId(CompactString::from_utf8_lossy(key));
+    node.step(|core, now, _| core.on_directory(now, DirectoryChange::Unreadable(id.clone())));
+    id
+}
+
+fn bad_entry(stored: &Stored, error: &EntryError) -> BadEntry {
+    let key = CompactString::from_utf8_lossy(&stored.key);
+    BadEntry::new(error.kind, key, stored.offset.0, error)
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod border;
 
 mod append;
+mod bad_entries;
 mod clients;
 mod clock;
 mod core;
@@ -19,6 +20,7 @@
 mod serve;
 
 pub use crate::{
+    bad_entries::{BadEntry, BadEntryLog, Decoded, Telling},
     clock::Clock,
     node::{Node, NodeOptions},
     serve::{Listeners, run},
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         append::{Appender, STUCK_AFTER},
+        bad_entries::{BadEntry, BadEntryLog, Decoded, Telling},
         border::{Advisor, Append, Fence, Fleet, Formats, Platform, Store, Topic, Workers},
         clock::Clock,
         core::{Core, Effects, Reading},
@@ -106,6 +107,7 @@
     pub(crate) recording: Cell<Option<Time>>,
     /// Topics whose reads fail, and since when.
     lost: RefCell<BTreeMap<Topic, Time>>,
+    bad_entries: RefCell<BadEntryLog>,
     pub(crate) clock: Clock,
     pub(crate) turns: Turns,
     wake: Notify,
@@ -136,6 +138,7 @@
             waiting: RefCell::default(),
             recording: Cell::new(None),
             lost: RefCell::default(),
+            bad_entries: RefCell::default(),
             clock,
             turns: Turns::default(),
             wake: Notify::new(),
@@ -262,6 +265,27 @@
         for effect in out.scheduler {
             self.perform(effect);
         }
+        self.tell(&out.bad);
+    }
+
+    /// Tells of entries that can't be read, of each once, and returns what could be.
+    pub(crate) fn heed<T>(&self, decoded: Decoded<T>) -> T {
+        self.tell(&decoded.bad);
+        decoded.value
+    }
+
+    pub(crate) fn tell(&self, bad: &[BadEntry]) {
+        let now = self.clock.now();
+        for entry in bad {
+            let telling = self.bad_entries.borrow_mut().note(now, entry);
+            if telling != Telling::Known {
+                self.metrics.unreadable(entry.kind);
+            }
+            if let Telling::Line { untold } = telling {
+                let BadEntry { kind, key, version, detail } = entry;
+                log::warn!(kind:?, key:%, version, error:% = detail, untold; "entry_unreadable");
+            }
+        }
     }
 
     pub(crate) fn directory_loaded(self: &Rc<Self>, found: &HashSet<WorkerId>) {
@@ -321,7 +345,7 @@
     fn begin_term(self: &Rc<Self>, epoch: Epoch) {
         let (now, wall_ms) = (self.clock.now(), self.clock.wall_ms());
         let core = &mut *self.core.borrow_mut();
-        let directory = core.directory.values().cloned();
+        let directory = core.directory_changes();
         let mut scheduler =
             Scheduler::new(now, wall_ms, epoch, core.limits, &core.ledger, directory);
         log::info!(
--- a/crates/runtime/src/orders.rs
+++ b/crates/runtime/src/orders.rs
@@ -107,8 +107,11 @@
 
     async fn hold(self: Rc<Self>, call: HoldCall) {
         let (worker, epoch, sent) = (call.worker.clone(), call.epoch, self.clock.now());
-        let result =
-            if self.may_order(epoch) { self.workers.hold(call).await } else { HoldResult::Failed };
+        let result = if self.may_order(epoch) {
+            self.heed(self.workers.hold(call).await)
+        } else {
+            HoldResult::Failed
+        };
         self.with_scheduler(epoch, |scheduler, now, out| {
             scheduler.on_hold(now, &worker, sent, &result, out);
         });
@@ -172,14 +175,14 @@
             core.leadership.term().zip(submission.and_then(|submission| submission.advice))
         };
         let Some((epoch, terms)) = known else { return };
-        let result = self.advisor.advise(step, &workers, terms).await;
+        let result = self.heed(self.advisor.advise(step, &workers, terms).await);
         self.with_scheduler(epoch, |scheduler, now, _| scheduler.on_advice(now, step, result));
     }
 
     async fn list_vms(self: Rc<Self>) {
         let Some(epoch) = self.core.borrow().leadership.term() else { return };
         let sent = self.clock.now();
-        let listed = self.fleet.list().await;
+        let listed = self.heed(self.fleet.list().await);
         self.with_scheduler(epoch, |scheduler, _, _| scheduler.on_vms(sent, listed));
     }
 
--- /dev/null
+++ b/crates/runtime/tests/bad_entry_log.rs
@@ -0,0 +1,51 @@
+//! Each entry that can't be read is told once, and a flood of them stays small.
+
+use {
+    egretlb_runtime::{BadEntry, BadEntryLog, Telling, border::EntryKind},
+    egretlb_types::Time,
+    std::time::Duration,
+};
+
+fn entry(key: &str, version: u64) -> BadEntry {
+    BadEntry::new(EntryKind::Worker, key, version, "no such field")
+}
+
+const NOW: Time = Time::from_secs(100);
+
+#[test]
+fn told_once() {
+    let mut log = BadEntryLog::default();
+    let line = Telling::Line { untold: 0 };
+    assert_eq!(log.note(NOW, &entry("a", 1)), line);
+    assert_eq!(log.note(NOW, &entry("a", 1)), Telling::Known);
+    assert_eq!(log.note(NOW, &entry("a", 2)), line);
+    assert_eq!(log.note(NOW, &entry("b", 2)), line);
+    let other = BadEntry { kind: EntryKind::Vm, ..entry("a", 2) };
+    assert_eq!(log.note(NOW, &other), line);
+}
+
+/// Another writer leaves thousands of entries in a second. Each line of it would push the lines that explain
+/// clients' requests out of the log.
+#[test]
+fn flood_bounded() {
+    let mut log = BadEntryLog::default();
+    let told: Vec<Telling> =
+        (0..100_000).map(|number| log.note(NOW, &entry(&format!("flood-{number}"), 1))).collect();
+    let lines = told.iter().filter(|telling| matches!(telling, Telling::Line { .. }));
+    assert_eq!(lines.count(), 20);
+    assert!(!told.contains(&Telling::Known));
+    // Those of late are remembered, the others aren't.
+    assert_eq!(log.note(NOW, &entry("flood-99999", 1)), Telling::Known);
+    assert_eq!(log.note(NOW, &entry("flood-0", 1)), Telling::Count);
+    let later = NOW + Duration::from_secs(10);
+    let untold = 100_000 - 20 + 1;
+    assert_eq!(log.note(later, &entry("next", 1)), Telling::Line { untold });
+}
+
+#[test]
+fn texts_shortened() {
+    let long = "é".repeat(1_000);
+    let entry = BadEntry::new(EntryKind::Run, long.as_str(), 0, &long);
+    assert!(entry.key.len() <= 120 && entry.detail.len() <= 120);
+    assert!(entry.key.starts_with("éé"));
+}
--- a/crates/telemetry/src/metrics/mod.rs
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -25,7 +25,7 @@
     entry::{EntryMetrics, Shares},
     labels::{AppendResult, Outcome},
     scheduler::{SchedulerMetrics, VmCounts},
-    workflow::{Answered, RunEvent, WorkflowMetrics},
+    workflow::{Answered, EntryKind, RunEvent, WorkflowMetrics},
 };
 
 /// The content type of what `render` of the metrics gives.
--- a/crates/telemetry/src/metrics/workflow.rs
+++ b/crates/telemetry/src/metrics/workflow.rs
@@ -52,6 +52,32 @@
     event: RunEvent,
 }
 
+/// What kind of entry couldn't be read.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EncodeLabelValue)]
+pub enum EntryKind {
+    /// A worker's entry in the directory.
+    Worker,
+    /// A configuration of the operator.
+    Configuration,
+    /// A wave of upkeep that the operator asks for.
+    Wave,
+    /// A record of the system's own.
+    Record,
+    /// A VM in the list of all VMs.
+    Vm,
+    /// A run in a worker's list.
+    Run,
+    /// An end in a worker's list.
+    End,
+    /// A ticket in an answer on which workers may run a step.
+    Advice,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+struct ByEntryKind {
+    kind: EntryKind,
+}
+
 /// The metrics of the daemon that runs workflows.
 #[derive(Debug)]
 pub struct WorkflowMetrics {
@@ -66,6 +92,7 @@
     active: Gauge,
     waiting: Gauge,
     config_version: Gauge,
+    unreadable: Family<ByEntryKind, Counter>,
 }
 
 impl Default for WorkflowMetrics {
@@ -89,6 +116,7 @@
             active: Gauge::default(),
             waiting: Gauge::default(),
             config_version: Gauge::default(),
+            unreadable: Family::default(),
         };
         metrics.register();
         metrics
@@ -133,6 +161,11 @@
             "Version of the configuration in force",
             self.config_version.clone(),
         );
+        registry.register(
+            "unreadable_entries",
+            "Entries that couldn't be read, each counted when it is first seen",
+            self.unreadable.clone(),
+        );
     }
 
     /// A client was answered, so long after its request.
@@ -175,6 +208,11 @@
         self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// An entry that can't be read was seen for the first time.
+    pub fn unreadable(&self, kind: EntryKind) {
+        self.unreadable.get_or_create(&ByEntryKind { kind }).inc();
+    }
+
     /// All metrics as text.
     pub fn render(&self) -> String {
         render_registry(&self.registry)
--- a/crates/workflow/src/directory.rs
+++ b/crates/workflow/src/directory.rs
@@ -12,6 +12,9 @@
     Ready,
     /// It leaves soon and must get no new work.
     Draining,
+    /// It says neither, or its newest entry can't be read. It must get no new work, and it isn't about to
+    /// leave: what runs there goes on.
+    Other,
 }
 
 /// A worker as its own entry describes it.
@@ -43,6 +46,14 @@
     pub fn has_label(&self, label: &str) -> bool {
         self.labels.iter().any(|own| own == label)
     }
+
+    /// The worker's newest entry can't be read. Whether it still takes work isn't known, so it gets none;
+    /// a worker that announced that it leaves still does.
+    pub fn lose_entry(&mut self) {
+        if self.state == WorkerState::Ready {
+            self.state = WorkerState::Other;
+        }
+    }
 }
 
 /// A change of the directory.
@@ -52,4 +63,16 @@
     Present(WorkerInfo),
     /// A worker's entry is gone: it left, or it was silent for some heartbeats. It may still run.
     Absent(WorkerId),
+    /// There is an entry and it can't be read.
+    Unreadable(WorkerId),
+}
+
+impl DirectoryChange {
+    /// The worker whose entry changed.
+    pub fn worker(&self) -> &WorkerId {
+        match self {
+            DirectoryChange::Present(info) => &info.id,
+            DirectoryChange::Absent(id) | DirectoryChange::Unreadable(id) => id,
+        }
+    }
 }
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -30,11 +30,11 @@
         Closed, Key, LeaderRecord, OccurrenceProgress, Outcome, Progress, Record, RecordError,
         RosterEntry, StepProgress, Submission,
     },
-    routes::{AdviceTerms, Route, RouteTable, RoutesError},
+    routes::{AdviceTerms, Route, RouteTable},
     scheduler::{
-        AdviceResult, Effect, End, EndKind, HoldReply, HoldResult, Measures, PaceResult, Reason,
-        RunningTask, Scheduler, StartResult, StopResult, WaitingStep,
+        AdviceResult, Effect, End, EndKind, HoldReply, HoldResult, Measures, OddRows, PaceResult,
+        Reason, RunningTask, Scheduler, StartResult, StopResult, WaitingStep,
     },
     spec::{MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS_PER_STEP, Repeat, SpecError, Step, Workflow},
-    upkeep::{UpkeepResult, VmEntry, VmId, VmState, Wave, WaveProgress, WaveState},
+    upkeep::{UpkeepResult, VmEntry, VmId, VmList, VmState, Wave, WaveProgress, WaveState},
 };
--- a/crates/workflow/src/routes.rs
+++ b/crates/workflow/src/routes.rs
@@ -3,7 +3,6 @@
 use {
     compact_str::CompactString,
     serde::{Deserialize, Serialize},
-    std::fmt,
 };
 
 /// What it costs to be told which workers may run a step, where a policy allows only some.
@@ -49,28 +48,6 @@
     pub routes: Vec<Route>,
 }
 
-/// Why a configuration can't be used.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum RoutesError {
-    /// It can't be read.
-    Unreadable {
-        /// What the reader said.
-        detail: CompactString,
-    },
-}
-
-impl fmt::Display for RoutesError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            RoutesError::Unreadable { detail } => {
-                write!(f, "the configuration can't be read: {detail}; publish a valid one")
-            }
-        }
-    }
-}
-
-impl std::error::Error for RoutesError {}
-
 impl RouteTable {
     /// The queue of a request: of those for its host, the one with the longest prefix.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -1,74 +1,16 @@
 //! What a worker's lists say: what runs there, and how runs ended.
 
 use {
-    super::{Copy, Effect, Need, Phase, Scheduler},
+    super::{
+        Copy, Effect, End, EndKind, HoldReply, Need, Phase, RunningTask, Scheduler,
+        polls::POLL_RETRY, unclear::Absent,
+    },
     crate::{RunId, TaskId, WorkerId},
     compact_str::CompactString,
     egretlb_types::Time,
     std::collections::BTreeSet,
 };
 
-/// The most ends in one answer of a worker; a list of that length may go on.
-const ENDS_PER_ANSWER: usize = 500;
-
-/// How a run ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum EndKind {
-    /// The task is done.
-    Done,
-    /// It failed, by its own fault or the worker's.
-    Failed,
-    /// It was stopped.
-    Stopped,
-    /// Its lease lapsed.
-    Lapsed,
-    /// Another member of its gang ended.
-    Broken,
-    /// It waited too long for the other members of its gang.
-    Alone,
-}
-
-/// An end, as the worker lists it until it is acknowledged.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct End {
-    /// Its number at this worker, from 1.
-    pub number: u64,
-    /// The task.
-    pub task: TaskId,
-    /// The run.
-    pub run: RunId,
-    /// How it ended.
-    pub kind: EndKind,
-    /// Its last checkpoint; empty for none.
-    pub saved: CompactString,
-}
-
-/// A run that is under way.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct RunningTask {
-    /// The task.
-    pub task: TaskId,
-    /// The run.
-    pub run: RunId,
-    /// Its last checkpoint; empty for none.
-    pub saved: CompactString,
-    /// How far it is; 100 for a lasting task at work.
-    pub percent: u32,
-    /// A task that serves: its tail latency in milliseconds. Another one: thousandths of a core in use.
-    pub figure: u32,
-}
-
-/// A worker's answer to a poll.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct HoldReply {
-    /// The worker's clock in milliseconds.
-    pub clock_ms: u64,
-    /// What runs.
-    pub running: Vec<RunningTask>,
-    /// Ends that aren't acknowledged, in order.
-    pub ended: Vec<End>,
-}
-
 impl Scheduler {
     /// Takes a worker's lists in. `sent` is when the poll was sent.
     pub(super) fn on_lists(
@@ -81,21 +23,27 @@
     ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.heard(now, reply.clock_ms);
+        let unclear = worker.unclear.note(now, reply);
         let first = !worker.surveyed;
-        worker.surveyed = true;
-        if first && self.unaccounted.remove(id).is_some() && self.unaccounted.is_empty() {
+        // What its predecessor started there isn't known from such an answer. Nothing is renewed before the
+        // survey, so by the bound all of that has lapsed.
+        worker.surveyed |= !unclear || now >= worker.lease_bound;
+        if !worker.surveyed {
+            worker.poll_at = now + POLL_RETRY;
+        } else if first && self.unaccounted.remove(id).is_some() && self.unaccounted.is_empty() {
             log::info!(epoch:% = self.epoch; "survey_complete");
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
         let taken = worker.taken;
-        worker.taken = reply.ended.iter().map(|end| end.number).fold(taken, u64::max);
+        let numbers = reply.ended.iter().map(|end| end.number);
+        worker.taken = numbers.chain(worker.unclear.passed_over(reply)).fold(taken, u64::max);
         for end in reply.ended.iter().filter(|end| end.number > taken) {
             self.on_end(now, id, end, out);
         }
         self.reconcile(now, id, sent, reply, out);
         self.watch(now, id, out);
         self.pace_fillers(now, id, out);
-        self.chase(now, id, out);
+        self.chase(now, id, reply, out);
     }
 
     fn on_end(&mut self, now: Time, id: &WorkerId, end: &End, out: &mut Vec<Effect>) {
@@ -104,7 +52,7 @@
             worker.remove(end.task, end.run);
             match end.kind {
                 EndKind::Done => worker.failures = 0,
-                EndKind::Failed => self.on_failure(now, id),
+                EndKind::Failed | EndKind::Unknown => self.on_failure(now, id),
                 EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
             }
         }
@@ -125,7 +73,12 @@
         match end.kind {
             EndKind::Done => self.on_done(now, end.task, out),
             EndKind::Failed => self.on_failed(now, id, end),
-            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
+            // Only a failure that is known as one uses up an attempt.
+            EndKind::Stopped
+            | EndKind::Lapsed
+            | EndKind::Broken
+            | EndKind::Alone
+            | EndKind::Unknown => {
                 if !end.saved.is_empty() {
                     self.dirty.insert(end.task.workflow);
                 }
@@ -215,20 +168,22 @@
             listed.insert((running.task, running.run));
             self.on_running(now, id, reply.clock_ms, running, out);
         }
-        if reply.ended.len() >= ENDS_PER_ANSWER {
+        for (task, run) in &reply.odd.seen {
+            listed.insert((*task, *run));
+            self.on_seen(now, id, reply.clock_ms, (*task, *run), out);
+        }
+        if reply.is_full() {
             return;
         }
+        let lease = self.limits.lease_bound();
         let Some(worker) = self.workers.get(id) else { return };
         let mut gone = Vec::new();
         let mut doubtful = Vec::new();
         for (key, copy) in worker.copies.iter().filter(|(key, _)| !listed.contains(*key)) {
-            match copy.phase {
-                Phase::Running { clock_ms } if reply.clock_ms > clock_ms => gone.push(*key),
-                Phase::Stopping { confirmed_ms: Some(at), .. } if reply.clock_ms > at => {
-                    gone.push(*key);
-                }
-                Phase::Doubtful { since } if sent > since => doubtful.push(*key),
-                _ => {}
+            match worker.unclear.absent(now, copy.phase, sent, reply.clock_ms, lease) {
+                Absent::Gone => gone.push(*key),
+                Absent::Doubtful => doubtful.push(*key),
+                Absent::Unsettled => {}
             }
         }
         for (task, run) in gone {
@@ -280,6 +235,30 @@
         }
     }
 
+    /// A run is listed in a row of which nothing else can be read: it is under way, and how far it is isn't
+    /// known.
+    fn on_seen(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        clock_ms: u64,
+        (task, run): (TaskId, RunId),
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        match worker.copies.get_mut(&(task, run)) {
+            Some(copy) if matches!(copy.phase, Phase::Starting | Phase::Doubtful { .. }) => {
+                copy.begin(now, clock_ms);
+            }
+            Some(_) => {}
+            None => {
+                let saved = CompactString::default();
+                let running = RunningTask { task, run, saved, percent: 0, figure: 0 };
+                self.adopt(now, id, clock_ms, &running, out);
+            }
+        }
+    }
+
     /// A run that this leader didn't start: a predecessor did. It is kept if its task still waits.
     fn adopt(
         &mut self,
@@ -315,7 +294,7 @@
         // run at all, and the task must not start anew while this one is being stopped.
         if let Some(state) = self.task_mut(task) {
             state.copies.push((id.clone(), run));
-            if wanted {
+            if wanted && !running.saved.is_empty() {
                 state.saved.clone_from(&running.saved);
             }
         }
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -15,6 +15,7 @@
 mod ends;
 mod flow;
 mod gangs;
+mod lists;
 mod orders;
 mod pacing;
 mod place;
@@ -24,6 +25,7 @@
 mod queue;
 mod recording;
 mod stragglers;
+mod unclear;
 mod upkeep;
 mod worker;
 
@@ -48,7 +50,7 @@
     advice::AdviceResult,
     dump::{Reason, WaitingStep},
     effect::Effect,
-    ends::{End, EndKind, HoldReply, RunningTask},
+    lists::{End, EndKind, HoldReply, OddRows, RunningTask},
     orders::{StartResult, StopResult},
     pacing::PaceResult,
     polls::HoldResult,
@@ -130,7 +132,7 @@
         epoch: Epoch,
         limits: Limits,
         ledger: &Ledger,
-        directory: impl IntoIterator<Item = WorkerInfo>,
+        directory: impl IntoIterator<Item = DirectoryChange>,
     ) -> Scheduler {
         let mut scheduler = Scheduler {
             epoch,
@@ -175,8 +177,8 @@
             }
             scheduler.workers.insert(entry.id.clone(), worker);
         }
-        for info in directory {
-            scheduler.on_directory(now, DirectoryChange::Present(info));
+        for change in directory {
+            scheduler.on_directory(now, change);
         }
         for (id, entry) in ledger.iter() {
             scheduler.add_flow(now, id, entry, true);
@@ -214,12 +216,21 @@
                     worker.poll_at = now;
                 }
             }
+            DirectoryChange::Unreadable(id) => {
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.lose_entry();
+                }
+            }
         }
     }
 
     fn on_present(&mut self, now: Time, info: WorkerInfo) {
         let drains = info.state == WorkerState::Draining;
         let id = info.id.clone();
+        // Nothing of ours runs there and nothing will be started, so it isn't called.
+        if info.state == WorkerState::Other && !self.workers.contains_key(&id) {
+            return;
+        }
         let worker =
             self.workers.entry(id.clone()).or_insert_with(|| Worker::new(now, info.clone()));
         let was_ready = worker.info.state == WorkerState::Ready;
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -27,7 +27,7 @@
 const LEAVING_LEASE: Duration = Duration::from_secs(2);
 
 /// The pause after a poll that failed.
-const POLL_RETRY: Duration = Duration::from_millis(200);
+pub(super) const POLL_RETRY: Duration = Duration::from_millis(200);
 
 /// A worker that runs nothing is asked this seldom; its heartbeats in the directory show that it lives.
 const IDLE_POLL: Duration = Duration::from_millis(1_500);
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -34,7 +34,7 @@
             || self.roster_dirty
             || self.upkeep.has_news()
             || !self.dirty.is_empty()
-            || self.workers.values().any(|worker| worker.taken > worker.recorded)
+            || self.workers.values().any(|worker| worker.forgettable() > worker.recorded)
     }
 
     /// Sends what is to be recorded, if no append is under way.
@@ -54,8 +54,8 @@
             recording.ends = self
                 .workers
                 .iter()
-                .filter(|(_, worker)| worker.taken > worker.recorded)
-                .map(|(id, worker)| (id.clone(), worker.taken))
+                .filter(|(_, worker)| worker.forgettable() > worker.recorded)
+                .map(|(id, worker)| (id.clone(), worker.forgettable()))
                 .collect();
         }
         recording.waves = self.upkeep.take_dirty();
--- a/crates/workflow/src/scheduler/stragglers.rs
+++ b/crates/workflow/src/scheduler/stragglers.rs
@@ -6,7 +6,7 @@
 //! copy elsewhere; another one is stopped and goes on elsewhere.
 
 use {
-    super::{Copy, Effect, Need, Phase, Scheduler, Worker, worker::FULL_PACE},
+    super::{Copy, Effect, HoldReply, Need, Phase, Scheduler, Worker, worker::FULL_PACE},
     crate::{RunId, Step, TaskId, WorkerId},
     egretlb_types::Time,
     std::time::Duration,
@@ -154,11 +154,20 @@
 
 impl Scheduler {
     /// Moves what stands still or is slow at a worker that has just been heard.
-    pub(super) fn chase(&mut self, now: Time, id: &WorkerId, out: &mut Vec<Effect>) {
+    pub(super) fn chase(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        reply: &HoldReply,
+        out: &mut Vec<Effect>,
+    ) {
         let Some(worker) = self.workers.get(id) else { return };
         let mut found: Vec<(TaskId, RunId)> = Vec::new();
         let mut standing = 0;
         for ((task, run), copy) in &worker.copies {
+            if reply.hides(*task, *run) {
+                continue;
+            }
             let Some(step) = self.step(*task) else { continue };
             let resumed = step.checkpoints;
             match judge(now, copy, step, resumed) {
--- /dev/null
+++ b/crates/workflow/src/scheduler/unclear.rs
@@ -0,0 +1,106 @@
+//! Workers whose lists hold rows that can't be read.
+//!
+//! Such a row may be any run that is missing from the list, or its end. Taken as nothing, a task whose run
+//! goes on would be started a second time, and one that is done would be run again.
+
+use {
+    super::{HoldReply, Phase},
+    egretlb_types::Time,
+    std::time::Duration,
+};
+
+/// How long an end that can't be read is left unacknowledged, so that the worker lists it again: some five
+/// polls. For longer it isn't, since the worker lists 500 ends at a time, and those behind them would never
+/// be seen. Then its task counts as ended without success.
+const END_PATIENCE: Duration = Duration::from_secs(1);
+
+/// How long after a confirmed stop a run has certainly ended, on the worker's clock in milliseconds. Workers
+/// take at most 400 ms for a stop.
+const STOP_SETTLED_MS: u64 = 1_000;
+
+/// What the absence of a run from a worker's list means.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Absent {
+    /// It isn't under way any more.
+    Gone,
+    /// It may yet begin, or may be what a row that can't be read stands for; a stop settles it.
+    Doubtful,
+    /// Nothing yet.
+    Unsettled,
+}
+
+/// What can't be read of a worker's lists.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Unclear {
+    /// Since when each answer had rows of runs that can't be read.
+    runs_since: Option<Time>,
+    /// The first end that can't be read, and since when there is one.
+    held_end: Option<(u64, Time)>,
+    /// Ends up to here that can't be read are given up.
+    given_up: u64,
+}
+
+impl Unclear {
+    /// Takes an answer in; returns whether a run that it doesn't list may be one that can't be read.
+    pub(super) fn note(&mut self, now: Time, reply: &HoldReply) -> bool {
+        self.runs_since = (reply.odd.runs > 0).then(|| self.runs_since.unwrap_or(now));
+        let open = reply.odd.ends.iter().copied().filter(|number| *number > self.given_up);
+        let (first, last) = (open.clone().min(), open.max());
+        self.held_end = first.map(|first| (first, self.held_end.map_or(now, |(_, since)| since)));
+        if let (Some((_, since)), Some(last)) = (self.held_end, last)
+            && (reply.is_full() || now.since(since) >= END_PATIENCE)
+        {
+            log::warn!(ends_to = last; "unreadable_ends_given_up");
+            self.given_up = last;
+            self.held_end = None;
+        }
+        self.runs_since.is_some() || self.held_end.is_some()
+    }
+
+    /// Ends that mean nothing and take up all room of the list. Others are acknowledged with the next end that
+    /// means something: a number that another writer made up may be above those of ends to come.
+    pub(super) fn passed_over(self, reply: &HoldReply) -> impl Iterator<Item = u64> {
+        let odd = &reply.odd;
+        let given_up = odd.ends.iter().copied().filter(move |number| *number <= self.given_up);
+        let nothing = given_up.chain(odd.foreign_ends.iter().copied());
+        nothing.filter(|_| reply.is_full())
+    }
+
+    /// Of ends up to `taken`, up to which one the worker may forget them once they are recorded.
+    pub(super) fn forgettable(&self, taken: u64) -> u64 {
+        self.held_end.map_or(taken, |(first, _)| taken.min(first.saturating_sub(1)))
+    }
+
+    /// What it means that a run isn't listed by an answer of the worker's clock `clock_ms` to a poll that was
+    /// sent at `sent`.
+    pub(super) fn absent(
+        &self,
+        now: Time,
+        phase: Phase,
+        sent: Time,
+        clock_ms: u64,
+        lease: Duration,
+    ) -> Absent {
+        let held = self.held_end.is_some();
+        match (phase, self.runs_since) {
+            (Phase::Running { clock_ms: known }, None) if clock_ms > known && !held => Absent::Gone,
+            // What goes on behind a row that can't be read would be lost by a stop; what is gone without a
+            // trace would hold its task for good without one.
+            (Phase::Running { clock_ms: known }, Some(since))
+                if clock_ms > known && now.since(since) >= lease =>
+            {
+                Absent::Doubtful
+            }
+            (Phase::Stopping { confirmed_ms: Some(at), .. }, None) if clock_ms > at && !held => {
+                Absent::Gone
+            }
+            (Phase::Stopping { confirmed_ms: Some(at), .. }, Some(_))
+                if clock_ms > at + STOP_SETTLED_MS && !held =>
+            {
+                Absent::Gone
+            }
+            (Phase::Doubtful { since }, _) if sent > since => Absent::Doubtful,
+            _ => Absent::Unsettled,
+        }
+    }
+}
--- a/crates/workflow/src/scheduler/upkeep/mod.rs
+++ b/crates/workflow/src/scheduler/upkeep/mod.rs
@@ -14,7 +14,7 @@
     self::stages::{Stage, WaveRun},
     super::{Copy, Effect, Phase, Scheduler},
     crate::{
-        Ledger, RunId, TaskId, UpkeepResult, VmEntry, VmId, VmState, Wave, WaveState, WorkerId,
+        Ledger, RunId, TaskId, UpkeepResult, VmId, VmList, VmState, Wave, WaveState, WorkerId,
     },
     egretlb_types::Time,
     std::{collections::BTreeMap, time::Duration},
@@ -56,10 +56,17 @@
     }
 
     /// The VMs as listed by a call that was sent at `sent`; none if it failed.
-    pub fn on_vms(&mut self, sent: Time, listed: Option<Vec<VmEntry>>) {
+    pub fn on_vms(&mut self, sent: Time, listed: Option<VmList>) {
         self.upkeep.listing = None;
         if let Some(listed) = listed {
-            self.upkeep.vms = listed.into_iter().map(|entry| (entry.vm.clone(), entry)).collect();
+            // A VM whose row can't be read is still what it was; taken as gone, its wave would be said to be
+            // complete without it.
+            if listed.whole {
+                self.upkeep.vms.clear();
+            }
+            self.upkeep.whole = listed.whole;
+            let entries = listed.vms.into_iter().map(|entry| (entry.vm.clone(), entry));
+            self.upkeep.vms.extend(entries);
             self.upkeep.listed = Some(sent);
         }
     }
@@ -140,7 +147,8 @@
 
     /// VMs that are back with another worker, or that aren't there any more.
     fn find_finished(&mut self, number: u64) {
-        let Upkeep { runs, vms, listed, dirty, .. } = &mut self.upkeep;
+        let Upkeep { runs, vms, whole, listed, dirty, .. } = &mut self.upkeep;
+        let whole = *whole;
         let (Some(listed), Some(run)) = (*listed, runs.get_mut(&number)) else { return };
         for vm in &run.wave.vms {
             let entry = vms.get(vm);
@@ -148,8 +156,8 @@
             let done = match (stage, entry) {
                 (Some(Stage::Finished), _) => false,
                 // An order that isn't confirmed may still take one down that isn't listed just now.
-                (None | Some(Stage::Emptying { .. }), None) => !vms.is_empty(),
-                (Some(Stage::Down { since, .. }), None) => listed > *since,
+                (None | Some(Stage::Emptying { .. }), None) => whole && !vms.is_empty(),
+                (Some(Stage::Down { since, .. }), None) => whole && listed > *since,
                 (Some(Stage::Down { worker, since }), Some(entry)) => {
                     let back = entry.state == VmState::Up && entry.worker.is_some();
                     listed > *since && back && entry.worker != *worker
--- a/crates/workflow/src/scheduler/upkeep/stages.rs
+++ b/crates/workflow/src/scheduler/upkeep/stages.rs
@@ -88,6 +88,8 @@
 pub(in crate::scheduler) struct Upkeep {
     pub(super) runs: BTreeMap<u64, WaveRun>,
     pub(super) vms: BTreeMap<VmId, VmEntry>,
+    /// The last listing could be read as a whole: what isn't in it isn't there.
+    pub(super) whole: bool,
     /// When the listing under way was asked for.
     pub(super) listing: Option<Time>,
     /// When the last complete listing was asked for.
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -1,6 +1,7 @@
 //! What the leader knows of a worker.
 
 use {
+    super::unclear::Unclear,
     crate::{
         Limits, RunId, Step, TaskId, WorkerInfo, WorkerState,
         interference::{Exposure, ImageNo, Interference},
@@ -179,6 +180,8 @@
     clock: Option<(u64, Time)>,
     pub(crate) poll_sent: Option<Time>,
     pub(crate) poll_at: Time,
+    /// Rows of its lists that can't be read.
+    pub(super) unclear: Unclear,
     /// Ends up to here were taken in.
     pub(crate) taken: u64,
     /// Ends up to here are recorded, so the worker may forget them.
@@ -227,6 +230,7 @@
             clock: None,
             poll_sent: None,
             poll_at: now,
+            unclear: Unclear::default(),
             taken: 0,
             recorded: 0,
             copies: BTreeMap::new(),
@@ -326,6 +330,21 @@
         self.info.state == WorkerState::Draining && !self.present && self.refused
     }
 
+    /// Its entry in the directory can't be read: it hasn't left, and gets nothing new.
+    pub(crate) fn lose_entry(&mut self) {
+        if !self.present {
+            // That it leaves was only supposed, or its entry was gone.
+            self.info.state = WorkerState::Other;
+        }
+        self.info.lose_entry();
+        self.present = true;
+    }
+
+    /// Ends up to here may be acknowledged once they are recorded.
+    pub(crate) fn forgettable(&self) -> u64 {
+        self.unclear.forgettable(self.taken)
+    }
+
     /// Whether it may get a new task.
     pub(crate) fn takes_work(&self, now: Time, limits: &Limits) -> bool {
         self.present
--- a/crates/workflow/src/upkeep.rs
+++ b/crates/workflow/src/upkeep.rs
@@ -37,6 +37,15 @@
     pub worker: Option<WorkerId>,
 }
 
+/// The platform's list of its VMs.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct VmList {
+    /// The VMs.
+    pub vms: Vec<VmEntry>,
+    /// Whether each row could be read. Otherwise a VM that isn't among them may be there all the same.
+    pub whole: bool,
+}
+
 /// The operator wants upkeep of these VMs.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Wave {
--- a/crates/workflow/tests/support/messages.rs
+++ b/crates/workflow/tests/support/messages.rs
@@ -9,7 +9,7 @@
     egretlb_types::{Epoch, Seq, Time},
     egretlb_workflow::{
         AdviceResult, AdviceTerms, AppendResult, Effect, HoldResult, PaceResult, Record, RunId,
-        StartResult, StepId, StopResult, TaskId, UpkeepResult, VmEntry, VmId, WaveState, WorkerId,
+        StartResult, StepId, StopResult, TaskId, UpkeepResult, VmId, VmList, WaveState, WorkerId,
     },
     rand::Rng,
     std::time::Duration,
@@ -55,7 +55,7 @@
     Stop(WorkerId, TaskId, RunId, StopResult),
     Pace(WorkerId, TaskId, RunId, PaceResult),
     Advice(StepId, AdviceResult),
-    Vms(Option<Vec<VmEntry>>),
+    Vms(Option<VmList>),
     Upkeep(u64, VmId, UpkeepResult),
     Told(u64, WaveState),
 }
--- a/crates/workflow/tests/support/node.rs
+++ b/crates/workflow/tests/support/node.rs
@@ -3,7 +3,8 @@
 use {
     egretlb_types::{Epoch, Offset, Seq, Time},
     egretlb_workflow::{
-        Change, Effect, Leadership, LeadershipEffect, Ledger, Limits, Scheduler, WorkerInfo,
+        Change, DirectoryChange, Effect, Leadership, LeadershipEffect, Ledger, Limits, Scheduler,
+        WorkerInfo,
     },
 };
 
@@ -102,7 +103,7 @@
                 }
                 LeadershipEffect::Elected { epoch } => {
                     self.elections += 1;
-                    let directory = self.directory.clone();
+                    let directory = self.directory.iter().cloned().map(DirectoryChange::Present);
                     let wall_ms = now.as_micros() / 1_000;
                     let scheduler =
                         Scheduler::new(now, wall_ms, epoch, self.limits, &self.ledger, directory);
--- a/crates/workflow/tests/support/services.rs
+++ b/crates/workflow/tests/support/services.rs
@@ -7,7 +7,7 @@
         world::{STEP, World},
     },
     egretlb_types::{Epoch, Time},
-    egretlb_workflow::{Effect, UpkeepResult},
+    egretlb_workflow::{Effect, UpkeepResult, VmList},
     rand::Rng,
     std::time::Duration,
 };
@@ -25,7 +25,9 @@
         let now = self.now;
         let late = self.rng.random_range(0..1_000) < self.late_orders;
         let answer = match &effect {
-            Effect::ListVms => Answer::Vms((!late).then(|| self.fleet.list())),
+            Effect::ListVms => {
+                Answer::Vms((!late).then(|| VmList { vms: self.fleet.list(), whole: true }))
+            }
             Effect::TellWave { wave, state } => {
                 self.fleet.told.push(*state);
                 Answer::Told(*wave, *state)
--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -6,8 +6,8 @@
     compact_str::{CompactString, format_compact},
     egretlb_types::{Epoch, Megabytes, MilliCores, Resources, Time},
     egretlb_workflow::{
-        End, EndKind, HoldReply, HoldResult, PaceResult, RunId, RunningTask, StartResult, Step,
-        StopResult, Submission, TaskId, WorkerId, WorkerInfo, WorkerState,
+        End, EndKind, HoldReply, HoldResult, OddRows, PaceResult, RunId, RunningTask, StartResult,
+        Step, StopResult, Submission, TaskId, WorkerId, WorkerInfo, WorkerState,
     },
     std::{collections::BTreeMap, sync::Arc},
 };
@@ -64,6 +64,14 @@
     pub stop_ms: u64,
     /// Paces that were set.
     pub paces: Vec<u32>,
+    /// Rows of its runs can't be read.
+    pub blurred: bool,
+    /// Ends with higher numbers can't be read.
+    pub ends_read_to: u64,
+    /// So many of the next runs that are done end in an unknown way.
+    pub unknown_ends: u32,
+    /// Its entry in the directory can't be read.
+    pub entry_lost: bool,
 }
 
 /// The longest lease that is granted, in milliseconds.
@@ -100,6 +108,10 @@
             slowness: 100,
             stop_ms: 0,
             paces: Vec::new(),
+            blurred: false,
+            ends_read_to: u64::MAX,
+            unknown_ends: 0,
+            entry_lost: false,
         }
     }
 
@@ -130,7 +142,13 @@
         let due = self.running.iter().filter(|(_, run)| run.left_at(clock, self.slowness) == 0);
         let due: Vec<TaskId> = due.map(|(task, _)| *task).collect();
         for task in due {
-            let kind = if self.fails_all { EndKind::Failed } else { EndKind::Done };
+            let unknown = self.unknown_ends > 0;
+            self.unknown_ends -= u32::from(unknown);
+            let kind = match (self.fails_all, unknown) {
+                (true, _) => EndKind::Failed,
+                (false, true) => EndKind::Unknown,
+                (false, false) => EndKind::Done,
+            };
             self.finish(task, kind, checker);
         }
         let stops = |run: &Run| run.stops_at.is_some_and(|at| at <= clock);
@@ -183,11 +201,16 @@
             percent: percent(run),
             figure: figure(run),
         });
-        HoldResult::Lists(HoldReply {
-            clock_ms,
-            running: running.collect(),
-            ended: self.ended.clone(),
-        })
+        let mut running: Vec<RunningTask> = running.collect();
+        let (ended, lost): (Vec<End>, Vec<End>) =
+            self.ended.iter().cloned().partition(|end| end.number <= self.ends_read_to);
+        let ends = lost.iter().map(|end| end.number).collect();
+        let mut odd = OddRows { ends, ..OddRows::default() };
+        if self.blurred {
+            odd.runs = u32::try_from(running.len()).unwrap_or(u32::MAX);
+            running.clear();
+        }
+        HoldResult::Lists(HoldReply { clock_ms, running, ended, odd })
     }
 
     pub fn start(&mut self, now: Time, order: &StartOrder, checker: &mut Checker) -> StartResult {
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -8,7 +8,7 @@
     egretlb_types::{Offset, Time},
     egretlb_workflow::{
         DirectoryChange, Key, LeadershipEffect, Limits, Outcome, Record, State, Submission, Wave,
-        WorkerId, WorkflowId,
+        WorkerId, WorkerInfo, WorkflowId,
     },
     rand::{SeedableRng, rngs::SmallRng},
     std::time::Duration,
@@ -232,20 +232,33 @@
 
     fn read_directory(&mut self, index: usize) {
         let now = self.now;
-        let present: Vec<_> =
+        let mut present: Vec<_> =
             self.workers.iter().filter(|worker| worker.up).map(|w| w.info.clone()).collect();
+        let lost: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|worker| worker.entry_lost)
+            .map(|worker| worker.info.id.clone())
+            .collect();
         let node = &mut self.nodes[index];
+        present.retain(|info| !lost.contains(&info.id));
+        let mut kept = node.directory.clone();
+        kept.retain(|known| lost.contains(&known.id));
+        kept.iter_mut().for_each(WorkerInfo::lose_entry);
         let gone: Vec<WorkerId> = node
             .directory
             .iter()
-            .filter(|known| !present.iter().any(|info| info.id == known.id))
+            .filter(|known| !present.iter().chain(&kept).any(|info| info.id == known.id))
             .map(|known| known.id.clone())
             .collect();
-        node.directory.clone_from(&present);
+        node.directory = present.iter().chain(&kept).cloned().collect();
         if let Some(scheduler) = &mut node.scheduler {
             for info in present {
                 scheduler.on_directory(now, DirectoryChange::Present(info));
             }
+            for id in lost {
+                scheduler.on_directory(now, DirectoryChange::Unreadable(id));
+            }
             for id in gone {
                 scheduler.on_directory(now, DirectoryChange::Absent(id));
             }
