--- a/crates/workflow/src/scheduler/unclear.rs
+++ b/crates/workflow/src/scheduler/unclear.rs
@@ -1,10 +1,11 @@
-//! Workers whose lists hold rows that can't be read.
+//! Workers whose entry, or rows of whose lists, can't be read.
 //!
 //! Such a row may be any run that is missing from the list, or its end. Taken as nothing, a task whose run
 //! goes on would be started a second time, and one that is done would be run again.
 
 use {
-    super::{HoldReply, Phase},
+    super::{HoldReply, Phase, Worker},
+    crate::WorkerState,
     egretlb_types::Time,
     std::time::Duration,
 };
@@ -104,3 +105,20 @@
         }
     }
 }
+
+impl Worker {
+    /// Its entry in the directory can't be read: it hasn't left, and gets nothing new.
+    pub(super) fn lose_entry(&mut self) {
+        if !self.present {
+            // That it leaves was only supposed, or its entry was gone.
+            self.info.state = WorkerState::Other;
+        }
+        self.info.lose_entry();
+        self.present = true;
+    }
+
+    /// Ends up to here may be acknowledged once they are recorded.
+    pub(super) fn forgettable(&self) -> u64 {
+        self.unclear.forgettable(self.taken)
+    }
+}
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -330,21 +330,6 @@
         self.info.state == WorkerState::Draining && !self.present && self.refused
     }
 
-    /// Its entry in the directory can't be read: it hasn't left, and gets nothing new.
-    pub(crate) fn lose_entry(&mut self) {
-        if !self.present {
-            // That it leaves was only supposed, or its entry was gone.
-            self.info.state = WorkerState::Other;
-        }
-        self.info.lose_entry();
-        self.present = true;
-    }
-
-    /// Ends up to here may be acknowledged once they are recorded.
-    pub(crate) fn forgettable(&self) -> u64 {
-        self.unclear.forgettable(self.taken)
-    }
-
     /// Whether it may get a new task.
     pub(crate) fn takes_work(&self, now: Time, limits: &Limits) -> bool {
         self.present
