Take in an end that couldn't be read before later ones were

Ends are taken in by their number, and those that follow an unreadable one raised it; the end was then met as an old one, acknowledged, and its task started again. The numbers that couldn't be read are remembered until they can be, or are given up.

--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -23,6 +23,7 @@
     ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.heard(now, reply.clock_ms);
+        let before = worker.unclear.clone();
         let unclear = worker.unclear.note(now, reply);
         let first = !worker.surveyed;
         // What its predecessor started there isn't known from such an answer. Nothing is renewed before the
@@ -37,7 +38,8 @@
         let taken = worker.taken;
         let numbers = reply.ended.iter().map(|end| end.number);
         worker.taken = numbers.chain(worker.unclear.passed_over(reply)).fold(taken, u64::max);
-        for end in reply.ended.iter().filter(|end| end.number > taken) {
+        let news = |end: &&End| end.number > taken || before.is_open(end.number);
+        for end in reply.ended.iter().filter(news) {
             self.on_end(now, id, end, out);
         }
         self.reconcile(now, id, sent, reply, out);
--- a/crates/workflow/src/scheduler/unclear.rs
+++ b/crates/workflow/src/scheduler/unclear.rs
@@ -7,6 +7,7 @@
     super::{HoldReply, Phase, Worker},
     crate::WorkerState,
     egretlb_types::Time,
+    smallvec::SmallVec,
     std::time::Duration,
 };
 
@@ -31,12 +32,13 @@
 }
 
 /// What can't be read of a worker's lists.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Unclear {
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Unclear {
     /// Since when each answer had rows of runs that can't be read.
     runs_since: Option<Time>,
-    /// The first end that can't be read, and since when there is one.
-    held_end: Option<(u64, Time)>,
+    /// The numbers of ends that can't be read, in order, and since when there are any.
+    open_ends: SmallVec<[u64; 4]>,
+    ends_since: Option<Time>,
     /// Ends up to here that can't be read are given up.
     given_up: u64,
 }
@@ -45,31 +47,40 @@
     /// Takes an answer in; returns whether a run that it doesn't list may be one that can't be read.
     pub(super) fn note(&mut self, now: Time, reply: &HoldReply) -> bool {
         self.runs_since = (reply.odd.runs > 0).then(|| self.runs_since.unwrap_or(now));
-        let open = reply.odd.ends.iter().copied().filter(|number| *number > self.given_up);
-        let (first, last) = (open.clone().min(), open.max());
-        self.held_end = first.map(|first| (first, self.held_end.map_or(now, |(_, since)| since)));
-        if let (Some((_, since)), Some(last)) = (self.held_end, last)
-            && (reply.is_full() || now.since(since) >= END_PATIENCE)
-        {
+        let given_up = self.given_up;
+        self.open_ends = reply.odd.ends.iter().copied().filter(|end| *end > given_up).collect();
+        let Some(last) = self.open_ends.last().copied() else {
+            self.ends_since = None;
+            return self.runs_since.is_some();
+        };
+        let since = *self.ends_since.get_or_insert(now);
+        if reply.is_full() || now.since(since) >= END_PATIENCE {
             log::warn!(ends_to = last; "unreadable_ends_given_up");
             self.given_up = last;
-            self.held_end = None;
+            self.open_ends.clear();
+            self.ends_since = None;
         }
-        self.runs_since.is_some() || self.held_end.is_some()
+        self.runs_since.is_some() || !self.open_ends.is_empty()
+    }
+
+    /// Whether an end couldn't be read in the last answer that was taken in.
+    pub(super) fn is_open(&self, end: u64) -> bool {
+        self.open_ends.contains(&end)
     }
 
     /// Ends that mean nothing and take up all room of the list. Others are acknowledged with the next end that
     /// means something: a number that another writer made up may be above those of ends to come.
-    pub(super) fn passed_over(self, reply: &HoldReply) -> impl Iterator<Item = u64> {
-        let odd = &reply.odd;
-        let given_up = odd.ends.iter().copied().filter(move |number| *number <= self.given_up);
+    pub(super) fn passed_over(&self, reply: &HoldReply) -> impl Iterator<Item = u64> {
+        let (odd, given_up) = (&reply.odd, self.given_up);
+        let given_up = odd.ends.iter().copied().filter(move |number| *number <= given_up);
         let nothing = given_up.chain(odd.foreign_ends.iter().copied());
         nothing.filter(|_| reply.is_full())
     }
 
     /// Of ends up to `taken`, up to which one the worker may forget them once they are recorded.
     pub(super) fn forgettable(&self, taken: u64) -> u64 {
-        self.held_end.map_or(taken, |(first, _)| taken.min(first.saturating_sub(1)))
+        let first = self.open_ends.first();
+        first.map_or(taken, |first| taken.min(first.saturating_sub(1)))
     }
 
     /// What it means that a run isn't listed by an answer of the worker's clock `clock_ms` to a poll that was
@@ -82,7 +93,7 @@
         clock_ms: u64,
         lease: Duration,
     ) -> Absent {
-        let held = self.held_end.is_some();
+        let held = !self.open_ends.is_empty();
         match (phase, self.runs_since) {
             (Phase::Running { clock_ms: known }, None) if clock_ms > known && !held => Absent::Gone,
             // What goes on behind a row that can't be read would be lost by a stop; what is gone without a
