--- a/crates/workflow/tests/odd_records.rs
+++ b/crates/workflow/tests/odd_records.rs
@@ -12,7 +12,7 @@
         driver::{Options, Rng},
     },
     egretlb_types::Offset,
-    egretlb_workflow::{Key, Ledger, Progress, Record, State, WorkflowId},
+    egretlb_workflow::{Entry, Key, Ledger, Outcome, Progress, Record, State, WorkflowId},
     rand::{SeedableRng, rngs::StdRng},
     support::{step, submission},
 };
@@ -84,3 +84,22 @@
     }
     assert_eq!(ledger.len(), 0);
 }
+
+/// Another writer leaves bytes where the wish to cancel a workflow would stand. Nobody wished that, so the
+/// client's workflow goes on.
+#[test]
+fn odd_cancellation() {
+    let mut ledger = Ledger::default();
+    for (record, offset) in own_records().into_iter().zip(1..) {
+        ledger.apply(Offset(offset), &record.key, &record.value).expect("a record of this crate");
+    }
+    let key = Key::Cancel(WORKFLOW).to_bytes();
+    for value in [&b"\xff"[..], b"cancel", &[2], &[2, 7], &[2, 0]] {
+        let _ = ledger.apply(Offset(10), &key, value);
+        assert_eq!(ledger.get(WORKFLOW).map(Entry::state), Some(State::Running), "{value:?}");
+    }
+    let own = Record::new(Key::Cancel(WORKFLOW), &true);
+    ledger.apply(Offset(11), &own.key, &own.value).expect("a record of this crate");
+    let cancelled = State::Ended(Outcome::Cancelled);
+    assert_eq!(ledger.get(WORKFLOW).map(Entry::state), Some(cancelled));
+}
