Record anew what another writer replaced; read a cancellation before it counts

Whoever read the former record goes by it, but a process that starts later reads only the newest record of each key: it answered 410 for a workflow that runs, and would have run again what is done. The leader, which has read the former one, records it anew within its next append. Any bytes under a cancellation's key cancelled a workflow; they are read now.

Left out: a record that is replaced while nobody leads, or whose new leader met only the replacement, isn't recorded anew; nor is the submission of a workflow that has ended.

--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -5,8 +5,8 @@
     compact_str::CompactString,
     egretlb_types::Time,
     egretlb_workflow::{
-        Change, DirectoryChange, Effect, Leadership, LeadershipEffect, Ledger, Limits, RouteTable,
-        Scheduler, Wave, WorkerId, WorkerInfo, WorkflowId,
+        Change, DirectoryChange, Effect, Key, Leadership, LeadershipEffect, Ledger, Limits,
+        RouteTable, Scheduler, Wave, WorkerId, WorkerInfo, WorkflowId,
     },
     std::collections::{BTreeMap, BTreeSet, HashSet},
 };
@@ -74,6 +74,11 @@
         let change = match self.ledger.apply(stored.offset, &stored.key, &stored.value) {
             Ok(change) => change,
             Err(error) => {
+                if let (Ok(key), Some(scheduler)) =
+                    (Key::from_bytes(&stored.key), &mut self.scheduler)
+                {
+                    scheduler.on_unreadable(key, &self.ledger);
+                }
                 let key = CompactString::from_utf8_lossy(&stored.key);
                 out.bad.push(BadEntry::new(EntryKind::Record, key, stored.offset.0, error));
                 return;
--- a/crates/workflow/src/ledger/mod.rs
+++ b/crates/workflow/src/ledger/mod.rs
@@ -174,6 +174,9 @@
             Key::Submission(id) => self.apply_submission(id, value),
             Key::Cancel(_) | Key::Progress(_) if value.is_empty() => Ok(Change::None),
             Key::Cancel(id) => {
+                if !read_value::<bool>(value)? {
+                    return Ok(Change::None);
+                }
                 let entry = self.entries.entry(id).or_default();
                 let first = !std::mem::replace(&mut entry.cancelled, true);
                 Ok(if first { Change::Cancelled(id) } else { Change::None })
@@ -221,10 +224,12 @@
     /// The first submission of an id counts: a client that got no answer sends it again, and another
     /// process may have recorded it already.
     fn apply_submission(&mut self, id: WorkflowId, value: &[u8]) -> Result<Change, RecordError> {
+        // Also a repeated one is read: if it can't be, the store's newest record of this key is of no use to
+        // processes that start later.
+        let submission: Submission = read_value(value)?;
         if self.entries.get(&id).is_some_and(|entry| entry.submitted) {
             return Ok(Change::None);
         }
-        let submission: Submission = read_value(value)?;
         let entry = self.entries.entry(id).or_default();
         entry.submitted = true;
         entry.timed = submission.workflow.repeat.is_some();
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -24,6 +24,7 @@
 mod pressure;
 mod queue;
 mod recording;
+mod restore;
 mod stragglers;
 mod unclear;
 mod upkeep;
@@ -35,8 +36,8 @@
         worker::{Copy, Need, Phase, Worker},
     },
     crate::{
-        Change, DirectoryChange, Interference, Ledger, Limits, Outcome, RosterEntry, RunId, TaskId,
-        WorkerId, WorkerInfo, WorkerState, WorkflowId,
+        Change, DirectoryChange, Interference, Ledger, Limits, Outcome, Record, RosterEntry, RunId,
+        TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId,
     },
     compact_str::CompactString,
     egretlb_types::{Epoch, Time},
@@ -82,6 +83,8 @@
     /// Workflows of which a task has no attempt left and none under way.
     spent: BTreeSet<WorkflowId>,
     roster_dirty: bool,
+    /// Records that another writer replaced, to be recorded anew.
+    restored: Vec<Record>,
     clients_wait: bool,
     recording: Option<recording::Recording>,
     recorded_at: Time,
@@ -144,6 +147,7 @@
             dirty: BTreeSet::new(),
             spent: BTreeSet::new(),
             roster_dirty: false,
+            restored: Vec::new(),
             clients_wait: false,
             recording: None,
             recorded_at: now,
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -27,11 +27,15 @@
 /// The most old workflows forgotten in one append.
 const FORGET_PER_APPEND: usize = 200;
 
+/// The most records that are recorded anew in one append; a submission takes some KB at most.
+const RESTORED_PER_APPEND: usize = 20;
+
 impl Scheduler {
     /// Whether the next append has something to say.
     fn has_news(&self) -> bool {
         self.clients_wait
             || self.roster_dirty
+            || !self.restored.is_empty()
             || self.upkeep.has_news()
             || !self.dirty.is_empty()
             || self.workers.values().any(|worker| worker.forgettable() > worker.recorded)
@@ -65,6 +69,8 @@
         self.record_roster(now, &mut recording, &mut records);
         self.forget(now, &mut records);
         self.record_learned(now, &mut records);
+        let restored = self.restored.len().min(RESTORED_PER_APPEND);
+        records.extend(self.restored.drain(..restored));
         self.clients_wait = false;
         self.recorded_at = now;
         self.recording = Some(recording);
--- /dev/null
+++ b/crates/workflow/src/scheduler/restore.rs
@@ -0,0 +1,44 @@
+//! Records of the system's own that another writer replaced by what can't be read.
+//!
+//! Every process that read the former record still goes by it. One that starts later reads only the newest
+//! record of each key: it wouldn't know the workflow, or would run again what is done. So the leader, which has
+//! read the former one, records it anew.
+
+use {
+    super::Scheduler,
+    crate::{Key, Ledger, Record, WorkflowId},
+};
+
+impl Scheduler {
+    /// The newest record of `key` can't be read.
+    pub fn on_unreadable(&mut self, key: Key, ledger: &Ledger) {
+        match key {
+            // A sign of life follows within a quarter of a second.
+            Key::Leader => {}
+            Key::Roster => self.roster_dirty = true,
+            Key::Learned => self.learned_news = true,
+            Key::Wave(number) => self.upkeep.record_again(number),
+            Key::Submission(id) => self.restored.extend(submission(id, ledger)),
+            Key::Cancel(id) => {
+                let cancelled = ledger.get(id).is_some_and(|entry| entry.cancelled);
+                self.restored.extend(cancelled.then(|| Record::new(key, &true)));
+            }
+            // What is under way may be further than what was read last.
+            Key::Progress(id) if self.flows.contains_key(&id) => {
+                self.dirty.insert(id);
+            }
+            Key::Progress(id) => self.restored.extend(final_progress(id, ledger)),
+        }
+    }
+}
+
+fn submission(id: WorkflowId, ledger: &Ledger) -> Option<Record> {
+    let submission = ledger.get(id)?.submission.as_deref()?;
+    Some(Record::new(Key::Submission(id), submission))
+}
+
+/// The progress of a workflow that has ended; it doesn't change any more.
+fn final_progress(id: WorkflowId, ledger: &Ledger) -> Option<Record> {
+    let progress = &ledger.get(id)?.progress;
+    progress.outcome.map(|_| Record::new(Key::Progress(id), progress))
+}
--- a/crates/workflow/src/scheduler/upkeep/stages.rs
+++ b/crates/workflow/src/scheduler/upkeep/stages.rs
@@ -117,6 +117,13 @@
         dirty.iter().filter_map(progress).collect()
     }
 
+    /// A wave's record was lost.
+    pub(in crate::scheduler) fn record_again(&mut self, number: u64) {
+        if self.runs.contains_key(&number) {
+            self.dirty.insert(number);
+        }
+    }
+
     pub(in crate::scheduler) fn has_news(&self) -> bool {
         !self.dirty.is_empty()
     }
