--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -17,6 +17,7 @@
 mod fallback;
 mod flow;
 mod gangs;
+mod lists;
 mod orders;
 mod pacing;
 mod place;
@@ -25,8 +26,10 @@
 mod pressure;
 mod queue;
 mod recording;
+mod restore;
 mod stragglers;
 mod survey;
+mod unclear;
 mod upkeep;
 mod worker;
 
@@ -36,8 +39,8 @@
         worker::{Copy, Inherited, Need, Phase, Worker},
     },
     crate::{
-        Change, DirectoryChange, Interference, Ledger, Limits, Outcome, RunId, Succession, TaskId,
-        WorkerId, WorkerInfo, WorkerState, WorkflowId,
+        Change, DirectoryChange, Interference, Ledger, Limits, Outcome, Record, RunId, Succession,
+        TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId,
     },
     egretlb_types::{Epoch, Time},
     std::{
@@ -50,7 +53,7 @@
     advice::AdviceResult,
     dump::{Reason, WaitingStep},
     effect::Effect,
-    ends::{End, EndKind, HoldReply, RunningTask},
+    lists::{End, EndKind, HoldReply, OddRows, RunningTask},
     orders::{StartResult, StopResult},
     pacing::PaceResult,
     polls::HoldResult,
@@ -83,6 +86,8 @@
     /// Workflows of which a task has no attempt left and none under way.
     spent: BTreeSet<WorkflowId>,
     roster_dirty: bool,
+    /// Records that another writer replaced, to be recorded anew.
+    restored: Vec<Record>,
     clients_wait: bool,
     recording: Option<recording::Recording>,
     recorded_at: Time,
@@ -135,7 +140,7 @@
         (epoch, succession): (Epoch, Succession),
         limits: Limits,
         ledger: &Ledger,
-        directory: impl IntoIterator<Item = WorkerInfo>,
+        directory: impl IntoIterator<Item = DirectoryChange>,
     ) -> Scheduler {
         let mut scheduler = Scheduler {
             epoch,
@@ -148,6 +153,7 @@
             dirty: BTreeSet::new(),
             spent: BTreeSet::new(),
             roster_dirty: ledger.roster().is_some(),
+            restored: Vec::new(),
             clients_wait: false,
             recording: None,
             recorded_at: now,
@@ -167,8 +173,8 @@
             wall_ms,
         };
         scheduler.inherit_workers(now, ledger);
-        for info in directory {
-            scheduler.on_directory(now, DirectoryChange::Present(info));
+        for change in directory {
+            scheduler.on_directory(now, change);
         }
         for (id, entry) in ledger.iter() {
             scheduler.add_flow(now, id, entry, true);
@@ -187,12 +193,21 @@
                     worker.poll_at = now;
                 }
             }
+            DirectoryChange::Unreadable(id) => {
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.lose_entry();
+                }
+            }
         }
     }
 
     fn on_present(&mut self, now: Time, info: WorkerInfo) {
         let drains = info.state == WorkerState::Draining;
         let id = info.id.clone();
+        // Nothing of ours runs there and nothing will be started, so it isn't called.
+        if info.state == WorkerState::Other && !self.workers.contains_key(&id) {
+            return;
+        }
         let worker =
             self.workers.entry(id.clone()).or_insert_with(|| Worker::new(now, info.clone()));
         let was_ready = worker.info.state == WorkerState::Ready;
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -37,6 +37,9 @@
 /// The most old workflows forgotten in one append.
 const FORGET_PER_APPEND: usize = 200;
 
+/// The most records that are recorded anew in one append; a submission takes some KB at most.
+const RESTORED_PER_APPEND: usize = 20;
+
 impl Worker {
     /// Whether the roster has to say something else of it: whether it is silent, or about to leave.
     pub(crate) fn differs_from_roster(&self, now: Time, limits: &Limits) -> bool {
@@ -50,9 +53,10 @@
     fn has_news(&self, now: Time) -> bool {
         self.clients_wait
             || (self.roster_dirty && self.may_write_roster(now))
+            || !self.restored.is_empty()
             || self.upkeep.has_news()
             || !self.dirty.is_empty()
-            || self.workers.values().any(|worker| worker.taken > worker.recorded)
+            || self.workers.values().any(|worker| worker.forgettable() > worker.recorded)
     }
 
     /// Sends what is to be recorded, if no append is under way.
@@ -72,8 +76,8 @@
             recording.ends = self
                 .workers
                 .iter()
-                .filter(|(_, worker)| worker.taken > worker.recorded)
-                .map(|(id, worker)| (id.clone(), worker.taken))
+                .filter(|(_, worker)| worker.forgettable() > worker.recorded)
+                .map(|(id, worker)| (id.clone(), worker.forgettable()))
                 .collect();
         }
         recording.waves = self.upkeep.take_dirty();
@@ -83,6 +87,8 @@
         self.record_roster(now, &mut recording, &mut records);
         self.forget(now, &mut records);
         self.record_learned(now, &mut records);
+        let restored = self.restored.len().min(RESTORED_PER_APPEND);
+        records.extend(self.restored.drain(..restored));
         self.clients_wait = false;
         self.recorded_at = now;
         self.recording = Some(recording);
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -1,6 +1,7 @@
 //! What the leader knows of a worker.
 
 use {
+    super::unclear::Unclear,
     crate::{
         Limits, RunId, Step, TaskId, WorkerInfo, WorkerState,
         interference::{Exposure, ImageNo, Interference},
@@ -191,6 +192,8 @@
     clock: Option<(u64, Time)>,
     pub(crate) poll_sent: Option<Time>,
     pub(crate) poll_at: Time,
+    /// Rows of its lists that can't be read.
+    pub(super) unclear: Unclear,
     /// Ends up to here were taken in.
     pub(crate) taken: u64,
     /// Ends up to here are recorded, so the worker may forget them.
@@ -244,6 +247,7 @@
             clock: None,
             poll_sent: None,
             poll_at: now,
+            unclear: Unclear::default(),
             taken: 0,
             recorded: 0,
             copies: BTreeMap::new(),
