Tests, red: why a task isn't running

On two incidents the logs of all VMs couldn't tell why a lasting task wasn't running: its later starts and stops leave no line, nothing says what it waits for and since when, and a new leader that holds all it inherits doesn't say for which workers. These tests ask for that, in the reducer's lines, in the state dump's rows and in what is concluded from lines; they fail to compile or fail until that is there.

--- a/crates/cli/tests/explain_command.rs
+++ b/crates/cli/tests/explain_command.rs
@@ -59,3 +59,20 @@
     assert_eq!(ended.code, 1);
     assert_eq!(egretlb(["explain"]).code, 2);
 }
+
+/// A camera is dark; its operator gives the task's id.
+#[test]
+fn one_task() {
+    const TASK: &str = "97aa5350f2a720be.0.0.3";
+    let log = "\
+ts=2026-10-11T16:07:09.400Z level=info node=entry-2 event=lasting_task_ended task=97aa5350f2a720be.0.0.3 run=4 worker=w-1 end=stopped why=preempted
+ts=2026-10-11T16:07:09.500Z level=info node=entry-2 event=lasting_task_ended task=97aa5350f2a720be.0.0.4 run=4 worker=w-1 end=stopped why=preempted
+";
+    let ended = egretlb(["explain", TASK, &file("explain-5.log", log)]);
+    assert_eq!((ended.code, ended.err.as_str()), (0, ""));
+    assert!(ended.out.contains("\ntask 97aa5350f2a720be.0.0.3\n"), "{}", ended.out);
+    let finding = "- task 0.0.3 hasn't run since 2026-10-11T16:07:09.400Z, when it was stopped at w-1: preempted";
+    assert!(ended.out.contains(finding), "{}", ended.out);
+    assert!(!ended.out.contains("0.0.4"), "{}", ended.out);
+    assert_eq!(egretlb(["explain", "97aa5350f2a720be.0.0", "/no/such/file"]).code, 2);
+}
--- /dev/null
+++ b/crates/explain/tests/why_down.rs
@@ -0,0 +1,194 @@
+//! Why a lasting task wasn't running, from its id to the cause, by lines as the daemons write them.
+
+use egretlb_explain::{Finding, Walk};
+
+const ID: &str = "97aa5350f2a720be";
+
+/// Lines with the time in seconds, the VM, and the rest.
+fn walk(id: &str, lines: &[(f64, &str, &str)]) -> Vec<Finding> {
+    let mut walk = Walk::new(id);
+    for (at, node, rest) in lines.iter().rev() {
+        walk.take(&format!("ts=2026-10-11T16:07:{at:06.3}Z level=info node={node} event={rest}"));
+    }
+    walk.finish().findings
+}
+
+fn texts(findings: &[Finding]) -> String {
+    findings.iter().map(|finding| format!("{finding}\n")).collect()
+}
+
+/// A camera's operator finds it dark for four seconds, a minute after its service began: its task had given
+/// its room to short ones.
+#[test]
+fn preempted() {
+    let findings = walk(
+        ID,
+        &[
+            (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
+            (
+                1.100,
+                "entry-2",
+                "lasting_task_started task=97aa5350f2a720be.0.0.3 run=4000 worker=w-1",
+            ),
+            (
+                9.000,
+                "entry-2",
+                "task_preempted task=97aa5350f2a720be.0.0.3 run=4000 worker=w-1 waiting=3",
+            ),
+            (
+                9.400,
+                "entry-2",
+                "lasting_task_ended task=97aa5350f2a720be.0.0.3 run=4000 worker=w-1 end=stopped why=preempted",
+            ),
+            (
+                11.500,
+                "entry-2",
+                "tasks_waiting step=97aa5350f2a720be.0.0 tasks=1 indices=3 waited_ms=2100 \
+                 reason=\"no worker has room\"",
+            ),
+            (
+                13.400,
+                "entry-2",
+                "lasting_task_started task=97aa5350f2a720be.0.0.3 run=4001 worker=w-2 waited_ms=4000",
+            ),
+        ],
+    );
+    let texts = texts(&findings);
+    let down = "task 0.0.3 didn't run for 4000 ms, from 2026-10-11T16:07:09.400Z (stopped at w-1: preempted) \
+                until it was started at w-2";
+    assert!(texts.contains(down), "{texts}");
+    let waited = "step 0.0 waited since 2026-10-11T16:07:09.400Z, for 2100 ms at least, 1 of its tasks (3): \
+                  no worker has room";
+    assert!(texts.contains(waited), "{texts}");
+}
+
+/// A leader and a worker are lost together. The worker's task has no line of its end, since nobody who saw
+/// it start saw it end; the new leader says what it held back for which worker.
+#[test]
+fn leader_and_worker_lost() {
+    let findings = walk(
+        ID,
+        &[
+            (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
+            (
+                1.100,
+                "entry-2",
+                "lasting_task_started task=97aa5350f2a720be.0.0.3 run=4000 worker=w-1",
+            ),
+            (20.000, "entry-3", "elected epoch=5 workers=66 workflows=80 unaccounted=66"),
+            (
+                20.500,
+                "entry-3",
+                "inherited_work_held epoch=5 unanswered=2 workers=w-1,w-9 at_most_ms=8700",
+            ),
+            (29.200, "entry-3", "inherited_work_released epoch=5 held_ms=9200 unanswered=w-1,w-9"),
+            (
+                29.210,
+                "entry-3",
+                "lasting_task_started task=97aa5350f2a720be.0.0.3 run=5000 worker=w-2 waited_ms=9210",
+            ),
+        ],
+    );
+    let texts = texts(&findings);
+    assert!(
+        texts.contains(
+            "the new leader entry-3 held inherited work until 2026-10-11T16:07:29.200Z, for 9200 ms, since \
+             workers didn't answer: w-1 w-9"
+        ),
+        "{texts}"
+    );
+    assert!(
+        texts.contains(
+            "task 0.0.3 was started again at 2026-10-11T16:07:29.210Z at w-2, 9210 ms after it was found \
+             missing; no line tells the end of its run at w-1"
+        ),
+        "{texts}"
+    );
+}
+
+/// It still isn't running, and the log goes on: what came after its last line matters, too.
+#[test]
+fn still_down() {
+    let findings = walk(
+        ID,
+        &[
+            (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
+            (
+                1.100,
+                "entry-2",
+                "lasting_task_started task=97aa5350f2a720be.0.0.3 run=4000 worker=w-1",
+            ),
+            (
+                9.400,
+                "entry-2",
+                "lasting_task_ended task=97aa5350f2a720be.0.0.3 run=4000 worker=w-1 end=lost why=-",
+            ),
+            (11.000, "entry-3", "elected epoch=5 workers=66 workflows=80 unaccounted=66"),
+            (
+                11.500,
+                "entry-3",
+                "inherited_work_held epoch=5 unanswered=1 workers=w-9 at_most_ms=8700",
+            ),
+        ],
+    );
+    let texts = texts(&findings);
+    assert!(
+        texts.contains(
+            "task 0.0.3 hasn't run since 2026-10-11T16:07:09.400Z, when it was lost with w-1"
+        ),
+        "{texts}"
+    );
+    assert!(
+        texts.contains(
+            "the new leader entry-3 has held inherited work since 2026-10-11T16:07:11.000Z, at most until \
+             2026-10-11T16:07:20.200Z, for workers that haven't answered: w-9"
+        ),
+        "{texts}"
+    );
+}
+
+/// Asked for one task of many, only what concerns that one is told.
+#[test]
+fn one_task() {
+    let lines = [
+        (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
+        (
+            2.000,
+            "entry-2",
+            "lasting_task_ended task=97aa5350f2a720be.0.0.3 run=4 worker=w-1 end=stopped why=relieved",
+        ),
+        (
+            2.100,
+            "entry-2",
+            "lasting_task_ended task=97aa5350f2a720be.0.0.4 run=4 worker=w-1 end=stopped why=relieved",
+        ),
+        (
+            5.000,
+            "entry-2",
+            "tasks_waiting step=97aa5350f2a720be.0.0 tasks=2 indices=3,4 waited_ms=3000 reason=\"no worker has room\"",
+        ),
+        (
+            6.000,
+            "entry-2",
+            "tasks_waiting step=97aa5350f2a720be.0.1 tasks=1 indices=3 waited_ms=3000 reason=\"no worker has room\"",
+        ),
+    ];
+    let texts = texts(&walk("97aa5350f2a720be.0.0.3", &lines));
+    assert!(texts.contains("task 0.0.3 hasn't run since"), "{texts}");
+    assert!(!texts.contains("task 0.0.4"), "{texts}");
+    assert!(texts.contains("step 0.0 waited") && !texts.contains("step 0.1"), "{texts}");
+}
+
+/// Waits of which lines were left out: what isn't told may still have been so.
+#[test]
+fn left_out() {
+    let findings = walk(
+        ID,
+        &[
+            (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
+            (4.000, "entry-2", "lines_left_out kind=waits lines=40"),
+            (5.000, "entry-2", "workflow_ended workflow=97aa5350f2a720be outcome=Completed"),
+        ],
+    );
+    assert_eq!(findings.last(), Some(&Finding::LinesMissing { lines: 40 }));
+}
--- /dev/null
+++ b/crates/workflow/tests/support/lines.rs
@@ -0,0 +1,68 @@
+//! The log lines of a test, as the reducers write them.
+
+use {
+    log::{
+        Level, LevelFilter, Log, Metadata, Record,
+        kv::{Error, Key, Value, VisitSource},
+    },
+    std::{cell::RefCell, collections::BTreeMap},
+};
+
+thread_local! {
+    /// Tests run side by side; each has a thread of its own.
+    static LINES: RefCell<Vec<Line>> = const { RefCell::new(Vec::new()) };
+}
+
+/// A line at a level that production writes.
+#[derive(Clone, Debug, Default)]
+pub struct Line {
+    pub event: String,
+    pub pairs: BTreeMap<String, String>,
+}
+
+impl Line {
+    pub fn get(&self, key: &str) -> &str {
+        self.pairs.get(key).map_or("", String::as_str)
+    }
+}
+
+impl<'kvs> VisitSource<'kvs> for Line {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        self.pairs.insert(key.to_string(), value.to_string());
+        Ok(())
+    }
+}
+
+struct Collector;
+
+impl Log for Collector {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.level() <= Level::Info
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        let mut line = Line { event: record.args().to_string(), ..Line::default() };
+        record.key_values().visit(&mut line).expect("pairs are readable");
+        LINES.with_borrow_mut(|lines| lines.push(line));
+    }
+
+    fn flush(&self) {}
+}
+
+/// Begins to collect this test's lines.
+pub fn collect() {
+    // All tests of a program share the logger; whichever is first sets it.
+    let _ = log::set_logger(&Collector);
+    log::set_max_level(LevelFilter::Info);
+    LINES.take();
+}
+
+/// All lines since the last call.
+pub fn take() -> Vec<Line> {
+    LINES.take()
+}
+
+/// The lines of one event among `lines`.
+pub fn of<'a>(lines: &'a [Line], event: &str) -> Vec<&'a Line> {
+    lines.iter().filter(|line| line.event == event).collect()
+}
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod advisor;
 pub mod checker;
 pub mod fleet;
+pub mod lines;
 pub mod messages;
 pub mod node;
 pub mod services;
--- a/crates/workflow/tests/why_waiting.rs
+++ b/crates/workflow/tests/why_waiting.rs
@@ -3,9 +3,9 @@
 mod support;
 
 use {
-    compact_str::CompactString,
+    compact_str::{CompactString, format_compact},
     egretlb_types::MilliCores,
-    egretlb_workflow::{Limits, Reason, Step, Submission, WorkflowId},
+    egretlb_workflow::{Limits, Reason, Step, Submission, WaitingStep, WorkerId, WorkflowId},
     std::time::Duration,
     support::{messages::TERMS, step, submission, world::World},
 };
@@ -18,12 +18,20 @@
     world
 }
 
-fn reason(world: &mut World, id: WorkflowId) -> Option<Reason> {
+fn waiting(world: &mut World, id: WorkflowId) -> Option<WaitingStep> {
     let now = world.now;
     let leader = world.leader().expect("somebody leads");
     let scheduler = world.nodes[leader].scheduler.as_mut().expect("it leads");
     let waiting = scheduler.waiting_steps(now, 100);
-    waiting.into_iter().find(|waiting| waiting.step.workflow == id).map(|waiting| waiting.reason)
+    waiting.into_iter().find(|waiting| waiting.step.workflow == id)
+}
+
+fn reason(world: &mut World, id: WorkflowId) -> Option<Reason> {
+    waiting(world, id).map(|waiting| waiting.reason)
+}
+
+fn worker(number: usize) -> WorkerId {
+    WorkerId(format_compact!("worker-{number}"))
 }
 
 fn large(count: u32) -> Step {
@@ -83,7 +91,85 @@
     }
     world.kill(leader);
     world.run(3 * SECOND);
-    assert_eq!(reason(&mut world, id), Some(Reason::SurveyUnderWay));
+    let waiting = waiting(&mut world, id).expect("it waits");
+    assert_eq!(waiting.reason, Reason::SurveyUnderWay);
+    assert_eq!(waiting.workers, [worker(1)]);
+    assert!(waiting.until.is_some_and(|until| until > SECOND), "{waiting:?}");
+}
+
+/// A worker is cut off. Its task runs on there for all that is known, and so isn't in the queue.
+#[test]
+fn silent_worker() {
+    let mut world = world(97);
+    let id = world.submit(1, &submission(vec![step(1, 9_000)]));
+    world.run(Duration::from_millis(500));
+    let at = world.workers.iter().position(|worker| !worker.running.is_empty());
+    let at = at.expect("the task runs");
+    for node in &mut world.nodes {
+        node.cut_from = vec![at];
+    }
+    world.run(4 * SECOND);
+    let waiting = waiting(&mut world, id).expect("it waits");
+    assert_eq!(waiting.reason, Reason::SilentWorker);
+    assert_eq!(waiting.workers, [worker(at)]);
+    assert_eq!((waiting.tasks, waiting.indices.as_slice()), (1, [0].as_slice()));
+    assert!(waiting.waited > 3 * SECOND && waiting.until.is_some(), "{waiting:?}");
+}
+
+/// A stop takes its time at a worker that is slow to end what it runs.
+#[test]
+fn being_stopped() {
+    let mut world = world(98);
+    for worker in &mut world.workers {
+        worker.stop_ms = 2_000;
+    }
+    let mut lasting = large(4);
+    lasting.lasting = true;
+    let id = world.submit(1, &submission(vec![lasting]));
+    world.run(4 * SECOND);
+    world.submit(2, &submission(vec![step(1, 300)]));
+    world.run(SECOND);
+    let waiting = waiting(&mut world, id).expect("it waits");
+    assert_eq!(waiting.reason, Reason::BeingStopped);
+    assert!(waiting.lasting);
+    assert!(waiting.waited < SECOND, "{waiting:?}");
+}
+
+/// All workers with room hold a task of the step already, and it takes one for each.
+#[test]
+fn anti_affinity() {
+    let mut world = world(99);
+    let mut apart = step(5, 3_000);
+    apart.per_worker = 1;
+    let id = world.submit(1, &submission(vec![apart]));
+    world.run(SECOND);
+    assert_eq!(reason(&mut world, id), Some(Reason::AntiAffinity));
+}
+
+/// All workers with room failed one run after another, and get nothing for a while.
+#[test]
+fn barred() {
+    let mut world = world(90);
+    for worker in &mut world.workers {
+        worker.fails_all = true;
+    }
+    let mut hopeless = submission(vec![step(16, 100)]);
+    hopeless.max_attempts = 100;
+    let id = world.submit(1, &hopeless);
+    world.run(2 * SECOND);
+    let waiting = waiting(&mut world, id).expect("it waits");
+    assert_eq!(waiting.reason, Reason::Barred);
+    assert!(waiting.until.is_some_and(|until| until < 4 * SECOND), "{waiting:?}");
+}
+
+#[test]
+fn no_label() {
+    let mut world = world(89);
+    let mut labelled = step(1, 300);
+    labelled.label = Some(CompactString::const_new("none-has-it"));
+    let id = world.submit(1, &submission(vec![labelled]));
+    world.run(SECOND);
+    assert_eq!(reason(&mut world, id), Some(Reason::NoLabel));
 }
 
 #[test]
