--- a/crates/cli/src/args/lowered.rs
+++ b/crates/cli/src/args/lowered.rs
@@ -147,7 +147,7 @@
             ["status"] => Command::Status { servers: self.servers()? },
             ["dump", addr] => Command::Dump { addr: address(addr)? },
             ["explain", workflow, ..] => Command::Explain {
-                workflow: workflow_id(workflow)?,
+                workflow: subject_id(workflow)?,
                 files: words[2..].iter().map(PathBuf::from).collect(),
             },
             other => return Err(unknown_command(other)),
@@ -240,13 +240,18 @@
 }
 
 /// A workflow's id, as clients choose it.
-fn workflow_id(text: &str) -> Result<CompactString, CliError> {
+/// The id of a workflow, or of one of its tasks.
+fn subject_id(text: &str) -> Result<CompactString, CliError> {
     let hex = |c: u8| c.is_ascii_digit() || (b'a'..=b'f').contains(&c);
-    if text.len() == 16 && text.bytes().all(hex) {
+    let (workflow, task) = text.split_once('.').unwrap_or((text, "0.0.0"));
+    let numbers = task.split('.').filter(|number| number.parse::<u32>().is_ok()).count();
+    let whole = numbers == 3 && task.split('.').count() == 3;
+    if workflow.len() == 16 && workflow.bytes().all(hex) && whole {
         return Ok(CompactString::new(text));
     }
     Err(CliError::Usage(format_compact!(
-        "{text:?} is no workflow's id; give its 16 hexadecimal digits"
+        "{text:?} is no workflow's id; give its 16 hexadecimal digits, for one of its tasks with \
+         .OCCURRENCE.STEP.INDEX after them"
     )))
 }
 
--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -38,7 +38,8 @@
             }
             cx.print("\n")?;
         }
-        cx.print(format!("\nworkflow {workflow}\n"))?;
+        let kind = if workflow.contains('.') { "task" } else { "workflow" };
+        cx.print(format!("\n{kind} {workflow}\n"))?;
         for finding in &explanation.findings {
             cx.print(format!("- {finding}\n"))?;
         }
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -58,10 +58,11 @@
                         force at each.
   dump ADDR             Show what the process at ADDR (ip:port, its operators'
                         address) knows. No request bodies.
-  explain ID [FILE...]  Tell what became of the workflow ID, by the log lines
-                        of all VMs in FILE... or on standard input: what
-                        happened in order (~ marks its surroundings), then
-                        what follows. Asks no daemon.
+  explain ID [FILE...]  Tell what became of the workflow ID, or of one task
+                        (ID.OCCURRENCE.STEP.INDEX), by the log lines of all VMs
+                        in FILE... or on standard input: what happened in order
+                        (~ marks its surroundings), then what follows. Asks no
+                        daemon.
 
 Options.
 
--- /dev/null
+++ b/crates/explain/src/downtime.rs
@@ -0,0 +1,139 @@
+//! Findings on tasks that weren't running.
+
+use {compact_str::CompactString, serde::Serialize, std::fmt};
+
+/// A new leader held back what it inherited, for workers that might still run it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct HeldWork {
+    /// The leader.
+    pub node: CompactString,
+    /// When its term began.
+    pub since: CompactString,
+    /// When it held nothing back any more, if a line says so.
+    pub until: Option<CompactString>,
+    /// When that is at the latest.
+    pub at_most: CompactString,
+    /// How long, in milliseconds, if a line says so.
+    pub held_ms: Option<u64>,
+    /// Workers that didn't answer, or some of them.
+    pub workers: Vec<CompactString>,
+}
+
+impl fmt::Display for HeldWork {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let HeldWork { node, since, until, at_most, held_ms, workers } = self;
+        let workers = workers.join(" ");
+        match (until, held_ms) {
+            (Some(until), Some(ms)) => write!(
+                f,
+                "the new leader {node} held inherited work until {until}, for {ms} ms, since workers \
+                 didn't answer: {workers}"
+            ),
+            _ => write!(
+                f,
+                "the new leader {node} has held inherited work since {since}, at most until {at_most}, \
+                 for workers that haven't answered: {workers}"
+            ),
+        }
+    }
+}
+
+/// Tasks of a step waited.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct StepWait {
+    /// The step, as `OCCURRENCE.STEP`.
+    pub step: CompactString,
+    /// Since when the first of them wasn't running.
+    pub since: CompactString,
+    /// For how long by the last line that says so, in milliseconds.
+    pub waited_ms: u64,
+    /// How many tasks at most.
+    pub tasks: u64,
+    /// Some of them, by index.
+    pub indices: CompactString,
+    /// What for.
+    pub reason: CompactString,
+    /// Some of the workers that the reason is about; empty if it is about none.
+    pub workers: CompactString,
+}
+
+impl fmt::Display for StepWait {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let StepWait { step, since, waited_ms, tasks, indices, reason, workers } = self;
+        write!(
+            f,
+            "step {step} waited since {since}, for {waited_ms} ms at least, {tasks} of its tasks \
+             ({indices}): {reason}"
+        )?;
+        if workers.is_empty() { Ok(()) } else { write!(f, " ({workers})") }
+    }
+}
+
+/// A lasting task didn't run for a while.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct TaskGap {
+    /// The task, as `OCCURRENCE.STEP.INDEX`.
+    pub task: CompactString,
+    /// Since when.
+    pub since: CompactString,
+    /// For how long, in milliseconds.
+    pub down_ms: u64,
+    /// How the run before had ended, and where.
+    pub how: CompactString,
+    /// Where it was started again.
+    pub worker: CompactString,
+}
+
+impl fmt::Display for TaskGap {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let TaskGap { task, since, down_ms, how, worker } = self;
+        write!(
+            f,
+            "task {task} didn't run for {down_ms} ms, from {since} ({how}) until it was started at {worker}"
+        )
+    }
+}
+
+/// A lasting task was started again, and no line tells the end of its run before.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct TaskRestart {
+    /// The task, as `OCCURRENCE.STEP.INDEX`.
+    pub task: CompactString,
+    /// When.
+    pub at: CompactString,
+    /// Where.
+    pub worker: CompactString,
+    /// Where it ran before.
+    pub before: CompactString,
+    /// How long the leader had known that it didn't run, in milliseconds.
+    pub waited_ms: u64,
+}
+
+impl fmt::Display for TaskRestart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let TaskRestart { task, at, worker, before, waited_ms } = self;
+        write!(
+            f,
+            "task {task} was started again at {at} at {worker}, {waited_ms} ms after it was found missing; \
+             no line tells the end of its run at {before}"
+        )
+    }
+}
+
+/// A lasting task wasn't started again.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct TaskDown {
+    /// The task, as `OCCURRENCE.STEP.INDEX`.
+    pub task: CompactString,
+    /// Since when.
+    pub since: CompactString,
+    /// How its last run ended, and where.
+    pub how: CompactString,
+}
+
+impl fmt::Display for TaskDown {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let TaskDown { task, since, how } = self;
+        write!(f, "task {task} hasn't run since {since}, when it was {how}")
+    }
+}
--- a/crates/explain/src/findings.rs
+++ b/crates/explain/src/findings.rs
@@ -1,7 +1,11 @@
 //! What follows from a workflow's lines.
 
 use {
-    crate::Happening,
+    crate::{
+        Happening,
+        downtime::{HeldWork, StepWait, TaskDown, TaskGap, TaskRestart},
+        waits,
+    },
     compact_str::CompactString,
     serde::Serialize,
     std::{collections::BTreeMap, fmt, time::Duration},
@@ -87,6 +91,16 @@
         /// How many.
         times: usize,
     },
+    /// A new leader held back what it inherited.
+    InheritedWorkHeld(HeldWork),
+    /// Tasks of a step waited.
+    StepWaited(StepWait),
+    /// A lasting task didn't run for a while.
+    TaskGap(TaskGap),
+    /// A lasting task was started again, and no line tells the end of its run before.
+    TaskRestarted(TaskRestart),
+    /// A lasting task wasn't started again.
+    TaskDown(TaskDown),
     /// A client asked to cancel it.
     Cancelled {
         /// When.
@@ -110,6 +124,14 @@
     },
 }
 
+/// Tries before a success, if there were some.
+fn write_tries(f: &mut fmt::Formatter<'_>, tries: usize) -> fmt::Result {
+    match tries {
+        0 => Ok(()),
+        tries => write!(f, ", after {tries} tries without success"),
+    }
+}
+
 impl fmt::Display for Finding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -120,10 +142,7 @@
             ),
             Finding::Accepted { at, node, refused_before } => {
                 write!(f, "accepted at {at} by {node}")?;
-                match refused_before {
-                    0 => Ok(()),
-                    tries => write!(f, ", after {tries} tries without success"),
-                }
+                write_tries(f, *refused_before)
             }
             Finding::Refused { times, store_failed } => {
                 write!(f, "refused {times} times, surely not stored")?;
@@ -176,6 +195,11 @@
             Finding::MadeRoom { times } => {
                 write!(f, "{times} tasks were stopped to make room for others")
             }
+            Finding::InheritedWorkHeld(held) => held.fmt(f),
+            Finding::StepWaited(wait) => wait.fmt(f),
+            Finding::TaskGap(gap) => gap.fmt(f),
+            Finding::TaskRestarted(restart) => restart.fmt(f),
+            Finding::TaskDown(down) => down.fmt(f),
             Finding::Cancelled { at } => write!(f, "a client cancelled it at {at}"),
             Finding::Ended { at, outcome, took_ms: Some(ms) } => {
                 write!(f, "{} at {at}, {ms} ms after its acceptance", outcome.to_lowercase())
@@ -192,7 +216,7 @@
 }
 
 /// Milliseconds between two times; none if one of them isn't one, or they are the wrong way round.
-fn between_ms(from: &str, to: &str) -> Option<u64> {
+pub(crate) fn between_ms(from: &str, to: &str) -> Option<u64> {
     let from = humantime::parse_rfc3339(from).ok()?;
     let to = humantime::parse_rfc3339(to).ok()?;
     u64::try_from(to.duration_since(from).ok()?.as_millis()).ok()
@@ -233,6 +257,7 @@
         found.extend(reader.start());
         found.extend(reader.leaders());
         found.extend(reader.runs());
+        found.extend(waits::all(happenings));
         found.extend(reader.end());
         found.extend(reader.missing(passed_over));
         found
@@ -349,9 +374,11 @@
     }
 
     fn missing(&self, passed_over: usize) -> Option<Finding> {
-        let dropped =
-            self.of("log_lines_dropped").filter_map(|h| h.get("lines")?.parse::<u64>().ok());
-        let lines = dropped.sum::<u64>() + passed_over as u64;
+        let lines = |event| {
+            let counts = self.of(event).filter_map(|h| h.get("lines")?.parse::<u64>().ok());
+            counts.sum::<u64>()
+        };
+        let lines = lines("log_lines_dropped") + lines("lines_left_out") + passed_over as u64;
         (lines > 0).then_some(Finding::LinesMissing { lines })
     }
 }
--- a/crates/explain/src/lib.rs
+++ b/crates/explain/src/lib.rs
@@ -6,11 +6,14 @@
 //! those that change what everything waits for, and [`Walk::finish`] puts them in order and draws the
 //! conclusions that the lines allow, no others.
 
+mod downtime;
 mod findings;
 mod line;
+mod waits;
 mod walk;
 
 pub use crate::{
+    downtime::{HeldWork, StepWait, TaskDown, TaskGap, TaskRestart},
     findings::Finding,
     line::LogLine,
     walk::{Explanation, Happening, Walk},
--- /dev/null
+++ b/crates/explain/src/waits.rs
@@ -0,0 +1,206 @@
+//! What follows from lines on tasks that weren't running.
+
+use {
+    crate::{
+        Finding, Happening,
+        downtime::{HeldWork, StepWait, TaskDown, TaskGap, TaskRestart},
+        findings::between_ms,
+    },
+    compact_str::{CompactString, format_compact},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, SystemTime},
+    },
+};
+
+/// Gaps in a lasting task's running that are shorter are no finding: a move to another worker takes up to
+/// half a second.
+const SHORT_GAP_MS: u64 = 500;
+
+/// The most findings of a kind; a workflow of hundreds of tasks may have hundreds of gaps. The longest are
+/// told.
+const MOST_FINDINGS: usize = 20;
+
+/// All findings on what wasn't running, from happenings in the order of time.
+pub(crate) fn all(happenings: &[Happening]) -> Vec<Finding> {
+    let mut found = held_work(happenings);
+    found.extend(waits(happenings));
+    found.extend(gaps(happenings));
+    found
+}
+
+/// What new leaders held back, from `inherited_work_held` and `inherited_work_released`.
+fn held_work(happenings: &[Happening]) -> Vec<Finding> {
+    let mut found = Vec::new();
+    for held in happenings.iter().filter(|happening| happening.event == "inherited_work_held") {
+        let epoch = held.get("epoch");
+        let released = happenings.iter().find(|happening| {
+            happening.event == "inherited_work_released" && happening.get("epoch") == epoch
+        });
+        // Workers that answered after all are named no more at the end.
+        let names =
+            released.and_then(|line| line.get("unanswered")).filter(|names| !names.is_empty());
+        let names = names.or_else(|| held.get("workers")).unwrap_or_default();
+        found.push(Finding::InheritedWorkHeld(HeldWork {
+            node: held.node.clone(),
+            since: earlier(&held.at, number(held, "held_ms").unwrap_or(0)),
+            until: released.map(|line| line.at.clone()),
+            at_most: later(&held.at, number(held, "at_most_ms").unwrap_or(0)),
+            held_ms: released.and_then(|line| number(line, "held_ms")),
+            workers: names.split(',').map(CompactString::new).collect(),
+        }));
+    }
+    found
+}
+
+/// What steps waited for, from `tasks_waiting`. Lines of one wait and reason come again every few seconds and
+/// count as one.
+fn waits(happenings: &[Happening]) -> Vec<Finding> {
+    let mut waits: Vec<StepWait> = Vec::new();
+    for line in happenings.iter().filter(|happening| happening.event == "tasks_waiting") {
+        let wait = read_wait(line);
+        let last = waits.iter_mut().rev().find(|known| known.step == wait.step);
+        match last.filter(|known| known.reason == wait.reason && wait.waited_ms > known.waited_ms) {
+            Some(known) => *known = StepWait { tasks: known.tasks.max(wait.tasks), ..wait },
+            None => waits.push(wait),
+        }
+    }
+    longest(waits, |wait| wait.waited_ms).into_iter().map(Finding::StepWaited).collect()
+}
+
+fn read_wait(line: &Happening) -> StepWait {
+    let text = |key| CompactString::new(line.get(key).unwrap_or_default());
+    let waited_ms = number(line, "waited_ms").unwrap_or(0);
+    StepWait {
+        step: within_workflow(line.get("step").unwrap_or_default()),
+        since: earlier(&line.at, waited_ms),
+        waited_ms,
+        tasks: number(line, "tasks").unwrap_or(0),
+        indices: text("indices"),
+        reason: text("reason"),
+        workers: text("workers"),
+    }
+}
+
+/// What the lines tell of a lasting task so far.
+#[derive(Default)]
+struct Running<'a> {
+    /// Where its last start was, unless its end is told.
+    at: Option<&'a str>,
+    /// The line on the end of its last run, unless it was started since.
+    ended: Option<&'a Happening>,
+}
+
+/// When lasting tasks didn't run, from `lasting_task_started` and `lasting_task_ended`.
+fn gaps(happenings: &[Happening]) -> Vec<Finding> {
+    let mut tasks: BTreeMap<&str, Running<'_>> = BTreeMap::new();
+    let mut gaps: Vec<Finding> = Vec::new();
+    for line in happenings {
+        let Some(task) = line.get("task") else { continue };
+        let running = tasks.entry(task);
+        match line.event.as_str() {
+            "lasting_task_started" => gaps.extend(started(task, running.or_default(), line)),
+            // Two leaders may tell one end; the first counts.
+            "lasting_task_ended" => {
+                let running = running.or_default();
+                running.ended.get_or_insert(line);
+                running.at = None;
+            }
+            _ => {}
+        }
+    }
+    let over = happenings.iter().any(|happening| happening.event == "workflow_ended");
+    if !over {
+        let down = tasks.iter().filter_map(|(task, running)| Some((task, running.ended?)));
+        gaps.extend(down.map(|(task, ended)| {
+            Finding::TaskDown(TaskDown {
+                task: within_workflow(task),
+                since: ended.at.clone(),
+                how: how_ended(ended),
+            })
+        }));
+    }
+    longest(gaps, |gap| match gap {
+        Finding::TaskGap(gap) => gap.down_ms,
+        Finding::TaskRestarted(restart) => restart.waited_ms,
+        // What still isn't running comes before all that runs again.
+        _ => u64::MAX,
+    })
+}
+
+fn started<'a>(task: &str, running: &mut Running<'a>, line: &'a Happening) -> Option<Finding> {
+    let ended = running.ended.take();
+    let worker = line.get("worker").unwrap_or_default();
+    let before = running.at.replace(worker);
+    let task = within_workflow(task);
+    if let Some(ended) = ended {
+        let since = ended.at.clone();
+        // A leader counts from when a silent worker was last heard, before it gave the run up.
+        let told_ms = number(line, "waited_ms").unwrap_or(0);
+        let down_ms = between_ms(&since, &line.at).unwrap_or(0).max(told_ms);
+        let how = how_ended(ended);
+        let since = if told_ms == down_ms { earlier(&line.at, told_ms) } else { since };
+        let worker = CompactString::new(worker);
+        let gap = Finding::TaskGap(TaskGap { task, since, down_ms, how, worker });
+        return (down_ms >= SHORT_GAP_MS).then_some(gap);
+    }
+    Some(Finding::TaskRestarted(TaskRestart {
+        task,
+        at: line.at.clone(),
+        worker: CompactString::new(worker),
+        before: CompactString::new(before?),
+        waited_ms: number(line, "waited_ms").unwrap_or(0),
+    }))
+}
+
+/// How a run ended, in words.
+fn how_ended(line: &Happening) -> CompactString {
+    let worker = line.get("worker").unwrap_or_default();
+    let end = match line.get("end").unwrap_or_default() {
+        "lost" => format_compact!("lost with {worker}"),
+        end => format_compact!("{end} at {worker}"),
+    };
+    match line.get("why").unwrap_or("-") {
+        "-" => end,
+        why => format_compact!("{end}: {why}"),
+    }
+}
+
+/// The `MOST_FINDINGS` longest, in their order.
+fn longest<T>(mut all: Vec<T>, length: impl Fn(&T) -> u64) -> Vec<T> {
+    if all.len() > MOST_FINDINGS {
+        let mut lengths: Vec<u64> = all.iter().map(&length).collect();
+        lengths.sort_unstable();
+        let least = lengths[lengths.len() - MOST_FINDINGS];
+        all.retain(|one| length(one) >= least);
+        all.truncate(MOST_FINDINGS);
+    }
+    all
+}
+
+/// An id without its workflow, which the reader asked for.
+fn within_workflow(id: &str) -> CompactString {
+    CompactString::new(id.split_once('.').map_or(id, |(_, rest)| rest))
+}
+
+fn number(line: &Happening, key: &str) -> Option<u64> {
+    line.get(key)?.parse().ok()
+}
+
+/// The time `ms` milliseconds before `at`.
+fn earlier(at: &str, ms: u64) -> CompactString {
+    moved(at, |time| time.checked_sub(Duration::from_millis(ms)))
+}
+
+/// The time `ms` milliseconds after `at`.
+fn later(at: &str, ms: u64) -> CompactString {
+    moved(at, |time| time.checked_add(Duration::from_millis(ms)))
+}
+
+fn moved(at: &str, by: impl Fn(SystemTime) -> Option<SystemTime>) -> CompactString {
+    let time = humantime::parse_rfc3339(at).ok().and_then(by);
+    time.map_or_else(
+        || CompactString::new(at),
+        |time| format_compact!("{}", humantime::format_rfc3339_millis(time)),
+    )
+}
--- a/crates/explain/src/walk.rs
+++ b/crates/explain/src/walk.rs
@@ -12,10 +12,12 @@
 const MOST_CONTEXT: usize = 100_000;
 
 /// Events that hold up or change everything, and name no workflow.
-const CONTEXT: [&str; 15] = [
+const CONTEXT: [&str; 18] = [
     "elected",
     "deposed",
     "survey_complete",
+    "inherited_work_held",
+    "inherited_work_released",
     "outranked",
     "append_given_up",
     "append_slow",
@@ -26,6 +28,7 @@
     "worker_replaced",
     "leases_lapsed",
     "log_lines_dropped",
+    "lines_left_out",
     "started",
     "stopping",
 ];
@@ -52,10 +55,51 @@
     }
 }
 
+/// What is asked for.
+#[derive(Clone, Debug)]
+struct Subject {
+    workflow: CompactString,
+    /// One of its tasks, if only that one matters.
+    task: Option<CompactString>,
+}
+
+impl Subject {
+    fn new(id: &str) -> Subject {
+        match id.split_once('.') {
+            Some((workflow, _)) => Subject {
+                workflow: CompactString::new(workflow),
+                task: Some(CompactString::new(id)),
+            },
+            None => Subject { workflow: CompactString::new(id), task: None },
+        }
+    }
+
+    fn is_named(&self, line: &LogLine) -> bool {
+        let of_workflow = |id: &str| id.split('.').next() == Some(self.workflow.as_str());
+        match (&self.task, line.get("task"), line.get("step")) {
+            (None, Some(id), _) | (None, None, Some(id)) => of_workflow(id),
+            (Some(own), Some(task), _) => own == task,
+            (Some(own), None, Some(step)) => is_among(own, step, line),
+            _ => line.get("workflow") == Some(self.workflow.as_str()),
+        }
+    }
+}
+
+/// Whether a line on tasks of a step may be about this one. It names some by index; if it means more than
+/// it names, any may be meant.
+fn is_among(task: &str, step: &str, line: &LogLine) -> bool {
+    let index = task.strip_prefix(step).and_then(|rest| rest.strip_prefix('.'));
+    let Some(index) = index else { return false };
+    let Some(indices) = line.get("indices") else { return true };
+    let named = indices.split(',').count();
+    let tasks = line.get("tasks").and_then(|tasks| tasks.parse::<usize>().ok());
+    indices.split(',').any(|known| known == index) || tasks.is_none_or(|tasks| tasks > named)
+}
+
 /// What became of a workflow.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Explanation {
-    /// The workflow.
+    /// The workflow, or the task of it that was asked for.
     pub workflow: CompactString,
     /// What happened to it and around it.
     pub happenings: Vec<Happening>,
@@ -66,17 +110,17 @@
 /// Collects lines, in any order.
 #[derive(Clone, Debug)]
 pub struct Walk {
-    workflow: CompactString,
+    subject: Subject,
     own: Vec<LogLine>,
     context: Vec<LogLine>,
     passed_over: usize,
 }
 
 impl Walk {
-    /// Asks for the workflow of this id.
-    pub fn new(workflow: impl AsRef<str>) -> Walk {
+    /// Asks for the workflow of this id, or for one of its tasks, as `WORKFLOW.OCCURRENCE.STEP.INDEX`.
+    pub fn new(id: impl AsRef<str>) -> Walk {
         Walk {
-            workflow: CompactString::new(workflow),
+            subject: Subject::new(id.as_ref()),
             own: Vec::new(),
             context: Vec::new(),
             passed_over: 0,
@@ -86,7 +130,7 @@
     /// Takes a line in. Lines of other programs are passed over.
     pub fn take(&mut self, text: &str) {
         let Some(line) = LogLine::parse(text) else { return };
-        if self.names(&line) {
+        if self.subject.is_named(&line) {
             self.own.push(line);
         } else if CONTEXT.contains(&line.event.as_str()) {
             if self.context.len() < MOST_CONTEXT {
@@ -97,22 +141,20 @@
         }
     }
 
-    fn names(&self, line: &LogLine) -> bool {
-        let task = || line.get("task").and_then(|task| task.split('.').next());
-        line.get("workflow").or_else(task) == Some(self.workflow.as_str())
-    }
-
     /// Puts everything in order and draws the conclusions.
     pub fn finish(self) -> Explanation {
-        let Walk { workflow, own, context, passed_over } = self;
+        let Walk { subject, own, context, passed_over } = self;
+        let workflow = subject.task.unwrap_or(subject.workflow);
         let first = own.iter().map(|line| line.at.clone()).min().unwrap_or_default();
         let last = own.iter().map(|line| line.at.clone()).max().unwrap_or_default();
+        // What hasn't ended is still held up by what happens after its last line.
+        let open = is_open(&own);
         // A worker's trouble matters if the workflow had something there.
         let workers: BTreeSet<CompactString> =
             own.iter().filter_map(|line| line.get("worker")).map(CompactString::new).collect();
         let near = |line: &LogLine| {
             let about = line.get("worker").is_none_or(|worker| workers.contains(worker));
-            about && line.at >= first && line.at <= last
+            about && line.at >= first && (open || line.at <= last)
         };
         let happening = |own: bool| {
             move |line: LogLine| {
@@ -127,3 +169,11 @@
         Explanation { workflow, happenings, findings }
     }
 }
+
+/// Whether the lines tell that it was accepted or ran, and not that it has ended.
+fn is_open(own: &[LogLine]) -> bool {
+    let taken =
+        own.iter().any(|line| line.event != "submitted" || line.get("stored") == Some("Yes"));
+    let ended = own.iter().any(|line| line.event == "workflow_ended");
+    taken && !ended
+}
--- a/crates/runtime/src/dump.rs
+++ b/crates/runtime/src/dump.rs
@@ -18,7 +18,8 @@
     records_read_ms: Option<u64>,
     /// Workers that the new leader waits for.
     unaccounted: usize,
-    /// Steps with tasks that wait, the first of them first. Only the leader knows.
+    /// Steps with tasks that wait: those in the queue, the first of them first, then those whose tasks are
+    /// held by a run that isn't known to be at work. Only the leader knows.
     waiting: Vec<Waiting>,
     /// Set if not all are listed.
     more_waiting: bool,
@@ -28,8 +29,16 @@
 struct Waiting {
     step: String,
     tasks: usize,
+    /// Some of the tasks, by index.
+    indices: Vec<u32>,
+    lasting: bool,
+    /// How long the first of them hasn't run, as far as this leader knows.
     waited_ms: u64,
     reason: String,
+    /// Some of the workers that the reason is about.
+    workers: Vec<String>,
+    /// How long the reason lasts at most, where that is known.
+    at_most_ms: Option<u64>,
 }
 
 fn ms(span: Duration) -> u64 {
@@ -56,13 +65,18 @@
         };
         if let Some(scheduler) = &mut core.scheduler {
             dump.unaccounted = scheduler.unaccounted();
-            dump.more_waiting = scheduler.waiting() > MOST_STEPS;
-            let steps = scheduler.waiting_steps(now, MOST_STEPS);
+            let mut steps = scheduler.waiting_steps(now, MOST_STEPS + 1);
+            dump.more_waiting = steps.len() > MOST_STEPS;
+            steps.truncate(MOST_STEPS);
             let row = |waiting: egretlb_workflow::WaitingStep| Waiting {
                 step: waiting.step.to_string(),
                 tasks: waiting.tasks,
+                indices: waiting.indices,
+                lasting: waiting.lasting,
                 waited_ms: ms(waiting.waited),
                 reason: waiting.reason.to_string(),
+                workers: waiting.workers.iter().map(ToString::to_string).collect(),
+                at_most_ms: waiting.until.map(ms),
             };
             dump.waiting = steps.into_iter().map(row).collect();
         }
--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -1,7 +1,7 @@
 //! What a worker's lists say: what runs there, and how runs ended.
 
 use {
-    super::{Copy, Effect, Need, Phase, Scheduler},
+    super::{Copy, Effect, Need, Phase, Scheduler, waits::StopReason},
     crate::{RunId, TaskId, WorkerId},
     compact_str::CompactString,
     egretlb_types::Time,
@@ -100,6 +100,7 @@
 
     fn on_end(&mut self, now: Time, id: &WorkerId, end: &End, out: &mut Vec<Effect>) {
         log::debug!(task:% = end.task, run:% = end.run, worker:% = id, end:? = end.kind; "task_ended");
+        self.tell_end(now, id, end.task, end.run, end.kind);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.remove(end.task, end.run);
             match end.kind {
@@ -168,7 +169,9 @@
         let complete = state.is_done();
         let all = occurrence.steps.iter().all(super::flow::StepState::is_done);
         for (worker, id, run) in spare {
-            self.stop_runs(now, &worker, out, |of, number| of == id && number == run);
+            self.stop_runs(now, &worker, StopReason::CopyDone, out, |of, number| {
+                of == id && number == run
+            });
         }
         if all {
             self.complete(task);
@@ -237,7 +240,9 @@
         }
         // The start may still be carried out; a stop keeps it from that.
         for (task, run) in doubtful {
-            self.stop_runs(now, id, out, |of, number| of == task && number == run);
+            self.stop_runs(now, id, StopReason::Doubtful, out, |of, number| {
+                of == task && number == run
+            });
         }
     }
 
@@ -266,7 +271,9 @@
             Phase::Running { .. } => {}
             Phase::Stopping { sent, .. } => {
                 if now.since(sent) > self.limits.order_timeout * 2 {
-                    self.stop_runs(now, id, out, |of, number| of == task && number == run);
+                    self.stop_runs(now, id, StopReason::NotWanted, out, |of, number| {
+                        of == task && number == run
+                    });
                 }
                 return;
             }
@@ -321,7 +328,9 @@
         }
         self.unqueue(task);
         if !wanted {
-            self.stop_runs(now, id, out, |of, number| of == task && number == run);
+            self.stop_runs(now, id, StopReason::NotWanted, out, |of, number| {
+                of == task && number == run
+            });
         }
     }
 
@@ -352,6 +361,7 @@
 
     /// Forgets a run that is certainly not under way, and queues its task.
     pub(super) fn drop_copy(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId) {
+        self.tell_drop(now, id, task, run);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.remove(task, run);
         }
--- a/crates/workflow/src/scheduler/flow.rs
+++ b/crates/workflow/src/scheduler/flow.rs
@@ -24,6 +24,8 @@
     pub(crate) saved: CompactString,
     /// Where it failed last: the next run goes elsewhere if it can.
     pub(crate) avoid: Option<WorkerId>,
+    /// Since when it hasn't run; none if it never did, as far as this leader knows.
+    pub(crate) down_since: Option<Time>,
     /// How often it left a worker where it was slow.
     pub(crate) left: u8,
 }
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -10,7 +10,6 @@
 //! An end is acknowledged to the worker after it is recorded, so that it can't be lost between the two.
 
 mod advice;
-mod dump;
 mod effect;
 mod ends;
 mod flow;
@@ -25,16 +24,18 @@
 mod recording;
 mod stragglers;
 mod upkeep;
+mod waits;
 mod worker;
 
 use {
     self::{
         flow::Flow,
+        waits::StopReason,
         worker::{Copy, Need, Phase, Worker},
     },
     crate::{
-        Change, DirectoryChange, Interference, Ledger, Limits, Outcome, RosterEntry, RunId, TaskId,
-        WorkerId, WorkerInfo, WorkerState, WorkflowId,
+        Change, DirectoryChange, Interference, Ledger, Limits, Outcome, RosterEntry, RunId, StepId,
+        TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId,
     },
     compact_str::CompactString,
     egretlb_types::{Epoch, Time},
@@ -46,12 +47,12 @@
 
 pub use self::{
     advice::AdviceResult,
-    dump::{Reason, WaitingStep},
     effect::Effect,
     ends::{End, EndKind, HoldReply, RunningTask},
     orders::{StartResult, StopResult},
     pacing::PaceResult,
     polls::HoldResult,
+    waits::{Reason, WaitingStep},
 };
 
 /// A step that has tasks to start. The order is that of the queue.
@@ -100,6 +101,7 @@
     /// The records are read too late to start anything.
     behind: bool,
     measures: Measures,
+    waits: waits::Waits,
     wall_ms: u64,
 }
 
@@ -122,6 +124,13 @@
     pub paced: u64,
 }
 
+impl Ready {
+    fn step_id(self) -> StepId {
+        let Ready { workflow, occurrence, step, .. } = self;
+        StepId { workflow, occurrence, step }
+    }
+}
+
 impl Scheduler {
     /// The leader's state at the beginning of its term.
     pub fn new(
@@ -157,6 +166,7 @@
             starts_under_way: 0,
             behind: false,
             measures: Measures::default(),
+            waits: waits::Waits::default(),
             wall_ms,
         };
         // The predecessor may have renewed a lease just before its authority ended.
@@ -262,6 +272,7 @@
         self.ask_advice(now, out);
         self.poll(now, out);
         self.record(now, out);
+        self.tell_waits(now);
     }
 
     /// Stops what can go on elsewhere on workers that are about to leave: when they go, all that still
@@ -281,7 +292,8 @@
         }
         for (id, moving) in leaving {
             log::info!(worker:% = id, runs = moving.len(); "worker_evacuated");
-            self.stop_runs(now, &id, out, |task, run| moving.contains(&(task, run)));
+            let why = StopReason::Evacuated;
+            self.stop_runs(now, &id, why, out, |task, run| moving.contains(&(task, run)));
         }
     }
 
--- a/crates/workflow/src/scheduler/orders.rs
+++ b/crates/workflow/src/scheduler/orders.rs
@@ -1,7 +1,10 @@
 //! Starts and stops, and what became of them.
 
 use {
-    super::{Effect, Phase, Scheduler},
+    super::{
+        Effect, Phase, Scheduler,
+        waits::{Stop, StopReason},
+    },
     crate::{RunId, TaskId, WorkerId},
     egretlb_types::Time,
     std::time::Duration,
@@ -155,11 +158,12 @@
         self.drop_copy(now, id, task, run);
     }
 
-    /// Stops the runs at a worker that `chosen` picks.
+    /// Stops the runs at a worker that `chosen` picks, and keeps why for whoever misses them.
     pub(super) fn stop_runs(
         &mut self,
         now: Time,
         id: &WorkerId,
+        why: StopReason,
         out: &mut Vec<Effect>,
         chosen: impl Fn(TaskId, RunId) -> bool,
     ) {
@@ -171,6 +175,7 @@
                 continue;
             }
             copy.phase = Phase::Stopping { sent: now, confirmed_ms: None };
+            copy.stop.get_or_insert(Stop { why, since: now });
             out.push(Effect::Stop {
                 worker: id.clone(),
                 addr,
--- a/crates/workflow/src/scheduler/pacing.rs
+++ b/crates/workflow/src/scheduler/pacing.rs
@@ -9,7 +9,10 @@
 //! the target is shared by the fillers that press, each at the pace that fits.
 
 use {
-    super::{Copy, Effect, Phase, Scheduler, Worker, pressure::NOTICEABLE, worker::FULL_PACE},
+    super::{
+        Copy, Effect, Phase, Scheduler, Worker, pressure::NOTICEABLE, waits::StopReason,
+        worker::FULL_PACE,
+    },
     crate::{ImageNo, RunId, TaskId, WorkerId, WorkflowId, interference::Exposure},
     egretlb_types::Time,
     smallvec::SmallVec,
@@ -306,7 +309,9 @@
             if self.fits_elsewhere(now, id, task) {
                 self.measures.relieved += 1;
                 log::info!(task:%, run:%, worker:% = id; "slowed_filler_moved");
-                self.stop_runs(now, id, out, |of, number| of == task && number == run);
+                self.stop_runs(now, id, StopReason::HeldBack, out, |of, number| {
+                    of == task && number == run
+                });
             }
         }
     }
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -167,6 +167,7 @@
             self.dirty.insert(task.workflow);
         }
         let ticket = self.ticket(now, task, id);
+        self.tell_start(now, task, run, id);
         let Some(flow) = self.flows.get(&task.workflow) else { return };
         log::debug!(task:%, run:%, worker:% = id; "task_started");
         self.starts_under_way += 1;
--- a/crates/workflow/src/scheduler/preempt.rs
+++ b/crates/workflow/src/scheduler/preempt.rs
@@ -6,7 +6,7 @@
 //! once they leave room.
 
 use {
-    super::{Effect, Phase, Ready, Scheduler, Worker},
+    super::{Effect, Phase, Ready, Scheduler, Worker, waits::StopReason},
     crate::{RunId, Step, TaskId, WorkerId},
     compact_str::CompactString,
     egretlb_types::{MilliCores, Time},
@@ -64,7 +64,9 @@
             freed += u64::from(cpu.0);
             self.measures.preempted += 1;
             log::info!(task:%, run:%, worker:% = id, waiting; "task_preempted");
-            self.stop_runs(now, &id, out, |of, number| of == task && number == run);
+            self.stop_runs(now, &id, StopReason::Preempted, out, |of, number| {
+                of == task && number == run
+            });
         }
     }
 
--- a/crates/workflow/src/scheduler/pressure.rs
+++ b/crates/workflow/src/scheduler/pressure.rs
@@ -1,7 +1,7 @@
 //! Serving tasks under pressure of the fillers beside them: learning from their tails, and relief.
 
 use {
-    super::{Copy, Effect, Need, Phase, Scheduler, Worker, pacing::Fresh},
+    super::{Copy, Effect, Need, Phase, Scheduler, Worker, pacing::Fresh, waits::StopReason},
     crate::{
         RunId, TaskId, WorkerId, WorkflowId,
         interference::{Exposure, ImageNo, Interference, headroom_of, set},
@@ -154,7 +154,9 @@
         self.measures.relieved += chosen.len() as u64;
         let image = self.interference.name(serving);
         log::info!(worker:% = id, image:%, stopped = chosen.len(), forced; "serving_relieved");
-        self.stop_runs(now, id, out, |task, run| chosen.contains(&(task, run)));
+        self.stop_runs(now, id, StopReason::Relieved, out, |task, run| {
+            chosen.contains(&(task, run))
+        });
     }
 
     /// How much one more task of a step would press or be pressed at a worker, in coarse steps; none if
--- a/crates/workflow/src/scheduler/queue.rs
+++ b/crates/workflow/src/scheduler/queue.rs
@@ -4,6 +4,7 @@
     super::{
         Effect, Ready, Scheduler,
         flow::{Flow, StepState, TaskState},
+        waits::StopReason,
     },
     crate::{Entry, Outcome, RunId, Step, TaskId, WorkerId, WorkflowId},
     egretlb_types::Time,
@@ -122,7 +123,9 @@
         self.forget_advice(id);
         log::info!(workflow:% = id, outcome:? = outcome, copies = copies.len(); "workflow_ended");
         for (worker, run) in copies {
-            self.stop_runs(now, &worker, out, |task, of| task.workflow == id && of == run);
+            self.stop_runs(now, &worker, StopReason::WorkflowEnded, out, |task, of| {
+                task.workflow == id && of == run
+            });
         }
     }
 
--- a/crates/workflow/src/scheduler/stragglers.rs
+++ b/crates/workflow/src/scheduler/stragglers.rs
@@ -6,7 +6,7 @@
 //! copy elsewhere; another one is stopped and goes on elsewhere.
 
 use {
-    super::{Copy, Effect, Need, Phase, Scheduler, Worker, worker::FULL_PACE},
+    super::{Copy, Effect, Need, Phase, Scheduler, Worker, waits::StopReason, worker::FULL_PACE},
     crate::{RunId, Step, TaskId, WorkerId},
     egretlb_types::Time,
     std::time::Duration,
@@ -218,7 +218,9 @@
         if step.speculative {
             self.start(now, task, &need, &other, None, out);
         } else {
-            self.stop_runs(now, id, out, |of, number| of == task && number == run);
+            self.stop_runs(now, id, StopReason::Slow, out, |of, number| {
+                of == task && number == run
+            });
         }
     }
 }
--- a/crates/workflow/src/scheduler/upkeep/mod.rs
+++ b/crates/workflow/src/scheduler/upkeep/mod.rs
@@ -12,7 +12,7 @@
 
 use {
     self::stages::{Stage, WaveRun},
-    super::{Copy, Effect, Phase, Scheduler},
+    super::{Copy, Effect, Phase, Scheduler, waits::StopReason},
     crate::{
         Ledger, RunId, TaskId, UpkeepResult, VmEntry, VmId, VmState, Wave, WaveState, WorkerId,
     },
@@ -218,7 +218,9 @@
             worker.copies.iter().filter(|(_, copy)| moves(copy)).map(|(key, _)| *key).collect();
         for (task, run) in moving {
             if self.may_be_away(task) {
-                self.stop_runs(now, id, out, |of, number| of == task && number == run);
+                self.stop_runs(now, id, StopReason::Upkeep, out, |of, number| {
+                    of == task && number == run
+                });
             }
         }
     }
--- /dev/null
+++ b/crates/workflow/src/scheduler/waits/mod.rs
@@ -0,0 +1,209 @@
+//! Why tasks aren't running, for log lines and the state dump.
+//!
+//! A lasting task's user sees it gone for seconds and asks why, long after the leader that knew is
+//! another one. Production writes no line for each start and end of all tasks; what is written here is
+//! bounded each second, whatever waits: each start and end of a lasting task's run, a line for a step
+//! that has waited for long, and a line for work that a new leader holds back.
+
+mod budget;
+mod held;
+mod queued;
+mod report;
+mod runs;
+mod term;
+
+use {
+    self::{held::Held, report::Reports, runs::RunLines, term::TermHold},
+    super::{Ready, Scheduler},
+    crate::{StepId, WorkerId},
+    egretlb_types::Time,
+    serde::Serialize,
+    smallvec::SmallVec,
+    std::{collections::BTreeMap, fmt, time::Duration},
+};
+
+pub(super) use self::runs::{Stop, StopReason};
+
+/// The most tasks and workers that are named of a step. Those left out are counted; eight indices and
+/// eight workers' ids keep a line below 500 bytes.
+const MOST_NAMED: usize = 8;
+
+/// Why a task isn't running.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// This leader is new, and some workers that may still run its tasks haven't answered.
+    SurveyUnderWay,
+    /// The records are read too late to start anything.
+    RecordsReadLate,
+    /// As many starts as allowed are under way.
+    StartsUnderWay,
+    /// No worker of its service takes work.
+    NoWorkers,
+    /// No worker that takes work has the label that it needs.
+    NoLabel,
+    /// No worker has room for it.
+    NoRoom,
+    /// Workers have room, but failed or turned away what they got and get nothing for now.
+    Barred,
+    /// Workers have room, but hold as many tasks of its step as they may.
+    AntiAffinity,
+    /// Only the worker where it failed last has room.
+    FailedThere,
+    /// Workers have room, but their VMs are about to go down for upkeep.
+    Upkeep,
+    /// Some worker has room, but none that its policy is known to allow.
+    NoTicket,
+    /// Workers have room, but the serving tasks there can't bear it.
+    ServingTasks,
+    /// It leaves the room to tasks that end soon.
+    GivesWay,
+    /// Members of its gang haven't ended yet, or no worker or rack has room for all of them.
+    Gang,
+    /// Nothing holds it up: it starts next.
+    Next,
+    /// A start was sent and isn't answered yet.
+    BeingStarted,
+    /// A start got no answer: it may run.
+    StartInDoubt,
+    /// A run of it is being stopped.
+    BeingStopped,
+    /// It may still run at a worker that doesn't answer.
+    SilentWorker,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Reason::SurveyUnderWay => {
+                "workers that may still run it haven't answered the new leader"
+            }
+            Reason::RecordsReadLate => "the records are read too late",
+            Reason::StartsUnderWay => "as many starts as allowed are under way",
+            Reason::NoWorkers => "no worker of its service takes work",
+            Reason::NoLabel => "no worker that takes work has its label",
+            Reason::NoRoom => "no worker has room",
+            Reason::Barred => {
+                "workers with room get nothing for now, after failed or rejected starts"
+            }
+            Reason::AntiAffinity => "workers with room hold as many tasks of its step as they may",
+            Reason::FailedThere => "only the worker where it failed last has room",
+            Reason::Upkeep => "workers with room are about to go down for upkeep",
+            Reason::NoTicket => "no worker with room is known to be allowed",
+            Reason::ServingTasks => "serving tasks where there is room can't bear it",
+            Reason::GivesWay => "it leaves the room to tasks that end soon",
+            Reason::Gang => "its gang can't start as a whole",
+            Reason::Next => "it starts next",
+            Reason::BeingStarted => "a start isn't answered yet",
+            Reason::StartInDoubt => "a start got no answer, so it may run",
+            Reason::BeingStopped => "a run of it is being stopped",
+            Reason::SilentWorker => "it may still run at a worker that doesn't answer",
+        })
+    }
+}
+
+/// A reason with what is known of it.
+#[derive(Clone, Debug)]
+struct Cause {
+    reason: Reason,
+    /// The workers that it is about, at most [`MOST_NAMED`].
+    workers: SmallVec<[WorkerId; 1]>,
+    /// When it ends at the latest, where that is known.
+    until: Option<Time>,
+}
+
+impl Cause {
+    fn plain(reason: Reason) -> Cause {
+        Cause { reason, workers: SmallVec::new(), until: None }
+    }
+}
+
+/// Tasks of a step that wait for the same reason.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WaitingStep {
+    /// The step.
+    pub step: StepId,
+    /// How many of its tasks wait.
+    pub tasks: usize,
+    /// Some of them, by index.
+    pub indices: Vec<u32>,
+    /// Whether they run until their workflow is cancelled.
+    pub lasting: bool,
+    /// How long the first of them hasn't run, as far as this leader knows.
+    pub waited: Duration,
+    /// Why; of tasks in a queue, why the next one isn't running.
+    pub reason: Reason,
+    /// Some of the workers that the reason is about.
+    pub workers: Vec<WorkerId>,
+    /// How long the reason lasts at most, where that is known.
+    pub until: Option<Duration>,
+}
+
+/// What was told of waits, and how many lines that took lately.
+#[derive(Debug, Default)]
+pub(super) struct Waits {
+    reports: Reports,
+    runs: RunLines,
+    term: TermHold,
+}
+
+impl Scheduler {
+    /// Steps with tasks that wait, at most `limit`: those in the queue, in its order, then those whose
+    /// tasks are held by a run.
+    pub fn waiting_steps(&mut self, now: Time, limit: usize) -> Vec<WaitingStep> {
+        let keys: Vec<Ready> = self.ready.iter().take(limit).copied().collect();
+        let mut rows: Vec<WaitingStep> =
+            keys.into_iter().filter_map(|key| self.queued_row(now, key)).collect();
+        let held = self.held_steps(now);
+        let room = limit.saturating_sub(rows.len());
+        rows.extend(held.into_iter().take(room).map(|(key, held)| self.held_row(now, key, held)));
+        rows
+    }
+
+    /// Writes the lines on waits that are due.
+    pub(super) fn tell_waits(&mut self, now: Time) {
+        self.tell_term_hold(now);
+        self.tell_long_waits(now);
+        self.waits.runs.roll(now);
+    }
+
+    fn held_row(&self, now: Time, (step, reason): (StepId, Reason), held: Held) -> WaitingStep {
+        let task = crate::TaskId {
+            workflow: step.workflow,
+            occurrence: step.occurrence,
+            step: step.step,
+            index: 0,
+        };
+        WaitingStep {
+            step,
+            tasks: held.tasks,
+            indices: held.indices.to_vec(),
+            lasting: self.is_lasting(task),
+            waited: now.since(held.since),
+            reason,
+            workers: held.workers.to_vec(),
+            until: held.until.map(|until| until.since(now)),
+        }
+    }
+}
+
+/// Steps with held tasks, by reason.
+type HeldSteps = BTreeMap<(StepId, Reason), Held>;
+
+/// Ids joined by commas, for a log line.
+struct Joined<'a, T>(&'a [T]);
+
+impl<T: fmt::Display> fmt::Display for Joined<'_, T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (place, id) in self.0.iter().enumerate() {
+            let comma = if place == 0 { "" } else { "," };
+            write!(f, "{comma}{id}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Milliseconds, for a log line.
+fn ms(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/workflow/src/scheduler/waits/queued.rs
@@ -0,0 +1,176 @@
+//! Tasks in a queue, and why the first of a step isn't running.
+
+use {
+    super::{
+        super::{
+            Need, Ready, Scheduler, Worker,
+            place::{has_room, task_of},
+        },
+        Cause, MOST_NAMED, Reason, WaitingStep,
+    },
+    crate::{Step, StepId, TaskId, WorkerId},
+    egretlb_types::Time,
+    smallvec::SmallVec,
+};
+
+/// How far a worker gets as the place of a task. What stops the one that gets furthest is the reason.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Stage {
+    NoWorkers,
+    NoLabel,
+    NoRoom,
+    Barred,
+    AntiAffinity,
+    FailedThere,
+    Upkeep,
+    NoTicket,
+    ServingTasks,
+    Takes,
+}
+
+impl Stage {
+    fn reason(self) -> Reason {
+        match self {
+            Stage::NoWorkers => Reason::NoWorkers,
+            Stage::NoLabel => Reason::NoLabel,
+            Stage::NoRoom => Reason::NoRoom,
+            Stage::Barred => Reason::Barred,
+            Stage::AntiAffinity => Reason::AntiAffinity,
+            Stage::FailedThere => Reason::FailedThere,
+            Stage::Upkeep => Reason::Upkeep,
+            Stage::NoTicket => Reason::NoTicket,
+            Stage::ServingTasks => Reason::ServingTasks,
+            Stage::Takes => Reason::Next,
+        }
+    }
+
+    /// Whether the workers tell more than that there are none or that they are full.
+    fn names_workers(self) -> bool {
+        self >= Stage::Barred
+    }
+}
+
+/// A task and what it needs.
+#[derive(Clone, Copy)]
+struct Wanted<'a> {
+    task: TaskId,
+    need: Need<'a>,
+    /// The same without regard to its step's other tasks.
+    alone: Need<'a>,
+}
+
+impl Scheduler {
+    /// The waiting tasks of a step in the queue.
+    pub(super) fn queued_row(&mut self, now: Time, key: Ready) -> Option<WaitingStep> {
+        self.front(key)?;
+        let Cause { reason, workers, until } = self.cause(now, key)?;
+        let queue = self.queue_of(key)?;
+        let tasks = queue.len();
+        let mut indices: Vec<u32> = queue.iter().copied().take(MOST_NAMED).collect();
+        indices.sort_unstable();
+        let Ready { workflow, occurrence, step, lasting, .. } = key;
+        let step = StepId { workflow, occurrence, step };
+        Some(WaitingStep {
+            step,
+            tasks,
+            indices,
+            lasting,
+            waited: now.since(self.queued_since(key)?),
+            reason,
+            workers: workers.to_vec(),
+            until: until.map(|until| until.since(now)),
+        })
+    }
+
+    /// Since when the first of the step's waiting tasks hasn't run.
+    pub(super) fn queued_since(&mut self, key: Ready) -> Option<Time> {
+        let queue: SmallVec<[u32; 16]> = self.queue_of(key)?.iter().copied().collect();
+        queue.into_iter().filter_map(|index| self.down_since(task_of(key, index))).min()
+    }
+
+    fn cause(&mut self, now: Time, key: Ready) -> Option<Cause> {
+        let flow = self.flows.get(&key.workflow)?;
+        let step = flow.submission.workflow.steps.get(usize::from(key.step))?.clone();
+        if flow.inherited && !self.unaccounted.is_empty() {
+            let workers = self.unaccounted.keys().take(MOST_NAMED).cloned().collect();
+            let until = self.unaccounted.values().copied().max();
+            return Some(Cause { reason: Reason::SurveyUnderWay, workers, until });
+        }
+        if self.behind {
+            return Some(Cause::plain(Reason::RecordsReadLate));
+        }
+        if !self.may_start() {
+            return Some(Cause::plain(Reason::StartsUnderWay));
+        }
+        if step.lasting && self.gives_way(now, key) {
+            return Some(Cause::plain(Reason::GivesWay));
+        }
+        let index = *self.queue_of(key)?.front()?;
+        let cause = self.best_place(now, task_of(key, index), &step)?;
+        if step.gang && cause.reason == Reason::Next {
+            return Some(Cause::plain(Reason::Gang));
+        }
+        Some(cause)
+    }
+
+    /// What stops the workers that would suit best.
+    fn best_place(&mut self, now: Time, task: TaskId, step: &Step) -> Option<Cause> {
+        let need = Need::new(step, &mut self.interference);
+        let alone = Step { per_worker: 0, ..step.clone() };
+        let wanted = Wanted { task, need, alone: Need { step: &alone, ..need } };
+        let mut best = Stage::NoWorkers;
+        let mut workers: SmallVec<[WorkerId; 1]> = SmallVec::new();
+        let mut until: Option<Time> = None;
+        for (id, worker) in &self.workers {
+            let Some(stage) = self.stage(now, &wanted, id, worker) else { continue };
+            if stage > best {
+                best = stage;
+                workers.clear();
+                until = None;
+            }
+            if stage != best || !stage.names_workers() {
+                continue;
+            }
+            if workers.len() < MOST_NAMED {
+                workers.push(id.clone());
+            }
+            if stage == Stage::Barred {
+                // The first that takes work again ends the wait.
+                let bar = worker.barred_until;
+                until = Some(until.map_or(bar, |known| known.min(bar)));
+            }
+        }
+        Some(Cause { reason: best.reason(), workers, until })
+    }
+
+    /// How far a worker gets; none if it isn't of the service, or takes no work for good.
+    fn stage(
+        &self,
+        now: Time,
+        wanted: &Wanted<'_>,
+        id: &WorkerId,
+        worker: &Worker,
+    ) -> Option<Stage> {
+        let Wanted { task, need, alone } = *wanted;
+        let flow = self.flows.get(&task.workflow)?;
+        if worker.info.service != flow.submission.service || !worker.is_fit(now, &self.limits) {
+            return None;
+        }
+        if need.step.label.as_ref().is_some_and(|label| !worker.info.has_label(label)) {
+            return Some(Stage::NoLabel);
+        }
+        if !has_room(worker, task, &alone) {
+            return Some(Stage::NoRoom);
+        }
+        let state = self.task(task)?;
+        Some(match () {
+            () if now < worker.barred_until => Stage::Barred,
+            () if !has_room(worker, task, &need) => Stage::AntiAffinity,
+            () if state.avoid.as_ref() == Some(id) => Stage::FailedThere,
+            () if self.is_held(id) => Stage::Upkeep,
+            () if !self.allows(now, task, id) => Stage::NoTicket,
+            () if self.disturbance(worker, &need).is_none() => Stage::ServingTasks,
+            () => Stage::Takes,
+        })
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/scheduler/waits/report.rs
@@ -0,0 +1,165 @@
+//! Lines on steps whose tasks have waited for long.
+
+use {
+    super::{super::Scheduler, Joined, Reason, WaitingStep, budget::LineBudget, ms},
+    crate::StepId,
+    egretlb_types::Time,
+    smallvec::SmallVec,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// How often it is looked for long waits: one pass over what waits and what may run.
+const CHECK_EVERY: Duration = Duration::from_secs(1);
+
+/// A wait is told once it has lasted so long: below it are restarts that go well (a stop takes 0.4 s, a
+/// change of the leader 1.6 s).
+const LONG_WAIT: Duration = Duration::from_secs(2);
+
+/// A wait is told again after this; its reason may have changed.
+const TELL_AGAIN: Duration = Duration::from_secs(4);
+
+/// The most lines on waits in one second: 3 KB at 300 bytes a line, where a busy leader writes some 40 KB.
+const LINES_PER_SECOND: u32 = 10;
+
+/// The waiting tasks of a step: those in its queue, or those that are held for a reason.
+type Group = (StepId, Option<Reason>);
+
+#[derive(Debug)]
+pub(super) struct Reports {
+    checked_at: Time,
+    told: BTreeMap<StepId, Told>,
+    budget: LineBudget,
+}
+
+impl Default for Reports {
+    fn default() -> Reports {
+        let budget = LineBudget::new("waits", LINES_PER_SECOND);
+        Reports { checked_at: Time::ZERO, told: BTreeMap::new(), budget }
+    }
+}
+
+/// What was told of a step whose tasks still wait.
+#[derive(Debug)]
+struct Told {
+    since: Time,
+    /// When each of its groups was last told.
+    groups: SmallVec<[(Option<Reason>, Time); 2]>,
+}
+
+/// A group of which a line is due.
+struct Due {
+    group: Group,
+    told_at: Option<Time>,
+    lasting: bool,
+    since: Time,
+}
+
+impl Reports {
+    fn told_at(&self, (step, reason): Group) -> Option<Time> {
+        let groups = &self.told.get(&step)?.groups;
+        groups.iter().find(|(known, _)| *known == reason).map(|(_, at)| *at)
+    }
+
+    fn is_due(&self, now: Time, group: Group, since: Time) -> bool {
+        let again = self.told_at(group).is_none_or(|at| now.since(at) >= TELL_AGAIN);
+        again && now.since(since) >= LONG_WAIT
+    }
+
+    fn note(&mut self, now: Time, (step, reason): Group, since: Time) {
+        let told = self.told.entry(step);
+        let told = told.or_insert_with(|| Told { since, groups: SmallVec::new() });
+        told.since = told.since.min(since);
+        match told.groups.iter_mut().find(|(known, _)| *known == reason) {
+            Some((_, at)) => *at = now,
+            None => told.groups.push((reason, now)),
+        }
+    }
+
+    /// Tells of steps that were told and wait no more.
+    fn tell_over(&mut self, now: Time, waiting: &BTreeSet<StepId>) {
+        let over: Vec<StepId> =
+            self.told.keys().filter(|step| !waiting.contains(step)).copied().collect();
+        for step in over {
+            let Some(told) = self.told.remove(&step) else { continue };
+            if self.budget.take(now) {
+                log::info!(step:%, waited_ms = ms(now.since(told.since)); "tasks_wait_over");
+            }
+        }
+    }
+}
+
+impl Scheduler {
+    pub(super) fn tell_long_waits(&mut self, now: Time) {
+        if now.since(self.waits.reports.checked_at) < CHECK_EVERY {
+            return;
+        }
+        self.waits.reports.checked_at = now;
+        self.waits.reports.budget.roll(now);
+        let held = self.held_steps(now);
+        let mut waiting: BTreeSet<StepId> = held.keys().map(|(step, _)| *step).collect();
+        let mut due: Vec<Due> = Vec::new();
+        for ready in &self.ready {
+            let step = ready.step_id();
+            waiting.insert(step);
+            let since = now - self.step_wait(now, *ready);
+            let (group, lasting) = ((step, None), ready.lasting);
+            if self.waits.reports.is_due(now, group, since) {
+                let told_at = self.waits.reports.told_at(group);
+                due.push(Due { group, told_at, lasting, since });
+            }
+        }
+        for ((step, reason), held) in &held {
+            let group = (*step, Some(*reason));
+            if self.waits.reports.is_due(now, group, held.since) {
+                let told_at = self.waits.reports.told_at(group);
+                due.push(Due { group, told_at, lasting: true, since: held.since });
+            }
+        }
+        self.waits.reports.tell_over(now, &waiting);
+        // Those that were told least lately come first, so that each comes in turn in a flood.
+        due.sort_by_key(|due| (due.told_at, !due.lasting, due.since));
+        let rows = due.len();
+        for (place, Due { group, .. }) in due.into_iter().enumerate() {
+            let row = match group {
+                (step, None) => self.row_of_queue(now, step),
+                (step, Some(reason)) => held
+                    .get(&(step, reason))
+                    .map(|held| self.held_row(now, (step, reason), held.clone())),
+            };
+            // A queue that hasn't been empty for long may hold none that has waited for long.
+            let Some(row) = row.filter(|row| row.waited >= LONG_WAIT) else { continue };
+            if !self.waits.reports.budget.take(now) {
+                self.waits.reports.budget.leave_out(rows - place - 1);
+                return;
+            }
+            self.waits.reports.note(now, group, now - row.waited);
+            tell(&row);
+        }
+    }
+
+    fn row_of_queue(&mut self, now: Time, step: StepId) -> Option<WaitingStep> {
+        let key = self.ready.iter().find(|ready| ready.step_id() == step).copied()?;
+        self.queued_row(now, key)
+    }
+}
+
+fn tell(row: &WaitingStep) {
+    let WaitingStep { step, tasks, indices, waited, reason, workers, until, .. } = row;
+    let (indices, workers) = (Joined(indices), Joined(workers));
+    let waited_ms = ms(*waited);
+    match until {
+        Some(until) => log::info!(
+            step:%, tasks, indices:%, waited_ms, reason:%, workers:%, at_most_ms = ms(*until);
+            "tasks_waiting"
+        ),
+        None if workers.0.is_empty() => {
+            log::info!(step:%, tasks, indices:%, waited_ms, reason:%; "tasks_waiting");
+        }
+        None => {
+            log::info!(step:%, tasks, indices:%, waited_ms, reason:%, workers:%; "tasks_waiting");
+        }
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/scheduler/waits/runs.rs
@@ -0,0 +1,185 @@
+//! Lines on the runs of lasting tasks.
+//!
+//! A lasting task is missed while it doesn't run, for as long as its workflow isn't cancelled. Few of
+//! them start or end in a second, so each does in a line; of a flood, as of a wide service that is
+//! accepted or cancelled, only the first are written.
+
+use {
+    super::{super::Scheduler, Reason, budget::LineBudget, ms},
+    crate::{EndKind, RunId, TaskId, WorkerId},
+    egretlb_types::Time,
+    std::fmt,
+};
+
+/// The most lines in one second: 6 KB at 200 bytes a line. A worker that is lost takes some ten lasting
+/// tasks with it.
+const LINES_PER_SECOND: u32 = 30;
+
+/// Why a run was stopped.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(in crate::scheduler) enum StopReason {
+    /// It made room for tasks that end soon.
+    Preempted,
+    /// Its worker is about to leave.
+    Evacuated,
+    /// Its worker's VM goes down for upkeep.
+    Upkeep,
+    /// It pressed on a serving task.
+    Relieved,
+    /// It was held back beside a serving task for so long that it is done sooner elsewhere.
+    HeldBack,
+    /// Its worker is slow.
+    Slow,
+    /// Its start got no answer and isn't listed.
+    Doubtful,
+    /// Another run of its task is done.
+    CopyDone,
+    /// It was found, and another run of its task counts.
+    NotWanted,
+    /// Its workflow was cancelled or has failed.
+    WorkflowEnded,
+}
+
+impl fmt::Display for StopReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            StopReason::Preempted => "preempted",
+            StopReason::Evacuated => "evacuated",
+            StopReason::Upkeep => "upkeep",
+            StopReason::Relieved => "relieved",
+            StopReason::HeldBack => "held_back",
+            StopReason::Slow => "slow_worker",
+            StopReason::Doubtful => "start_in_doubt",
+            StopReason::CopyDone => "copy_done",
+            StopReason::NotWanted => "not_wanted",
+            StopReason::WorkflowEnded => "workflow_ended",
+        })
+    }
+}
+
+/// A stop that was ordered.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::scheduler) struct Stop {
+    pub(in crate::scheduler) why: StopReason,
+    /// When it was first ordered.
+    pub(in crate::scheduler) since: Time,
+}
+
+/// How a run is over.
+#[derive(Clone, Copy, Debug)]
+enum Over {
+    /// Its worker lists its end.
+    Listed(EndKind),
+    /// Its start was turned away.
+    NeverBegan,
+    /// It can't be under way any more, and nothing tells its end.
+    Lost,
+}
+
+impl fmt::Display for Over {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Over::Listed(EndKind::Done) => "done",
+            Over::Listed(EndKind::Failed) => "failed",
+            Over::Listed(EndKind::Stopped) => "stopped",
+            Over::Listed(EndKind::Lapsed) => "lapsed",
+            Over::Listed(EndKind::Broken) => "broken",
+            Over::Listed(EndKind::Alone) => "alone",
+            Over::NeverBegan => "rejected",
+            Over::Lost => "lost",
+        })
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct RunLines(LineBudget);
+
+impl Default for RunLines {
+    fn default() -> RunLines {
+        RunLines(LineBudget::new("lasting_tasks", LINES_PER_SECOND))
+    }
+}
+
+impl RunLines {
+    pub(super) fn roll(&mut self, now: Time) {
+        self.0.roll(now);
+    }
+}
+
+impl Scheduler {
+    /// A task is about to be started.
+    pub(in crate::scheduler) fn tell_start(
+        &mut self,
+        now: Time,
+        task: TaskId,
+        run: RunId,
+        id: &WorkerId,
+    ) {
+        if !self.is_lasting(task) || !self.waits.runs.0.take(now) {
+            return;
+        }
+        let waited_ms = self.down_since(task).map_or(0, |since| ms(now.since(since)));
+        log::info!(task:%, run:%, worker:% = id, waited_ms; "lasting_task_started");
+    }
+
+    pub(super) fn is_lasting(&self, task: TaskId) -> bool {
+        self.step(task).is_some_and(|step| step.lasting)
+    }
+
+    /// A worker lists the end of a run.
+    pub(in crate::scheduler) fn tell_end(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        task: TaskId,
+        run: RunId,
+        kind: EndKind,
+    ) {
+        self.note_over(now, id, task, run, Over::Listed(kind));
+    }
+
+    /// A run is certainly not under way, and no list tells its end.
+    pub(in crate::scheduler) fn tell_drop(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        task: TaskId,
+        run: RunId,
+    ) {
+        let began = self.doubt_of(now, id, task, run).is_none_or(|(reason, _)| !is_start(reason));
+        let over = if began { Over::Lost } else { Over::NeverBegan };
+        self.note_over(now, id, task, run, over);
+    }
+
+    fn note_over(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId, over: Over) {
+        let doubt = self.doubt_of(now, id, task, run);
+        let copy = self.workers.get(id).and_then(|worker| worker.copies.get(&(task, run)));
+        let stop = copy.and_then(|copy| copy.stop);
+        // A workflow that was cancelled is forgotten before its runs have ended; an end may also be of
+        // a run that only a predecessor knew.
+        let lasts = copy.map_or_else(|| self.is_lasting(task), |copy| copy.lasts);
+        let silent = doubt.is_some_and(|(reason, _)| reason == Reason::SilentWorker);
+        match (over, doubt) {
+            // It has been down since before that start.
+            (Over::NeverBegan, Some((_, placed))) => self.note_still_down(task, placed),
+            // Its user has been without it since its worker was last heard, as far as anybody knows.
+            (Over::Lost, Some((Reason::SilentWorker, heard))) => self.note_down(task, heard),
+            _ => self.note_down(task, now),
+        }
+        if !lasts || !self.waits.runs.0.take(now) {
+            return;
+        }
+        let why = match (stop, over) {
+            (Some(stop), _) => stop.why.to_string(),
+            (None, Over::Lost) if silent => "worker_silent".to_owned(),
+            (None, Over::Lost) => "not_there".to_owned(),
+            (None, _) => "-".to_owned(),
+        };
+        log::info!(task:%, run:%, worker:% = id, end:% = over, why:%; "lasting_task_ended");
+    }
+}
+
+/// Whether what isn't known of a run is how its start went.
+fn is_start(reason: Reason) -> bool {
+    matches!(reason, Reason::BeingStarted | Reason::StartInDoubt)
+}
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -1,6 +1,7 @@
 //! What the leader knows of a worker.
 
 use {
+    super::waits::Stop,
     crate::{
         Limits, RunId, Step, TaskId, WorkerInfo, WorkerState,
         interference::{Exposure, ImageNo, Interference},
@@ -72,6 +73,8 @@
     pub(crate) soft: MilliCores,
     pub(crate) serves: bool,
     pub(crate) fills: bool,
+    /// The stop that was ordered, if one was.
+    pub(crate) stop: Option<Stop>,
     /// It can go on elsewhere without loss: it saves its progress, or lasts.
     pub(crate) moves: bool,
     /// It runs until its workflow is cancelled.
@@ -132,6 +135,7 @@
             soft,
             serves: step.target_ms > 0,
             fills: step.fills,
+            stop: None,
             moves: step.checkpoints || step.lasting,
             lasts: step.lasting,
             yields: step.lasting && step.may_miss.is_none(),
@@ -328,13 +332,17 @@
 
     /// Whether it may get a new task.
     pub(crate) fn takes_work(&self, now: Time, limits: &Limits) -> bool {
+        self.is_fit(now, limits) && now >= self.barred_until
+    }
+
+    /// Whether it may get new tasks, but for what it did with the last ones.
+    pub(crate) fn is_fit(&self, now: Time, limits: &Limits) -> bool {
         self.present
             && self.in_roster
             && !self.listed_silent
             && !self.leaving
             && self.surveyed
             && self.info.state == WorkerState::Ready
-            && now >= self.barred_until
             && self.is_responsive(now, limits)
     }
 
