--- a/crates/explain/tests/why_down.rs
+++ b/crates/explain/tests/why_down.rs
@@ -186,9 +186,106 @@
         ID,
         &[
             (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
-            (4.000, "entry-2", "lines_left_out kind=waits lines=40"),
+            (4.000, "entry-2", "lines_left_out kind=lasting_tasks lines=40"),
             (5.000, "entry-2", "workflow_ended workflow=97aa5350f2a720be outcome=Completed"),
         ],
     );
     assert_eq!(findings.last(), Some(&Finding::LinesMissing { lines: 40 }));
 }
+
+/// Hundreds of steps waited, and not each had a line.
+#[test]
+fn waits_untold() {
+    let findings = walk(
+        ID,
+        &[
+            (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
+            (4.000, "entry-2", "waits_untold steps=113"),
+            (9.000, "entry-2", "waits_untold steps=59"),
+            (9.500, "entry-2", "workflow_ended workflow=97aa5350f2a720be outcome=Completed"),
+        ],
+    );
+    let untold = "up to 113 steps waited without a line of their own, this one perhaps, too";
+    assert!(texts(&findings).contains(untold), "{findings:?}");
+}
+
+/// The line on a start in between was left out: the later end of another run is the one that counts.
+#[test]
+fn start_untold() {
+    let findings = walk(
+        ID,
+        &[
+            (
+                2.000,
+                "entry-2",
+                "lasting_task_ended task=97aa5350f2a720be.0.0.3 run=1000 worker=w-1 end=lapsed why=- down_ms=0",
+            ),
+            (
+                30.000,
+                "entry-2",
+                "lasting_task_ended task=97aa5350f2a720be.0.0.3 run=6000 worker=w-2 end=lost \
+                 why=worker_silent down_ms=5000",
+            ),
+        ],
+    );
+    let texts = texts(&findings);
+    assert!(
+        texts.contains(
+            "task 0.0.3 hasn't run since 2026-10-11T16:07:25.000Z, when it was lost with w-2: worker_silent"
+        ),
+        "{texts}"
+    );
+}
+
+/// The store is away for longer than the leader may give orders on its own. Then nothing is started
+/// anywhere, whatever room there is.
+#[test]
+fn orders_suspended() {
+    let findings = walk(
+        ID,
+        &[
+            (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
+            (5.000, "entry-2", "orders_suspended epoch=4"),
+            (12.000, "entry-2", "orders_resumed epoch=4 after_ms=7000"),
+            (20.000, "entry-2", "orders_suspended epoch=4"),
+            (21.000, "entry-3", "elected epoch=5 workers=66 workflows=80 unaccounted=66"),
+        ],
+    );
+    let texts = texts(&findings);
+    assert!(
+        texts.contains(
+            "the leader entry-2 gave no orders from 2026-10-11T16:07:05.000Z until \
+             2026-10-11T16:07:12.000Z: the store took no sign of life from it"
+        ),
+        "{texts}"
+    );
+    assert!(
+        texts.contains("from 2026-10-11T16:07:20.000Z until 2026-10-11T16:07:21.000Z"),
+        "{texts}"
+    );
+}
+
+/// The new leader was deposed itself while it held back what it had inherited.
+#[test]
+fn held_until_deposed() {
+    let findings = walk(
+        ID,
+        &[
+            (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
+            (
+                3.000,
+                "entry-2",
+                "inherited_work_held epoch=5 held_ms=300 unanswered=1 workers=w-9 at_most_ms=8700",
+            ),
+            (7.000, "entry-3", "elected epoch=6 workers=66 workflows=80 unaccounted=66"),
+        ],
+    );
+    let texts = texts(&findings);
+    assert!(
+        texts.contains(
+            "the new leader entry-2 held inherited work since 2026-10-11T16:07:02.700Z, until another \
+             became leader at 2026-10-11T16:07:07.000Z, for workers that hadn't answered: w-9"
+        ),
+        "{texts}"
+    );
+}
--- a/crates/workflow/tests/lasting_lines.rs
+++ b/crates/workflow/tests/lasting_lines.rs
@@ -97,6 +97,9 @@
     let ended = runs(&lines, "lasting_task_ended", 1);
     assert_eq!(ended.len(), runs_there);
     assert!(ended.iter().all(|line| line.get("end") == "lost"), "{ended:?}");
+    assert!(ended.iter().all(|line| line.get("why") == "worker_silent"), "{ended:?}");
+    let down: u64 = ended[0].get("down_ms").parse().expect("a number");
+    assert!((4_500..8_000).contains(&down), "{down}");
     let started = runs(&lines, "lasting_task_started", 1);
     assert_eq!(started.len(), runs_there);
     // It counts from when the worker was last heard, not from when its lease was given up: a lease of
--- a/crates/workflow/tests/wait_lines.rs
+++ b/crates/workflow/tests/wait_lines.rs
@@ -4,7 +4,7 @@
 
 use {
     egretlb_types::MilliCores,
-    egretlb_workflow::{Limits, Step},
+    egretlb_workflow::{Limits, Step, WorkerState},
     std::time::Duration,
     support::{
         lines::{self, Line},
@@ -53,6 +53,21 @@
     assert!((2_000..3_500).contains(&number(first, "waited_ms")), "{first:?}");
 }
 
+/// A line on a wait for room says how many workers the service has and how many of them take work, so that
+/// a full service can be told from one that has lost its workers.
+#[test]
+fn workers_counted() {
+    let mut world = world(38);
+    world.submit(1, &submission(vec![lasting(6, 8)]));
+    world.run(SECOND);
+    world.workers[0].info.state = WorkerState::Draining;
+    world.run(4 * SECOND);
+    let lines = lines::take();
+    let waiting = lines::of(&lines, "tasks_waiting");
+    let line = waiting.last().expect("a line on the tasks that wait");
+    assert_eq!((number(line, "service_workers"), number(line, "fit_workers")), (4, 3));
+}
+
 /// The wait is over; a line says so, so that its end needn't be guessed.
 #[test]
 fn over() {
@@ -146,43 +161,44 @@
     world.run(3 * SECOND);
     lines::take();
     let mut told = std::collections::BTreeSet::new();
-    let mut left_out = 0;
+    let mut untold = Vec::new();
     for _ in 0..10 {
         world.run(SECOND);
         let lines = lines::take();
         let waiting = lines::of(&lines, "tasks_waiting");
         assert!(waiting.len() <= 10, "{} lines in a second", waiting.len());
         told.extend(waiting.iter().map(|line| line.get("step").to_owned()));
-        for line in lines::of(&lines, "lines_left_out") {
-            left_out += number(line, "lines");
-        }
+        untold.extend(lines::of(&lines, "waits_untold").iter().map(|line| number(line, "steps")));
     }
     // Those that were told least lately come first, so all come in turn.
     assert!(told.len() >= 90, "{} steps", told.len());
-    assert!(left_out > 300, "{left_out}");
+    // How many waited without a line is told now and then.
+    assert!((2..=3).contains(&untold.len()), "{untold:?}");
+    assert!(untold.iter().all(|steps| (300..400).contains(steps)), "{untold:?}");
 }
 
-/// A service of hundreds of tasks starts or is cancelled at once.
+/// Services of hundreds of tasks start and are cancelled at once. First starts take only a part of the
+/// lines, so that a wide service that begins doesn't hide the end of another.
 #[test]
 fn run_lines_bounded() {
     let mut world = world(37);
-    for _ in 0..30 {
+    for _ in 0..80 {
         world.add_worker(8);
     }
     world.run(2 * SECOND);
-    let id = world.submit(1, &submission(vec![lasting(250, 1)]));
+    let id = world.submit(1, &submission(vec![lasting(600, 1)]));
     let mut started = 0;
     for _ in 0..4 {
         world.run(SECOND);
         started += lines::of(&lines::take(), "lasting_task_started").len();
     }
-    assert!((1..=4 * 30).contains(&started), "{started}");
+    assert!((100..=200 + 4 * 20).contains(&started), "{started}");
     world.cancel(id);
     world.run(3 * SECOND);
     let lines = lines::take();
     let ended = lines::of(&lines, "lasting_task_ended").len();
-    assert!((1..=3 * 30).contains(&ended), "{ended}");
+    assert!((200..=400 + 3 * 20).contains(&ended), "{ended}");
     let left_out: u64 =
         lines::of(&lines, "lines_left_out").iter().map(|line| number(line, "lines")).sum();
-    assert_eq!(left_out + ended as u64, 250);
+    assert_eq!(left_out + ended as u64, 600);
 }
