--- a/crates/explain/src/downtime.rs
+++ b/crates/explain/src/downtime.rs
@@ -15,20 +15,27 @@
     pub at_most: CompactString,
     /// How long, in milliseconds, if a line says so.
     pub held_ms: Option<u64>,
+    /// When another became leader, if it still held something back then.
+    pub deposed: Option<CompactString>,
     /// Workers that didn't answer, or some of them.
     pub workers: Vec<CompactString>,
 }
 
 impl fmt::Display for HeldWork {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let HeldWork { node, since, until, at_most, held_ms, workers } = self;
+        let HeldWork { node, since, until, at_most, held_ms, deposed, workers } = self;
         let workers = workers.join(" ");
-        match (until, held_ms) {
-            (Some(until), Some(ms)) => write!(
+        match (until, held_ms, deposed) {
+            (Some(until), Some(ms), _) => write!(
                 f,
                 "the new leader {node} held inherited work until {until}, for {ms} ms, since workers \
                  didn't answer: {workers}"
             ),
+            (_, _, Some(deposed)) => write!(
+                f,
+                "the new leader {node} held inherited work since {since}, until another became leader at \
+                 {deposed}, for workers that hadn't answered: {workers}"
+            ),
             _ => write!(
                 f,
                 "the new leader {node} has held inherited work since {since}, at most until {at_most}, \
@@ -38,6 +45,29 @@
     }
 }
 
+/// A leader gave no orders, since it couldn't know whether it still led.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Suspension {
+    /// The leader.
+    pub node: CompactString,
+    /// Since when.
+    pub since: CompactString,
+    /// When it gave orders again, or another became leader; none if no line says so.
+    pub until: Option<CompactString>,
+}
+
+impl fmt::Display for Suspension {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Suspension { node, since, until } = self;
+        write!(f, "the leader {node} gave no orders from {since} ")?;
+        match until {
+            Some(until) => write!(f, "until {until}")?,
+            None => f.write_str("on")?,
+        }
+        f.write_str(": the store took no sign of life from it")
+    }
+}
+
 /// Tasks of a step waited.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct StepWait {
--- a/crates/explain/src/findings.rs
+++ b/crates/explain/src/findings.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Happening,
-        downtime::{HeldWork, StepWait, TaskDown, TaskGap, TaskRestart},
+        downtime::{HeldWork, StepWait, Suspension, TaskDown, TaskGap, TaskRestart},
         waits,
     },
     compact_str::CompactString,
@@ -93,8 +93,15 @@
     },
     /// A new leader held back what it inherited.
     InheritedWorkHeld(HeldWork),
+    /// A leader gave no orders.
+    OrdersSuspended(Suspension),
     /// Tasks of a step waited.
     StepWaited(StepWait),
+    /// Steps waited without a line of their own.
+    WaitsUntold {
+        /// How many at most at one time.
+        steps: u64,
+    },
     /// A lasting task didn't run for a while.
     TaskGap(TaskGap),
     /// A lasting task was started again, and no line tells the end of its run before.
@@ -132,6 +139,10 @@
     }
 }
 
+fn write_workers(f: &mut fmt::Formatter<'_>, text: &str, workers: &[CompactString]) -> fmt::Result {
+    write!(f, "{text}: {}", workers.join(" "))
+}
+
 impl fmt::Display for Finding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -172,11 +183,7 @@
                 by_worker.iter().try_for_each(|(worker, count)| write!(f, " {count} at {worker}"))
             }
             Finding::WorkersAtFault { workers } => {
-                write!(
-                    f,
-                    "the fault was the workers', which failed others, too: {}",
-                    workers.join(" ")
-                )
+                write_workers(f, "the fault was the workers', which failed others, too", workers)
             }
             Finding::OrdersInDoubt { times } => {
                 write!(
@@ -184,10 +191,10 @@
                     "{times} orders got no answer and were settled before anything else started"
                 )
             }
-            Finding::WorkersLost { workers } => write!(
+            Finding::WorkersLost { workers } => write_workers(
                 f,
-                "workers were lost, and what ran there waited for the end of its lease: {}",
-                workers.join(" ")
+                "workers were lost, and what ran there waited for the end of its lease",
+                workers,
             ),
             Finding::MovedOffSlow { times } => {
                 write!(f, "{times} tasks were moved off slow workers")
@@ -196,7 +203,12 @@
                 write!(f, "{times} tasks were stopped to make room for others")
             }
             Finding::InheritedWorkHeld(held) => held.fmt(f),
+            Finding::OrdersSuspended(suspension) => suspension.fmt(f),
             Finding::StepWaited(wait) => wait.fmt(f),
+            Finding::WaitsUntold { steps } => write!(
+                f,
+                "up to {steps} steps waited without a line of their own, this one perhaps, too"
+            ),
             Finding::TaskGap(gap) => gap.fmt(f),
             Finding::TaskRestarted(restart) => restart.fmt(f),
             Finding::TaskDown(down) => down.fmt(f),
--- a/crates/explain/src/lib.rs
+++ b/crates/explain/src/lib.rs
@@ -13,7 +13,7 @@
 mod walk;
 
 pub use crate::{
-    downtime::{HeldWork, StepWait, TaskDown, TaskGap, TaskRestart},
+    downtime::{HeldWork, StepWait, Suspension, TaskDown, TaskGap, TaskRestart},
     findings::Finding,
     line::LogLine,
     walk::{Explanation, Happening, Walk},
--- a/crates/explain/src/waits.rs
+++ b/crates/explain/src/waits.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Finding, Happening,
-        downtime::{HeldWork, StepWait, TaskDown, TaskGap, TaskRestart},
+        downtime::{HeldWork, StepWait, Suspension, TaskDown, TaskGap, TaskRestart},
         findings::between_ms,
     },
     compact_str::{CompactString, format_compact},
@@ -24,7 +24,9 @@
 /// All findings on what wasn't running, from happenings in the order of time.
 pub(crate) fn all(happenings: &[Happening]) -> Vec<Finding> {
     let mut found = held_work(happenings);
+    found.extend(suspensions(happenings));
     found.extend(waits(happenings));
+    found.extend(untold(happenings));
     found.extend(gaps(happenings));
     found
 }
@@ -46,6 +48,7 @@
             since: earlier(&held.at, number(held, "held_ms").unwrap_or(0)),
             until: released.map(|line| line.at.clone()),
             at_most: later(&held.at, number(held, "at_most_ms").unwrap_or(0)),
+            deposed: next_leader(happenings, held),
             held_ms: released.and_then(|line| number(line, "held_ms")),
             workers: names.split(',').map(CompactString::new).collect(),
         }));
@@ -53,6 +56,34 @@
     found
 }
 
+/// When another leader was elected after a line.
+fn next_leader(happenings: &[Happening], line: &Happening) -> Option<CompactString> {
+    let later = |known: &&Happening| known.event == "elected" && known.at > line.at;
+    happenings.iter().find(later).map(|elected| elected.at.clone())
+}
+
+/// When leaders gave no orders, from `orders_suspended` and `orders_resumed`.
+fn suspensions(happenings: &[Happening]) -> Vec<Finding> {
+    let mut found = Vec::new();
+    for line in happenings.iter().filter(|happening| happening.event == "orders_suspended") {
+        let resumed = happenings.iter().find(|known| {
+            known.event == "orders_resumed" && known.node == line.node && known.at > line.at
+        });
+        let resumed = resumed.map(|known| known.at.clone());
+        let until = resumed.into_iter().chain(next_leader(happenings, line)).min();
+        let (node, since) = (line.node.clone(), line.at.clone());
+        found.push(Finding::OrdersSuspended(Suspension { node, since, until }));
+    }
+    found
+}
+
+/// Whether there were waits without a line, from `waits_untold`.
+fn untold(happenings: &[Happening]) -> Option<Finding> {
+    let lines = happenings.iter().filter(|happening| happening.event == "waits_untold");
+    let steps = lines.filter_map(|line| number(line, "steps")).max()?;
+    Some(Finding::WaitsUntold { steps })
+}
+
 /// What steps waited for, from `tasks_waiting`. Lines of one wait and reason come again every few seconds and
 /// count as one.
 fn waits(happenings: &[Happening]) -> Vec<Finding> {
@@ -100,12 +131,7 @@
         let running = tasks.entry(task);
         match line.event.as_str() {
             "lasting_task_started" => gaps.extend(started(task, running.or_default(), line)),
-            // Two leaders may tell one end; the first counts.
-            "lasting_task_ended" => {
-                let running = running.or_default();
-                running.ended.get_or_insert(line);
-                running.at = None;
-            }
+            "lasting_task_ended" => take_end(running.or_default(), line),
             _ => {}
         }
     }
@@ -115,7 +141,7 @@
         gaps.extend(down.map(|(task, ended)| {
             Finding::TaskDown(TaskDown {
                 task: within_workflow(task),
-                since: ended.at.clone(),
+                since: down_since(ended),
                 how: how_ended(ended),
             })
         }));
@@ -128,18 +154,30 @@
     })
 }
 
+/// Takes the end of a run in. Two leaders may tell the same one, and the first counts. Of another run it is a
+/// later end: its start has no line.
+fn take_end<'a>(running: &mut Running<'a>, line: &'a Happening) {
+    running.at = None;
+    match running.ended {
+        Some(known) if known.get("run") == line.get("run") => {}
+        _ => running.ended = Some(line),
+    }
+}
+
+/// Since when a task is down whose end a line tells: a worker's silence begins before its runs are given up.
+fn down_since(ended: &Happening) -> CompactString {
+    earlier(&ended.at, number(ended, "down_ms").unwrap_or(0))
+}
+
 fn started<'a>(task: &str, running: &mut Running<'a>, line: &'a Happening) -> Option<Finding> {
     let ended = running.ended.take();
     let worker = line.get("worker").unwrap_or_default();
     let before = running.at.replace(worker);
     let task = within_workflow(task);
     if let Some(ended) = ended {
-        let since = ended.at.clone();
-        // A leader counts from when a silent worker was last heard, before it gave the run up.
-        let told_ms = number(line, "waited_ms").unwrap_or(0);
-        let down_ms = between_ms(&since, &line.at).unwrap_or(0).max(told_ms);
+        let since = down_since(ended);
+        let down_ms = between_ms(&since, &line.at).unwrap_or(0);
         let how = how_ended(ended);
-        let since = if told_ms == down_ms { earlier(&line.at, told_ms) } else { since };
         let worker = CompactString::new(worker);
         let gap = Finding::TaskGap(TaskGap { task, since, down_ms, how, worker });
         return (down_ms >= SHORT_GAP_MS).then_some(gap);
@@ -158,6 +196,9 @@
     let worker = line.get("worker").unwrap_or_default();
     let end = match line.get("end").unwrap_or_default() {
         "lost" => format_compact!("lost with {worker}"),
+        "lapsed" => format_compact!("ended by its lease at {worker}"),
+        "rejected" => format_compact!("turned away by {worker}"),
+        "broken" | "alone" => format_compact!("ended with its gang at {worker}"),
         end => format_compact!("{end} at {worker}"),
     };
     match line.get("why").unwrap_or("-") {
--- a/crates/explain/src/walk.rs
+++ b/crates/explain/src/walk.rs
@@ -12,7 +12,7 @@
 const MOST_CONTEXT: usize = 100_000;
 
 /// Events that hold up or change everything, and name no workflow.
-const CONTEXT: [&str; 18] = [
+const CONTEXT: [&str; 21] = [
     "elected",
     "deposed",
     "survey_complete",
@@ -29,6 +29,9 @@
     "leases_lapsed",
     "log_lines_dropped",
     "lines_left_out",
+    "waits_untold",
+    "orders_suspended",
+    "orders_resumed",
     "started",
     "stopping",
 ];
--- a/crates/runtime/src/dump.rs
+++ b/crates/runtime/src/dump.rs
@@ -39,6 +39,9 @@
     workers: Vec<String>,
     /// How long the reason lasts at most, where that is known.
     at_most_ms: Option<u64>,
+    /// The workers of its service, and those of them that take work, where room is what it waits for.
+    service_workers: Option<usize>,
+    fit_workers: Option<usize>,
 }
 
 fn ms(span: Duration) -> u64 {
@@ -77,6 +80,8 @@
                 reason: waiting.reason.to_string(),
                 workers: waiting.workers.iter().map(ToString::to_string).collect(),
                 at_most_ms: waiting.until.map(ms),
+                service_workers: waiting.fleet.map(|fleet| fleet.all),
+                fit_workers: waiting.fleet.map(|fleet| fleet.fit),
             };
             dump.waiting = steps.into_iter().map(row).collect();
         }
--- a/crates/workflow/src/leadership/mod.rs
+++ b/crates/workflow/src/leadership/mod.rs
@@ -15,7 +15,10 @@
 //! that was acknowledged. The successor counts the same span from when it has read its claim, which is
 //! later, and then a lease, before it takes such a worker's tasks as ended.
 
+mod suspension;
+
 use {
+    self::suspension::Suspension,
     crate::{Key, LeaderRecord, Limits, Record},
     compact_str::CompactString,
     egretlb_types::{Epoch, Seq, Time},
@@ -106,6 +109,7 @@
     proven: Time,
     seq: Seq,
     willing: bool,
+    suspension: Suspension,
 }
 
 /// A gap between two ticks beyond this is a pause of the process, after which what it last read says
@@ -163,6 +167,7 @@
             proven: Time::ZERO,
             seq: Seq(incarnation % SEQ_STARTS),
             willing: true,
+            suspension: Suspension::default(),
         }
     }
 
@@ -283,6 +288,7 @@
             self.quiet_since = now;
         }
         self.last_tick = now;
+        self.suspension.note(now, self.term(), self.authority(now).is_some());
         self.give_up_claim(now);
         let may_claim = caught_up
             && self.willing
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -33,7 +33,7 @@
     routes::{AdviceTerms, Route, RouteTable, RoutesError},
     scheduler::{
         AdviceResult, Effect, End, EndKind, HoldReply, HoldResult, Measures, PaceResult, Reason,
-        RunningTask, Scheduler, StartResult, StopResult, WaitingStep,
+        RunningTask, Scheduler, ServiceWorkers, StartResult, StopResult, WaitingStep,
     },
     spec::{MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS_PER_STEP, Repeat, SpecError, Step, Workflow},
     upkeep::{UpkeepResult, VmEntry, VmId, VmState, Wave, WaveProgress, WaveState},
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -52,7 +52,7 @@
     orders::{StartResult, StopResult},
     pacing::PaceResult,
     polls::HoldResult,
-    waits::{Reason, WaitingStep},
+    waits::{Reason, ServiceWorkers, WaitingStep},
 };
 
 /// A step that has tasks to start. The order is that of the queue.
--- a/crates/workflow/src/scheduler/waits/mod.rs
+++ b/crates/workflow/src/scheduler/waits/mod.rs
@@ -28,6 +28,9 @@
 /// eight workers' ids keep a line below 500 bytes.
 const MOST_NAMED: usize = 8;
 
+/// The most workers with room that are named: any of them shows what keeps the task off.
+const MOST_PLACES: usize = 3;
+
 /// Why a task isn't running.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -110,11 +113,21 @@
     workers: SmallVec<[WorkerId; 1]>,
     /// When it ends at the latest, where that is known.
     until: Option<Time>,
+    fleet: Option<ServiceWorkers>,
+}
+
+/// The workers of a service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ServiceWorkers {
+    /// All that are known.
+    pub all: usize,
+    /// Those that take work: heard lately, well and not about to leave.
+    pub fit: usize,
 }
 
 impl Cause {
     fn plain(reason: Reason) -> Cause {
-        Cause { reason, workers: SmallVec::new(), until: None }
+        Cause { reason, workers: SmallVec::new(), until: None, fleet: None }
     }
 }
 
@@ -137,6 +150,8 @@
     pub workers: Vec<WorkerId>,
     /// How long the reason lasts at most, where that is known.
     pub until: Option<Duration>,
+    /// The workers of its service, where room is what it waits for.
+    pub fleet: Option<ServiceWorkers>,
 }
 
 /// What was told of waits, and how many lines that took lately.
@@ -164,7 +179,7 @@
     pub(super) fn tell_waits(&mut self, now: Time) {
         self.tell_term_hold(now);
         self.tell_long_waits(now);
-        self.waits.runs.roll(now);
+        self.waits.runs.tell_left_out(now);
     }
 
     fn held_row(&self, now: Time, (step, reason): (StepId, Reason), held: Held) -> WaitingStep {
@@ -183,6 +198,7 @@
             reason,
             workers: held.workers.to_vec(),
             until: held.until.map(|until| until.since(now)),
+            fleet: None,
         }
     }
 }
--- a/crates/workflow/src/scheduler/waits/queued.rs
+++ b/crates/workflow/src/scheduler/waits/queued.rs
@@ -6,7 +6,7 @@
             Need, Ready, Scheduler, Worker,
             place::{has_room, task_of},
         },
-        Cause, MOST_NAMED, Reason, WaitingStep,
+        Cause, MOST_NAMED, MOST_PLACES, Reason, ServiceWorkers, WaitingStep,
     },
     crate::{Step, StepId, TaskId, WorkerId},
     egretlb_types::Time,
@@ -63,7 +63,7 @@
     /// The waiting tasks of a step in the queue.
     pub(super) fn queued_row(&mut self, now: Time, key: Ready) -> Option<WaitingStep> {
         self.front(key)?;
-        let Cause { reason, workers, until } = self.cause(now, key)?;
+        let Cause { reason, workers, until, fleet } = self.cause(now, key)?;
         let queue = self.queue_of(key)?;
         let tasks = queue.len();
         let mut indices: Vec<u32> = queue.iter().copied().take(MOST_NAMED).collect();
@@ -79,6 +79,7 @@
             reason,
             workers: workers.to_vec(),
             until: until.map(|until| until.since(now)),
+            fleet,
         })
     }
 
@@ -94,7 +95,7 @@
         if flow.inherited && !self.unaccounted.is_empty() {
             let workers = self.unaccounted.keys().take(MOST_NAMED).cloned().collect();
             let until = self.unaccounted.values().copied().max();
-            return Some(Cause { reason: Reason::SurveyUnderWay, workers, until });
+            return Some(Cause { reason: Reason::SurveyUnderWay, workers, until, fleet: None });
         }
         if self.behind {
             return Some(Cause::plain(Reason::RecordsReadLate));
@@ -121,7 +122,12 @@
         let mut best = Stage::NoWorkers;
         let mut workers: SmallVec<[WorkerId; 1]> = SmallVec::new();
         let mut until: Option<Time> = None;
-        for (id, worker) in &self.workers {
+        let service = self.flows.get(&task.workflow)?.submission.service.clone();
+        let mut fleet = ServiceWorkers::default();
+        let of_service = |(_, worker): &(&WorkerId, &Worker)| worker.info.service == service;
+        for (id, worker) in self.workers.iter().filter(of_service) {
+            fleet.all += 1;
+            fleet.fit += usize::from(worker.is_fit(now, &self.limits));
             let Some(stage) = self.stage(now, &wanted, id, worker) else { continue };
             if stage > best {
                 best = stage;
@@ -131,7 +137,7 @@
             if stage != best || !stage.names_workers() {
                 continue;
             }
-            if workers.len() < MOST_NAMED {
+            if workers.len() < MOST_PLACES {
                 workers.push(id.clone());
             }
             if stage == Stage::Barred {
@@ -140,10 +146,10 @@
                 until = Some(until.map_or(bar, |known| known.min(bar)));
             }
         }
-        Some(Cause { reason: best.reason(), workers, until })
+        Some(Cause { reason: best.reason(), workers, until, fleet: Some(fleet) })
     }
 
-    /// How far a worker gets; none if it isn't of the service, or takes no work for good.
+    /// How far a worker of the service gets; none if it takes no work for now, whatever it is.
     fn stage(
         &self,
         now: Time,
@@ -152,8 +158,7 @@
         worker: &Worker,
     ) -> Option<Stage> {
         let Wanted { task, need, alone } = *wanted;
-        let flow = self.flows.get(&task.workflow)?;
-        if worker.info.service != flow.submission.service || !worker.is_fit(now, &self.limits) {
+        if !worker.is_fit(now, &self.limits) {
             return None;
         }
         if need.step.label.as_ref().is_some_and(|label| !worker.info.has_label(label)) {
--- a/crates/workflow/src/scheduler/waits/report.rs
+++ b/crates/workflow/src/scheduler/waits/report.rs
@@ -1,7 +1,7 @@
 //! Lines on steps whose tasks have waited for long.
 
 use {
-    super::{super::Scheduler, Joined, Reason, WaitingStep, budget::LineBudget, ms},
+    super::{super::Scheduler, Joined, Reason, ServiceWorkers, WaitingStep, ms},
     crate::StepId,
     egretlb_types::Time,
     smallvec::SmallVec,
@@ -21,24 +21,20 @@
 /// A wait is told again after this; its reason may have changed.
 const TELL_AGAIN: Duration = Duration::from_secs(4);
 
-/// The most lines on waits in one second: 3 KB at 300 bytes a line, where a busy leader writes some 40 KB.
-const LINES_PER_SECOND: u32 = 10;
+/// The most steps of which a line is written in one pass: 3 KB a second at 300 bytes a line.
+const LINES_PER_PASS: usize = 10;
+
+/// How often it is told how many waits there are without a line.
+const UNTOLD_EVERY: Duration = Duration::from_secs(5);
 
 /// The waiting tasks of a step: those in its queue, or those that are held for a reason.
 type Group = (StepId, Option<Reason>);
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct Reports {
     checked_at: Time,
     told: BTreeMap<StepId, Told>,
-    budget: LineBudget,
-}
-
-impl Default for Reports {
-    fn default() -> Reports {
-        let budget = LineBudget::new("waits", LINES_PER_SECOND);
-        Reports { checked_at: Time::ZERO, told: BTreeMap::new(), budget }
-    }
+    untold_at: Time,
 }
 
 /// What was told of a step whose tasks still wait.
@@ -68,6 +64,15 @@
         again && now.since(since) >= LONG_WAIT
     }
 
+    /// Tells how many steps wait without a line for now. Their lines are put off, not lost: those told least
+    /// lately come first.
+    fn tell_untold(&mut self, now: Time, steps: usize) {
+        if steps > 0 && now.since(self.untold_at) >= UNTOLD_EVERY {
+            self.untold_at = now;
+            log::info!(steps; "waits_untold");
+        }
+    }
+
     fn note(&mut self, now: Time, (step, reason): Group, since: Time) {
         let told = self.told.entry(step);
         let told = told.or_insert_with(|| Told { since, groups: SmallVec::new() });
@@ -78,15 +83,13 @@
         }
     }
 
-    /// Tells of steps that were told and wait no more.
+    /// Tells of steps that were told and wait no more: a line for each, as there was one at least on its wait.
     fn tell_over(&mut self, now: Time, waiting: &BTreeSet<StepId>) {
         let over: Vec<StepId> =
             self.told.keys().filter(|step| !waiting.contains(step)).copied().collect();
         for step in over {
             let Some(told) = self.told.remove(&step) else { continue };
-            if self.budget.take(now) {
-                log::info!(step:%, waited_ms = ms(now.since(told.since)); "tasks_wait_over");
-            }
+            log::info!(step:%, waited_ms = ms(now.since(told.since)); "tasks_wait_over");
         }
     }
 }
@@ -97,7 +100,6 @@
             return;
         }
         self.waits.reports.checked_at = now;
-        self.waits.reports.budget.roll(now);
         let held = self.held_steps(now);
         let mut waiting: BTreeSet<StepId> = held.keys().map(|(step, _)| *step).collect();
         let mut due: Vec<Due> = Vec::new();
@@ -121,8 +123,13 @@
         self.waits.reports.tell_over(now, &waiting);
         // Those that were told least lately come first, so that each comes in turn in a flood.
         due.sort_by_key(|due| (due.told_at, !due.lasting, due.since));
-        let rows = due.len();
-        for (place, Due { group, .. }) in due.into_iter().enumerate() {
+        let mut written = 0;
+        let mut untold: BTreeSet<StepId> = BTreeSet::new();
+        for Due { group, .. } in due {
+            if written == LINES_PER_PASS {
+                untold.insert(group.0);
+                continue;
+            }
             let row = match group {
                 (step, None) => self.row_of_queue(now, step),
                 (step, Some(reason)) => held
@@ -131,13 +138,11 @@
             };
             // A queue that hasn't been empty for long may hold none that has waited for long.
             let Some(row) = row.filter(|row| row.waited >= LONG_WAIT) else { continue };
-            if !self.waits.reports.budget.take(now) {
-                self.waits.reports.budget.leave_out(rows - place - 1);
-                return;
-            }
+            written += 1;
             self.waits.reports.note(now, group, now - row.waited);
             tell(&row);
         }
+        self.waits.reports.tell_untold(now, untold.len());
     }
 
     fn row_of_queue(&mut self, now: Time, step: StepId) -> Option<WaitingStep> {
@@ -147,19 +152,23 @@
 }
 
 fn tell(row: &WaitingStep) {
-    let WaitingStep { step, tasks, indices, waited, reason, workers, until, .. } = row;
+    let WaitingStep { step, tasks, indices, waited, reason, workers, until, fleet, .. } = row;
     let (indices, workers) = (Joined(indices), Joined(workers));
     let waited_ms = ms(*waited);
-    match until {
-        Some(until) => log::info!(
+    // Pairs that say nothing are left out: there are many lines.
+    match (until, fleet) {
+        (Some(until), _) => log::info!(
             step:%, tasks, indices:%, waited_ms, reason:%, workers:%, at_most_ms = ms(*until);
             "tasks_waiting"
         ),
-        None if workers.0.is_empty() => {
-            log::info!(step:%, tasks, indices:%, waited_ms, reason:%; "tasks_waiting");
-        }
-        None => {
-            log::info!(step:%, tasks, indices:%, waited_ms, reason:%, workers:%; "tasks_waiting");
-        }
+        (None, Some(ServiceWorkers { all, fit })) => log::info!(
+            step:%, tasks, indices:%, waited_ms, reason:%, workers:%, service_workers = *all,
+            fit_workers = *fit;
+            "tasks_waiting"
+        ),
+        (None, None) => log::info!(
+            step:%, tasks, indices:%, waited_ms, reason:%, workers:%;
+            "tasks_waiting"
+        ),
     }
 }
--- a/crates/workflow/src/scheduler/waits/runs.rs
+++ b/crates/workflow/src/scheduler/waits/runs.rs
@@ -11,9 +11,17 @@
     std::fmt,
 };
 
-/// The most lines in one second: 6 KB at 200 bytes a line. A worker that is lost takes some ten lasting
-/// tasks with it.
-const LINES_PER_SECOND: u32 = 30;
+/// The most lines at once: 80 KB at 200 bytes a line, a fifth of what waits to be written at most. An outage
+/// of the store ends all runs at once, some 330 on a deployment of 50 workers.
+const BURST: u32 = 400;
+
+/// The most lines each second in the long run: 4 KB. A worker that is lost takes some ten lasting tasks with
+/// it.
+const LINES_PER_SECOND: u32 = 20;
+
+/// What first starts leave to ends and later starts, which are missed more: a wide service that begins must
+/// not hide the end of another.
+const SPARE: u32 = BURST / 2;
 
 /// Why a run was stopped.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -96,13 +104,13 @@
 
 impl Default for RunLines {
     fn default() -> RunLines {
-        RunLines(LineBudget::new("lasting_tasks", LINES_PER_SECOND))
+        RunLines(LineBudget::new("lasting_tasks", BURST, LINES_PER_SECOND))
     }
 }
 
 impl RunLines {
-    pub(super) fn roll(&mut self, now: Time) {
-        self.0.roll(now);
+    pub(super) fn tell_left_out(&mut self, now: Time) {
+        self.0.tell_left_out(now);
     }
 }
 
@@ -115,7 +123,11 @@
         run: RunId,
         id: &WorkerId,
     ) {
-        if !self.is_lasting(task) || !self.waits.runs.0.take(now) {
+        if !self.is_lasting(task) {
+            return;
+        }
+        let again = self.task(task).is_some_and(|state| state.down_since.is_some());
+        if !self.waits.runs.0.take(now, if again { 0 } else { SPARE }) {
             return;
         }
         let waited_ms = self.down_since(task).map_or(0, |since| ms(now.since(since)));
@@ -159,14 +171,14 @@
         // a run that only a predecessor knew.
         let lasts = copy.map_or_else(|| self.is_lasting(task), |copy| copy.lasts);
         let silent = doubt.is_some_and(|(reason, _)| reason == Reason::SilentWorker);
+        // Its user has been without it since its worker was last heard, as far as anybody knows.
+        let heard = doubt.filter(|_| silent && matches!(over, Over::Lost)).map(|(_, heard)| heard);
         match (over, doubt) {
             // It has been down since before that start.
             (Over::NeverBegan, Some((_, placed))) => self.note_still_down(task, placed),
-            // Its user has been without it since its worker was last heard, as far as anybody knows.
-            (Over::Lost, Some((Reason::SilentWorker, heard))) => self.note_down(task, heard),
-            _ => self.note_down(task, now),
+            _ => self.note_down(task, heard.unwrap_or(now)),
         }
-        if !lasts || !self.waits.runs.0.take(now) {
+        if !lasts || !self.waits.runs.0.take(now, 0) {
             return;
         }
         let why = match (stop, over) {
@@ -175,7 +187,8 @@
             (None, Over::Lost) => "not_there".to_owned(),
             (None, _) => "-".to_owned(),
         };
-        log::info!(task:%, run:%, worker:% = id, end:% = over, why:%; "lasting_task_ended");
+        let down_ms = heard.map_or(0, |heard| ms(now.since(heard)));
+        log::info!(task:%, run:%, worker:% = id, end:% = over, why:%, down_ms; "lasting_task_ended");
     }
 }
 
