--- a/crates/explain/tests/why_down.rs
+++ b/crates/explain/tests/why_down.rs
@@ -289,3 +289,46 @@
         "{texts}"
     );
 }
+
+/// A leader that was frozen wakes up after another one was elected. That it gives no orders then holds up
+/// nothing.
+#[test]
+fn woke_deposed() {
+    let findings = walk(
+        ID,
+        &[
+            (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
+            (20.000, "entry-3", "elected epoch=5 workers=66 workflows=80 unaccounted=66"),
+            (24.000, "entry-2", "orders_suspended epoch=4"),
+            (24.010, "entry-2", "deposed leader=entry-3"),
+        ],
+    );
+    assert!(!texts(&findings).contains("gave no orders"), "{findings:?}");
+}
+
+/// Of a step's wait the most tasks are named that a line names, and how many workers could take them.
+#[test]
+fn most_tasks() {
+    let lines = [
+        (
+            5.000,
+            "entry-2",
+            "tasks_waiting step=97aa5350f2a720be.0.0 tasks=2 indices=0,1 waited_ms=3000 \
+             reason=\"no worker has room\" workers=\"\" service_workers=48 fit_workers=31",
+        ),
+        (
+            9.000,
+            "entry-2",
+            "tasks_waiting step=97aa5350f2a720be.0.0 tasks=1 indices=1 waited_ms=7000 \
+             reason=\"no worker has room\" workers=\"\" service_workers=48 fit_workers=33",
+        ),
+    ];
+    let texts = texts(&walk(ID, &lines));
+    assert!(
+        texts.contains(
+            "step 0.0 waited since 2026-10-11T16:07:02.000Z, for 7000 ms at least, 2 of its tasks (0,1): no \
+             worker has room; 33 of its service's 48 workers take work"
+        ),
+        "{texts}"
+    );
+}
