--- a/crates/explain/src/downtime.rs
+++ b/crates/explain/src/downtime.rs
@@ -85,17 +85,29 @@
     pub reason: CompactString,
     /// Some of the workers that the reason is about; empty if it is about none.
     pub workers: CompactString,
+    /// How many workers its service had, if a line says so.
+    pub service_workers: Option<u64>,
+    /// How many of them took work.
+    pub fit_workers: Option<u64>,
 }
 
 impl fmt::Display for StepWait {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let StepWait { step, since, waited_ms, tasks, indices, reason, workers } = self;
+        let StepWait { step, since, waited_ms, tasks, indices, reason, workers, .. } = self;
         write!(
             f,
             "step {step} waited since {since}, for {waited_ms} ms at least, {tasks} of its tasks \
              ({indices}): {reason}"
         )?;
-        if workers.is_empty() { Ok(()) } else { write!(f, " ({workers})") }
+        if !workers.is_empty() {
+            write!(f, " ({workers})")?;
+        }
+        match (self.fit_workers, self.service_workers) {
+            (Some(fit), Some(all)) => {
+                write!(f, "; {fit} of its service's {all} workers take work")
+            }
+            _ => Ok(()),
+        }
     }
 }
 
--- a/crates/explain/src/waits.rs
+++ b/crates/explain/src/waits.rs
@@ -62,10 +62,20 @@
     happenings.iter().find(later).map(|elected| elected.at.clone())
 }
 
+/// Whether another leader had been elected before a line: it is of one that woke up from a pause.
+fn is_outdated(happenings: &[Happening], line: &Happening) -> bool {
+    let higher = |known: &Happening| number(known, "epoch") > number(line, "epoch");
+    let elected = happenings.iter().filter(|known| known.event == "elected");
+    elected.take_while(|known| known.at <= line.at).any(higher)
+}
+
 /// When leaders gave no orders, from `orders_suspended` and `orders_resumed`.
 fn suspensions(happenings: &[Happening]) -> Vec<Finding> {
     let mut found = Vec::new();
     for line in happenings.iter().filter(|happening| happening.event == "orders_suspended") {
+        if is_outdated(happenings, line) {
+            continue;
+        }
         let resumed = happenings.iter().find(|known| {
             known.event == "orders_resumed" && known.node == line.node && known.at > line.at
         });
@@ -92,7 +102,11 @@
         let wait = read_wait(line);
         let last = waits.iter_mut().rev().find(|known| known.step == wait.step);
         match last.filter(|known| known.reason == wait.reason && wait.waited_ms > known.waited_ms) {
-            Some(known) => *known = StepWait { tasks: known.tasks.max(wait.tasks), ..wait },
+            Some(known) if known.tasks > wait.tasks => {
+                let (tasks, indices) = (known.tasks, known.indices.clone());
+                *known = StepWait { tasks, indices, ..wait };
+            }
+            Some(known) => *known = wait,
             None => waits.push(wait),
         }
     }
@@ -110,6 +124,8 @@
         indices: text("indices"),
         reason: text("reason"),
         workers: text("workers"),
+        service_workers: number(line, "service_workers"),
+        fit_workers: number(line, "fit_workers"),
     }
 }
 
