Wait lines: look at a queue's wait before its reason

The reason takes a look at all workers; of queues that were never empty but hold nothing that has waited for long it was worked out each second for nothing.

--- a/crates/workflow/src/scheduler/waits/report.rs
+++ b/crates/workflow/src/scheduler/waits/report.rs
@@ -136,8 +136,7 @@
                     .get(&(step, reason))
                     .map(|held| self.held_row(now, (step, reason), held.clone())),
             };
-            // A queue that hasn't been empty for long may hold none that has waited for long.
-            let Some(row) = row.filter(|row| row.waited >= LONG_WAIT) else { continue };
+            let Some(row) = row else { continue };
             written += 1;
             self.waits.reports.note(now, group, now - row.waited);
             tell(&row);
@@ -145,8 +144,14 @@
         self.waits.reports.tell_untold(now, untold.len());
     }
 
+    /// None if no task of the queue has waited for long: the queue may only never have been empty for long.
     fn row_of_queue(&mut self, now: Time, step: StepId) -> Option<WaitingStep> {
         let key = self.ready.iter().find(|ready| ready.step_id() == step).copied()?;
+        // Asked first, since the reason takes a look at all workers.
+        let since = self.queued_since(key)?;
+        if now.since(since) < LONG_WAIT {
+            return None;
+        }
         self.queued_row(now, key)
     }
 }
