--- a/crates/workflow/src/scheduler/waits/mod.rs
+++ b/crates/workflow/src/scheduler/waits/mod.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod held;
 mod queued;
+mod reason;
 mod report;
 mod runs;
 mod term;
@@ -17,11 +18,11 @@
     super::{Ready, Scheduler},
     crate::{StepId, WorkerId},
     egretlb_types::Time,
-    serde::Serialize,
     smallvec::SmallVec,
     std::{collections::BTreeMap, fmt, time::Duration},
 };
 
+pub use self::reason::Reason;
 pub(super) use self::runs::{Stop, StopReason};
 
 /// The most tasks and workers that are named of a step. Those left out are counted; eight indices and
@@ -31,80 +32,6 @@
 /// The most workers with room that are named: any of them shows what keeps the task off.
 const MOST_PLACES: usize = 3;
 
-/// Why a task isn't running.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Reason {
-    /// This leader is new, and some workers that may still run its tasks haven't answered.
-    SurveyUnderWay,
-    /// The records are read too late to start anything.
-    RecordsReadLate,
-    /// As many starts as allowed are under way.
-    StartsUnderWay,
-    /// No worker of its service takes work.
-    NoWorkers,
-    /// No worker that takes work has the label that it needs.
-    NoLabel,
-    /// No worker has room for it.
-    NoRoom,
-    /// Workers have room, but failed or turned away what they got and get nothing for now.
-    Barred,
-    /// Workers have room, but hold as many tasks of its step as they may.
-    AntiAffinity,
-    /// Only the worker where it failed last has room.
-    FailedThere,
-    /// Workers have room, but their VMs are about to go down for upkeep.
-    Upkeep,
-    /// Some worker has room, but none that its policy is known to allow.
-    NoTicket,
-    /// Workers have room, but the serving tasks there can't bear it.
-    ServingTasks,
-    /// It leaves the room to tasks that end soon.
-    GivesWay,
-    /// Members of its gang haven't ended yet, or no worker or rack has room for all of them.
-    Gang,
-    /// Nothing holds it up: it starts next.
-    Next,
-    /// A start was sent and isn't answered yet.
-    BeingStarted,
-    /// A start got no answer: it may run.
-    StartInDoubt,
-    /// A run of it is being stopped.
-    BeingStopped,
-    /// It may still run at a worker that doesn't answer.
-    SilentWorker,
-}
-
-impl fmt::Display for Reason {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Reason::SurveyUnderWay => {
-                "workers that may still run it haven't answered the new leader"
-            }
-            Reason::RecordsReadLate => "the records are read too late",
-            Reason::StartsUnderWay => "as many starts as allowed are under way",
-            Reason::NoWorkers => "no worker of its service takes work",
-            Reason::NoLabel => "no worker that takes work has its label",
-            Reason::NoRoom => "no worker has room",
-            Reason::Barred => {
-                "workers with room get nothing for now, after failed or rejected starts"
-            }
-            Reason::AntiAffinity => "workers with room hold as many tasks of its step as they may",
-            Reason::FailedThere => "only the worker where it failed last has room",
-            Reason::Upkeep => "workers with room are about to go down for upkeep",
-            Reason::NoTicket => "no worker with room is known to be allowed",
-            Reason::ServingTasks => "serving tasks where there is room can't bear it",
-            Reason::GivesWay => "it leaves the room to tasks that end soon",
-            Reason::Gang => "its gang can't start as a whole",
-            Reason::Next => "it starts next",
-            Reason::BeingStarted => "a start isn't answered yet",
-            Reason::StartInDoubt => "a start got no answer, so it may run",
-            Reason::BeingStopped => "a run of it is being stopped",
-            Reason::SilentWorker => "it may still run at a worker that doesn't answer",
-        })
-    }
-}
-
 /// A reason with what is known of it.
 #[derive(Clone, Debug)]
 struct Cause {
@@ -113,6 +40,7 @@
     workers: SmallVec<[WorkerId; 1]>,
     /// When it ends at the latest, where that is known.
     until: Option<Time>,
+    /// The workers of its service, where room is what it waits for.
     fleet: Option<ServiceWorkers>,
 }
 
