--- a/crates/workflow/src/scheduler/waits/report.rs
+++ b/crates/workflow/src/scheduler/waits/report.rs
@@ -1,7 +1,10 @@
 //! Lines on steps whose tasks have waited for long.
 
 use {
-    super::{super::Scheduler, Joined, Reason, ServiceWorkers, WaitingStep, ms},
+    super::{
+        super::{Ready, Scheduler},
+        Joined, Reason, ServiceWorkers, WaitingStep, ms,
+    },
     crate::StepId,
     egretlb_types::Time,
     smallvec::SmallVec,
@@ -48,6 +51,8 @@
 /// A group of which a line is due.
 struct Due {
     group: Group,
+    /// Its place in the queue; none if its tasks are held.
+    key: Option<Ready>,
     told_at: Option<Time>,
     lasting: bool,
     since: Time,
@@ -110,14 +115,14 @@
             let (group, lasting) = ((step, None), ready.lasting);
             if self.waits.reports.is_due(now, group, since) {
                 let told_at = self.waits.reports.told_at(group);
-                due.push(Due { group, told_at, lasting, since });
+                due.push(Due { group, key: Some(*ready), told_at, lasting, since });
             }
         }
         for ((step, reason), held) in &held {
             let group = (*step, Some(*reason));
             if self.waits.reports.is_due(now, group, held.since) {
                 let told_at = self.waits.reports.told_at(group);
-                due.push(Due { group, told_at, lasting: true, since: held.since });
+                due.push(Due { group, key: None, told_at, lasting: true, since: held.since });
             }
         }
         self.waits.reports.tell_over(now, &waiting);
@@ -125,16 +130,17 @@
         due.sort_by_key(|due| (due.told_at, !due.lasting, due.since));
         let mut written = 0;
         let mut untold: BTreeSet<StepId> = BTreeSet::new();
-        for Due { group, .. } in due {
+        for Due { group, key, .. } in due {
             if written == LINES_PER_PASS {
                 untold.insert(group.0);
                 continue;
             }
-            let row = match group {
-                (step, None) => self.row_of_queue(now, step),
-                (step, Some(reason)) => held
-                    .get(&(step, reason))
-                    .map(|held| self.held_row(now, (step, reason), held.clone())),
+            let row = match (key, group) {
+                (Some(key), _) => self.row_of_queue(now, key),
+                (None, (step, reason)) => reason.and_then(|reason| {
+                    let held = held.get(&(step, reason))?.clone();
+                    Some(self.held_row(now, (step, reason), held))
+                }),
             };
             let Some(row) = row else { continue };
             written += 1;
@@ -145,8 +151,7 @@
     }
 
     /// None if no task of the queue has waited for long: the queue may only never have been empty for long.
-    fn row_of_queue(&mut self, now: Time, step: StepId) -> Option<WaitingStep> {
-        let key = self.ready.iter().find(|ready| ready.step_id() == step).copied()?;
+    fn row_of_queue(&mut self, now: Time, key: Ready) -> Option<WaitingStep> {
         // Asked first, since the reason takes a look at all workers.
         let since = self.queued_since(key)?;
         if now.since(since) < LONG_WAIT {
--- a/crates/workflow/tests/why_waiting.rs
+++ b/crates/workflow/tests/why_waiting.rs
@@ -191,3 +191,26 @@
     world.run(Duration::from_millis(300));
     assert_eq!(reason(&mut world, id), Some(Reason::ServingTasks));
 }
+
+/// The only worker with room is the one where the task failed last.
+#[test]
+fn failed_there() {
+    let mut world = World::new(88, 2, 1, Limits::default());
+    world.run(2 * SECOND);
+    world.workers[0].fails_all = true;
+    let id = world.submit(1, &submission(vec![step(1, 300)]));
+    world.run(SECOND);
+    let waiting = waiting(&mut world, id).expect("it waits");
+    assert_eq!((waiting.reason, waiting.workers), (Reason::FailedThere, vec![worker(0)]));
+}
+
+/// A gang is too large for its workers; it doesn't start in part.
+#[test]
+fn gang_too_large() {
+    let mut world = world(87);
+    let mut gang = large(5);
+    gang.gang = true;
+    let id = world.submit(1, &submission(vec![gang]));
+    world.run(SECOND);
+    assert_eq!(reason(&mut world, id), Some(Reason::Gang));
+}
