--- a/crates/workflow/src/leadership/authority.rs
+++ b/crates/workflow/src/leadership/authority.rs
@@ -45,13 +45,13 @@
         if self.authority(now).is_some() {
             if let Some(since) = self.lapsed.take() {
                 let after_ms = now.since(since).as_millis() as u64;
-                log::info!(epoch:% = epoch, after_ms; "authority_regained");
+                log::info!(epoch:% = epoch, after_ms; "orders_resumed");
             }
             return;
         }
         let sign_ms = now.since(self.proven).as_millis() as u64;
         let since = *self.lapsed.get_or_insert_with(|| {
-            log::warn!(epoch:% = epoch, sign_ms; "authority_lapsed");
+            log::warn!(epoch:% = epoch, sign_ms; "orders_suspended");
             now
         });
         let quiet = now.since(since.max(self.quiet_since));
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -11,7 +11,6 @@
 
 mod advice;
 mod audit;
-mod dump;
 mod effect;
 mod ends;
 mod fallback;
@@ -31,16 +30,18 @@
 mod survey;
 mod unclear;
 mod upkeep;
+mod waits;
 mod worker;
 
 use {
     self::{
         flow::Flow,
+        waits::StopReason,
         worker::{Copy, Inherited, Need, Phase, Worker},
     },
     crate::{
-        Change, DirectoryChange, Interference, Ledger, Limits, Outcome, Record, RunId, Succession,
-        TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId,
+        Change, DirectoryChange, Interference, Ledger, Limits, Outcome, Record, RunId, StepId,
+        Succession, TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId,
     },
     egretlb_types::{Epoch, Time},
     std::{
@@ -51,12 +52,12 @@
 
 pub use self::{
     advice::AdviceResult,
-    dump::{Reason, WaitingStep},
     effect::Effect,
     lists::{End, EndKind, HoldReply, OddRows, RunningTask},
     orders::{StartResult, StopResult},
     pacing::PaceResult,
     polls::HoldResult,
+    waits::{Reason, ServiceWorkers, WaitingStep},
 };
 
 /// A step that has tasks to start. The order is that of the queue.
@@ -110,6 +111,7 @@
     /// The records are read too late to start anything.
     behind: bool,
     measures: Measures,
+    waits: waits::Waits,
     wall_ms: u64,
 }
 
@@ -132,6 +134,13 @@
     pub paced: u64,
 }
 
+impl Ready {
+    fn step_id(self) -> StepId {
+        let Ready { workflow, occurrence, step, .. } = self;
+        StepId { workflow, occurrence, step }
+    }
+}
+
 impl Scheduler {
     /// The leader's state at the beginning of its term.
     pub fn new(
@@ -170,6 +179,7 @@
             starts_under_way: 0,
             behind: false,
             measures: Measures::default(),
+            waits: waits::Waits::default(),
             wall_ms,
         };
         scheduler.inherit_workers(now, ledger);
@@ -250,6 +260,7 @@
         self.ask_advice(now, out);
         self.poll(now, out);
         self.record(now, out);
+        self.tell_waits(now);
     }
 
     /// Stops what can go on elsewhere on workers that are about to leave: when they go, all that still
@@ -269,7 +280,8 @@
         }
         for (id, moving) in leaving {
             log::info!(worker:% = id, runs = moving.len(); "worker_evacuated");
-            self.stop_runs(now, &id, out, |task, run| moving.contains(&(task, run)));
+            let why = StopReason::Evacuated;
+            self.stop_runs(now, &id, why, out, |task, run| moving.contains(&(task, run)));
         }
     }
 
