Test entries that linger after their workers are gone

The leader lists a worker that it has never heard in the roster, and its successor waits for it until leases must have lapsed there, though nothing was ever started at it.

--- a/crates/workflow/tests/missing_entries.rs
+++ b/crates/workflow/tests/missing_entries.rs
@@ -1,5 +1,6 @@
 //! Workers whose entries are missing from the directory although they are well: entries expire while the
-//! store is away, and a process that has just started may lead before it has read them all.
+//! store is away, and a process that has just started may lead before it has read them all. And the reverse:
+//! entries that are still there, or again, when their workers are long gone.
 
 mod support;
 
@@ -120,3 +121,26 @@
     assert!(took.is_some_and(|took| took < 2 * SECOND), "{took:?}");
     assert_eq!(world.checker.faults, Vec::<String>::new());
 }
+
+/// A worker is long gone and forgotten when its entry is read once more, since the store was away when it
+/// should have lapsed. Then the leader changes. Nothing was started at that worker in between, so the
+/// successor needn't wait for it; all that clients had submitted would stand still for nine seconds.
+#[test]
+fn lingering_entry() {
+    for seed in 0..6 {
+        let mut world = world(seed);
+        world.workers[0].crash(&mut world.checker);
+        world.run(12 * SECOND);
+        world.workers[0].lingers = true;
+        world.run(SECOND);
+        let mut second = step(4, 400);
+        second.after.push(0);
+        let id = world.submit(1, &submission(vec![step(4, 400), second]));
+        world.run(Duration::from_millis(200));
+        let leader = world.leader().expect("somebody leads");
+        world.kill(leader);
+        let took = world.run_until(12 * SECOND, |world| world.completed(id));
+        assert!(took.is_some_and(|took| took < 4 * SECOND), "seed {seed}: {took:?}");
+        assert_eq!(world.checker.faults, Vec::<String>::new());
+    }
+}
--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -47,6 +47,8 @@
     pub up: bool,
     /// Its entry is in the directory, while it is up.
     pub listed: bool,
+    /// Its entry is in the directory although it is gone.
+    pub lingers: bool,
     /// The worker's clock runs at this share of real time, in thousandths.
     pub rate: u64,
     pub running: BTreeMap<TaskId, Run>,
@@ -92,6 +94,7 @@
             },
             up: true,
             listed: true,
+            lingers: false,
             rate: 1_000,
             running: BTreeMap::new(),
             ended: Vec::new(),
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -238,8 +238,12 @@
 
     fn read_directory(&mut self, index: usize) {
         let now = self.now;
-        let present: Vec<_> =
-            self.workers.iter().filter(|w| w.up && w.listed).map(|w| w.info.clone()).collect();
+        let present: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|w| (w.up && w.listed) || w.lingers)
+            .map(|w| w.info.clone())
+            .collect();
         let node = &mut self.nodes[index];
         let gone: Vec<WorkerId> = node
             .directory
