List a worker in the roster once it has answered

Cause: entries of workers that are gone are read again after the store was away. The leader listed such a worker in the roster before it had heard it; its address refuses connections, or another worker answers there, and before that was recorded the leader changed. The successor waited for it for up to 9.2 s, and all inherited work stood still.

Nothing is started at a worker that hasn't answered, so a successor needn't know of it; what a predecessor listed stays listed.

--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -87,6 +87,7 @@
             log::info!(epoch:% = self.epoch; "survey_complete");
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
+        self.roster_dirty |= first && !worker.in_roster;
         let taken = worker.taken;
         worker.taken = reply.ended.iter().map(|end| end.number).fold(taken, u64::max);
         for end in reply.ended.iter().filter(|end| end.number > taken) {
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -232,9 +232,6 @@
         worker.info = info;
         worker.present = true;
         worker.known = true;
-        if !worker.in_roster {
-            self.roster_dirty = true;
-        }
         if drains && was_ready {
             // A successor needn't wait for it: nothing else will be started there.
             self.roster_dirty = true;
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -36,6 +36,13 @@
 const FORGET_PER_APPEND: usize = 200;
 
 impl Worker {
+    /// Whether a successor has to know of it: what a predecessor listed, and what has answered this leader.
+    /// Before that nothing is started there. An entry may be read again long after its worker has gone; were
+    /// it listed, each successor would wait for that worker until leases must have lapsed.
+    fn belongs_in_roster(&self) -> bool {
+        self.in_roster || self.surveyed
+    }
+
     /// Whether the roster has to say something else of it: whether it is silent, or about to leave.
     pub(crate) fn differs_from_roster(&self, now: Time, limits: &Limits) -> bool {
         let silence = self.lists_silent(now, limits) != self.listed_silent;
@@ -110,7 +117,8 @@
             return;
         }
         let mut roster = Vec::with_capacity(self.workers.len());
-        for (id, worker) in &mut self.workers {
+        let listed = self.workers.iter_mut().filter(|(_, worker)| worker.belongs_in_roster());
+        for (id, worker) in listed {
             let silent = worker.lists_silent(now, &self.limits);
             let leaving = worker.leaves();
             // From here on nothing is started there, since the record may be read before it is confirmed.
