--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -38,6 +38,7 @@
             self.forget_supposed(id, &reply.running);
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
+        self.roster_dirty |= first && !worker.in_roster;
         let taken = worker.taken;
         let numbers = reply.ended.iter().map(|end| end.number);
         worker.taken = numbers.chain(worker.unclear.passed_over(reply)).fold(taken, u64::max);
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -223,9 +223,6 @@
         let was_ready = worker.info.state == WorkerState::Ready;
         worker.info = info;
         worker.present = true;
-        if !worker.in_roster {
-            self.roster_dirty = true;
-        }
         if drains && was_ready {
             // A successor needn't wait for it: nothing else will be started there.
             self.roster_dirty = true;
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -41,6 +41,13 @@
 const RESTORED_PER_APPEND: usize = 20;
 
 impl Worker {
+    /// Whether a successor has to know of it: what a predecessor listed, and what has answered this leader.
+    /// Before that nothing is started there. An entry may be read again long after its worker has gone; were
+    /// it listed, each successor would wait for that worker until leases must have lapsed.
+    fn belongs_in_roster(&self) -> bool {
+        self.in_roster || self.surveyed
+    }
+
     /// Whether the roster has to say something else of it: whether it is silent, or about to leave.
     pub(crate) fn differs_from_roster(&self, now: Time, limits: &Limits) -> bool {
         let silence = self.lists_silent(now, limits) != self.listed_silent;
@@ -131,7 +138,8 @@
         }
         self.roster_dirty = false;
         let mut entries = Vec::with_capacity(self.workers.len());
-        for (id, worker) in &self.workers {
+        let listed = self.workers.iter().filter(|(_, worker)| worker.belongs_in_roster());
+        for (id, worker) in listed {
             let standing = self.standing(now, worker);
             entries.push(RosterEntry { id: id.clone(), addr: worker.info.addr, standing });
         }
--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -49,6 +49,8 @@
     pub vm_up: bool,
     /// Its entry is in the directory while it is up.
     pub listed: bool,
+    /// Its entry is in the directory although it is gone.
+    pub lingers: bool,
     /// The worker's clock runs at this share of real time, in thousandths.
     pub rate: u64,
     pub running: BTreeMap<TaskId, Run>,
@@ -103,6 +105,7 @@
             up: true,
             vm_up: true,
             listed: true,
+            lingers: false,
             rate: 1_000,
             running: BTreeMap::new(),
             ended: Vec::new(),
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -258,8 +258,9 @@
 
     fn read_directory(&mut self, index: usize) {
         let now = self.now;
+        let listed = |w: &&Worker| (w.up && w.listed) || w.lingers;
         let mut present: Vec<_> =
-            self.workers.iter().filter(|w| w.up && w.listed).map(|w| w.info.clone()).collect();
+            self.workers.iter().filter(listed).map(|w| w.info.clone()).collect();
         let lost: Vec<WorkerId> = self
             .workers
             .iter()
