--- a/crates/workflow/tests/odd_workers.rs
+++ b/crates/workflow/tests/odd_workers.rs
@@ -58,6 +58,31 @@
     }
 }
 
+/// All processes are started anew while a worker's entry can't be read: none of them has ever read one of it. They
+/// know it from the records, and what runs there goes on.
+#[test]
+fn entry_never_read() {
+    for seed in 0..6 {
+        let mut world = world(seed);
+        world.submit(1, &submission(vec![serving(4)]));
+        world.run(SECOND);
+        world.workers[0].entry_lost = true;
+        world.run(SECOND);
+        for node in 0..3 {
+            world.kill(node);
+        }
+        world.run(Duration::from_millis(300));
+        for node in 0..3 {
+            world.restart(node);
+        }
+        world.run(9 * SECOND);
+        assert_eq!(world.workers[0].running.len(), 1, "seed {seed}");
+        assert_eq!(world.workers[0].next_end, 1, "seed {seed}");
+        assert_eq!(world.checker.starts, 4, "seed {seed}");
+        assert_eq!(world.checker.faults, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 /// A worker whose entry can't be read loses power. Its tasks are started elsewhere once its leases must have
 /// lapsed, as with any silent worker, and not never.
 #[test]
