--- a/crates/workflow/tests/leader_changes.rs
+++ b/crates/workflow/tests/leader_changes.rs
@@ -248,3 +248,28 @@
     assert_eq!(world.leader(), Some(claimant));
     assert_eq!(world.checker.faults, Vec::<String>::new());
 }
+
+/// A worker's answers don't reach the leader any more, and a task is done there. Then the leader stands still
+/// for a while; its successor hears of that end and renews what else runs at the worker. The leader wakes with
+/// some of its authority left, takes the worker's leases for lapsed, and could start the task again at a
+/// worker that its successor hasn't reached yet: a client's work would be done twice.
+#[test]
+fn thawed_leader() {
+    for seed in 0..16 {
+        let mut world = World::new(seed, 3, 4, Limits::default());
+        world.run(2 * SECOND);
+        world.submit(1, &submission(vec![step(12, 5_500)]));
+        world.submit(2, &submission(vec![step(8, 30_000)]));
+        world.run(Duration::from_millis(500));
+        let leader = world.leader().expect("somebody leads by now");
+        world.nodes[leader].deaf_to = vec![0];
+        for node in (0..3).filter(|node| *node != leader) {
+            world.nodes[node].cut_from = vec![1];
+        }
+        world.run(Duration::from_millis(5_400));
+        world.freeze(leader, Duration::from_millis(2_300 + 25 * seed));
+        world.run(12 * SECOND);
+        assert_ne!(world.leader(), Some(leader));
+        assert_eq!(world.checker.faults, Vec::<String>::new(), "seed {seed}");
+    }
+}
--- a/crates/workflow/tests/support/messages.rs
+++ b/crates/workflow/tests/support/messages.rs
@@ -60,6 +60,19 @@
     Told(u64, WaveState),
 }
 
+impl Answer {
+    /// What a node knows when a worker's answer doesn't reach it.
+    fn lost(self) -> Answer {
+        match self {
+            Answer::Hold(id, _) => Answer::Hold(id, HoldResult::Failed),
+            Answer::Start(id, task, run, _) => Answer::Start(id, task, run, StartResult::Unknown),
+            Answer::Stop(id, task, run, _) => Answer::Stop(id, task, run, StopResult::Unknown),
+            Answer::Pace(id, task, run, _) => Answer::Pace(id, task, run, PaceResult::Unknown),
+            answer => answer,
+        }
+    }
+}
+
 /// What an order meets at the address that it is sent to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Meets {
@@ -210,9 +223,13 @@
             self.messages.push((now + wait, lost));
         }
         let meets = if late { Meets::Silence } else { self.meets(node, index) };
-        let Some(answer) = self.carry_out(index, id, effect, meets) else { return };
+        let Some(mut answer) = self.carry_out(index, id, effect, meets) else { return };
+        let deaf = self.nodes[node].deaf_to.contains(&index);
+        if deaf {
+            answer = answer.lost();
+        }
         // A call without an answer is given up after half a second.
-        let wait = if meets == Meets::Silence { Duration::from_millis(500) } else { STEP };
+        let wait = if deaf || meets == Meets::Silence { Duration::from_millis(500) } else { STEP };
         self.messages.push((now + wait, Msg::Answer { node, incarnation, epoch, sent, answer }));
     }
 
--- a/crates/workflow/tests/support/node.rs
+++ b/crates/workflow/tests/support/node.rs
@@ -21,6 +21,8 @@
     pub calls_hang: bool,
     /// Workers that it can't reach.
     pub cut_from: Vec<usize>,
+    /// Workers that take its orders and whose answers are lost.
+    pub deaf_to: Vec<usize>,
     /// Workers that are well and whose network turns its connections away.
     pub refused_by: Vec<usize>,
     pub elections: u32,
@@ -53,6 +55,7 @@
             reaches_store: true,
             calls_hang: false,
             cut_from: Vec::new(),
+            deaf_to: Vec::new(),
             refused_by: Vec::new(),
             elections: 0,
             directory: Vec::new(),
