--- a/crates/workflow/tests/seeded_successions.rs
+++ b/crates/workflow/tests/seeded_successions.rs
@@ -27,7 +27,24 @@
 const RACK: usize = 4;
 const CORES: u32 = 8;
 const LASTING: u32 = 12;
-const ROUNDS: u64 = 3;
+
+/// How much befalls a day.
+#[derive(Clone, Copy)]
+struct Mix {
+    /// Changes of the leader.
+    rounds: u64,
+    /// How many of the kinds of network faults are drawn from, the first ones.
+    network_kinds: u32,
+    /// Faults of one round are over before the next.
+    apart: bool,
+}
+
+/// One change of the leader after the other.
+const APART: Mix = Mix { rounds: 3, network_kinds: 6, apart: true };
+
+/// Faults that overlap, and workers that the leader can't hear or its successor can't reach.
+const DENSE: Mix = Mix { rounds: 5, network_kinds: 9, apart: false };
+const DENSE_SEEDS: Range<u64> = 1_000..1_020;
 
 /// Ids of workflows that are cancelled while the leader changes, before any of their tasks can be done.
 const DOOMED: u64 = 3_000;
@@ -83,11 +100,11 @@
 }
 
 /// What befalls the network between nodes and workers just before the leader changes.
-fn strike_network(world: &mut World) {
+fn strike_network(world: &mut World, kinds: u32) {
     let leader = world.leader();
     let first = some_worker(world);
     let hit = vec![first, (first + 1) % world.workers.len()];
-    let kind = world.rng.random_range(0..6);
+    let kind = world.rng.random_range(0..kinds);
     for node in 0..NODES {
         let follows = leader != Some(node);
         match kind {
@@ -96,6 +113,9 @@
             2 if !follows => world.nodes[node].cut_from = hit.clone(),
             3 => world.late_orders = 60,
             4 => world.lost_appends = 300,
+            6 if !follows => world.nodes[node].deaf_to.clone_from(&hit),
+            7 if !follows => world.nodes[node].deaf_to = (0..RACK).collect(),
+            8 if follows => world.nodes[node].cut_from = (0..RACK).collect(),
             _ => {}
         }
     }
@@ -136,6 +156,7 @@
         world.nodes[node].calls_hang = false;
         world.nodes[node].cut_from.clear();
         world.nodes[node].refused_by.clear();
+        world.nodes[node].deaf_to.clear();
         if !world.nodes[node].up {
             world.restart(node);
         }
@@ -168,7 +189,7 @@
 }
 
 /// Plays a day; returns what went wrong, and how many tasks were started.
-fn play(seed: u64) -> (Vec<String>, u32) {
+fn play(seed: u64, mix: Mix) -> (Vec<String>, u32) {
     let mut world = World::new(seed, NODES, WORKERS, Limits::default());
     for worker in &mut world.workers {
         worker.stop_ms = seed % 3 * 200;
@@ -177,7 +198,7 @@
     world.run(2 * SECOND);
     let lasting = world.submit(1_000, &submission(vec![lasting_step()]));
     let mut id = 0;
-    for round in 0..ROUNDS {
+    for round in 0..mix.rounds {
         let doomed = world.submit(DOOMED + round, &submission(vec![step(6, 90_000)]));
         submit_some(&mut world, &mut id);
         let pause = millis(&mut world, 100..1_000);
@@ -190,7 +211,7 @@
         if early {
             revive(&mut world, &lost);
         }
-        strike_network(&mut world);
+        strike_network(&mut world, mix.network_kinds);
         let pause = millis(&mut world, 0..600);
         world.run(pause);
         strike_leader(&mut world);
@@ -205,18 +226,20 @@
         }
         let pause = millis(&mut world, 0..5_000);
         world.run(pause);
-        heal(&mut world);
+        if mix.apart || round + 1 == mix.rounds || world.rng.random_range(0..2) == 0 {
+            heal(&mut world);
+        }
         let pause = millis(&mut world, 0..4_000);
         world.run(pause);
     }
     world.run(30 * SECOND);
-    let wrong = check_end(&mut world, id, lasting);
+    let wrong = check_end(&mut world, mix, id, lasting);
     (wrong, world.checker.starts)
 }
 
-fn check_end(world: &mut World, last: u64, lasting: WorkflowId) -> Vec<String> {
+fn check_end(world: &mut World, mix: Mix, last: u64, lasting: WorkflowId) -> Vec<String> {
     let mut wrong = Vec::new();
-    for id in (1..=last).chain(DOOMED..DOOMED + ROUNDS).map(WorkflowId) {
+    for id in (1..=last).chain(DOOMED..DOOMED + mix.rounds).map(WorkflowId) {
         let (state, running) = (world.state(id), running(world, id));
         if !matches!(state, Some(State::Ended(_))) || running > 0 {
             wrong.push(format!("workflow {id}: {state:?}, {running} tasks run"));
@@ -238,23 +261,33 @@
     wrong
 }
 
-fn seeds() -> Vec<u64> {
-    let Ok(given) = env::var(SEEDS_VARIABLE) else { return SEEDS.chain(FOUND).collect() };
+/// The seeds to play: those given by hand, or else `committed`.
+fn seeds(committed: impl Iterator<Item = u64>) -> Vec<u64> {
+    let Ok(given) = env::var(SEEDS_VARIABLE) else { return committed.collect() };
     let (first, end) = given.split_once("..").expect("a range");
     (first.parse().expect("a number")..end.parse().expect("a number")).collect()
 }
 
-#[test]
-fn all_seeds() {
+fn play_all(seeds: &[u64], mix: Mix) {
     let mut starts = 0;
     let mut failed = Vec::new();
-    for seed in seeds() {
-        let (wrong, started) = play(seed);
+    for seed in seeds {
+        let (wrong, started) = play(*seed, mix);
         starts += started;
         if !wrong.is_empty() {
             failed.push(format!("seed {seed}: {wrong:?}"));
         }
     }
-    println!("{} days, {starts} starts", seeds().len());
+    println!("{} days, {starts} starts", seeds.len());
     assert_eq!(failed, Vec::<String>::new());
 }
+
+#[test]
+fn all_seeds() {
+    play_all(&seeds(SEEDS.chain(FOUND)), APART);
+}
+
+#[test]
+fn dense_seeds() {
+    play_all(&seeds(DENSE_SEEDS), DENSE);
+}
