--- a/crates/workflow/src/scheduler/orders.rs
+++ b/crates/workflow/src/scheduler/orders.rs
@@ -98,13 +98,24 @@
     /// Whether a start that was decided is still wanted. It is asked right before the start is sent:
     /// while it waited for its turn, its workflow may have been cancelled, another copy of its task may be
     /// done, or the worker may have stopped answering.
-    pub fn wants(&self, id: &WorkerId, task: TaskId, run: RunId) -> bool {
+    pub fn wants(&self, now: Time, id: &WorkerId, task: TaskId, run: RunId) -> bool {
         let Some(worker) = self.workers.get(id) else { return false };
         let Some(copy) = worker.copies.get(&(task, run)) else { return false };
         // A gang without one of its members does nothing, so all of them are tried.
         let gang = self.step(task).is_some_and(|step| step.gang);
         let goes_elsewhere = worker.is_outdated(copy) && !gang;
-        !self.behind && copy.phase == Phase::Starting && !goes_elsewhere
+        let timely = !copy.again || self.may_repeat(now);
+        !self.behind && copy.phase == Phase::Starting && !goes_elsewhere && timely
+    }
+
+    /// Whether a task may be started that was started before.
+    ///
+    /// A leader that has been paused, or cut from the store, may have a successor while its own authority
+    /// lasts. The successor renews runs that this leader takes for lapsed, and notes ends that it hasn't
+    /// heard of; started again at a worker that the successor hasn't reached yet, such tasks would run twice.
+    /// Nobody takes over before [`crate::Limits::takeover_after`] has passed since the last sign of life.
+    pub(super) fn may_repeat(&self, now: Time) -> bool {
+        self.proven.is_some_and(|sent| now < sent + self.limits.takeover_after)
     }
 
     /// Whether more starts may be decided now.
--- a/crates/workflow/tests/support/messages.rs
+++ b/crates/workflow/tests/support/messages.rs
@@ -9,7 +9,8 @@
     egretlb_types::{Epoch, Seq, Time},
     egretlb_workflow::{
         AdviceResult, AdviceTerms, AppendResult, Effect, HoldResult, PaceResult, Record, RunId,
-        StartResult, StepId, StopResult, TaskId, UpkeepResult, VmId, VmList, WaveState, WorkerId,
+        Scheduler, StartResult, StepId, StopResult, TaskId, UpkeepResult, VmId, VmList, WaveState,
+        WorkerId,
     },
     rand::Rng,
     std::time::Duration,
@@ -60,6 +61,19 @@
     Told(u64, WaveState),
 }
 
+impl Answer {
+    /// What a node knows when a worker's answer doesn't reach it.
+    fn lost(self) -> Answer {
+        match self {
+            Answer::Hold(id, _) => Answer::Hold(id, HoldResult::Failed),
+            Answer::Start(id, task, run, _) => Answer::Start(id, task, run, StartResult::Unknown),
+            Answer::Stop(id, task, run, _) => Answer::Stop(id, task, run, StopResult::Unknown),
+            Answer::Pace(id, task, run, _) => Answer::Pace(id, task, run, PaceResult::Unknown),
+            answer => answer,
+        }
+    }
+}
+
 /// What an order meets at the address that it is sent to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Meets {
@@ -231,12 +245,16 @@
         }
         let mute = self.workers[index].mute && !polls;
         let meets = if late || mute { Meets::Silence } else { self.meets(node, index) };
+        let deaf = self.nodes[node].deaf_to.contains(&index);
         // A call without an answer is given up after half a second.
-        let wait = if meets == Meets::Silence { Duration::from_millis(500) } else { STEP };
+        let wait = if deaf || meets == Meets::Silence { Duration::from_millis(500) } else { STEP };
         if !polls {
             self.turns.entry(id.clone()).or_default().push(now + wait);
         }
-        let Some(answer) = self.carry_out(index, id, effect, meets) else { return };
+        let Some(mut answer) = self.carry_out(index, id, effect, meets) else { return };
+        if deaf {
+            answer = answer.lost();
+        }
         self.messages.push((now + wait, Msg::Answer { node, incarnation, epoch, sent, answer }));
     }
 
@@ -337,7 +355,8 @@
         let node = &self.nodes[node];
         // A node that was killed meanwhile had sent it already.
         let runs = node.incarnation == incarnation && node.leads(self.now);
-        !runs || node.scheduler.as_ref().is_none_or(|scheduler| scheduler.wants(id, task, run))
+        let wants = |scheduler: &Scheduler| scheduler.wants(self.now, id, task, run);
+        !runs || node.scheduler.as_ref().is_none_or(wants)
     }
 
     fn answer(&mut self, msg: Msg) {
