An append of the leader that is held up is repeated after half a second, not after 2.4 s

Cause: where the store loses or holds up a leader's append, the leader waited for the call's time to be up. It was silent for 2.7 s, followers claim after 1.2 s, and the claims, held up too, deposed the next leader. Now the append is repeated on another connection after 0.5 s, or four times what the last one took, if a read was answered meanwhile. The store takes repetitions of one number for one append.

Tried first and not kept: 0.5 s whatever the last append took.

--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -104,6 +104,8 @@
     pub(crate) waiting: RefCell<Vec<Waiting>>,
     /// Since when the leader's append under way has had no success.
     pub(crate) recording: Cell<Option<Time>>,
+    /// How long the last of the leader's appends took that needed no repetition.
+    pub(crate) append_took: Cell<Duration>,
     /// Topics whose reads fail, and since when.
     lost: RefCell<BTreeMap<Topic, Time>>,
     pub(crate) clock: Clock,
@@ -135,6 +137,7 @@
             metrics: WorkflowMetrics::new(),
             waiting: RefCell::default(),
             recording: Cell::new(None),
+            append_took: Cell::default(),
             lost: RefCell::default(),
             clock,
             turns: Turns::default(),
--- a/crates/runtime/src/records.rs
+++ b/crates/runtime/src/records.rs
@@ -16,6 +16,16 @@
 /// The pause before an append of the leader is repeated.
 const RECORD_RETRY: Duration = Duration::from_millis(60);
 
+/// An append without an answer is repeated on another connection after this long, if the store answers
+/// reads meanwhile and they don't show it: it was held up, or its answer and it are lost. A slow store
+/// takes up to half a second for an append. Waiting for the call's time to be up (2.4 s) would outlast
+/// the 1.2 s after which followers claim, and depose a leader that is well.
+const HELD_UP_AFTER: Duration = Duration::from_millis(500);
+
+/// An append is taken as held up after so many times what the last one took, if that is longer: where
+/// the store is slow, a repetition would only stand in its queue.
+const HELD_UP_TIMES: u32 = 4;
+
 /// An append that takes longer is logged: the store usually answers within 10 ms.
 const SLOW_APPEND: Duration = Duration::from_millis(200);
 
@@ -63,11 +73,19 @@
         let append = Append { records, fence: Some(Fence { epoch, seq }) };
         // A repetition may be answered with the first one's result, so it proves nothing later.
         let sent = self.clock.now();
+        let mut patience = HELD_UP_AFTER.max(self.append_took.get() * HELD_UP_TIMES);
+        let mut tries = 0;
         loop {
             let result = tokio::select! {
                 result = self.store.append(&append) => result,
                 () = self.has_read(epoch, seq) => AppendResult::Done,
+                () = self.reads_go_on(patience) => AppendResult::Unknown,
             };
+            tries += 1;
+            if result == AppendResult::Unknown {
+                // Repetitions stand in a slow store's queue with what they repeat.
+                patience = patience.saturating_mul(2);
+            }
             let took = self.clock.now().since(sent);
             if took >= SLOW_APPEND {
                 log::info!(took_ms = took.as_millis() as u64, result:? = result; "append_slow");
@@ -85,6 +103,9 @@
             });
             if result == AppendResult::Done {
                 self.metrics.appended(took);
+                if tries == 1 {
+                    self.append_took.set(took);
+                }
                 return Stored::Yes;
             }
             if self.core.borrow().leadership.term() != Some(epoch) {
@@ -109,6 +130,20 @@
         }
     }
 
+    /// Waits for `patience`, and until a read that was answered after the call has reached the records' end.
+    async fn reads_go_on(&self, patience: Duration) {
+        let begun = self.clock.now();
+        sleep(patience).await;
+        loop {
+            let read = self.reads.notified();
+            let work = self.core.borrow().work;
+            if work.at_end && work.fresh.is_some_and(|fresh| fresh >= begun) {
+                return;
+            }
+            read.await;
+        }
+    }
+
     /// Waits until clients' records are among what was read.
     pub(crate) async fn have_read(&self, records: &[Record]) {
         loop {
