--- a/crates/runtime/src/reads.rs
+++ b/crates/runtime/src/reads.rs
@@ -1,11 +1,11 @@
 //! What has been read of the system's own records, for whoever waits for something among them.
 
 use {
-    crate::core::Core,
+    crate::{clock::Clock, core::Core},
     egretlb_types::{Epoch, Seq},
     egretlb_workflow::Record,
-    std::{cell::RefCell, net::SocketAddr, rc::Rc},
-    tokio::sync::Notify,
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{sync::Notify, time::sleep},
 };
 
 /// The records as far as they were read. An append whose answer is lost, or another process's taking over, is
@@ -48,6 +48,17 @@
         .await;
     }
 
+    /// Waits for `patience`, and until a read that was answered after the call has reached the records' end.
+    pub(crate) async fn go_on(&self, patience: Duration) {
+        let begun = Clock.now();
+        sleep(patience).await;
+        self.find(|core| {
+            let fresh = core.work.fresh.is_some_and(|fresh| fresh >= begun);
+            (core.work.at_end && fresh).then_some(())
+        })
+        .await;
+    }
+
     /// Waits until clients' records are among what was read.
     pub(crate) async fn clients_records(&self, records: &[Record]) {
         self.find(|core| records.iter().all(|record| core.ledger.holds(record)).then_some(()))
