--- a/crates/runtime/src/dump.rs
+++ b/crates/runtime/src/dump.rs
@@ -23,7 +23,8 @@
     unaccounted: usize,
     /// Tasks that nothing would ever start; there is none unless the scheduler has a fault.
     stranded: Vec<String>,
-    /// Steps with tasks that wait, the first of them first. Only the leader knows.
+    /// Steps with tasks that wait: those in the queue, the first of them first, then those whose tasks are
+    /// held by a run that isn't known to be at work. Only the leader knows.
     waiting: Vec<Waiting>,
     /// Set if not all are listed.
     more_waiting: bool,
@@ -33,8 +34,19 @@
 struct Waiting {
     step: String,
     tasks: usize,
+    /// Some of the tasks, by index.
+    indices: Vec<u32>,
+    lasting: bool,
+    /// How long the first of them hasn't run, as far as this leader knows.
     waited_ms: u64,
     reason: String,
+    /// Some of the workers that the reason is about.
+    workers: Vec<String>,
+    /// How long the reason lasts at most, where that is known.
+    at_most_ms: Option<u64>,
+    /// The workers of its service, and those of them that take work, where room is what it waits for.
+    service_workers: Option<usize>,
+    fit_workers: Option<usize>,
 }
 
 fn ms(span: Duration) -> u64 {
@@ -64,13 +76,20 @@
             dump.unaccounted = scheduler.unaccounted();
             let stranded = scheduler.stranded().into_iter().take(MOST_STRANDED);
             dump.stranded = stranded.map(|task| task.to_string()).collect();
-            dump.more_waiting = scheduler.waiting() > MOST_STEPS;
-            let steps = scheduler.waiting_steps(now, MOST_STEPS);
+            let mut steps = scheduler.waiting_steps(now, MOST_STEPS + 1);
+            dump.more_waiting = steps.len() > MOST_STEPS;
+            steps.truncate(MOST_STEPS);
             let row = |waiting: egretlb_workflow::WaitingStep| Waiting {
                 step: waiting.step.to_string(),
                 tasks: waiting.tasks,
+                indices: waiting.indices,
+                lasting: waiting.lasting,
                 waited_ms: ms(waiting.waited),
                 reason: waiting.reason.to_string(),
+                workers: waiting.workers.iter().map(ToString::to_string).collect(),
+                at_most_ms: waiting.until.map(ms),
+                service_workers: waiting.fleet.map(|fleet| fleet.all),
+                fit_workers: waiting.fleet.map(|fleet| fleet.fit),
             };
             dump.waiting = steps.into_iter().map(row).collect();
         }
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -11,12 +11,12 @@
 
 mod advice;
 mod audit;
-mod dump;
 mod effect;
 mod ends;
 mod fallback;
 mod flow;
 mod gangs;
+mod lists;
 mod orders;
 mod pacing;
 mod place;
@@ -25,20 +25,24 @@
 mod pressure;
 mod queue;
 mod recording;
+mod restore;
 mod stragglers;
+mod survey;
+mod unclear;
 mod upkeep;
+mod waits;
 mod worker;
 
 use {
     self::{
         flow::Flow,
-        worker::{Copy, Need, Phase, Worker},
+        waits::StopReason,
+        worker::{Copy, Inherited, Need, Phase, Worker},
     },
     crate::{
-        Change, DirectoryChange, Interference, Ledger, Limits, Outcome, RosterEntry, RunId, TaskId,
-        WorkerId, WorkerInfo, WorkerState, WorkflowId,
+        Change, DirectoryChange, Interference, Ledger, Limits, Outcome, Record, RunId, StepId,
+        Succession, TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId,
     },
-    compact_str::CompactString,
     egretlb_types::{Epoch, Time},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -48,12 +52,12 @@
 
 pub use self::{
     advice::AdviceResult,
-    dump::{Reason, WaitingStep},
     effect::Effect,
-    ends::{End, EndKind, HoldReply, RunningTask},
+    lists::{End, EndKind, HoldReply, OddRows, RunningTask},
     orders::{StartResult, StopResult},
     pacing::PaceResult,
     polls::HoldResult,
+    waits::{Reason, ServiceWorkers, WaitingStep},
 };
 
 /// A step that has tasks to start. The order is that of the queue.
@@ -72,6 +76,7 @@
 #[derive(Debug)]
 pub struct Scheduler {
     epoch: Epoch,
+    succession: Succession,
     limits: Limits,
     workers: BTreeMap<WorkerId, Worker>,
     flows: BTreeMap<WorkflowId, Flow>,
@@ -82,6 +87,8 @@
     /// Workflows of which a task has no attempt left and none under way.
     spent: BTreeSet<WorkflowId>,
     roster_dirty: bool,
+    /// Records that another writer replaced, to be recorded anew.
+    restored: Vec<Record>,
     clients_wait: bool,
     recording: Option<recording::Recording>,
     recorded_at: Time,
@@ -104,6 +111,7 @@
     /// The records are read too late to start anything.
     behind: bool,
     measures: Measures,
+    waits: waits::Waits,
     wall_ms: u64,
 }
 
@@ -126,18 +134,26 @@
     pub paced: u64,
 }
 
+impl Ready {
+    fn step_id(self) -> StepId {
+        let Ready { workflow, occurrence, step, .. } = self;
+        StepId { workflow, occurrence, step }
+    }
+}
+
 impl Scheduler {
     /// The leader's state at the beginning of its term.
     pub fn new(
         now: Time,
         wall_ms: u64,
-        epoch: Epoch,
+        (epoch, succession): (Epoch, Succession),
         limits: Limits,
         ledger: &Ledger,
-        directory: impl IntoIterator<Item = WorkerInfo>,
+        directory: impl IntoIterator<Item = DirectoryChange>,
     ) -> Scheduler {
         let mut scheduler = Scheduler {
             epoch,
+            succession,
             limits,
             workers: BTreeMap::new(),
             flows: BTreeMap::new(),
@@ -145,7 +161,8 @@
             unaccounted: BTreeMap::new(),
             dirty: BTreeSet::new(),
             spent: BTreeSet::new(),
-            roster_dirty: false,
+            roster_dirty: ledger.roster().is_some(),
+            restored: Vec::new(),
             clients_wait: false,
             recording: None,
             recorded_at: now,
@@ -162,54 +179,20 @@
             starts_under_way: 0,
             behind: false,
             measures: Measures::default(),
+            waits: waits::Waits::default(),
             wall_ms,
         };
-        // The predecessor may have renewed a lease just before its authority ended.
-        let lapsed = now + limits.authority + limits.lease_bound();
-        for entry in ledger.roster() {
-            let mut worker = Worker::new(now, placeholder(entry));
-            worker.present = false;
-            worker.known = false;
-            worker.in_roster = true;
-            worker.listed_silent = entry.closed.as_ref().is_some_and(|closed| !closed.renewed);
-            worker.leaving = entry.closed.as_ref().is_some_and(|closed| closed.renewed);
-            // The predecessor renewed nothing at a worker that it had listed as silent.
-            let silent_bound = now + limits.lease_bound();
-            worker.lease_bound = if worker.listed_silent { silent_bound } else { lapsed };
-            if entry.closed.is_none() {
-                scheduler.unaccounted.insert(entry.id.clone(), lapsed);
-            }
-            scheduler.workers.insert(entry.id.clone(), worker);
-        }
-        for info in directory {
-            scheduler.on_directory(now, DirectoryChange::Present(info));
+        scheduler.inherit_workers(now, ledger);
+        for change in directory {
+            scheduler.on_directory(now, change);
         }
         for (id, entry) in ledger.iter() {
             scheduler.add_flow(now, id, entry, true);
         }
-        for entry in ledger.roster() {
-            for (task, run) in entry.closed.iter().flat_map(|closed| &closed.runs) {
-                scheduler.suppose(now, &entry.id, *task, *run);
-            }
-        }
+        scheduler.inherit_runs(now, ledger);
         scheduler
     }
 
-    /// Takes a run at a silent worker as under way, until the worker answers or its leases have lapsed.
-    fn suppose(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId) {
-        let step = self.step(task).cloned().unwrap_or_default();
-        let need = Need::new(&step, &mut self.interference);
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.insert(task, run, Copy::new(now, &need, Phase::Running { clock_ms: 0 }));
-        }
-        if let Some(state) = self.task_mut(task)
-            && !state.done
-        {
-            state.copies.push((id.clone(), run));
-            state.last_run = state.last_run.max(run);
-        }
-    }
-
     /// The worker's directory entry changed.
     pub fn on_directory(&mut self, now: Time, change: DirectoryChange) {
         match change {
@@ -220,18 +203,26 @@
                     worker.poll_at = now;
                 }
             }
+            DirectoryChange::Unreadable(id) => {
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.lose_entry();
+                }
+            }
         }
     }
 
     fn on_present(&mut self, now: Time, info: WorkerInfo) {
         let drains = info.state == WorkerState::Draining;
         let id = info.id.clone();
+        // Nothing of ours runs there and nothing will be started, so it isn't called.
+        if info.state == WorkerState::Other && !self.workers.contains_key(&id) {
+            return;
+        }
         let worker =
             self.workers.entry(id.clone()).or_insert_with(|| Worker::new(now, info.clone()));
         let was_ready = worker.info.state == WorkerState::Ready;
         worker.info = info;
         worker.present = true;
-        worker.known = true;
         if drains && was_ready {
             // A successor needn't wait for it: nothing else will be started there.
             self.roster_dirty = true;
@@ -266,6 +257,7 @@
         self.ask_advice(now, out);
         self.poll(now, out);
         self.record(now, out);
+        self.tell_waits(now);
     }
 
     /// Stops what can go on elsewhere on workers that are about to leave: when they go, all that still
@@ -285,7 +277,8 @@
         }
         for (id, moving) in leaving {
             log::info!(worker:% = id, runs = moving.len(); "worker_evacuated");
-            self.stop_runs(now, &id, out, |task, run| moving.contains(&(task, run)));
+            let why = StopReason::Evacuated;
+            self.stop_runs(now, &id, why, out, |task, run| moving.contains(&(task, run)));
         }
     }
 
@@ -309,19 +302,3 @@
         self.unaccounted.len()
     }
 }
-
-/// A worker of which only the roster's entry is known: it is asked and gets no work. It counts as about to
-/// leave only if the roster says so: entries are missing also while the store is away, and where a process
-/// that has just started leads before it has read them.
-fn placeholder(entry: &RosterEntry) -> WorkerInfo {
-    let leaves = entry.closed.as_ref().is_some_and(|closed| closed.renewed);
-    WorkerInfo {
-        id: entry.id.clone(),
-        addr: entry.addr,
-        service: CompactString::default(),
-        data_centre: CompactString::default(),
-        capacity: egretlb_types::Resources::default(),
-        labels: smallvec::SmallVec::new(),
-        state: if leaves { WorkerState::Draining } else { WorkerState::Ready },
-    }
-}
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{Effect, Scheduler, Worker},
-    crate::{Closed, Key, Limits, Record, RosterEntry, WaveProgress, WorkerId, WorkflowId},
+    crate::{
+        Key, Limits, Record, Roster, RosterEntry, Standing, WaveProgress, WorkerId, WorkflowId,
+    },
     egretlb_types::Time,
     std::time::Duration,
 };
@@ -35,6 +37,9 @@
 /// The most old workflows forgotten in one append.
 const FORGET_PER_APPEND: usize = 200;
 
+/// The most records that are recorded anew in one append; a submission takes some KB at most.
+const RESTORED_PER_APPEND: usize = 20;
+
 impl Worker {
     /// Whether a successor has to know of it: what a predecessor listed, and what has answered this leader.
     /// Before that nothing is started there. An entry may be read again long after its worker has gone; were
@@ -52,12 +57,13 @@
 
 impl Scheduler {
     /// Whether the next append has something to say.
-    fn has_news(&self) -> bool {
+    fn has_news(&self, now: Time) -> bool {
         self.clients_wait
-            || self.roster_dirty
+            || (self.roster_dirty && self.may_write_roster(now))
+            || !self.restored.is_empty()
             || self.upkeep.has_news()
             || !self.dirty.is_empty()
-            || self.workers.values().any(|worker| worker.taken > worker.recorded)
+            || self.workers.values().any(|worker| worker.forgettable() > worker.recorded)
     }
 
     /// Sends what is to be recorded, if no append is under way.
@@ -66,7 +72,7 @@
             return;
         }
         let beat = now.since(self.recorded_at) >= self.limits.heartbeat;
-        let due = self.has_news() && now.since(self.recorded_at) >= self.limits.record_gap;
+        let due = self.has_news(now) && now.since(self.recorded_at) >= self.limits.record_gap;
         if !beat && !due {
             return;
         }
@@ -77,8 +83,8 @@
             recording.ends = self
                 .workers
                 .iter()
-                .filter(|(_, worker)| worker.taken > worker.recorded)
-                .map(|(id, worker)| (id.clone(), worker.taken))
+                .filter(|(_, worker)| worker.forgettable() > worker.recorded)
+                .map(|(id, worker)| (id.clone(), worker.forgettable()))
                 .collect();
         }
         recording.waves = self.upkeep.take_dirty();
@@ -88,12 +94,26 @@
         self.record_roster(now, &mut recording, &mut records);
         self.forget(now, &mut records);
         self.record_learned(now, &mut records);
+        let restored = self.restored.len().min(RESTORED_PER_APPEND);
+        records.extend(self.restored.drain(..restored));
         self.clients_wait = false;
         self.recorded_at = now;
         self.recording = Some(recording);
         out.push(Effect::Record { records });
     }
 
+    /// Sends a sign of life alone, if one is due and no append is under way. It is what a leader whose
+    /// authority has lapsed still does: it hasn't heard of any worker lately, and the roster that it
+    /// would record now would list all of them as silent.
+    pub fn sign_only(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.recording.is_some() || now.since(self.recorded_at) < self.limits.heartbeat {
+            return;
+        }
+        self.recorded_at = now;
+        self.recording = Some(Recording::default());
+        out.push(Effect::Record { records: Vec::new() });
+    }
+
     /// Adds the progress of changed workflows; returns whether some are left for the next append.
     fn record_progress(&mut self, recording: &mut Recording, records: &mut Vec<Record>) -> bool {
         let mut bytes = 0;
@@ -113,23 +133,31 @@
     }
 
     fn record_roster(&mut self, now: Time, recording: &mut Recording, records: &mut Vec<Record>) {
-        if !std::mem::take(&mut self.roster_dirty) {
+        if !self.roster_dirty || !self.may_write_roster(now) {
             return;
         }
-        let mut roster = Vec::with_capacity(self.workers.len());
-        let listed = self.workers.iter_mut().filter(|(_, worker)| worker.belongs_in_roster());
+        self.roster_dirty = false;
+        let mut entries = Vec::with_capacity(self.workers.len());
+        let listed = self.workers.iter().filter(|(_, worker)| worker.belongs_in_roster());
         for (id, worker) in listed {
-            let silent = worker.lists_silent(now, &self.limits);
-            let leaving = worker.leaves();
+            let standing = self.standing(now, worker);
+            entries.push(RosterEntry { id: id.clone(), addr: worker.info.addr, standing });
+        }
+        for entry in &entries {
+            let Some(worker) = self.workers.get_mut(&entry.id) else { continue };
+            let silent =
+                matches!(entry.standing, Standing::Silent { .. } | Standing::Unanswered { .. });
             // From here on nothing is started there, since the record may be read before it is confirmed.
             worker.listed_silent |= silent;
+            let leaving = worker.leaves();
             worker.leaving |= leaving;
-            let runs = || worker.copies.keys().copied().collect();
-            let closed = (silent || leaving).then(|| Closed { runs: runs(), renewed: !silent });
-            worker.listed_runs = closed.as_ref().map_or(0, |closed| closed.runs.len());
-            recording.roster.push(Listed { id: id.clone(), silent, leaving });
-            roster.push(RosterEntry { id: id.clone(), addr: worker.info.addr, closed });
+            worker.listed_runs = match &entry.standing {
+                Standing::Silent { runs, .. } | Standing::Leaving { runs } => runs.len(),
+                Standing::Open | Standing::Unanswered { .. } => 0,
+            };
+            recording.roster.push(Listed { id: entry.id.clone(), silent, leaving });
         }
+        let roster = Roster { epoch: self.epoch, entries };
         records.push(Record::new(Key::Roster, &roster));
     }
 
--- a/crates/workflow/src/scheduler/upkeep/stages.rs
+++ b/crates/workflow/src/scheduler/upkeep/stages.rs
@@ -88,6 +88,8 @@
 pub(in crate::scheduler) struct Upkeep {
     pub(super) runs: BTreeMap<u64, WaveRun>,
     pub(super) vms: BTreeMap<VmId, VmEntry>,
+    /// The last listing could be read as a whole: what isn't in it isn't there.
+    pub(super) whole: bool,
     /// When the listing under way was asked for.
     pub(super) listing: Option<Time>,
     /// When the last complete listing was asked for.
@@ -115,6 +117,13 @@
         dirty.iter().filter_map(progress).collect()
     }
 
+    /// A wave's record was lost.
+    pub(in crate::scheduler) fn record_again(&mut self, number: u64) {
+        if self.runs.contains_key(&number) {
+            self.dirty.insert(number);
+        }
+    }
+
     pub(in crate::scheduler) fn has_news(&self) -> bool {
         !self.dirty.is_empty()
     }
--- a/crates/workflow/tests/support/messages.rs
+++ b/crates/workflow/tests/support/messages.rs
@@ -3,13 +3,13 @@
 use {
     super::{
         node::Wish,
-        worker::StartOrder,
+        worker::{StartOrder, Worker},
         world::{STEP, World},
     },
     egretlb_types::{Epoch, Seq, Time},
     egretlb_workflow::{
         AdviceResult, AdviceTerms, AppendResult, Effect, HoldResult, PaceResult, Record, RunId,
-        StartResult, StepId, StopResult, TaskId, UpkeepResult, VmEntry, VmId, WaveState, WorkerId,
+        StartResult, StepId, StopResult, TaskId, UpkeepResult, VmId, VmList, WaveState, WorkerId,
     },
     rand::Rng,
     std::time::Duration,
@@ -55,11 +55,24 @@
     Stop(WorkerId, TaskId, RunId, StopResult),
     Pace(WorkerId, TaskId, RunId, PaceResult),
     Advice(StepId, AdviceResult),
-    Vms(Option<Vec<VmEntry>>),
+    Vms(Option<VmList>),
     Upkeep(u64, VmId, UpkeepResult),
     Told(u64, WaveState),
 }
 
+/// What an order meets at the address that it is sent to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Meets {
+    /// The worker.
+    Worker,
+    /// No answer; it isn't carried out.
+    Silence,
+    /// Nothing listens there, or something on the way turns connections away.
+    Refusal,
+    /// A later incarnation of the worker.
+    Successor,
+}
+
 /// A hanging append is given up after this.
 const HANGS: Duration = Duration::from_millis(2_400);
 
@@ -82,7 +95,7 @@
                     if leadership.term() != Some(epoch) {
                         continue;
                     }
-                    let Some((_, seq, sign)) = leadership.sign(false) else { continue };
+                    let Some((_, seq, sign)) = leadership.sign(sent, false) else { continue };
                     records.push(sign);
                     let fence = (epoch, seq);
                     self.send(Msg::Append {
@@ -153,6 +166,16 @@
             return;
         }
         let mut result = AppendResult::Rejected;
+        if reached && sent + STEP * 3 >= self.now && self.is_late() {
+            let wait = Duration::from_millis(self.rng.random_range(100..3_000));
+            let held_up =
+                Msg::Append { node, incarnation, sent, records: records.clone(), fence, claim };
+            self.messages.push((self.now + wait, held_up));
+            let result = AppendResult::Unknown;
+            let lost = Msg::Appended { node, incarnation, sent, records, fence, claim, result };
+            self.messages.push((sent + HANGS, lost));
+            return;
+        }
         if reached {
             result = self.store.append(&records, Some(fence));
             if self.rng.random_range(0..1_000) < self.lost_appends {
@@ -162,6 +185,10 @@
         self.send(Msg::Appended { node, incarnation, sent, records, fence, claim, result });
     }
 
+    fn is_late(&mut self) -> bool {
+        self.late_appends > 0 && self.rng.random_range(0..1_000) < self.late_appends
+    }
+
     fn order(&mut self, node: usize, incarnation: u64, epoch: Epoch, sent: Time, effect: Effect) {
         let now = self.now;
         match effect {
@@ -196,7 +223,6 @@
         let Some(index) = self.workers.iter().position(|worker| worker.info.id == id) else {
             return;
         };
-        let cut = self.nodes[node].cut_from.contains(&index);
         let late = self.rng.random_range(0..1_000) < self.late_orders;
         if late && now.since(sent) < Duration::from_millis(100) {
             let wait = Duration::from_millis(self.rng.random_range(2_000..12_000));
@@ -204,13 +230,13 @@
             self.messages.push((now + wait, lost));
         }
         let mute = self.workers[index].mute && !polls;
-        let unanswered = cut || late || mute || !self.workers[index].up;
+        let meets = if late || mute { Meets::Silence } else { self.meets(node, index) };
         // A call without an answer is given up after half a second.
-        let wait = if unanswered { Duration::from_millis(500) } else { STEP };
+        let wait = if meets == Meets::Silence { Duration::from_millis(500) } else { STEP };
         if !polls {
             self.turns.entry(id.clone()).or_default().push(now + wait);
         }
-        let Some(answer) = self.carry_out(index, id, effect, unanswered) else { return };
+        let Some(answer) = self.carry_out(index, id, effect, meets) else { return };
         self.messages.push((now + wait, Msg::Answer { node, incarnation, epoch, sent, answer }));
     }
 
@@ -223,22 +249,40 @@
         busy.len().checked_sub(most).map(|first| busy[first])
     }
 
-    /// What a worker answers; `unanswered` orders aren't carried out.
+    /// What orders of a node to a worker meet.
+    fn meets(&self, node: usize, index: usize) -> Meets {
+        let node = &self.nodes[node];
+        let worker = &self.workers[index];
+        let addr = worker.info.addr;
+        let listens = |other: &Worker| other.up && other.info.addr == addr;
+        let there = self.workers.iter().position(listens);
+        match there {
+            _ if node.cut_from.contains(&index) => Meets::Silence,
+            _ if node.refused_by.contains(&index) => Meets::Refusal,
+            Some(there) if there == index => Meets::Worker,
+            Some(_) => Meets::Successor,
+            None if worker.vm_up => Meets::Refusal,
+            None => Meets::Silence,
+        }
+    }
+
+    /// What a worker answers to an order, or what else becomes of it.
     fn carry_out(
         &mut self,
         index: usize,
         id: WorkerId,
         effect: Effect,
-        unanswered: bool,
+        meets: Meets,
     ) -> Option<Answer> {
         let now = self.now;
         let (worker, checker) = (&mut self.workers[index], &mut self.checker);
         Some(match effect {
             Effect::Hold { epoch, recorded, until_ms, .. } => {
-                let result = if unanswered {
-                    HoldResult::Failed
-                } else {
-                    worker.hold(now, epoch, recorded, until_ms, checker)
+                let result = match meets {
+                    Meets::Worker => worker.hold(now, epoch, recorded, until_ms, checker),
+                    Meets::Silence => HoldResult::Failed,
+                    Meets::Refusal => HoldResult::Refused,
+                    Meets::Successor => HoldResult::OtherIncarnation,
                 };
                 Answer::Hold(id, result)
             }
@@ -246,29 +290,29 @@
                 let step = task.step_id();
                 let ticketed =
                     submission.advice.is_none() || self.advisor.accepts(now, step, &id, &ticket);
-                let result = if unanswered {
-                    StartResult::Unknown
-                } else if !ticketed {
-                    StartResult::BadTicket
-                } else {
-                    let order = StartOrder { epoch, task, run, submission, until_ms };
-                    worker.start(now, &order, checker)
+                let order = StartOrder { epoch, task, run, submission, until_ms };
+                let result = match meets {
+                    Meets::Worker if !ticketed => StartResult::BadTicket,
+                    Meets::Worker => worker.start(now, &order, checker),
+                    Meets::Silence => StartResult::Unknown,
+                    Meets::Refusal => StartResult::NotSent,
+                    Meets::Successor => StartResult::OtherIncarnation,
                 };
                 Answer::Start(id, task, run, result)
             }
             Effect::Stop { epoch, task, run, .. } => {
-                let result = if unanswered {
-                    StopResult::Unknown
-                } else {
-                    worker.stop(now, epoch, task, run, checker)
+                let result = match meets {
+                    Meets::Worker => worker.stop(now, epoch, task, run, checker),
+                    Meets::Silence | Meets::Refusal => StopResult::Unknown,
+                    Meets::Successor => StopResult::OtherIncarnation,
                 };
                 Answer::Stop(id, task, run, result)
             }
             Effect::Pace { epoch, task, run, percent, .. } => {
-                let result = if unanswered {
-                    PaceResult::Unknown
-                } else {
-                    worker.pace(now, epoch, (task, run), percent)
+                let result = match meets {
+                    Meets::Worker => worker.pace(now, epoch, (task, run), percent),
+                    Meets::Silence | Meets::Refusal => PaceResult::Unknown,
+                    Meets::Successor => PaceResult::OtherIncarnation,
                 };
                 Answer::Pace(id, task, run, result)
             }
--- a/crates/workflow/tests/support/node.rs
+++ b/crates/workflow/tests/support/node.rs
@@ -3,7 +3,8 @@
 use {
     egretlb_types::{Epoch, Offset, Seq, Time},
     egretlb_workflow::{
-        Change, Effect, Leadership, LeadershipEffect, Ledger, Limits, Scheduler, WorkerInfo,
+        Change, DirectoryChange, Effect, Leadership, LeadershipEffect, Ledger, Limits, Scheduler,
+        WorkerInfo,
     },
 };
 
@@ -21,6 +22,8 @@
     pub calls_hang: bool,
     /// Workers that it can't reach.
     pub cut_from: Vec<usize>,
+    /// Workers that are well and whose network turns its connections away.
+    pub refused_by: Vec<usize>,
     pub elections: u32,
     pub directory: Vec<WorkerInfo>,
     pub incarnation: u64,
@@ -51,6 +54,7 @@
             reaches_store: true,
             calls_hang: false,
             cut_from: Vec::new(),
+            refused_by: Vec::new(),
             elections: 0,
             directory: Vec::new(),
             incarnation,
@@ -100,12 +104,18 @@
                 LeadershipEffect::Claim { epoch, seq, records } => {
                     wishes.push(Wish::Claim { epoch, seq, records });
                 }
-                LeadershipEffect::Elected { epoch } => {
+                LeadershipEffect::Elected { epoch, succession } => {
                     self.elections += 1;
-                    let directory = self.directory.clone();
+                    let directory = self.directory.iter().cloned().map(DirectoryChange::Present);
                     let wall_ms = now.as_micros() / 1_000;
-                    let scheduler =
-                        Scheduler::new(now, wall_ms, epoch, self.limits, &self.ledger, directory);
+                    let scheduler = Scheduler::new(
+                        now,
+                        wall_ms,
+                        (epoch, succession),
+                        self.limits,
+                        &self.ledger,
+                        directory,
+                    );
                     self.scheduler = Some(scheduler);
                 }
                 LeadershipEffect::Deposed => self.scheduler = None,
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -8,7 +8,7 @@
     egretlb_types::{Offset, Time},
     egretlb_workflow::{
         DirectoryChange, Key, LeadershipEffect, Limits, Outcome, Record, State, Submission, Wave,
-        WorkerId, WorkflowId,
+        WorkerId, WorkerInfo, WorkflowId,
     },
     rand::{SeedableRng, rngs::SmallRng},
     std::{collections::BTreeMap, time::Duration},
@@ -19,8 +19,9 @@
 /// How often nodes read the store.
 const READ_EVERY: u64 = 4;
 
-/// How often nodes read the directory.
+/// How often the leader reads the directory, and how often the others do, in steps.
 const DIRECTORY_EVERY: u64 = 50;
+const DIRECTORY_FOLLOWER_EVERY: u64 = 300;
 
 pub struct World {
     pub now: Time,
@@ -29,6 +30,8 @@
     pub store_down: bool,
     /// Appends that take effect without an answer, in thousandths.
     pub lost_appends: u32,
+    /// Appends that get no answer and arrive at the store 0.1 to 3 s later, in thousandths.
+    pub late_appends: u32,
     /// Orders that get no answer and are carried out 2 to 12 s later, in thousandths.
     pub late_orders: u32,
     /// How long orders wait at the node before they are sent, as on a VM that is too weak for its load.
@@ -61,6 +64,7 @@
             store: Store::default(),
             store_down: false,
             lost_appends: 0,
+            late_appends: 0,
             late_orders: 0,
             order_wait: Duration::ZERO,
             orders_at_once: None,
@@ -94,6 +98,14 @@
         self.workers.len() - 1
     }
 
+    /// A worker that is gone comes back at its address, with another id.
+    pub fn revive(&mut self, number: usize) -> usize {
+        let addr = self.workers[number].info.addr;
+        let revived = self.add_worker(8);
+        self.workers[revived].info.addr = addr;
+        revived
+    }
+
     /// A client's workflow, recorded at once.
     pub fn submit(&mut self, id: u64, submission: &Submission) -> WorkflowId {
         let id = WorkflowId(id);
@@ -198,10 +210,15 @@
     fn step_node(&mut self, index: usize) {
         let now = self.now;
         let mut wishes = Vec::new();
-        if self.steps.is_multiple_of(DIRECTORY_EVERY) || self.nodes[index].directory.is_empty() {
+        let readable = self.nodes[index].reaches_store && !self.store_down;
+        let node = &self.nodes[index];
+        let leads = node.scheduler.is_some();
+        let every = if leads { DIRECTORY_EVERY } else { DIRECTORY_FOLLOWER_EVERY };
+        if readable
+            && ((self.steps + 70 * index as u64).is_multiple_of(every) || node.directory.is_empty())
+        {
             self.read_directory(index);
         }
-        let readable = self.nodes[index].reaches_store && !self.store_down;
         if self.steps.is_multiple_of(READ_EVERY) {
             if readable {
                 let from = self.nodes[index].next;
@@ -224,13 +241,16 @@
         node.leadership.tick(now, readable || node.calls_hang, &mut out);
         node.apply(now, out, &mut wishes);
         let mut effects = Vec::new();
-        if node.leads(now)
-            && let Some(scheduler) = &mut node.scheduler
-        {
+        let leads = node.leads(now);
+        if let Some(scheduler) = &mut node.scheduler {
             for (number, wave) in &self.waves {
                 scheduler.on_wave(now, *number, Some(wave.clone()), &node.ledger);
             }
-            scheduler.tick(now, now.as_micros() / 1_000, &mut effects);
+            if leads {
+                scheduler.tick(now, now.as_micros() / 1_000, &mut effects);
+            } else {
+                scheduler.sign_only(now, &mut effects);
+            }
         }
         node.wish(effects, &mut wishes);
         self.perform(index, wishes);
@@ -238,24 +258,37 @@
 
     fn read_directory(&mut self, index: usize) {
         let now = self.now;
-        let present: Vec<_> = self
+        let mut present: Vec<_> = self
             .workers
             .iter()
             .filter(|w| (w.up && w.listed) || w.lingers)
             .map(|w| w.info.clone())
             .collect();
+        let lost: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|worker| worker.entry_lost)
+            .map(|worker| worker.info.id.clone())
+            .collect();
         let node = &mut self.nodes[index];
+        present.retain(|info| !lost.contains(&info.id));
+        let mut kept = node.directory.clone();
+        kept.retain(|known| lost.contains(&known.id));
+        kept.iter_mut().for_each(WorkerInfo::lose_entry);
         let gone: Vec<WorkerId> = node
             .directory
             .iter()
-            .filter(|known| !present.iter().any(|info| info.id == known.id))
+            .filter(|known| !present.iter().chain(&kept).any(|info| info.id == known.id))
             .map(|known| known.id.clone())
             .collect();
-        node.directory.clone_from(&present);
+        node.directory = present.iter().chain(&kept).cloned().collect();
         if let Some(scheduler) = &mut node.scheduler {
             for info in present {
                 scheduler.on_directory(now, DirectoryChange::Present(info));
             }
+            for id in lost {
+                scheduler.on_directory(now, DirectoryChange::Unreadable(id));
+            }
             for id in gone {
                 scheduler.on_directory(now, DirectoryChange::Absent(id));
             }
