--- a/crates/runtime/src/dump.rs
+++ b/crates/runtime/src/dump.rs
@@ -5,6 +5,9 @@
 /// The most steps that are listed: at 200 bytes each 200 KB.
 const MOST_STEPS: usize = 1_000;
 
+/// The most stranded tasks that are listed: the first ones show what kind they are.
+const MOST_STRANDED: usize = 100;
+
 #[derive(Serialize)]
 struct Dump {
     leads: bool,
@@ -18,7 +21,10 @@
     records_read_ms: Option<u64>,
     /// Workers that the new leader waits for.
     unaccounted: usize,
-    /// Steps with tasks that wait, the first of them first. Only the leader knows.
+    /// Tasks that nothing would ever start; there is none unless the scheduler has a fault.
+    stranded: Vec<String>,
+    /// Steps with tasks that wait: those in the queue, the first of them first, then those whose tasks are
+    /// held by a run that isn't known to be at work. Only the leader knows.
     waiting: Vec<Waiting>,
     /// Set if not all are listed.
     more_waiting: bool,
@@ -28,8 +34,19 @@
 struct Waiting {
     step: String,
     tasks: usize,
+    /// Some of the tasks, by index.
+    indices: Vec<u32>,
+    lasting: bool,
+    /// How long the first of them hasn't run, as far as this leader knows.
     waited_ms: u64,
     reason: String,
+    /// Some of the workers that the reason is about.
+    workers: Vec<String>,
+    /// How long the reason lasts at most, where that is known.
+    at_most_ms: Option<u64>,
+    /// The workers of its service, and those of them that take work, where room is what it waits for.
+    service_workers: Option<usize>,
+    fit_workers: Option<usize>,
 }
 
 fn ms(span: Duration) -> u64 {
@@ -51,18 +68,28 @@
             workers: core.directory.len(),
             records_read_ms: core.work.fresh.map(|at| ms(now.since(at))),
             unaccounted: 0,
+            stranded: Vec::new(),
             waiting: Vec::new(),
             more_waiting: false,
         };
         if let Some(scheduler) = &mut core.scheduler {
             dump.unaccounted = scheduler.unaccounted();
-            dump.more_waiting = scheduler.waiting() > MOST_STEPS;
-            let steps = scheduler.waiting_steps(now, MOST_STEPS);
+            let stranded = scheduler.stranded().into_iter().take(MOST_STRANDED);
+            dump.stranded = stranded.map(|task| task.to_string()).collect();
+            let mut steps = scheduler.waiting_steps(now, MOST_STEPS + 1);
+            dump.more_waiting = steps.len() > MOST_STEPS;
+            steps.truncate(MOST_STEPS);
             let row = |waiting: egretlb_workflow::WaitingStep| Waiting {
                 step: waiting.step.to_string(),
                 tasks: waiting.tasks,
+                indices: waiting.indices,
+                lasting: waiting.lasting,
                 waited_ms: ms(waiting.waited),
                 reason: waiting.reason.to_string(),
+                workers: waiting.workers.iter().map(ToString::to_string).collect(),
+                at_most_ms: waiting.until.map(ms),
+                service_workers: waiting.fleet.map(|fleet| fleet.all),
+                fit_workers: waiting.fleet.map(|fleet| fleet.fit),
             };
             dump.waiting = steps.into_iter().map(row).collect();
         }
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -3,17 +3,19 @@
 use {
     crate::{
         append::{Appender, STUCK_AFTER},
+        bad_entries::{BadEntry, BadEntryLog, Decoded, Telling},
         border::{Advisor, Append, Fence, Fleet, Formats, Platform, Store, Topic, Workers},
         clock::Clock,
         core::{Core, Effects, Reading},
         orders::Turns,
         peers::{Leader, Waiting},
+        reads::Reads,
     },
     compact_str::CompactString,
     egretlb_telemetry::{RunEvent, WorkflowMetrics},
     egretlb_types::{Epoch, Time},
     egretlb_workflow::{
-        Leadership, LeadershipEffect, Limits, Scheduler, Wave, WorkerId, WorkflowId,
+        Leadership, LeadershipEffect, Limits, Scheduler, Succession, Wave, WorkerId, WorkflowId,
     },
     std::{
         cell::{Cell, Ref, RefCell},
@@ -90,7 +92,7 @@
 
 /// A node.
 pub struct Node {
-    pub(crate) core: RefCell<Core>,
+    pub(crate) core: Rc<RefCell<Core>>,
     pub(crate) store: Rc<dyn Store>,
     pub(crate) workers: Rc<dyn Workers>,
     pub(crate) advisor: Rc<dyn Advisor>,
@@ -106,11 +108,11 @@
     pub(crate) recording: Cell<Option<Time>>,
     /// Topics whose reads fail, and since when.
     lost: RefCell<BTreeMap<Topic, Time>>,
+    bad_entries: RefCell<BadEntryLog>,
     pub(crate) clock: Clock,
     pub(crate) turns: Turns,
     wake: Notify,
-    /// Told of each answered read of the system's own records.
-    pub(crate) reads: Notify,
+    pub(crate) reads: Rc<Reads>,
 }
 
 impl Node {
@@ -122,24 +124,28 @@
         let place = place(&options);
         let leadership =
             Leadership::new(clock.now(), options.name, options.incarnation, place, options.limits);
+        let core = Rc::new(RefCell::new(Core::new(leadership, options.limits)));
+        let reads = Rc::new(Reads::new(Rc::clone(&core)));
+        let appender = Appender::new(Rc::clone(&store), Rc::clone(&reads));
         Rc::new(Node {
-            core: RefCell::new(Core::new(leadership, options.limits)),
+            core,
             store,
             workers,
             advisor,
             fleet,
             name,
             formats,
-            appender: Rc::default(),
+            appender: Rc::new(appender),
             leader: Leader::default(),
             metrics: WorkflowMetrics::new(),
             waiting: RefCell::default(),
             recording: Cell::new(None),
             lost: RefCell::default(),
+            bad_entries: RefCell::default(),
             clock,
             turns: Turns::default(),
             wake: Notify::new(),
-            reads: Notify::new(),
+            reads,
         })
     }
 
@@ -173,13 +179,6 @@
         core.scheduler.is_some() && core.leadership.authority(self.clock.now()).is_some()
     }
 
-    /// Where another process that leads takes records.
-    pub(crate) fn leader_addr(&self) -> Option<SocketAddr> {
-        let core = self.core.borrow();
-        let leader = core.ledger.leader().filter(|leader| !leader.released)?;
-        if core.leadership.is_own(leader) { None } else { leader.addr }
-    }
-
     /// Where followers may hand records in, once this process leads.
     pub(crate) fn listen_at(&self, addr: SocketAddr) {
         self.core.borrow_mut().leadership.listen_at(addr);
@@ -209,7 +208,7 @@
         for topic in [Topic::Operator, Topic::Work, Topic::Directory] {
             spawn_local(crate::follow::follow(Rc::clone(self), topic));
         }
-        spawn_local(Rc::clone(&self.appender).run(Rc::clone(self)));
+        spawn_local(Rc::clone(&self.appender).run());
         spawn_local(Rc::clone(self).tick_on());
     }
 
@@ -262,6 +261,27 @@
         for effect in out.scheduler {
             self.perform(effect);
         }
+        self.tell(&out.bad);
+    }
+
+    /// Tells of entries that can't be read, of each once, and returns what could be.
+    pub(crate) fn heed<T>(&self, decoded: Decoded<T>) -> T {
+        self.tell(&decoded.bad);
+        decoded.value
+    }
+
+    pub(crate) fn tell(&self, bad: &[BadEntry]) {
+        let now = self.clock.now();
+        for entry in bad {
+            let telling = self.bad_entries.borrow_mut().note(now, entry);
+            if telling != Telling::Known {
+                self.metrics.unreadable(entry.kind);
+            }
+            if let Telling::Line { untold } = telling {
+                let BadEntry { kind, key, version, detail } = entry;
+                log::warn!(kind:?, key:%, version, error:% = detail, untold; "entry_unreadable");
+            }
+        }
     }
 
     pub(crate) fn directory_loaded(self: &Rc<Self>, found: &HashSet<WorkerId>) {
@@ -285,7 +305,7 @@
             log::info!(topic:% = topic, after_ms; "store_regained");
         }
         if topic == Topic::Work {
-            self.reads.notify_waiters();
+            self.reads.announce();
         }
     }
 
@@ -309,7 +329,7 @@
                 let fence = Some(Fence { epoch, seq });
                 spawn_local(Rc::clone(self).claim(Append { records, fence }));
             }
-            LeadershipEffect::Elected { epoch } => self.begin_term(epoch),
+            LeadershipEffect::Elected { epoch, succession } => self.begin_term(epoch, succession),
             LeadershipEffect::Deposed => {
                 let leader = self.core.borrow().leader();
                 log::info!(leader:% = leader; "deposed");
@@ -318,12 +338,13 @@
         }
     }
 
-    fn begin_term(self: &Rc<Self>, epoch: Epoch) {
+    fn begin_term(self: &Rc<Self>, epoch: Epoch, succession: Succession) {
         let (now, wall_ms) = (self.clock.now(), self.clock.wall_ms());
         let core = &mut *self.core.borrow_mut();
-        let directory = core.directory.values().cloned();
+        let directory = core.directory_changes();
+        let term = (epoch, succession);
         let mut scheduler =
-            Scheduler::new(now, wall_ms, epoch, core.limits, &core.ledger, directory);
+            Scheduler::new(now, wall_ms, term, core.limits, &core.ledger, directory);
         log::info!(
             epoch:% = epoch, workers = core.directory.len(), workflows = scheduler.active(),
             unaccounted = scheduler.unaccounted();
--- a/crates/workflow/src/leadership/mod.rs
+++ b/crates/workflow/src/leadership/mod.rs
@@ -14,8 +14,20 @@
 //! itself: it orders nothing once [`Limits::authority`] has passed since it *sent* the last append
 //! that was acknowledged. The successor counts the same span from when it has read its claim, which is
 //! later, and then a lease, before it takes such a worker's tasks as ended.
+//!
+//! A leader whose authority has lapsed goes on sending signs of life, and nothing else: one that is
+//! stored shows that nobody has claimed, and its term goes on with all that it knows. While the store
+//! answers reads and the sign still isn't stored for [`Limits::takeover_after`], it ends the term, as a
+//! follower would take over from a silent leader. Were it to hold its office without orders, it would do
+//! so for ever where no other VM is left, and all tasks would lapse.
+
+mod authority;
+mod succession;
+
+pub use self::succession::Succession;
 
 use {
+    self::succession::Sign,
     crate::{Key, LeaderRecord, Limits, Record},
     compact_str::CompactString,
     egretlb_types::{Epoch, Seq, Time},
@@ -57,6 +69,8 @@
     Elected {
         /// Its epoch.
         epoch: Epoch,
+        /// What its predecessors may still do.
+        succession: Succession,
     },
     /// This process leads no longer.
     Deposed,
@@ -96,6 +110,10 @@
     own_predecessor: bool,
     /// Whether the quiet is the end of a term that its holder gave up.
     released: bool,
+    /// The newest leader's last sign of life.
+    newest: Option<Sign>,
+    /// When this process's term began.
+    began: Time,
     known: Epoch,
     /// The epoch of a claim that was given up; it may yet take effect.
     given_up: Option<Epoch>,
@@ -104,6 +122,8 @@
     read_at: Time,
     /// When the last acknowledged append of this term was sent.
     proven: Time,
+    /// Since when this leader has known that its authority has lapsed.
+    lapsed: Option<Time>,
     seq: Seq,
     willing: bool,
 }
@@ -156,11 +176,14 @@
             last_tick: now,
             own_predecessor: false,
             released: false,
+            newest: None,
+            began: now,
             known: Epoch(0),
             given_up: None,
             read_sent: now,
             read_at: now,
             proven: Time::ZERO,
+            lapsed: None,
             seq: Seq(incarnation % SEQ_STARTS),
             willing: true,
         }
@@ -176,15 +199,6 @@
         record.incarnation == self.incarnation && record.node == self.node
     }
 
-    /// The epoch under which orders may be given now. Asked again right before each order is sent: a
-    /// process may have been paused since it decided.
-    pub fn authority(&self, now: Time) -> Option<Epoch> {
-        match self.role {
-            Role::Leader { epoch } if now < self.proven + self.limits.authority => Some(epoch),
-            _ => None,
-        }
-    }
-
     /// The epoch of the term, whether or not orders may be given.
     pub fn term(&self) -> Option<Epoch> {
         match self.role {
@@ -195,9 +209,14 @@
 
     /// The epoch and the number of the next append of this term, and the record that goes with it: a sign
     /// of life, or the end of the term.
-    pub fn sign(&mut self, released: bool) -> Option<(Epoch, Seq, Record)> {
+    pub fn sign(&mut self, now: Time, released: bool) -> Option<(Epoch, Seq, Record)> {
         let epoch = self.term()?;
         let seq = self.next_seq();
+        let term_ms = u64::try_from(now.since(self.began).as_millis()).unwrap_or(u64::MAX);
+        Some((epoch, seq, self.record(epoch, seq, released, term_ms)))
+    }
+
+    fn record(&self, epoch: Epoch, seq: Seq, released: bool, term_ms: u64) -> Record {
         let record = LeaderRecord {
             node: self.node.clone(),
             incarnation: self.incarnation,
@@ -205,8 +224,9 @@
             released,
             addr: self.addr,
             seq,
+            term_ms,
         };
-        Some((epoch, seq, Record::new(Key::Leader, &record)))
+        Record::new(Key::Leader, &record)
     }
 
     /// Whether an append of this term is among what was read.
@@ -243,18 +263,22 @@
         self.own_predecessor = !own && self.addr.is_some() && record.addr == self.addr;
         match self.role {
             Role::Claiming { epoch, sent } if own && record.epoch == epoch => {
-                self.elect(sent, epoch, out);
+                self.elect(now, sent, epoch, out);
             }
             // It was held up on its way and fences whoever leads by now, so it is made use of. When the read
             // was sent that shows it, nobody else had claimed.
             Role::Follower if own && self.given_up == Some(record.epoch) && !record.released => {
                 self.given_up = None;
-                self.elect(self.read_sent, record.epoch, out);
+                self.elect(now, self.read_sent, record.epoch, out);
             }
             Role::Claiming { epoch, .. } if record.epoch >= epoch => self.role = Role::Follower,
             Role::Leader { epoch } if record.epoch > epoch => self.resign(now, out),
             _ => {}
         }
+        // A term of this very process is over once it claims another, and so is that of an earlier process at
+        // its address.
+        let over = record.released || own || self.own_predecessor;
+        self.newest = Some(Sign::new(record, now, over));
     }
 
     /// Something else that only a leader writes was read.
@@ -284,6 +308,7 @@
         }
         self.last_tick = now;
         self.give_up_claim(now);
+        self.watch_authority(now, out);
         let may_claim = caught_up
             && self.willing
             && now >= self.claim_after
@@ -294,19 +319,8 @@
         let epoch = self.known.next();
         self.role = Role::Claiming { epoch, sent: now };
         let seq = self.next_seq();
-        let record = LeaderRecord {
-            node: self.node.clone(),
-            incarnation: self.incarnation,
-            epoch,
-            released: false,
-            addr: self.addr,
-            seq,
-        };
-        out.push(LeadershipEffect::Claim {
-            epoch,
-            seq,
-            records: vec![Record::new(Key::Leader, &record)],
-        });
+        let records = vec![self.record(epoch, seq, false, 0)];
+        out.push(LeadershipEffect::Claim { epoch, seq, records });
     }
 
     fn takeover_due(&self, now: Time) -> bool {
@@ -355,31 +369,13 @@
         }
     }
 
-    /// When the last acknowledged append of this term was sent: the store was reached after that.
-    pub fn proven(&self) -> Time {
-        self.proven
-    }
-
-    fn elect(&mut self, sent: Time, epoch: Epoch, out: &mut Vec<LeadershipEffect>) {
+    fn elect(&mut self, now: Time, sent: Time, epoch: Epoch, out: &mut Vec<LeadershipEffect>) {
         self.role = Role::Leader { epoch };
         self.known = epoch;
         self.proven = sent;
-        out.push(LeadershipEffect::Elected { epoch });
-    }
-
-    /// What became of an append under this term that was sent at `sent`.
-    pub fn on_append(
-        &mut self,
-        now: Time,
-        sent: Time,
-        result: AppendResult,
-        out: &mut Vec<LeadershipEffect>,
-    ) {
-        match result {
-            AppendResult::Done => self.proven = self.proven.max(sent),
-            AppendResult::Fenced => self.resign(now, out),
-            AppendResult::Conflict | AppendResult::Rejected | AppendResult::Unknown => {}
-        }
+        self.began = sent;
+        let succession = Succession::new(now, sent, &self.limits, self.newest, epoch);
+        out.push(LeadershipEffect::Elected { epoch, succession });
     }
 
     /// A worker has obeyed a higher epoch than ours.
--- a/crates/workflow/src/ledger/mod.rs
+++ b/crates/workflow/src/ledger/mod.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        Interference, Key, LeaderRecord, Outcome, Progress, Record, RecordError, RosterEntry,
+        Interference, Key, LeaderRecord, Outcome, Progress, Record, RecordError, Roster,
         Submission, WaveProgress, WorkflowId, record::read_value,
     },
     compact_str::CompactString,
@@ -90,7 +90,7 @@
 pub struct Ledger {
     entries: HashMap<WorkflowId, Entry>,
     leader: Option<(Offset, LeaderRecord)>,
-    roster: Option<(Offset, Vec<RosterEntry>)>,
+    roster: Option<(Offset, Roster)>,
     learned: Option<(Offset, Interference)>,
     waves: BTreeMap<u64, (Offset, WaveProgress)>,
 }
@@ -101,6 +101,16 @@
         self.entries.get(&id).filter(|entry| entry.submitted)
     }
 
+    /// How many workflows anything is kept of.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing is kept of any workflow.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// All workflows.
     pub fn iter(&self) -> impl Iterator<Item = (WorkflowId, &Entry)> {
         self.entries.iter().filter(|(_, entry)| entry.submitted).map(|(id, entry)| (*id, entry))
@@ -112,8 +122,8 @@
     }
 
     /// Workers that may run something by a leader's orders.
-    pub fn roster(&self) -> &[RosterEntry] {
-        self.roster.as_ref().map_or(&[], |(_, roster)| roster)
+    pub fn roster(&self) -> Option<&Roster> {
+        self.roster.as_ref().map(|(_, roster)| roster)
     }
 
     /// What the last leader had learned of images.
@@ -164,6 +174,9 @@
             Key::Submission(id) => self.apply_submission(id, value),
             Key::Cancel(_) | Key::Progress(_) if value.is_empty() => Ok(Change::None),
             Key::Cancel(id) => {
+                if !read_value::<bool>(value)? {
+                    return Ok(Change::None);
+                }
                 let entry = self.entries.entry(id).or_default();
                 let first = !std::mem::replace(&mut entry.cancelled, true);
                 Ok(if first { Change::Cancelled(id) } else { Change::None })
@@ -211,10 +224,12 @@
     /// The first submission of an id counts: a client that got no answer sends it again, and another
     /// process may have recorded it already.
     fn apply_submission(&mut self, id: WorkflowId, value: &[u8]) -> Result<Change, RecordError> {
+        // Also a repeated one is read: if it can't be, the store's newest record of this key is of no use to
+        // processes that start later.
+        let submission: Submission = read_value(value)?;
         if self.entries.get(&id).is_some_and(|entry| entry.submitted) {
             return Ok(Change::None);
         }
-        let submission: Submission = read_value(value)?;
         let entry = self.entries.entry(id).or_default();
         entry.submitted = true;
         entry.timed = submission.workflow.repeat.is_some();
@@ -231,11 +246,14 @@
         offset: Offset,
         value: &[u8],
     ) -> Result<Change, RecordError> {
-        let entry = self.entries.entry(id).or_default();
-        if entry.progress_at.is_some_and(|at| at >= offset) {
+        let known = self.entries.get(&id).and_then(|entry| entry.progress_at);
+        if known.is_some_and(|at| at >= offset) {
             return Ok(Change::None);
         }
-        entry.progress = read_value(value)?;
+        // Read first: what can't be read must not leave an entry behind.
+        let progress = read_value(value)?;
+        let entry = self.entries.entry(id).or_default();
+        entry.progress = progress;
         entry.progress_at = Some(offset);
         if entry.progress.outcome.is_some() {
             entry.submission = None;
--- a/crates/workflow/src/scheduler/stragglers.rs
+++ b/crates/workflow/src/scheduler/stragglers.rs
@@ -6,7 +6,10 @@
 //! copy elsewhere; another one is stopped and goes on elsewhere.
 
 use {
-    super::{Copy, Effect, Need, Phase, Scheduler, Worker, worker::FULL_PACE},
+    super::{
+        Copy, Effect, HoldReply, Need, Phase, Scheduler, Worker, waits::StopReason,
+        worker::FULL_PACE,
+    },
     crate::{RunId, Step, TaskId, WorkerId},
     egretlb_types::Time,
     std::time::Duration,
@@ -154,11 +157,20 @@
 
 impl Scheduler {
     /// Moves what stands still or is slow at a worker that has just been heard.
-    pub(super) fn chase(&mut self, now: Time, id: &WorkerId, out: &mut Vec<Effect>) {
+    pub(super) fn chase(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        reply: &HoldReply,
+        out: &mut Vec<Effect>,
+    ) {
         let Some(worker) = self.workers.get(id) else { return };
         let mut found: Vec<(TaskId, RunId)> = Vec::new();
         let mut standing = 0;
         for ((task, run), copy) in &worker.copies {
+            if reply.hides(*task, *run) {
+                continue;
+            }
             let Some(step) = self.step(*task) else { continue };
             let resumed = step.checkpoints;
             match judge(now, copy, step, resumed) {
@@ -183,10 +195,9 @@
         let Some(step) = self.step(task).cloned() else { return false };
         let Some(flow) = self.flows.get(&task.workflow) else { return false };
         let service = flow.submission.service.clone();
-        let Some(state) = self.task_mut(task) else { return false };
-        state.avoid = Some(id.clone());
+        self.avoid(now, task, id);
         let need = Need::new(&step, &mut self.interference);
-        self.choose(now, task, &service, &need).is_some()
+        self.choose_elsewhere(now, task, &service, &need).is_some()
     }
 
     fn move_straggler(
@@ -204,13 +215,13 @@
         if state.copies.len() > 1 || state.left >= MOST_MOVES {
             return;
         }
-        state.avoid = Some(id.clone());
+        self.avoid(now, task, id);
         if step.speculative && !self.may_start() {
             return;
         }
         let need = Need::new(&step, &mut self.interference);
         // Without another place it is better off where it is.
-        let Some(other) = self.choose(now, task, &service, &need) else { return };
+        let Some(other) = self.choose_elsewhere(now, task, &service, &need) else { return };
         log::info!(task:%, run:%, worker:% = id, copied = step.speculative; "straggler_moved");
         if let Some(state) = self.task_mut(task) {
             state.left += 1;
@@ -218,7 +229,9 @@
         if step.speculative {
             self.start(now, task, &need, &other, None, out);
         } else {
-            self.stop_runs(now, id, out, |of, number| of == task && number == run);
+            self.stop_runs(now, id, StopReason::Slow, out, |of, number| {
+                of == task && number == run
+            });
         }
     }
 }
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -1,6 +1,7 @@
 //! What the leader knows of a worker.
 
 use {
+    super::{unclear::Unclear, waits::Stop},
     crate::{
         Limits, RunId, Step, TaskId, WorkerInfo, WorkerState,
         interference::{Exposure, ImageNo, Interference},
@@ -74,6 +75,8 @@
     pub(crate) soft: MilliCores,
     pub(crate) serves: bool,
     pub(crate) fills: bool,
+    /// The stop that was ordered, if one was.
+    pub(crate) stop: Option<Stop>,
     /// It can go on elsewhere without loss: it saves its progress, or lasts.
     pub(crate) moves: bool,
     /// It runs until its workflow is cancelled.
@@ -135,6 +138,7 @@
             soft,
             serves: step.target_ms > 0,
             fills: step.fills,
+            stop: None,
             moves: step.checkpoints || step.lasting,
             lasts: step.lasting,
             yields: step.lasting && step.may_miss.is_none(),
@@ -155,6 +159,15 @@
 /// The pace of a filler that nothing holds back, in percent.
 pub(crate) const FULL_PACE: u32 = 100;
 
+/// What is known of a worker that a predecessor's roster names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Inherited {
+    /// The roster lists what may run there.
+    Listed,
+    /// Anything may run there.
+    Unlisted,
+}
+
 /// A worker and what may run there by our orders.
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -163,10 +176,13 @@
     pub(crate) present: bool,
     /// The roster in the store names it, so a successor knows to ask it.
     pub(crate) in_roster: bool,
+    /// Set if a predecessor's roster names it.
+    pub(crate) inherited: Option<Inherited>,
     /// The roster lists what may run there and nothing else; until a roster without that list is
     /// recorded, it gets no order that starts or renews anything.
     pub(crate) listed_silent: bool,
-    /// The roster lists what may run there since it is about to leave: nothing is started there any more.
+    /// The roster lists what may run there since it is about to leave: nothing is started there until a
+    /// roster without that list is recorded.
     pub(crate) leaving: bool,
     /// How many runs the roster lists there.
     pub(crate) listed_runs: usize,
@@ -182,6 +198,8 @@
     clock: Option<(u64, Time)>,
     pub(crate) poll_sent: Option<Time>,
     pub(crate) poll_at: Time,
+    /// Rows of its lists that can't be read.
+    pub(super) unclear: Unclear,
     /// Ends up to here were taken in.
     pub(crate) taken: u64,
     /// Ends up to here are recorded, so the worker may forget them.
@@ -201,6 +219,10 @@
     pub(crate) failures: u32,
     /// It gets nothing new before.
     pub(crate) barred_until: Time,
+    /// It failed one run after another: before this it gets only what can't go elsewhere.
+    pub(crate) quarantined_until: Time,
+    /// When it last left a start unanswered; none once it has answered an order since.
+    pub(crate) doubted: Option<Time>,
     /// The fillers that ran until a time, for the last half second.
     pub(crate) exposures: VecDeque<(Time, Exposure)>,
     /// A serving task is over its target: no filler is added.
@@ -220,6 +242,7 @@
             info,
             present: true,
             in_roster: false,
+            inherited: None,
             listed_silent: false,
             leaving: false,
             listed_runs: 0,
@@ -230,6 +253,7 @@
             clock: None,
             poll_sent: None,
             poll_at: now,
+            unclear: Unclear::default(),
             taken: 0,
             recorded: 0,
             copies: BTreeMap::new(),
@@ -242,6 +266,8 @@
             speed: None,
             failures: 0,
             barred_until: Time::ZERO,
+            quarantined_until: Time::ZERO,
+            doubted: None,
             exposures: VecDeque::new(),
             over_target: false,
             own_headrooms: SmallVec::new(),
@@ -312,14 +338,17 @@
         self.surveyed && !self.is_responsive(now, limits)
     }
 
-    /// Whether the roster lists it as silent: it is, or a predecessor said so and it hasn't answered since.
+    /// Whether the roster lists it as one that gets no orders: it is silent, or was taken over from a
+    /// predecessor and hasn't answered since.
     pub(crate) fn lists_silent(&self, now: Time, limits: &Limits) -> bool {
-        self.is_silent(now, limits) || (!self.surveyed && self.listed_silent)
+        self.is_silent(now, limits) || (!self.surveyed && self.inherited.is_some())
     }
 
-    /// Whether it is about to leave, and what may run there is known.
+    /// Whether it is about to leave, by its own word, and what may run there is known. Its entry may have
+    /// been missing for a while, or have been read late: what was once taken for leaving may turn out to
+    /// stay, and its room would be lost for good if that weren't taken back.
     pub(crate) fn leaves(&self) -> bool {
-        self.leaving || (self.surveyed && self.info.state == WorkerState::Draining)
+        self.info.state == WorkerState::Draining && (self.leaving || self.surveyed)
     }
 
     /// Whether it has certainly left: it had announced that, its entry is gone, and nothing listens at
@@ -331,13 +360,27 @@
 
     /// Whether it may get a new task.
     pub(crate) fn takes_work(&self, now: Time, limits: &Limits) -> bool {
+        now >= self.quarantined_until && self.takes_any_work(now, limits)
+    }
+
+    /// Whether it may get a new task that can't go elsewhere.
+    pub(crate) fn takes_any_work(&self, now: Time, limits: &Limits) -> bool {
+        self.is_fit(now, limits) && now >= self.barred_until && !self.is_doubted(now)
+    }
+
+    /// Until when what it did with the last tasks keeps new ones away.
+    pub(crate) fn barred_span_end(&self) -> Time {
+        self.barred_until.max(self.quarantined_until)
+    }
+
+    /// Whether it may get new tasks, but for what it did with the last ones.
+    pub(crate) fn is_fit(&self, now: Time, limits: &Limits) -> bool {
         self.present
             && self.in_roster
             && !self.listed_silent
             && !self.leaving
             && self.surveyed
             && self.info.state == WorkerState::Ready
-            && now >= self.barred_until
             && self.is_responsive(now, limits)
     }
 
--- a/crates/workflow/tests/support/messages.rs
+++ b/crates/workflow/tests/support/messages.rs
@@ -9,7 +9,7 @@
     egretlb_types::{Epoch, Seq, Time},
     egretlb_workflow::{
         AdviceResult, AdviceTerms, AppendResult, Effect, HoldResult, PaceResult, Record, RunId,
-        Scheduler, StartResult, StepId, StopResult, TaskId, UpkeepResult, VmEntry, VmId, WaveState,
+        Scheduler, StartResult, StepId, StopResult, TaskId, UpkeepResult, VmId, VmList, WaveState,
         WorkerId,
     },
     rand::Rng,
@@ -56,7 +56,7 @@
     Stop(WorkerId, TaskId, RunId, StopResult),
     Pace(WorkerId, TaskId, RunId, PaceResult),
     Advice(StepId, AdviceResult),
-    Vms(Option<Vec<VmEntry>>),
+    Vms(Option<VmList>),
     Upkeep(u64, VmId, UpkeepResult),
     Told(u64, WaveState),
 }
@@ -109,7 +109,7 @@
                     if leadership.term() != Some(epoch) {
                         continue;
                     }
-                    let Some((_, seq, sign)) = leadership.sign(false) else { continue };
+                    let Some((_, seq, sign)) = leadership.sign(sent, false) else { continue };
                     records.push(sign);
                     let fence = (epoch, seq);
                     self.send(Msg::Append {
@@ -180,6 +180,16 @@
             return;
         }
         let mut result = AppendResult::Rejected;
+        if reached && sent + STEP * 3 >= self.now && self.is_late() {
+            let wait = Duration::from_millis(self.rng.random_range(100..3_000));
+            let held_up =
+                Msg::Append { node, incarnation, sent, records: records.clone(), fence, claim };
+            self.messages.push((self.now + wait, held_up));
+            let result = AppendResult::Unknown;
+            let lost = Msg::Appended { node, incarnation, sent, records, fence, claim, result };
+            self.messages.push((sent + HANGS, lost));
+            return;
+        }
         if reached {
             result = self.store.append(&records, Some(fence));
             if self.rng.random_range(0..1_000) < self.lost_appends {
@@ -189,6 +199,10 @@
         self.send(Msg::Appended { node, incarnation, sent, records, fence, claim, result });
     }
 
+    fn is_late(&mut self) -> bool {
+        self.late_appends > 0 && self.rng.random_range(0..1_000) < self.late_appends
+    }
+
     fn order(&mut self, node: usize, incarnation: u64, epoch: Epoch, sent: Time, effect: Effect) {
         let now = self.now;
         match effect {
@@ -206,6 +220,12 @@
             return;
         };
         let id = id.clone();
+        let polls = matches!(effect, Effect::Hold { .. });
+        if let Some(turn) = self.turn_at(&id).filter(|turn| !polls && *turn > now) {
+            let msg = Msg::Order { node, incarnation, epoch, sent: turn, effect };
+            self.messages.push((turn, msg));
+            return;
+        }
         if let Effect::Start { task, run, .. } = &effect
             && now == sent
             && !self.wants(node, incarnation, &id, *task, *run)
@@ -223,17 +243,28 @@
             let lost = Msg::Order { node, incarnation, epoch, sent, effect: effect.clone() };
             self.messages.push((now + wait, lost));
         }
-        let meets = if late { Meets::Silence } else { self.meets(node, index) };
-        let Some(mut answer) = self.carry_out(index, id, effect, meets) else { return };
+        let mute = self.workers[index].mute && !polls;
+        let meets = if late || mute { Meets::Silence } else { self.meets(node, index) };
         let deaf = self.nodes[node].deaf_to.contains(&index);
-        if deaf {
-            answer = answer.lost();
-        }
         // A call without an answer is given up after half a second.
         let wait = if deaf || meets == Meets::Silence { Duration::from_millis(500) } else { STEP };
+        if !polls {
+            self.turns.entry(id.clone()).or_default().push(now + wait);
+        }
+        let Some(answer) = self.carry_out(index, id, effect, meets) else { return };
+        let answer = if deaf { answer.lost() } else { answer };
         self.messages.push((now + wait, Msg::Answer { node, incarnation, epoch, sent, answer }));
     }
 
+    /// When the next order may be sent to a worker; none if orders don't wait for each other.
+    fn turn_at(&mut self, id: &WorkerId) -> Option<Time> {
+        let (now, most) = (self.now, self.orders_at_once?);
+        let busy = self.turns.entry(id.clone()).or_default();
+        busy.retain(|until| *until > now);
+        busy.sort_unstable();
+        busy.len().checked_sub(most).map(|first| busy[first])
+    }
+
     /// What orders of a node to a worker meet.
     fn meets(&self, node: usize, index: usize) -> Meets {
         let node = &self.nodes[node];
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -8,10 +8,10 @@
     egretlb_types::{Offset, Time},
     egretlb_workflow::{
         DirectoryChange, Key, LeadershipEffect, Limits, Outcome, Record, State, Submission, Wave,
-        WorkerId, WorkflowId,
+        WorkerId, WorkerInfo, WorkflowId,
     },
     rand::{SeedableRng, rngs::SmallRng},
-    std::time::Duration,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 pub const STEP: Duration = Duration::from_millis(5);
@@ -30,10 +30,16 @@
     pub store_down: bool,
     /// Appends that take effect without an answer, in thousandths.
     pub lost_appends: u32,
+    /// Appends that get no answer and arrive at the store 0.1 to 3 s later, in thousandths.
+    pub late_appends: u32,
     /// Orders that get no answer and are carried out 2 to 12 s later, in thousandths.
     pub late_orders: u32,
     /// How long orders wait at the node before they are sent, as on a VM that is too weak for its load.
     pub order_wait: Duration,
+    /// Whether orders wait while so many at the same worker have no answer; none if they don't wait.
+    pub orders_at_once: Option<usize>,
+    /// When the last orders at each worker are answered or given up.
+    pub turns: BTreeMap<WorkerId, Vec<Time>>,
     pub advisor: Advisor,
     pub fleet: Fleet,
     /// Waves that the operator asks for; nodes read them at once.
@@ -58,8 +64,11 @@
             store: Store::default(),
             store_down: false,
             lost_appends: 0,
+            late_appends: 0,
             late_orders: 0,
             order_wait: Duration::ZERO,
+            orders_at_once: None,
+            turns: BTreeMap::new(),
             advisor: Advisor::default(),
             fleet: Fleet::default(),
             waves: Vec::new(),
@@ -232,13 +241,16 @@
         node.leadership.tick(now, readable || node.calls_hang, &mut out);
         node.apply(now, out, &mut wishes);
         let mut effects = Vec::new();
-        if node.leads(now)
-            && let Some(scheduler) = &mut node.scheduler
-        {
+        let leads = node.leads(now);
+        if let Some(scheduler) = &mut node.scheduler {
             for (number, wave) in &self.waves {
                 scheduler.on_wave(now, *number, Some(wave.clone()), &node.ledger);
             }
-            scheduler.tick(now, now.as_micros() / 1_000, &mut effects);
+            if leads {
+                scheduler.tick(now, now.as_micros() / 1_000, &mut effects);
+            } else {
+                scheduler.sign_only(now, &mut effects);
+            }
         }
         node.wish(effects, &mut wishes);
         self.perform(index, wishes);
@@ -246,20 +258,33 @@
 
     fn read_directory(&mut self, index: usize) {
         let now = self.now;
-        let present: Vec<_> =
+        let mut present: Vec<_> =
             self.workers.iter().filter(|w| w.up && w.listed).map(|w| w.info.clone()).collect();
+        let lost: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|worker| worker.entry_lost)
+            .map(|worker| worker.info.id.clone())
+            .collect();
         let node = &mut self.nodes[index];
+        present.retain(|info| !lost.contains(&info.id));
+        let mut kept = node.directory.clone();
+        kept.retain(|known| lost.contains(&known.id));
+        kept.iter_mut().for_each(WorkerInfo::lose_entry);
         let gone: Vec<WorkerId> = node
             .directory
             .iter()
-            .filter(|known| !present.iter().any(|info| info.id == known.id))
+            .filter(|known| !present.iter().chain(&kept).any(|info| info.id == known.id))
             .map(|known| known.id.clone())
             .collect();
-        node.directory.clone_from(&present);
+        node.directory = present.iter().chain(&kept).cloned().collect();
         if let Some(scheduler) = &mut node.scheduler {
             for info in present {
                 scheduler.on_directory(now, DirectoryChange::Present(info));
             }
+            for id in lost {
+                scheduler.on_directory(now, DirectoryChange::Unreadable(id));
+            }
             for id in gone {
                 scheduler.on_directory(now, DirectoryChange::Absent(id));
             }
