--- /dev/null
+++ b/crates/workflow/tests/upkeep_unheard.rs
@@ -0,0 +1,39 @@
+//! A wave of upkeep with a VM whose worker the leader never hears.
+
+mod support;
+
+use {
+    egretlb_workflow::{Limits, Wave, WaveState},
+    std::time::Duration,
+    support::{fleet::vm, step, submission, world::World},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// After a change of the leader nobody reaches one worker, which the directory still lists: its VM's network is
+/// broken, and the VM needs its upkeep all the more. All that ran there has lapsed ten seconds later. Were its
+/// answer waited for, that VM would hold the only place of the wave for ever, and an operator who asked for the
+/// upkeep of eight VMs would get that of none.
+#[test]
+fn wave_goes_on() {
+    for seed in 0..4 {
+        let mut world = World::new(seed, 3, 8, Limits::default());
+        world.house();
+        world.run(2 * SECOND);
+        world.submit(1, &submission(vec![step(4, 300)]));
+        world.run(2 * SECOND);
+        let leader = world.leader().expect("somebody leads");
+        for node in &mut world.nodes {
+            node.cut_from = vec![0];
+        }
+        world.kill(leader);
+        world.run(3 * SECOND);
+        let vms = (0..8).map(vm).collect();
+        world.waves.push((1, Wave { vms, within: Duration::from_secs(60), cap: 1 }));
+        let completed = |world: &World| world.fleet.told.contains(&WaveState::Completed);
+        let took = world.run_until(80 * SECOND, completed);
+        assert!(took.is_some(), "{seed}: {:?}", world.fleet.done);
+        assert!(world.fleet.most_down <= 1, "{seed}");
+        assert_eq!(world.checker.faults, Vec::<String>::new(), "{seed}");
+    }
+}
