Wait in full for a silent worker if the last leader left no roster

Cause: it was taken for granted that nobody had renewed anything there since the roster was written.

--- a/crates/workflow/src/scheduler/survey.rs
+++ b/crates/workflow/src/scheduler/survey.rs
@@ -71,9 +71,9 @@
             Standing::Silent { lapses_ms, .. } | Standing::Unanswered { lapses_ms } if known => {
                 latest.min(self.succession.time_of(*lapses_ms))
             }
-            // Nobody has renewed anything there since the roster was written.
-            Standing::Silent { .. } => now + lease,
-            Standing::Open | Standing::Leaving { .. } | Standing::Unanswered { .. } => latest,
+            // The writer of the roster starts and renews nothing at a worker that it lists as silent. Had that one
+            // not answered it, though, a leader before it may still renew what runs there.
+            _ => latest,
         }
     }
 
