--- a/crates/workflow/src/scheduler/upkeep/mod.rs
+++ b/crates/workflow/src/scheduler/upkeep/mod.rs
@@ -242,8 +242,8 @@
     /// elsewhere without harm.
     fn may_go_down(&self, now: Time, id: &WorkerId, waited: bool) -> bool {
         let Some(worker) = self.workers.get(id) else { return waited };
-        // What runs at a worker that hasn't answered this leader isn't known.
-        if !worker.surveyed {
+        // What runs at a worker that hasn't answered this leader isn't known, until it must have lapsed.
+        if !worker.surveyed && now < worker.lease_bound {
             return false;
         }
         let guarded = |copy: &Copy| copy.lasts && !copy.yields;
