Set a task free once its unanswered start can't begin any more

Cause: only a confirmed stop freed it. At a worker that answers polls and no order it never came, so the task ran nowhere for as long as the worker lived. A start is rejected once its own lease has ended on the worker's clock: a list of a later reading without the run proves that there is none.

--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -222,12 +222,19 @@
         let Some(worker) = self.workers.get(id) else { return };
         let mut gone = Vec::new();
         let mut doubtful = Vec::new();
+        let mut never_began = Vec::new();
         for (key, copy) in worker.copies.iter().filter(|(key, _)| !listed.contains(*key)) {
             match copy.phase {
                 Phase::Running { clock_ms } if reply.clock_ms > clock_ms => gone.push(*key),
                 Phase::Stopping { confirmed_ms: Some(at), .. } if reply.clock_ms > at => {
                     gone.push(*key);
                 }
+                // It can't begin any more, whether or not a stop is ever answered.
+                Phase::Doubtful { .. } | Phase::Stopping { .. }
+                    if copy.starts_until_ms.is_some_and(|until| reply.clock_ms > until) =>
+                {
+                    never_began.push(*key);
+                }
                 Phase::Doubtful { since } if sent > since => doubtful.push(*key),
                 _ => {}
             }
@@ -236,6 +243,12 @@
             log::info!(task:%, run:%, worker:% = id; "run_not_listed");
             self.drop_copy(now, id, task, run);
         }
+        for (task, run) in never_began {
+            log::info!(task:%, run:%, worker:% = id; "start_too_late");
+            // The roomiest worker would be tried with it again and again.
+            self.avoid(now, task, id);
+            self.drop_copy(now, id, task, run);
+        }
         // The start may still be carried out; a stop keeps it from that.
         for (task, run) in doubtful {
             self.stop_runs(now, id, out, |of, number| of == task && number == run);
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -169,7 +169,9 @@
             return;
         };
         let addr = worker.info.addr;
-        worker.insert(task, run, Copy::new(now, need, Phase::Starting));
+        let mut copy = Copy::new(now, need, Phase::Starting);
+        copy.starts_until_ms = Some(until_ms);
+        worker.insert(task, run, copy);
         worker.poll_at = worker.poll_at.min(now + limits.poll_gap);
         let Some(state) = self.task_mut(task) else { return };
         state.last_run = run;
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -41,6 +41,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Copy {
     pub(crate) phase: Phase,
+    /// The end of the lease that it was started with, on the worker's clock in milliseconds: a start that arrives
+    /// later is rejected. None if this leader didn't start it.
+    pub(crate) starts_until_ms: Option<u64>,
     /// When it was started, or found.
     pub(crate) placed: Time,
     /// When it began to run, as far as is known.
@@ -114,6 +117,7 @@
         let Need { step, hard, soft, image, .. } = *need;
         Copy {
             phase,
+            starts_until_ms: None,
             placed: now,
             began: now,
             moved_at: now,
