Start again what a leader has found running, also while it waits for a lost worker

Cause: all inherited work was held back, also tasks that this leader has itself seen run and stopped.

--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -329,6 +329,7 @@
         // run at all, and the task must not start anew while this one is being stopped.
         if let Some(state) = self.task_mut(task) {
             state.copies.push((id.clone(), run));
+            state.found |= wanted;
             if wanted {
                 state.saved.clone_from(&running.saved);
             }
--- a/crates/workflow/src/scheduler/flow.rs
+++ b/crates/workflow/src/scheduler/flow.rs
@@ -22,6 +22,8 @@
     /// Runs that may be under way, and where.
     pub(crate) copies: SmallVec<[(WorkerId, RunId); 1]>,
     pub(crate) last_run: RunId,
+    /// This leader has found it running: no run of it that a predecessor started can be under way elsewhere.
+    pub(crate) found: bool,
     pub(crate) saved: CompactString,
     /// Where it failed or was slow last: the next run goes elsewhere if it can.
     pub(crate) avoid: Option<Avoided>,
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -51,11 +51,13 @@
         out: &mut Vec<Effect>,
     ) -> bool {
         let Some(flow) = self.flows.get(&key.workflow) else { return true };
-        if flow.inherited && !self.unaccounted.is_empty() {
-            return false;
-        }
+        let held = flow.inherited && !self.unaccounted.is_empty();
         let service = flow.submission.service.clone();
         let step = flow.submission.workflow.steps[usize::from(key.step)].clone();
+        // Of what a predecessor may have started only what was found since can't run at a worker that is silent.
+        if held && (step.gang || step.speculative || !self.put_found_first(key)) {
+            return false;
+        }
         let image = self.interference.image(&step.image);
         let hopeless = |known: &Unmet| {
             known.service == service
@@ -75,6 +77,9 @@
         }
         let need = Need::new(&step, &mut self.interference);
         loop {
+            if held && !self.put_found_first(key) {
+                return false;
+            }
             let Some(index) = self.front(key) else { return true };
             if !self.may_start() {
                 return false;
@@ -86,7 +91,7 @@
                 self.choose(now, task, &service, &need)
             };
             let Some(worker) = chosen else {
-                if self.bring_forward(now, key) {
+                if !held && self.bring_forward(now, key) {
                     continue;
                 }
                 let keeps_away = self.front_keeps_away(now, key);
@@ -141,6 +146,19 @@
         step.queue.front().copied()
     }
 
+    /// Puts a task that this leader has found running before those of which a predecessor may have started any;
+    /// returns whether one of them waits.
+    fn put_found_first(&mut self, key: Ready) -> bool {
+        self.front(key);
+        let Some(flow) = self.flows.get_mut(&key.workflow) else { return false };
+        let Some(occurrence) = flow.occurrences.get_mut(&key.occurrence) else { return false };
+        let Some(step) = occurrence.steps.get_mut(usize::from(key.step)) else { return false };
+        let found = |index: &u32| step.tasks.get(*index as usize).is_some_and(|task| task.found);
+        let Some(place) = step.queue.iter().position(found) else { return false };
+        step.queue.swap(0, place);
+        true
+    }
+
     fn pop(&mut self, key: Ready) {
         if let Some(queue) = self.queue_of(key) {
             queue.pop_front();
