--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -189,7 +189,15 @@
         let Some(worker) = self.workers.get(id) else { return };
         let mut gone = Vec::new();
         let mut doubtful = Vec::new();
+        let mut never_began = Vec::new();
         for (key, copy) in worker.copies.iter().filter(|(key, _)| !listed.contains(*key)) {
+            // It can't begin any more, whether or not a stop is ever answered.
+            let late = copy.starts_until_ms.is_some_and(|until| reply.clock_ms > until);
+            let unanswered = matches!(copy.phase, Phase::Doubtful { .. } | Phase::Stopping { .. });
+            if late && unanswered && worker.unclear.is_clear() {
+                never_began.push(*key);
+                continue;
+            }
             match worker.unclear.absent(now, copy.phase, sent, reply.clock_ms, lease) {
                 Absent::Gone => gone.push(*key),
                 Absent::Doubtful => doubtful.push(*key),
@@ -200,6 +208,12 @@
             log::info!(task:%, run:%, worker:% = id; "run_not_listed");
             self.drop_copy(now, id, task, run);
         }
+        for (task, run) in never_began {
+            log::info!(task:%, run:%, worker:% = id; "start_too_late");
+            // The roomiest worker would be tried with it again and again.
+            self.avoid(now, task, id);
+            self.drop_copy(now, id, task, run);
+        }
         // The start may still be carried out; a stop keeps it from that.
         for (task, run) in doubtful {
             self.stop_runs(now, id, StopReason::Doubtful, out, |of, number| {
@@ -308,6 +322,7 @@
         // run at all, and the task must not start anew while this one is being stopped.
         if let Some(state) = self.task_mut(task) {
             state.copies.push((id.clone(), run));
+            state.found |= wanted;
             if wanted && !running.saved.is_empty() {
                 state.saved.clone_from(&running.saved);
             }
--- a/crates/workflow/src/scheduler/unclear.rs
+++ b/crates/workflow/src/scheduler/unclear.rs
@@ -63,6 +63,11 @@
         self.runs_since.is_some() || !self.open_ends.is_empty()
     }
 
+    /// Whether all rows of the last answer that may stand for a run or its end could be read.
+    pub(super) fn is_clear(&self) -> bool {
+        self.runs_since.is_none() && self.open_ends.is_empty()
+    }
+
     /// Whether an end couldn't be read in the last answer that was taken in.
     pub(super) fn is_open(&self, end: u64) -> bool {
         self.open_ends.contains(&end)
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -44,6 +44,9 @@
     pub(crate) phase: Phase,
     /// Its task had been started before.
     pub(crate) again: bool,
+    /// The end of the lease that it was started with, on the worker's clock in milliseconds: a start that arrives
+    /// later is rejected. None if this leader didn't start it.
+    pub(crate) starts_until_ms: Option<u64>,
     /// When it was started, or found.
     pub(crate) placed: Time,
     /// When it began to run, as far as is known.
@@ -120,6 +123,7 @@
         Copy {
             phase,
             again: false,
+            starts_until_ms: None,
             placed: now,
             began: now,
             moved_at: now,
