--- a/crates/workflow/tests/mute_for_good.rs
+++ b/crates/workflow/tests/mute_for_good.rs
@@ -33,7 +33,7 @@
     }
 }
 
-/// A quarter of all orders arrives 2 to 12 s late, at a worker that answers all polls. What is set free without
+/// Two of five orders arrive 2 to 12 s late, and all polls are answered. What is set free without
 /// an answer must not run twice.
 #[test]
 fn late_ones_run_once() {
