Begin a term only after all newest records are read

Cause: a process that has claimed reads its claim among the newest records of all keys if the history is forgotten meanwhile. The leader's key stands before the roster and the workflows; the term began at once, without them. Workflows read a moment later were taken for new ones and started, although a worker that doesn't answer might run them.

Leaders' records are taken in at the end of the load.

Runs and what they need stand in a file of their own, which the worker's had outgrown.

--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -9,7 +9,7 @@
     bytes::Bytes,
     compact_str::CompactString,
     egretlb_types::{Offset, Time},
-    egretlb_workflow::{DirectoryChange, WorkerId, WorkerState},
+    egretlb_workflow::{DirectoryChange, Key, WorkerId, WorkerState},
     std::{collections::HashSet, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
@@ -84,6 +84,9 @@
     let mut start = None;
     let mut found = HashSet::new();
     let mut complete = true;
+    // A term that begins with the leader's record would know nothing of the keys behind it: neither which
+    // workers may still run something, nor that workflows aren't new.
+    let mut leaders = Vec::new();
     loop {
         let page = node.heed(node.store().newest(topic, after.clone()).await);
         let NewestResult::Page { records, unreadable, end, more, whole } = page else {
@@ -91,8 +94,12 @@
         };
         let next = *start.get_or_insert(end);
         complete &= whole;
-        for stored in &records {
-            found.extend(apply(node, topic, stored));
+        for stored in records {
+            if topic == Topic::Work && Key::from_bytes(&stored.key) == Ok(Key::Leader) {
+                leaders.push(stored);
+            } else {
+                found.extend(apply(node, topic, &stored));
+            }
         }
         if topic == Topic::Directory {
             found.extend(unreadable.iter().map(|key| lose_entry(node, key)));
@@ -101,6 +108,9 @@
         let stuck = more.is_some() && more == after;
         after = more;
         if after.is_none() || stuck {
+            for stored in &leaders {
+                apply(node, topic, stored);
+            }
             if topic == Topic::Directory && complete && !stuck {
                 node.directory_loaded(&found);
             }
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -11,6 +11,7 @@
 
 mod advice;
 mod audit;
+mod copy;
 mod effect;
 mod ends;
 mod fallback;
@@ -35,9 +36,10 @@
 
 use {
     self::{
+        copy::{Copy, Need, Phase},
         flow::Flow,
         waits::StopReason,
-        worker::{Copy, Inherited, Need, Phase, Worker},
+        worker::{Inherited, Worker},
     },
     crate::{
         Change, DirectoryChange, Interference, Ledger, Limits, Outcome, Record, RunId, StepId,
--- a/crates/workflow/src/scheduler/pacing.rs
+++ b/crates/workflow/src/scheduler/pacing.rs
@@ -10,8 +10,8 @@
 
 use {
     super::{
-        Copy, Effect, Phase, Scheduler, Worker, pressure::NOTICEABLE, waits::StopReason,
-        worker::FULL_PACE,
+        Copy, Effect, Phase, Scheduler, Worker, copy::FULL_PACE, pressure::NOTICEABLE,
+        waits::StopReason,
     },
     crate::{ImageNo, RunId, TaskId, WorkerId, WorkflowId, interference::Exposure},
     egretlb_types::Time,
--- a/crates/workflow/src/scheduler/stragglers.rs
+++ b/crates/workflow/src/scheduler/stragglers.rs
@@ -7,8 +7,7 @@
 
 use {
     super::{
-        Copy, Effect, HoldReply, Need, Phase, Scheduler, Worker, waits::StopReason,
-        worker::FULL_PACE,
+        Copy, Effect, HoldReply, Need, Phase, Scheduler, Worker, copy::FULL_PACE, waits::StopReason,
     },
     crate::{RunId, Step, TaskId, WorkerId},
     egretlb_types::Time,
