--- a/crates/workflow/tests/lasting_lines.rs
+++ b/crates/workflow/tests/lasting_lines.rs
@@ -3,10 +3,10 @@
 mod support;
 
 use {
-    egretlb_types::MilliCores,
-    egretlb_workflow::{Limits, Step, WorkerState},
+    egretlb_workflow::{Limits, WorkerState},
     std::time::Duration,
     support::{
+        lasting,
         lines::{self, Line},
         step, submission,
         world::World,
@@ -22,13 +22,6 @@
     world
 }
 
-fn lasting(count: u32, cores: u32) -> Step {
-    let mut step = step(count, 0);
-    step.resources.cpu = MilliCores(cores * 1_000);
-    step.lasting = true;
-    step
-}
-
 /// The lines that name a run of a lasting task of workflow `id`.
 fn runs<'a>(lines: &'a [Line], event: &str, id: u64) -> Vec<&'a Line> {
     let prefix = format!("{id:016x}.");
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -34,6 +34,14 @@
     }
 }
 
+/// A step of `count` lasting tasks of `cores` each.
+pub fn lasting(count: u32, cores: u32) -> Step {
+    let mut step = step(count, 0);
+    step.resources.cpu = MilliCores(cores * 1_000);
+    step.lasting = true;
+    step
+}
+
 /// A submission of these steps with three attempts, to the service of the world's workers.
 pub fn submission(steps: Vec<Step>) -> Submission {
     Submission {
--- a/crates/workflow/tests/wait_lines.rs
+++ b/crates/workflow/tests/wait_lines.rs
@@ -4,9 +4,10 @@
 
 use {
     egretlb_types::MilliCores,
-    egretlb_workflow::{Limits, Step, WorkerState},
+    egretlb_workflow::{Limits, WorkerState},
     std::time::Duration,
     support::{
+        lasting,
         lines::{self, Line},
         step, submission,
         world::World,
@@ -22,13 +23,6 @@
     world
 }
 
-fn lasting(count: u32, cores: u32) -> Step {
-    let mut step = step(count, 0);
-    step.resources.cpu = MilliCores(cores * 1_000);
-    step.lasting = true;
-    step
-}
-
 fn number(line: &Line, key: &str) -> u64 {
     line.get(key).parse().unwrap_or_else(|_| panic!("{key} in {line:?}"))
 }
