--- a/crates/workflow/src/scheduler/waits/queued.rs
+++ b/crates/workflow/src/scheduler/waits/queued.rs
@@ -107,6 +107,9 @@
             return Some(Cause::plain(Reason::GivesWay));
         }
         let index = *self.queue_of(key)?.front()?;
+        if self.was_started(task_of(key, index)) && !self.may_repeat(now) {
+            return Some(Cause::plain(Reason::Unproven));
+        }
         let cause = self.best_place(now, task_of(key, index), &step)?;
         if step.gang && cause.reason == Reason::Next {
             return Some(Cause::plain(Reason::Gang));
--- a/crates/workflow/src/scheduler/waits/reason.rs
+++ b/crates/workflow/src/scheduler/waits/reason.rs
@@ -10,6 +10,8 @@
     SurveyUnderWay,
     /// The records are read too late to start anything.
     RecordsReadLate,
+    /// It ran before, and none of this leader's appends was acknowledged lately: there may be another leader.
+    Unproven,
     /// As many starts as allowed are under way.
     StartsUnderWay,
     /// No worker of its service takes work.
@@ -53,6 +55,7 @@
                 "workers that may still run it haven't answered the new leader"
             }
             Reason::RecordsReadLate => "the records are read too late",
+            Reason::Unproven => "it ran before, and the leader hasn't been acknowledged lately",
             Reason::StartsUnderWay => "as many starts as allowed are under way",
             Reason::NoWorkers => "no worker of its service takes work",
             Reason::NoLabel => "no worker that takes work has its label",
--- a/crates/workflow/tests/why_waiting.rs
+++ b/crates/workflow/tests/why_waiting.rs
@@ -214,3 +214,18 @@
     world.run(SECOND);
     assert_eq!(reason(&mut world, id), Some(Reason::Gang));
 }
+
+/// A task fails while the store is away. It isn't started again before the leader is acknowledged, since another
+/// one may lead by now; whoever looks must see that, and not a task that starts next and never does.
+#[test]
+fn unproven() {
+    let mut world = world(99);
+    for worker in &mut world.workers {
+        worker.fails_all = true;
+    }
+    let id = world.submit(1, &submission(vec![step(1, 1_800)]));
+    world.run(SECOND / 2);
+    world.store_down = true;
+    world.run(SECOND * 2);
+    assert_eq!(reason(&mut world, id), Some(Reason::Unproven));
+}
