--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -6,9 +6,9 @@
 //! argument everywhere, effects are data.
 
 mod bits;
+mod colocation;
 mod directory;
 mod ids;
-mod interference;
 mod leadership;
 mod ledger;
 mod limits;
@@ -20,9 +20,12 @@
 
 pub use crate::{
     bits::Bits,
+    colocation::{
+        Apart, Demand, Exposure, Host, ImageNo, Interference, Movable, Regrouping, Sighting,
+        headroom_of, openness, set,
+    },
     directory::{DirectoryChange, WorkerInfo, WorkerState},
     ids::{IdError, RunId, StepId, TaskId, WorkerId, WorkflowId},
-    interference::{Exposure, ImageNo, Interference, headroom_of, set},
     leadership::{AppendResult, Leadership, LeadershipEffect, Succession},
     ledger::{Change, Entry, Ledger, State},
     limits::Limits,
--- a/crates/workflow/src/scheduler/advice.rs
+++ b/crates/workflow/src/scheduler/advice.rs
@@ -147,7 +147,7 @@
         let occurrence = flow.occurrences.get(&id.occurrence);
         let state = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(id.step)));
         let waiting = state.map_or(0, |state| state.queue.len());
-        let need = Need::new(&step, &mut self.interference);
+        let need = Need::new(&step, &mut self.colocation);
         let known = self.advice.steps.entry(id).or_default();
         let mut open: Vec<((bool, u32), &WorkerId)> = Vec::new();
         for (worker_id, worker) in &self.workers {
--- a/crates/workflow/src/scheduler/copy.rs
+++ b/crates/workflow/src/scheduler/copy.rs
@@ -4,7 +4,7 @@
     super::waits::Stop,
     crate::{
         Step,
-        interference::{ImageNo, Interference},
+        colocation::{Colocation, ImageNo},
     },
     egretlb_types::{MilliCores, Resources, Time},
 };
@@ -97,18 +97,18 @@
 }
 
 impl<'a> Need<'a> {
-    pub(crate) fn new(step: &'a Step, interference: &mut Interference) -> Need<'a> {
+    pub(crate) fn new(step: &'a Step, colocation: &mut Colocation) -> Need<'a> {
         let mut hard = step.resources;
         let mut soft = MilliCores(0);
         if step.fills {
             soft = std::mem::take(&mut hard.cpu);
         }
-        Need { step, hard, soft, image: interference.image(&step.image), rack: None }
+        Need { step, hard, soft, image: colocation.image(&step.image), rack: None }
     }
 
-    /// The processor time that a filling task asks for, in cores.
-    pub(crate) fn cores(&self) -> f32 {
-        self.soft.0 as f32 / 1_000.0
+    /// Its image and the processor time that it asks for, in cores, if it fills.
+    pub(crate) fn filler(&self) -> (ImageNo, f32) {
+        (self.image, self.soft.0 as f32 / 1_000.0)
     }
 }
 
@@ -144,14 +144,14 @@
         }
     }
 
-    /// The processor time that a filling task asks for, in cores.
-    pub(crate) fn cores(&self) -> f32 {
-        self.soft.0 as f32 / 1_000.0
+    /// Its image and the processor time that it asks for, in cores, if it fills.
+    pub(crate) fn filler(&self) -> (ImageNo, f32) {
+        (self.image, self.soft.0 as f32 / 1_000.0)
     }
 
-    /// The processor time that a filling task may use at its pace, in thousandths of a core.
-    pub(crate) fn paced_cpu(&self) -> u32 {
-        self.soft.0 * self.pace / FULL_PACE
+    /// The processor time that a filling task may use at its pace.
+    pub(crate) fn paced_cpu(&self) -> MilliCores {
+        MilliCores(self.soft.0 * self.pace / FULL_PACE)
     }
 }
 
--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -310,7 +310,7 @@
             None => false,
         };
         let step = step.unwrap_or_default();
-        let need = Need::new(&step, &mut self.interference);
+        let need = Need::new(&step, &mut self.colocation);
         let mut copy = Copy::new(now, &need, Phase::Running { clock_ms });
         copy.percent = percent;
         // A predecessor may have held it back.
--- a/crates/workflow/src/scheduler/fallback.rs
+++ b/crates/workflow/src/scheduler/fallback.rs
@@ -5,7 +5,7 @@
 //! which the only room is at a worker under quarantine, where two failures in a row may be chance.
 
 use {
-    super::{Need, Ready, Scheduler, place::task_of},
+    super::{Need, Ready, Scheduler, flow::Avoided},
     crate::{TaskId, WorkerId},
     compact_str::CompactString,
     egretlb_types::Time,
@@ -22,13 +22,6 @@
 /// takes it as forgotten after 3 s with room for it.
 const LAST_RESORT: Duration = Duration::from_secs(2);
 
-/// A worker that a task is better off without.
-#[derive(Clone, Debug)]
-pub(crate) struct Avoided {
-    pub(crate) worker: WorkerId,
-    pub(crate) since: Time,
-}
-
 impl Scheduler {
     /// Notes that a task failed at a worker or is slow there: it goes elsewhere if it can.
     pub(super) fn avoid(&mut self, now: Time, task: TaskId, id: &WorkerId) {
@@ -108,7 +101,7 @@
     /// Whether the first task of a step that waits still keeps away from a worker.
     pub(super) fn front_keeps_away(&mut self, now: Time, key: Ready) -> bool {
         let Some(index) = self.front(key) else { return false };
-        self.keeps_away(now, task_of(key, index))
+        self.keeps_away(now, key.task(index))
     }
 
     fn keeps_away(&mut self, now: Time, task: TaskId) -> bool {
@@ -124,7 +117,7 @@
             return false;
         }
         let waiting: Vec<u32> = self.queue_of(key).into_iter().flatten().map(|i| *i).collect();
-        let free = waiting.iter().position(|index| !self.keeps_away(now, task_of(key, *index)));
+        let free = waiting.iter().position(|index| !self.keeps_away(now, key.task(*index)));
         let Some(place) = free else { return false };
         if let Some(queue) = self.queue_of(key) {
             queue.swap(0, place);
--- a/crates/workflow/src/scheduler/flow.rs
+++ b/crates/workflow/src/scheduler/flow.rs
@@ -1,7 +1,6 @@
 //! What the leader knows of a workflow that hasn't ended.
 
 use {
-    super::fallback::Avoided,
     crate::{
         Entry, OccurrenceProgress, Outcome, Progress, RunId, StepProgress, Submission, WorkerId,
     },
@@ -45,6 +44,13 @@
     }
 }
 
+/// A worker that a task is better off without.
+#[derive(Clone, Debug)]
+pub(crate) struct Avoided {
+    pub(crate) worker: WorkerId,
+    pub(crate) since: Time,
+}
+
 /// A step of an occurrence.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepState {
--- a/crates/workflow/src/scheduler/gangs.rs
+++ b/crates/workflow/src/scheduler/gangs.rs
@@ -5,10 +5,7 @@
 //! or none, in one rack if it matters.
 
 use {
-    super::{
-        Copy, Effect, Need, Phase, Ready, Scheduler,
-        place::{has_room, task_of},
-    },
+    super::{Copy, Effect, Need, Phase, Ready, Scheduler, place::has_room},
     crate::{RunId, Step, TaskId, WorkerId},
     compact_str::CompactString,
     egretlb_types::Time,
@@ -30,7 +27,7 @@
         out: &mut Vec<Effect>,
     ) -> bool {
         let Some(first) = self.front(key) else { return true };
-        if self.was_started(task_of(key, first)) && !self.may_repeat(now) {
+        if self.was_started(key.task(first)) && !self.may_repeat(now) {
             return false;
         }
         let waiting = self.queue_of(key).map_or(0, |queue| queue.len());
@@ -38,9 +35,8 @@
         if waiting < step.count as usize {
             return false;
         }
-        let mut need = Need::new(step, &mut self.interference);
-        let rack =
-            step.rack_sensitive.then(|| self.roomy_rack(now, task_of(key, 0), service, &need));
+        let mut need = Need::new(step, &mut self.colocation);
+        let rack = step.rack_sensitive.then(|| self.roomy_rack(now, key.task(0), service, &need));
         need.rack = rack.as_ref().and_then(|rack| rack.as_deref());
         let patient = step.rack_sensitive && self.step_wait(now, key) < RACK_PATIENCE;
         if patient && need.rack.is_none() {
@@ -48,7 +44,7 @@
         }
         let mut placed: Vec<(TaskId, WorkerId)> = Vec::with_capacity(waiting);
         for index in 0..step.count {
-            let task = task_of(key, index);
+            let task = key.task(index);
             let Some(id) = self.choose(now, task, service, &need) else { break };
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.insert(task, RunId(0), Copy::new(now, &need, Phase::Starting));
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -23,10 +23,11 @@
 mod place;
 mod polls;
 mod preempt;
-mod pressure;
 mod queue;
 mod recording;
+mod regroup;
 mod restore;
+mod serving;
 mod stragglers;
 mod survey;
 mod unclear;
@@ -42,8 +43,8 @@
         worker::{Inherited, Worker},
     },
     crate::{
-        Change, DirectoryChange, Interference, Ledger, Limits, Outcome, Record, RunId, StepId,
-        Succession, TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId,
+        Change, DirectoryChange, Ledger, Limits, Outcome, Record, RunId, StepId, Succession,
+        TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId, colocation::Colocation,
     },
     egretlb_types::{Epoch, Time},
     std::{
@@ -97,9 +98,8 @@
     /// When the last append that was acknowledged had been sent.
     proven: Option<Time>,
     ended: Vec<(Time, WorkflowId)>,
-    interference: Interference,
-    /// The serving tasks of each workflow that has some.
-    loads: BTreeMap<WorkflowId, pacing::Load>,
+    /// What is believed of tasks that share workers.
+    colocation: Colocation,
     /// When what was learned was last recorded, and whether there is more.
     learned_at: Time,
     learned_news: bool,
@@ -109,7 +109,10 @@
     quarantined: Vec<WorkerId>,
     advice: advice::Advice,
     upkeep: upkeep::Upkeep,
-    caution: pacing::Caution,
+    /// How long the filler that waits longest has waited, as of the last pass over what waits.
+    fillers_wait: Duration,
+    /// When serving tasks were last considered for a better place.
+    regrouped_at: Time,
     /// Starts that were decided and not answered.
     starts_under_way: usize,
     /// The records are read too late to start anything.
@@ -136,9 +139,16 @@
     pub relieved: u64,
     /// Changes of fillers' paces.
     pub paced: u64,
+    /// Serving tasks moved to better company.
+    pub regrouped: u64,
 }
 
 impl Ready {
+    fn task(self, index: u32) -> TaskId {
+        let Ready { workflow, occurrence, step, .. } = self;
+        TaskId { workflow, occurrence, step, index }
+    }
+
     fn step_id(self) -> StepId {
         let Ready { workflow, occurrence, step, .. } = self;
         StepId { workflow, occurrence, step }
@@ -172,15 +182,15 @@
             recorded_at: now,
             proven: None,
             ended: Vec::new(),
-            interference: ledger.learned().cloned().unwrap_or_default(),
-            loads: BTreeMap::new(),
+            colocation: Colocation::new(now, ledger.learned().cloned().unwrap_or_default()),
             learned_at: now,
             learned_news: false,
             crowded_at: None,
             quarantined: Vec::new(),
             advice: advice::Advice::default(),
             upkeep: upkeep::Upkeep::default(),
-            caution: pacing::Caution::new(now),
+            fillers_wait: Duration::ZERO,
+            regrouped_at: now,
             starts_under_way: 0,
             behind: false,
             measures: Measures::default(),
@@ -226,8 +236,7 @@
         let worker =
             self.workers.entry(id.clone()).or_insert_with(|| Worker::new(now, info.clone()));
         let was_ready = worker.info.state == WorkerState::Ready;
-        worker.info = info;
-        worker.present = true;
+        worker.set_info(info);
         if drains && was_ready {
             // A successor needn't wait for it: nothing else will be started there.
             self.roster_dirty = true;
@@ -258,7 +267,9 @@
         self.begin_due(now);
         self.evacuate(now, out);
         self.keep_up(now, out);
+        self.learn(now);
         self.place_ready(now, out);
+        self.regroup(now, out);
         self.ask_advice(now, out);
         self.poll(now, out);
         self.record(now, out);
--- a/crates/workflow/src/scheduler/pacing.rs
+++ b/crates/workflow/src/scheduler/pacing.rs
@@ -9,13 +9,9 @@
 //! the target is shared by the fillers that press, each at the pace that fits.
 
 use {
-    super::{
-        Copy, Effect, Phase, Scheduler, Worker, copy::FULL_PACE, pressure::NOTICEABLE,
-        waits::StopReason,
-    },
-    crate::{ImageNo, RunId, TaskId, WorkerId, WorkflowId, interference::Exposure},
+    super::{Copy, Effect, Phase, Scheduler, Worker, copy::FULL_PACE, waits::StopReason},
+    crate::{RunId, TaskId, WorkerId},
     egretlb_types::Time,
-    smallvec::SmallVec,
     std::time::Duration,
 };
 
@@ -32,49 +28,6 @@
     Unknown,
 }
 
-/// Serving tasks are left this headroom. 1 just meets their target, and single figures stray by a fifth.
-const SAFE_HEADROOM: f32 = 1.15;
-
-/// What fillers are known to take counts so many times while none of them waits: what an image takes
-/// changes threefold within seconds, and it can run elsewhere.
-const MOST_CAUTION: f32 = 5.0;
-
-/// And so many times once fillers have waited for [`LONG_WAIT`]: on days with three serving tasks in four
-/// of images that most fillers press on, more caution left these late by a minute.
-const LEAST_CAUTION: f32 = 1.2;
-
-/// Fillers have a second and as long as they run to spare; this much of it may be spent waiting.
-const LONG_WAIT: Duration = Duration::from_millis(700);
-
-/// How fast the factor grows again once fillers don't wait, each second.
-const CAUTION_GROWTH: f32 = 1.0;
-
-/// The span over which a workflow's own headroom is averaged: its load changes by a tenth within half a second,
-/// and single figures stray by a fifth.
-const LOAD_SPAN: Duration = Duration::from_millis(700);
-
-/// Figures that come at the same time count as if so much had passed between them.
-const LEAST_ELAPSED: Duration = Duration::from_millis(50);
-
-/// A load that wasn't measured for so long isn't learned from.
-const LOAD_FORGOTTEN: Duration = Duration::from_millis(1_500);
-
-/// With this standard error of what its fillers take, a figure counts half in a workflow's own headroom.
-const MUCH_UNSURE: f32 = 0.3;
-
-/// The headroom of a serving task that has no figure yet: where tasks alone are at the peak of their load.
-const UNKNOWN_OWN: f32 = 1.6;
-
-/// How far a single figure strays by itself, as a share of it. A headroom that is below 1 by less isn't a
-/// sign of anything.
-const FIGURE_NOISE: f32 = 0.2;
-
-/// Fillers keep this share of their pace for each figure in which a serving task is over its target.
-const TRUST_LOST: f32 = 0.4;
-
-/// And regain this much with each figure without that.
-const TRUST_REGAINED: f32 = 0.25;
-
 /// Paces are set in steps of this many percent: finer ones change less than figures stray.
 const PACE_STEP: f32 = 10.0;
 
@@ -91,49 +44,6 @@
 /// A filler that doesn't save its progress isn't moved once it is this far, in percent.
 const WORTH_MOVING_PERCENT: u32 = 30;
 
-/// How many times over the pressure of fillers is counted: often while none of them waits, hardly otherwise.
-#[derive(Debug)]
-pub(super) struct Caution {
-    factor: f32,
-    at: Time,
-}
-
-impl Caution {
-    pub(super) fn new(now: Time) -> Caution {
-        Caution { factor: MOST_CAUTION, at: now }
-    }
-
-    /// Takes in how long fillers have waited for a worker, the longest of them.
-    pub(super) fn adapt(&mut self, now: Time, longest: Duration) {
-        let waited = (longest.as_secs_f32() / LONG_WAIT.as_secs_f32()).min(1.0);
-        let wanted = MOST_CAUTION - (MOST_CAUTION - LEAST_CAUTION) * waited;
-        let grown = self.factor + CAUTION_GROWTH * now.since(self.at).as_secs_f32();
-        self.at = now;
-        self.factor = wanted.min(grown);
-    }
-}
-
-/// The serving tasks of one workflow.
-#[derive(Clone, Debug)]
-pub(super) struct Load {
-    /// The headroom that they would have without fillers; a moving average over all workers.
-    own: f32,
-    at: Time,
-    /// A worker that it was measured at, and whether it was at others, too: of what one worker shows alone
-    /// it can't be told what is own and what fillers take.
-    first: WorkerId,
-    elsewhere: bool,
-}
-
-/// The new figures of one workflow's tasks at a worker.
-pub(super) struct Fresh {
-    pub(super) workflow: WorkflowId,
-    pub(super) image: ImageNo,
-    /// The sum of their headrooms.
-    pub(super) sum: f32,
-    pub(super) count: f32,
-}
-
 impl Scheduler {
     /// What became of a change of pace.
     pub fn on_pace(
@@ -158,84 +68,6 @@
         }
     }
 
-    /// Takes in the new figures of a worker's serving tasks. `exposure` is the fillers' use while they were
-    /// measured.
-    pub(super) fn measure_loads(
-        &mut self,
-        now: Time,
-        id: &WorkerId,
-        fresh: &[Fresh],
-        exposure: &Exposure,
-    ) {
-        if fresh.is_empty() {
-            return;
-        }
-        let missed =
-            fresh.iter().any(|new| new.sum < new.count * (1.0 - FIGURE_NOISE / new.count.sqrt()));
-        if let Some(worker) = self.workers.get_mut(id) {
-            let trust = worker.trust;
-            worker.trust =
-                if missed { trust * TRUST_LOST } else { (trust + TRUST_REGAINED).min(1.0) };
-        }
-        for Fresh { workflow, image, sum, count } in fresh {
-            self.measure_load(now, id, (*workflow, *image), (sum / count, *count), exposure);
-        }
-        self.learned_news = true;
-    }
-
-    fn measure_load(
-        &mut self,
-        now: Time,
-        id: &WorkerId,
-        (workflow, image): (WorkflowId, ImageNo),
-        (headroom, count): (f32, f32),
-        exposure: &Exposure,
-    ) {
-        let interference = &mut self.interference;
-        let own = headroom + interference.taken(image, exposure);
-        let Some(load) = self.loads.get_mut(&workflow) else {
-            let load = Load { own, at: now, first: id.clone(), elsewhere: false };
-            self.loads.insert(workflow, load);
-            return;
-        };
-        load.elsewhere |= load.first != *id;
-        let elapsed = now.since(load.at);
-        if load.elsewhere && elapsed < LOAD_FORGOTTEN {
-            interference.observe(image, load.own, headroom, count, exposure);
-        }
-        // What is measured beside fillers of which little is known says little.
-        let unsure = interference.unsure(image, exposure) / MUCH_UNSURE;
-        let passed = (elapsed + LEAST_ELAPSED).as_secs_f32() / LOAD_SPAN.as_secs_f32();
-        let share = (1.0 - (-passed).exp()) / (1.0 + unsure * unsure);
-        load.own += share * (own - load.own);
-        load.at = now;
-    }
-
-    /// What fillers may take in all, as far as is known, from the headroom of a serving image at a worker.
-    pub(super) fn budget_of(&self, worker: &Worker, image: ImageNo) -> f32 {
-        let own = worker.own_headrooms.iter().find(|(known, _)| *known == image);
-        (own.map_or(UNKNOWN_OWN, |(_, own)| *own) - SAFE_HEADROOM) / self.caution.factor
-    }
-
-    /// Notes at a worker the lowest own headroom of each image that serves there. It is asked for with each
-    /// task that looks for a place, and changes little until the worker is heard again.
-    fn note_own_headrooms(&mut self, id: &WorkerId) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.own_headrooms.clear();
-        for ((task, _), copy) in worker.copies.iter().filter(|(_, copy)| copy.serves) {
-            let own = self.loads.get(&task.workflow).map_or(UNKNOWN_OWN, |load| load.own);
-            match worker.own_headrooms.iter_mut().find(|(image, _)| *image == copy.image) {
-                Some((_, lowest)) => *lowest = lowest.min(own),
-                None => worker.own_headrooms.push((copy.image, own)),
-            }
-        }
-    }
-
-    /// Forgets what is known of a workflow's load.
-    pub(super) fn forget_load(&mut self, workflow: WorkflowId) {
-        self.loads.remove(&workflow);
-    }
-
     /// Sets the paces of a worker's fillers by what its serving tasks can bear.
     pub(super) fn pace_fillers(&mut self, now: Time, id: &WorkerId, out: &mut Vec<Effect>) {
         self.note_own_headrooms(id);
@@ -243,16 +75,7 @@
         if worker.filling == 0 {
             return;
         }
-        let bearable = self.bearable_shares(worker);
-        let mut changes: Vec<(TaskId, RunId, u32)> = Vec::new();
-        for ((task, run), copy) in &worker.copies {
-            if copy.fills && matches!(copy.phase, Phase::Running { .. }) {
-                let pace = self.fitting_pace(worker, &bearable, copy);
-                if worth_telling(copy, pace) {
-                    changes.push((*task, *run, pace));
-                }
-            }
-        }
+        let changes = self.changes_of_pace(worker);
         let (epoch, addr) = (self.epoch, worker.info.addr);
         self.measures.paced += changes.len() as u64;
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -270,29 +93,30 @@
         self.move_slowed(now, id, out);
     }
 
-    /// For each image that serves at a worker, the share of their full pace at which it bears all fillers.
-    fn bearable_shares(&self, worker: &Worker) -> SmallVec<[(ImageNo, f32); 4]> {
-        let fillers = || worker.copies.values().filter(|copy| copy.fills);
-        let share = |serving: ImageNo| {
-            let all: f32 = fillers()
-                .map(|copy| self.interference.pressure(serving, copy.image, copy.cores()))
-                .sum();
-            self.budget_of(worker, serving).max(0.0) / all.max(f32::MIN_POSITIVE)
-        };
-        worker.serving_images.iter().map(|(serving, _)| (*serving, share(*serving))).collect()
+    /// Notes at a worker the own headrooms of the tasks that serve there.
+    fn note_own_headrooms(&mut self, id: &WorkerId) {
+        let Some(Worker { copies, neighbours, .. }) = self.workers.get_mut(id) else { return };
+        let serving = copies.iter().filter(|(_, copy)| copy.serves);
+        let serving = serving.map(|((task, _), copy)| (task.workflow, copy.image));
+        self.colocation.note_own(neighbours, serving);
     }
 
-    /// The pace at which the serving tasks of a worker can bear a filler, in percent.
-    fn fitting_pace(&self, worker: &Worker, bearable: &[(ImageNo, f32)], filler: &Copy) -> u32 {
-        let mut share: f32 = if worker.serving > 0 { worker.trust } else { 1.0 };
-        for (serving, bears) in bearable {
-            let own = self.interference.pressure(*serving, filler.image, filler.cores());
-            if own >= NOTICEABLE {
-                share = share.min(*bears);
+    /// The fillers of a worker that are to work at another pace, in percent.
+    fn changes_of_pace(&self, worker: &Worker) -> Vec<(TaskId, RunId, u32)> {
+        let fillers = worker.copies.values().filter(|copy| copy.fills).map(Copy::filler);
+        let bearable = self.colocation.bearable_shares(&worker.neighbours, fillers);
+        let mut changes: Vec<(TaskId, RunId, u32)> = Vec::new();
+        for ((task, run), copy) in &worker.copies {
+            if copy.fills && matches!(copy.phase, Phase::Running { .. }) {
+                let share =
+                    self.colocation.fitting_share(&worker.neighbours, &bearable, copy.filler());
+                let pace = pace_of(share);
+                if worth_telling(copy, pace) {
+                    changes.push((*task, *run, pace));
+                }
             }
         }
-        let steps = (share.clamp(0.0, 1.0) * FULL_PACE as f32 / PACE_STEP).floor();
-        (steps * PACE_STEP) as u32
+        changes
     }
 
     /// Moves fillers that were slowed down for long and find a better place.
@@ -317,6 +141,12 @@
     }
 }
 
+/// A pace in percent, in whole steps.
+fn pace_of(share: f32) -> u32 {
+    let steps = (share * FULL_PACE as f32 / PACE_STEP).floor();
+    (steps * PACE_STEP) as u32
+}
+
 /// Whether a change of pace is worth a call.
 fn worth_telling(copy: &Copy, pace: u32) -> bool {
     match copy.pace_told {
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Copy, Effect, Need, Phase, Ready, Scheduler, Worker, flow::TaskState},
-    crate::{RunId, Step, StepId, TaskId, WorkerId, interference::ImageNo},
+    crate::{RunId, Step, StepId, TaskId, WorkerId, colocation::ImageNo},
     compact_str::CompactString,
     egretlb_types::{Resources, Time},
     smallvec::SmallVec,
@@ -39,7 +39,8 @@
                 longest = longest.max(self.step_wait(now, key));
             }
         }
-        self.caution.adapt(now, longest);
+        self.fillers_wait = longest;
+        self.colocation.fillers_waited(now, longest);
     }
 
     /// Places the waiting tasks of a step; returns whether none is left.
@@ -58,7 +59,7 @@
         if held && (step.gang || step.speculative || !self.put_found_first(key)) {
             return false;
         }
-        let image = self.interference.image(&step.image);
+        let image = self.colocation.image(&step.image);
         let hopeless = |known: &Unmet| {
             known.service == service
                 && known.fills == step.fills
@@ -66,7 +67,7 @@
                 && known.resources.fits(&step.resources)
         };
         let hopeless = unmet.iter().any(hopeless);
-        if hopeless && !(step.lasting && self.is_last_resort(now, task_of(key, 0))) {
+        if hopeless && !(step.lasting && self.is_last_resort(now, key.task(0))) {
             return false;
         }
         if step.lasting && self.gives_way(now, key) {
@@ -75,13 +76,13 @@
         if step.gang {
             return self.place_gang(now, key, &service, &step, out);
         }
-        let need = Need::new(&step, &mut self.interference);
+        let need = Need::new(&step, &mut self.colocation);
         loop {
             if held && !self.put_found_first(key) {
                 return false;
             }
             let Some(index) = self.front(key) else { return true };
-            let task = task_of(key, index);
+            let task = key.task(index);
             let early = self.was_started(task) && !self.may_repeat(now);
             if early || !self.may_start() {
                 return false;
@@ -125,7 +126,7 @@
 
     /// How long a step's queue hasn't been empty.
     pub(super) fn step_wait(&self, now: Time, key: Ready) -> Duration {
-        self.waited(now, task_of(key, 0).step_id())
+        self.waited(now, key.task(0).step_id())
     }
 
     /// The same for the step of this id.
@@ -262,7 +263,7 @@
             if !suits {
                 continue;
             }
-            let Some(fitness) = self.fitness(now, worker, need) else { continue };
+            let Some(fitness) = self.fitness(now, worker, task, need) else { continue };
             if best.as_ref().is_none_or(|(known, _)| fitness > *known) {
                 best = Some((fitness, id));
             }
@@ -270,56 +271,89 @@
         best.map(|(_, id)| id.clone())
     }
 
-    /// How well a worker suits a step; higher is better. None if a serving task there would miss its
-    /// target beside the step's tasks.
+    /// How well a worker suits a task; higher is better. None if a serving task there would miss its
+    /// target beside it, or if it is a serving task and better waits for another place.
     ///
-    /// Serving tasks of one image are packed together: a filler presses on few images, and finds room on
-    /// the workers that hold others. Other counted tasks don't disturb them and take the room between
-    /// them, which leaves whole workers to the fillers. Those go where they press least, and then where
-    /// most processor time is left.
-    fn fitness(&self, now: Time, worker: &Worker, need: &Need<'_>) -> Option<Fitness> {
+    /// Serving tasks go where they close least room to fillers, and among such places beside their own image,
+    /// spread over the workers that hold it: a worker whose tail rises then takes a task or two of several
+    /// workflows, and not most of one. Fillers and other tasks go where fewest other fillers could run. Fillers
+    /// then go where they press least, and where most processor time is left.
+    fn fitness(
+        &self,
+        now: Time,
+        worker: &Worker,
+        task: TaskId,
+        need: &Need<'_>,
+    ) -> Option<Fitness> {
         let step = need.step;
         let near = step.data_rack.as_ref().is_some_and(|rack| worker.info.has_label(rack));
-        let left = left_over(worker);
-        let quiet = -i64::from(self.disturbance(worker, need)?);
+        let left = worker.left_over();
         let fast = !worker.is_slow(now);
-        if step.fills {
-            return Some((near, fast, quiet, 0, left));
-        }
         if step.target_ms > 0 {
-            return Some((near, true, quiet, kinship(worker, need.image), -left));
+            let closed = self.closes(worker, need.image);
+            if closed > CLOSES_LITTLE && self.waited(now, task.step_id()) < PATIENCE {
+                return None;
+            }
+            let company = KINSHIP_COUNTS * kinship(worker, need.image) - spread(worker, task);
+            return Some((near, true, -closed, company, -left));
         }
-        Some((near, fast, quiet, i64::from(worker.serving > 0), left))
+        let open = (self.colocation.openness(&worker.neighbours) / OPENNESS_STEP) as i64;
+        if step.fills {
+            let disturbance = self.colocation.disturbance(&worker.neighbours, need.filler())?;
+            return Some((near, fast, -open, -i64::from(disturbance), left));
+        }
+        Some((near, fast, -open, i64::from(worker.serving > 0), left))
+    }
+
+    /// How much room for fillers one more serving task of an image would close at a worker, in steps.
+    fn closes(&self, worker: &Worker, image: ImageNo) -> i64 {
+        let closed = self.colocation.closed_by(&worker.neighbours, image);
+        (closed * worker.room_for_fillers() as f32 / ROOM_STEP) as i64
+    }
+
+    /// Whether a serving task would close much room for fillers at a worker, and better waits a little.
+    pub(super) fn waits_for_company(
+        &self,
+        now: Time,
+        worker: &Worker,
+        task: TaskId,
+        need: &Need<'_>,
+    ) -> bool {
+        need.step.target_ms > 0 && self.fitness(now, worker, task, need).is_none()
     }
 }
 
-/// Near the data, not slow, undisturbing, in suitable company, processor time left.
+/// Near the data, not slow, then by kind of task: see [`Scheduler::fitness`].
 type Fitness = (bool, bool, i64, i64, i64);
 
+/// Room for fillers that is closed or opened is compared in steps of so many cores: half a filler.
+pub(super) const ROOM_STEP: f32 = 2_000.0;
+
+/// What a worker is open to is compared in steps of this share of the fillers' demand.
+const OPENNESS_STEP: f32 = 0.1;
+
+/// A serving task that closes more steps of room than this waits for a better place for [`PATIENCE`]. It
+/// stays for a minute or more; with this and the choice of what is stopped for short work, batch tasks got 3%
+/// more of what they were owed on six days at four seeds each, and serving tasks no less. The platform takes
+/// a lasting task as forgotten after 3 s with room for it.
+const CLOSES_LITTLE: i64 = 1;
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// A task of the same image counts so many times what one of the same step counts against a worker.
+const KINSHIP_COUNTS: i64 = 8;
+
 /// How well a serving task's company suits it: best beside its own image alone, then by itself, then
 /// beside few others.
 fn kinship(worker: &Worker, image: ImageNo) -> i64 {
-    let images = &worker.serving_images;
+    let images = worker.neighbours.serving();
     let kin = usize::from(images.iter().any(|(known, _)| *known == image));
     let strangers = images.len() - kin;
     i64::try_from(kin).unwrap_or(0) - 2 * i64::try_from(strangers).unwrap_or(0)
 }
 
-/// Serving tasks use about half of the processor time that they declare; the rest is left to fillers.
-/// Fillers got 85% of what they declare in all of some 10,000 figures under this assumption, whether a
-/// worker held many or few, so it doesn't starve them.
-const SERVING_USE_PERCENT: u32 = 50;
-
-/// Processor time that fillers find unused, in thousandths of a core.
-fn left_over(worker: &Worker) -> i64 {
-    let used = u64::from(worker.committed.cpu.0) * u64::from(SERVING_USE_PERCENT) / 100;
-    i64::from(worker.info.capacity.cpu.0)
-        - i64::try_from(used).unwrap_or(0)
-        - i64::from(worker.soft)
-}
-
-pub(super) fn task_of(key: Ready, index: u32) -> TaskId {
-    TaskId { workflow: key.workflow, occurrence: key.occurrence, step: key.step, index }
+/// How many tasks of its step a task would stand beside.
+fn spread(worker: &Worker, task: TaskId) -> i64 {
+    i64::try_from(siblings(worker, task)).unwrap_or(0)
 }
 
 /// Whether a worker can hold one more task of the step.
@@ -338,7 +372,7 @@
     if need.rack.is_some() && need.rack != worker.info.rack() {
         return false;
     }
-    let crowded = worker.over_target || left_over(worker) < i64::from(step.resources.cpu.0);
+    let crowded = worker.over_target || worker.left_over() < i64::from(step.resources.cpu.0);
     if step.fills && crowded {
         return false;
     }
@@ -346,7 +380,7 @@
 }
 
 /// How many tasks of the same step and occurrence a worker holds.
-fn siblings(worker: &Worker, task: TaskId) -> usize {
+pub(super) fn siblings(worker: &Worker, task: TaskId) -> usize {
     let first = (TaskId { index: 0, ..task }, RunId(0));
     let last = (TaskId { index: u32::MAX, ..task }, RunId(u64::MAX));
     worker.copies.range(first..=last).count()
--- a/crates/workflow/src/scheduler/preempt.rs
+++ b/crates/workflow/src/scheduler/preempt.rs
@@ -6,11 +6,11 @@
 //! once they leave room.
 
 use {
-    super::{Effect, Phase, Ready, Scheduler, Worker, waits::StopReason},
+    super::{Copy, Effect, Phase, Ready, Scheduler, Worker, place::ROOM_STEP, waits::StopReason},
     crate::{RunId, Step, TaskId, WorkerId},
     compact_str::CompactString,
     egretlb_types::{MilliCores, Time},
-    std::time::Duration,
+    std::{cmp::Reverse, time::Duration},
 };
 
 /// After a task that ends soon found no room, lasting tasks leave what becomes free to its like for
@@ -24,6 +24,9 @@
 /// before it is known what the first stops bring.
 const STOPS_PER_PASS: usize = 3;
 
+/// What the end of a task is worth: room opened to fillers, in steps, and then how small it is.
+type Yield = (i64, Reverse<MilliCores>);
+
 impl Scheduler {
     /// Whether a step of lasting tasks leaves the room to others for now.
     pub(super) fn gives_way(&mut self, now: Time, key: Ready) -> bool {
@@ -78,7 +81,9 @@
         stopping.map(|copy| u64::from(copy.hard.cpu.0)).sum()
     }
 
-    /// The smallest lasting task whose end makes room for a task of `step`.
+    /// The lasting task whose end makes room for a task of `step` and opens most of its worker to fillers; of
+    /// several the smallest. It starts again where it closes less, so what is stopped anyway puts serving
+    /// tasks in better order: batch tasks got 1.8% more of what they were owed on six days at four seeds each.
     fn victim(
         &self,
         now: Time,
@@ -86,7 +91,7 @@
         service: &CompactString,
         step: &Step,
     ) -> Option<(WorkerId, TaskId, RunId, MilliCores)> {
-        let mut best: Option<(WorkerId, TaskId, RunId, MilliCores)> = None;
+        let mut best: Option<(Yield, WorkerId, TaskId, RunId)> = None;
         for (id, worker) in &self.workers {
             let suits = worker.info.service == *service
                 && worker.takes_work(now, &self.limits)
@@ -95,13 +100,23 @@
             if !suits {
                 continue;
             }
-            for (task, run, cpu) in yielding(now, worker, step) {
-                if best.as_ref().is_none_or(|(.., known)| cpu < *known) {
-                    best = Some((id.clone(), task, run, cpu));
+            for ((task, run), copy) in yielding(now, worker, step) {
+                let yields = (self.opens(worker, copy), Reverse(copy.hard.cpu));
+                if best.as_ref().is_none_or(|(known, ..)| yields > *known) {
+                    best = Some((yields, id.clone(), task, run));
                 }
             }
         }
-        best
+        best.map(|((_, Reverse(cpu)), id, task, run)| (id, task, run, cpu))
+    }
+
+    /// How much room for fillers the end of a serving task would open, in steps.
+    fn opens(&self, worker: &Worker, copy: &Copy) -> i64 {
+        if !copy.serves {
+            return 0;
+        }
+        let opened = self.colocation.opened_without(&worker.neighbours, copy.image);
+        (opened * worker.room_for_fillers() as f32 / ROOM_STEP) as i64
     }
 }
 
@@ -110,7 +125,7 @@
     now: Time,
     worker: &'a Worker,
     step: &'a Step,
-) -> impl Iterator<Item = (TaskId, RunId, MilliCores)> + 'a {
+) -> impl Iterator<Item = ((TaskId, RunId), &'a Copy)> + 'a {
     let free = worker.free();
     let settled = |phase| matches!(phase, Phase::Running { .. });
     worker
@@ -120,5 +135,5 @@
             copy.yields && settled(copy.phase) && now.since(copy.placed) >= LEAST_STAY
         })
         .filter(move |(_, copy)| step.resources.fits(&free.plus(&copy.hard)))
-        .map(|((task, run), copy)| (*task, *run, copy.hard.cpu))
+        .map(|(key, copy)| (*key, copy))
 }
--- a/crates/workflow/src/scheduler/queue.rs
+++ b/crates/workflow/src/scheduler/queue.rs
@@ -119,7 +119,7 @@
         let copies: Vec<(WorkerId, RunId)> =
             tasks.flat_map(|step| &step.tasks).flat_map(|task| task.copies.clone()).collect();
         flow.occurrences.clear();
-        self.forget_load(id);
+        self.colocation.forget(id);
         self.forget_advice(id);
         log::info!(workflow:% = id, outcome:? = outcome, copies = copies.len(); "workflow_ended");
         for (worker, run) in copies {
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -167,7 +167,7 @@
         if self.learned_news && now.since(self.learned_at) >= LEARNED_GAP {
             self.learned_news = false;
             self.learned_at = now;
-            records.push(Record::new(Key::Learned, &self.interference));
+            records.push(Record::new(Key::Learned, self.colocation.learned()));
         }
     }
 
--- /dev/null
+++ b/crates/workflow/src/scheduler/regroup.rs
@@ -0,0 +1,113 @@
+//! Serving tasks that are moved to stand beside those on which the same fillers press.
+//!
+//! A task that is moved is away for about a second. That costs its users less than a filler that finds no room
+//! costs the batch which waits for it, and the room that a move opens is used over and over.
+
+use {
+    super::{Copy, Effect, Phase, Scheduler, Worker, place::siblings, waits::StopReason},
+    crate::{
+        RunId, Step, TaskId, WorkerId,
+        colocation::{Apart, Host, Movable, Regrouping},
+    },
+    compact_str::CompactString,
+    egretlb_types::Time,
+    std::{collections::BTreeSet, time::Duration},
+};
+
+/// The pause between two passes, in which one task is moved or two change places: what a move opens shows
+/// in what is started next.
+const REGROUP_GAP: Duration = Duration::from_millis(250);
+
+/// Tasks are moved only while some filler has waited for so long: otherwise there is room enough.
+const FILLERS_WAIT: Duration = Duration::from_millis(300);
+
+/// A task isn't moved sooner after its start: it would only have paid for the start.
+const LEAST_STAY: Duration = Duration::from_secs(3);
+
+/// A task that may be moved, and where it runs.
+struct Candidate {
+    worker: WorkerId,
+    task: TaskId,
+    run: RunId,
+}
+
+impl Scheduler {
+    /// Stops serving tasks that stand better elsewhere, one or two at a time; they start again at once.
+    pub(super) fn regroup(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if now.since(self.regrouped_at) < REGROUP_GAP || self.fillers_wait < FILLERS_WAIT {
+            return;
+        }
+        self.regrouped_at = now;
+        let services: BTreeSet<CompactString> =
+            self.workers.values().map(|worker| worker.info.service.clone()).collect();
+        for service in services {
+            for Candidate { worker, task, run } in self.better_elsewhere(now, &service) {
+                self.measures.regrouped += 1;
+                log::info!(task:%, run:%, worker:% = worker; "serving_regrouped");
+                self.stop_runs(now, &worker, StopReason::Regrouped, out, |of, number| {
+                    of == task && number == run
+                });
+            }
+        }
+    }
+
+    fn better_elsewhere(&self, now: Time, service: &CompactString) -> Vec<Candidate> {
+        let takes = |worker: &Worker| {
+            worker.info.service == *service && worker.takes_work(now, &self.limits)
+        };
+        let workers: Vec<(&WorkerId, &Worker)> =
+            self.workers.iter().filter(|(_, worker)| takes(worker)).collect();
+        let hosts: Vec<Host> = workers.iter().map(|(_, worker)| host(worker)).collect();
+        let (mut movable, mut candidates) = (Vec::new(), Vec::new());
+        for (place, (id, worker)) in workers.iter().enumerate() {
+            for (image, _) in worker.neighbours.serving() {
+                let moves = |(task, copy): (TaskId, &Copy)| {
+                    copy.image == *image && self.may_be_moved(now, task, copy)
+                };
+                let found = worker.copies.iter().find(|((task, _), copy)| moves((*task, copy)));
+                if let Some(((task, run), copy)) = found {
+                    movable.push(Movable { host: place, image: *image, hard: copy.hard });
+                    candidates.push(Candidate { worker: (*id).clone(), task: *task, run: *run });
+                }
+            }
+        }
+        let images = hosts.iter().flat_map(|host| &host.serving).map(|(image, _)| *image);
+        let apart = Apart::new(self.colocation.learned(), self.colocation.demand(), images);
+        let suits = |task: usize, host: usize| {
+            let task = candidates[task].task;
+            let most = self.step(task).map_or(0, |step| step.per_worker as usize);
+            most == 0 || siblings(workers[host].1, task) < most
+        };
+        let best = apart.best_regrouping(&hosts, &movable, suits);
+        let Some(Regrouping { first, second }) = best else { return Vec::new() };
+        let chosen = candidates.into_iter().enumerate();
+        chosen.filter(|(n, _)| *n == first || Some(*n) == second).map(|(_, task)| task).collect()
+    }
+
+    /// Whether a serving task may be stopped to run elsewhere: it has settled, may be away, goes anywhere, and
+    /// no other one of its step is away.
+    fn may_be_moved(&self, now: Time, task: TaskId, copy: &Copy) -> bool {
+        let settled = matches!(copy.phase, Phase::Running { .. })
+            && copy.percent >= 100
+            && now.since(copy.placed) >= LEAST_STAY;
+        let goes_anywhere =
+            |step: &Step| step.label.is_none() && step.data_rack.is_none() && !step.gang;
+        copy.serves
+            && copy.yields
+            && settled
+            && self.step(task).is_some_and(goes_anywhere)
+            && self.needs_ticket(task.step_id()).is_none()
+            && self.all_placed(task)
+    }
+
+    fn all_placed(&self, task: TaskId) -> bool {
+        let flow = self.flows.get(&task.workflow);
+        let occurrence = flow.and_then(|flow| flow.occurrences.get(&task.occurrence));
+        let step = occurrence.and_then(|of| of.steps.get(usize::from(task.step)));
+        step.is_some_and(|step| step.queue.is_empty())
+    }
+}
+
+fn host(worker: &Worker) -> Host {
+    Host { free: worker.free(), serving: worker.neighbours.serving().into() }
+}
--- a/crates/workflow/src/scheduler/stragglers.rs
+++ b/crates/workflow/src/scheduler/stragglers.rs
@@ -195,7 +195,7 @@
         let Some(flow) = self.flows.get(&task.workflow) else { return false };
         let service = flow.submission.service.clone();
         self.avoid(now, task, id);
-        let need = Need::new(&step, &mut self.interference);
+        let need = Need::new(&step, &mut self.colocation);
         self.choose_elsewhere(now, task, &service, &need).is_some()
     }
 
@@ -218,7 +218,7 @@
         if step.speculative && !self.may_start() {
             return;
         }
-        let need = Need::new(&step, &mut self.interference);
+        let need = Need::new(&step, &mut self.colocation);
         // Without another place it is better off where it is.
         let Some(other) = self.choose_elsewhere(now, task, &service, &need) else { return };
         log::info!(task:%, run:%, worker:% = id, copied = step.speculative; "straggler_moved");
--- a/crates/workflow/src/scheduler/survey.rs
+++ b/crates/workflow/src/scheduler/survey.rs
@@ -80,7 +80,7 @@
     /// Takes a run at a silent worker as under way, until the worker answers or its leases have lapsed.
     fn suppose(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId) {
         let step = self.step(task).cloned().unwrap_or_default();
-        let need = Need::new(&step, &mut self.interference);
+        let need = Need::new(&step, &mut self.colocation);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.insert(task, run, Copy::new(now, &need, Phase::Running { clock_ms: 0 }));
         }
--- a/crates/workflow/src/scheduler/waits/queued.rs
+++ b/crates/workflow/src/scheduler/waits/queued.rs
@@ -2,10 +2,7 @@
 
 use {
     super::{
-        super::{
-            Need, Ready, Scheduler, Worker,
-            place::{has_room, task_of},
-        },
+        super::{Need, Ready, Scheduler, Worker, place::has_room},
         Cause, MOST_NAMED, MOST_PLACES, Reason, ServiceWorkers, WaitingStep,
     },
     crate::{Step, StepId, TaskId, WorkerId},
@@ -25,6 +22,7 @@
     Upkeep,
     NoTicket,
     ServingTasks,
+    Company,
     Takes,
 }
 
@@ -40,6 +38,7 @@
             Stage::Upkeep => Reason::Upkeep,
             Stage::NoTicket => Reason::NoTicket,
             Stage::ServingTasks => Reason::ServingTasks,
+            Stage::Company => Reason::Company,
             Stage::Takes => Reason::Next,
         }
     }
@@ -86,7 +85,7 @@
     /// Since when the first of the step's waiting tasks hasn't run.
     pub(super) fn queued_since(&mut self, key: Ready) -> Option<Time> {
         let queue: SmallVec<[u32; 16]> = self.queue_of(key)?.iter().copied().collect();
-        queue.into_iter().filter_map(|index| self.down_since(task_of(key, index))).min()
+        queue.into_iter().filter_map(|index| self.down_since(key.task(index))).min()
     }
 
     fn cause(&mut self, now: Time, key: Ready) -> Option<Cause> {
@@ -107,10 +106,10 @@
             return Some(Cause::plain(Reason::GivesWay));
         }
         let index = *self.queue_of(key)?.front()?;
-        if self.was_started(task_of(key, index)) && !self.may_repeat(now) {
+        if self.was_started(key.task(index)) && !self.may_repeat(now) {
             return Some(Cause::plain(Reason::Unproven));
         }
-        let cause = self.best_place(now, task_of(key, index), &step)?;
+        let cause = self.best_place(now, key.task(index), &step)?;
         if step.gang && cause.reason == Reason::Next {
             return Some(Cause::plain(Reason::Gang));
         }
@@ -119,7 +118,7 @@
 
     /// What stops the workers that would suit best.
     fn best_place(&mut self, now: Time, task: TaskId, step: &Step) -> Option<Cause> {
-        let need = Need::new(step, &mut self.interference);
+        let need = Need::new(step, &mut self.colocation);
         let alone = Step { per_worker: 0, ..step.clone() };
         let wanted = Wanted { task, need, alone: Need { step: &alone, ..need } };
         let mut best = Stage::NoWorkers;
@@ -179,7 +178,12 @@
             }
             () if self.is_held(id) => Stage::Upkeep,
             () if !self.allows(now, task, id) => Stage::NoTicket,
-            () if self.disturbance(worker, &need).is_none() => Stage::ServingTasks,
+            () if need.step.fills
+                && self.colocation.disturbance(&worker.neighbours, need.filler()).is_none() =>
+            {
+                Stage::ServingTasks
+            }
+            () if self.waits_for_company(now, worker, task, &need) => Stage::Company,
             () => Stage::Takes,
         })
     }
--- a/crates/workflow/src/scheduler/waits/reason.rs
+++ b/crates/workflow/src/scheduler/waits/reason.rs
@@ -32,6 +32,8 @@
     NoTicket,
     /// Workers have room, but the serving tasks there can't bear it.
     ServingTasks,
+    /// Workers have room, but it would keep many fillers away from them, and waits a little for a better place.
+    Company,
     /// It leaves the room to tasks that end soon.
     GivesWay,
     /// Members of its gang haven't ended yet, or no worker or rack has room for all of them.
@@ -68,6 +70,7 @@
             Reason::Upkeep => "workers with room are about to go down for upkeep",
             Reason::NoTicket => "no worker with room is known to be allowed",
             Reason::ServingTasks => "serving tasks where there is room can't bear it",
+            Reason::Company => "it waits a little for a place that keeps fewer fillers away",
             Reason::GivesWay => "it leaves the room to tasks that end soon",
             Reason::Gang => "its gang can't start as a whole",
             Reason::Next => "it starts next",
--- a/crates/workflow/src/scheduler/waits/runs.rs
+++ b/crates/workflow/src/scheduler/waits/runs.rs
@@ -36,6 +36,8 @@
     Relieved,
     /// It was held back beside a serving task for so long that it is done sooner elsewhere.
     HeldBack,
+    /// It stands better elsewhere, beside serving tasks on which the same fillers press.
+    Regrouped,
     /// Its worker is slow.
     Slow,
     /// Its start got no answer and isn't listed.
@@ -56,6 +58,7 @@
             StopReason::Upkeep => "upkeep",
             StopReason::Relieved => "relieved",
             StopReason::HeldBack => "held_back",
+            StopReason::Regrouped => "regrouped",
             StopReason::Slow => "slow_worker",
             StopReason::Doubtful => "start_in_doubt",
             StopReason::CopyDone => "copy_done",
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -2,16 +2,9 @@
 
 use {
     super::{copy::Copy, unclear::Unclear},
-    crate::{
-        Limits, RunId, TaskId, WorkerInfo, WorkerState,
-        interference::{Exposure, ImageNo},
-    },
+    crate::{Limits, RunId, TaskId, WorkerInfo, WorkerState, colocation::Neighbours},
     egretlb_types::{Resources, Time},
-    smallvec::SmallVec,
-    std::{
-        collections::{BTreeMap, VecDeque},
-        time::Duration,
-    },
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// What is known of a worker that a predecessor's roster names.
@@ -23,6 +16,12 @@
     Unlisted,
 }
 
+/// Serving tasks use about half of the processor time that they declare; the rest is left to fillers.
+/// Fillers got 85% of what they declare in all of some 10,000 figures under this assumption, whether a
+/// worker held many or few. On six days at four seeds each, 38 or 60% in its place left batch tasks 1 and 5%
+/// less of what they were owed, and serving tasks over target for a fifth longer, or a fifteenth shorter.
+const SERVING_USE_PERCENT: u32 = 50;
+
 /// A worker and what may run there by our orders.
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -64,10 +63,8 @@
     pub(crate) soft: u32,
     pub(crate) serving: u32,
     pub(crate) filling: u32,
-    /// Images that serve here, and how many tasks of each.
-    pub(crate) serving_images: SmallVec<[(ImageNo, u32); 4]>,
-    /// Images that fill here, and the processor time that they may use, in thousandths of a core.
-    pub(crate) filling_images: SmallVec<[(ImageNo, u32); 6]>,
+    /// The tasks that share it, as far as they disturb each other.
+    pub(crate) neighbours: Neighbours,
     /// How fast tasks get on here, as a multiple of their estimates, and when that was last measured.
     pub(crate) speed: Option<(f32, Time)>,
     /// Runs that failed here since the last one that was done.
@@ -78,21 +75,15 @@
     pub(crate) quarantined_until: Time,
     /// When it last left a start unanswered; none once it has answered an order since.
     pub(crate) doubted: Option<Time>,
-    /// The fillers that ran until a time, for the last half second.
-    pub(crate) exposures: VecDeque<(Time, Exposure)>,
     /// A serving task is over its target: no filler is added.
     pub(crate) over_target: bool,
-    /// The lowest own headroom of each image that serves here, as last noted.
-    pub(crate) own_headrooms: SmallVec<[(ImageNo, f32); 4]>,
-    /// The share of their pace that fillers get after a serving task went over its target for a reason
-    /// that isn't known, from 0 to 1.
-    pub(crate) trust: f32,
     /// When fillers were last stopped for the sake of a serving task.
     pub(crate) relieved_at: Time,
 }
 
 impl Worker {
     pub(crate) fn new(now: Time, info: WorkerInfo) -> Worker {
+        let neighbours = Neighbours::new(info.capacity.cpu);
         Worker {
             info,
             present: true,
@@ -116,17 +107,13 @@
             soft: 0,
             serving: 0,
             filling: 0,
-            serving_images: SmallVec::new(),
-            filling_images: SmallVec::new(),
+            neighbours,
             speed: None,
             failures: 0,
             barred_until: Time::ZERO,
             quarantined_until: Time::ZERO,
             doubted: None,
-            exposures: VecDeque::new(),
             over_target: false,
-            own_headrooms: SmallVec::new(),
-            trust: 1.0,
             relieved_at: Time::ZERO,
         }
     }
@@ -137,10 +124,10 @@
         self.serving += u32::from(copy.serves);
         self.filling += u32::from(copy.fills);
         if copy.serves {
-            add(&mut self.serving_images, copy.image, 1);
+            self.neighbours.add_serving(copy.image);
         }
         if copy.fills {
-            add(&mut self.filling_images, copy.image, copy.paced_cpu());
+            self.neighbours.add_filling(copy.image, copy.paced_cpu());
         }
         self.copies.insert((task, run), copy);
     }
@@ -152,10 +139,10 @@
         self.serving -= u32::from(copy.serves);
         self.filling -= u32::from(copy.fills);
         if copy.serves {
-            take(&mut self.serving_images, copy.image, 1);
+            self.neighbours.remove_serving(copy.image);
         }
         if copy.fills {
-            take(&mut self.filling_images, copy.image, copy.paced_cpu());
+            self.neighbours.remove_filling(copy.image, copy.paced_cpu());
         }
         Some(copy)
     }
@@ -163,9 +150,27 @@
     /// Sets the pace of a filler.
     pub(crate) fn set_pace(&mut self, task: TaskId, run: RunId, percent: u32) {
         let Some(copy) = self.copies.get_mut(&(task, run)) else { return };
-        take(&mut self.filling_images, copy.image, copy.paced_cpu());
+        self.neighbours.remove_filling(copy.image, copy.paced_cpu());
         copy.pace = percent;
-        add(&mut self.filling_images, copy.image, copy.paced_cpu());
+        self.neighbours.add_filling(copy.image, copy.paced_cpu());
+    }
+
+    /// Its own entry in the directory was read.
+    pub(crate) fn set_info(&mut self, info: WorkerInfo) {
+        self.neighbours.resize(info.capacity.cpu);
+        self.info = info;
+        self.present = true;
+    }
+
+    /// Processor time, in thousandths of a core, that tasks which aren't fillers leave unused.
+    pub(crate) fn room_for_fillers(&self) -> i64 {
+        let used = u64::from(self.committed.cpu.0) * u64::from(SERVING_USE_PERCENT) / 100;
+        i64::from(self.info.capacity.cpu.0) - i64::try_from(used).unwrap_or(0)
+    }
+
+    /// The same, as far as fillers don't ask for it already.
+    pub(crate) fn left_over(&self) -> i64 {
+        self.room_for_fillers() - i64::from(self.soft)
     }
 
     /// What is left of its capacity.
@@ -254,29 +259,3 @@
         Some(clock_ms.saturating_add(elapsed).saturating_add(span_ms))
     }
 }
-
-/// Adds to an image's sum.
-fn add(
-    sums: &mut SmallVec<impl smallvec::Array<Item = (ImageNo, u32)>>,
-    image: ImageNo,
-    amount: u32,
-) {
-    match sums.iter_mut().find(|(known, _)| *known == image) {
-        Some((_, sum)) => *sum += amount,
-        None => sums.push((image, amount)),
-    }
-}
-
-/// Takes from an image's sum, and forgets the image with the last of it.
-fn take(
-    sums: &mut SmallVec<impl smallvec::Array<Item = (ImageNo, u32)>>,
-    image: ImageNo,
-    amount: u32,
-) {
-    for (known, sum) in sums.iter_mut() {
-        if *known == image {
-            *sum = sum.saturating_sub(amount);
-        }
-    }
-    sums.retain(|(_, sum)| *sum > 0);
-}
