--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -14,7 +14,7 @@
 };
 
 /// The version of the values' form; a process passes over a record of another one.
-const FORM: u8 = 3;
+const FORM: u8 = 4;
 
 /// What a record is about.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
