Serving tasks change places by the room for fillers that this opens, among all of them

Two causes: the gain of one move was weighed by itself, though a worker only opens with its last stranger, and one task of each image stood for all, so sizes seldom fitted.

Now a move is worth its part of the room, in cores, that the whole change would open, and every serving task may take part; two tasks change places only if strangers become fewer, since they might change back and forth otherwise (the test saw that, too).

--- a/crates/workflow/src/colocation/mod.rs
+++ b/crates/workflow/src/colocation/mod.rs
@@ -8,7 +8,7 @@
 //!   serving tasks have by themselves (`load`), the [`Demand`] of fillers.
 //! - Out: whether a worker's serving tasks bear one more filler ([`Colocation::disturbance`]), at what pace fillers
 //!   may work ([`Colocation::bearable_shares`]), how much of the fillers' demand a worker is open to
-//!   ([`Colocation::openness`]), and which serving tasks are better moved ([`Apart::best_regrouping`]).
+//!   ([`Colocation::openness`]), and which serving tasks are better moved ([`Company::best_regrouping`]).
 //!
 //! Nothing here knows of workflows' steps, records or the leader; the scheduler asks and acts.
 
@@ -22,7 +22,7 @@
 
 pub(crate) use self::neighbours::{Neighbours, Seen};
 pub use self::{
-    company::{Apart, Host, Movable, Regrouping, openness},
+    company::{Company, Host, Movable, Regrouping, openness},
     demand::Demand,
     interference::{Exposure, ImageNo, Interference, Sighting, headroom_of, set},
 };
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -21,7 +21,7 @@
 pub use crate::{
     bits::Bits,
     colocation::{
-        Apart, Demand, Exposure, Host, ImageNo, Interference, Movable, Regrouping, Sighting,
+        Company, Demand, Exposure, Host, ImageNo, Interference, Movable, Regrouping, Sighting,
         headroom_of, openness, set,
     },
     directory::{DirectoryChange, WorkerInfo, WorkerState},
--- a/crates/workflow/src/scheduler/regroup.rs
+++ b/crates/workflow/src/scheduler/regroup.rs
@@ -7,7 +7,7 @@
     super::{Copy, Effect, Phase, Scheduler, Worker, place::siblings, waits::StopReason},
     crate::{
         RunId, Step, TaskId, WorkerId,
-        colocation::{Apart, Host, Movable, Regrouping},
+        colocation::{Company, Host, Movable, Regrouping},
     },
     compact_str::CompactString,
     egretlb_types::Time,
@@ -60,25 +60,20 @@
         let hosts: Vec<Host> = workers.iter().map(|(_, worker)| host(worker)).collect();
         let (mut movable, mut candidates) = (Vec::new(), Vec::new());
         for (place, (id, worker)) in workers.iter().enumerate() {
-            for (image, _) in worker.neighbours.serving() {
-                let moves = |(task, copy): (TaskId, &Copy)| {
-                    copy.image == *image && self.may_be_moved(now, task, copy)
-                };
-                let found = worker.copies.iter().find(|((task, _), copy)| moves((*task, copy)));
-                if let Some(((task, run), copy)) = found {
-                    movable.push(Movable { host: place, image: *image, hard: copy.hard });
+            for ((task, run), copy) in &worker.copies {
+                if self.may_be_moved(now, *task, copy) {
+                    movable.push(Movable { host: place, image: copy.image, hard: copy.hard });
                     candidates.push(Candidate { worker: (*id).clone(), task: *task, run: *run });
                 }
             }
         }
-        let images = hosts.iter().flat_map(|host| &host.serving).map(|(image, _)| *image);
-        let apart = Apart::new(self.colocation.learned(), self.colocation.demand(), images);
+        let mut company = Company::new(self.colocation.learned(), self.colocation.demand());
         let suits = |task: usize, host: usize| {
             let task = candidates[task].task;
             let most = self.step(task).map_or(0, |step| step.per_worker as usize);
             most == 0 || siblings(workers[host].1, task) < most
         };
-        let best = apart.best_regrouping(&hosts, &movable, suits);
+        let best = company.best_regrouping(&hosts, &movable, suits);
         let Some(Regrouping { first, second }) = best else { return Vec::new() };
         let chosen = candidates.into_iter().enumerate();
         chosen.filter(|(n, _)| *n == first || Some(*n) == second).map(|(_, task)| task).collect()
@@ -109,5 +104,6 @@
 }
 
 fn host(worker: &Worker) -> Host {
-    Host { free: worker.free(), serving: worker.neighbours.serving().into() }
+    let room = worker.room_for_fillers().max(0) as f32 / 1_000.0;
+    Host { free: worker.free(), room, serving: worker.neighbours.serving().into() }
 }
