--- a/crates/workflow/tests/fillers_paced.rs
+++ b/crates/workflow/tests/fillers_paced.rs
@@ -103,6 +103,24 @@
     assert!(fillers(&world, id).iter().all(|pace| *pace == 0));
 }
 
+/// Serving tasks stand on every worker, at half of their target. A filler that takes half of a worker comes, of an
+/// image that was never seen beside them. Were what is feared of it to decide, it would wait for ever, since it
+/// never runs and so nothing is learned of it; it is tried once it has waited.
+#[test]
+fn unknown_is_tried() {
+    let mut world = World::new(33, 2, 2, Limits::default());
+    world.run(2 * SECOND);
+    for worker in &mut world.workers {
+        (worker.tail_ms, worker.pressure_ms) = (25, 0);
+    }
+    world.submit(1, &submission(vec![serving(2)]));
+    world.run(3 * SECOND);
+    let mut large = filler(1, 500);
+    large.resources.cpu = MilliCores(4_000);
+    let id = world.submit(2, &submission(vec![large]));
+    assert!(world.run_until(12 * SECOND, |world| world.completed(id)).is_some());
+}
+
 /// A filler at a tenth of its pace isn't taken for one that stands still, which would stop it and lose
 /// what it has done.
 #[test]
