--- a/crates/workflow/src/colocation/neighbours.rs
+++ b/crates/workflow/src/colocation/neighbours.rs
@@ -7,7 +7,7 @@
     smallvec::SmallVec,
 };
 
-/// Serving tasks get the share of the worker's figures that follow one in which they were over target.
+/// Fillers keep this share of their pace for each figure in which a serving task is over its target.
 const TRUST_LOST: f32 = 0.4;
 
 /// What trust regains with each figure without that.
