Fillers of which little is known are tried: unknown_is_tried passes

Cause: what is feared of an unseen pair (0.7 standard errors of 8 for a whole worker) exceeds what serving tasks bear, so the filler isn't placed; placed, it is paced to nothing by the same fear once no filler waits (caution 5), and stands still. As long as it doesn't run nothing is learned.

Change: a filler that has waited 4 s goes alone to a worker whose serving tasks bear it by the best estimate, and at a tenth of its pace also by the feared one. While what is feared is mostly want of knowledge, a filler that is alone keeps a tenth of its pace. A task that runs doesn't count as one to be tried, so it isn't moved for that.

--- a/crates/workflow/src/colocation/interference.rs
+++ b/crates/workflow/src/colocation/interference.rs
@@ -189,6 +189,11 @@
         (row.weight(column) + CAUTION * row.error(column)) * share
     }
 
+    /// The same by the best estimate; nothing for a pair that was never seen.
+    pub fn likely_pressure(&self, serving: ImageNo, filler: ImageNo, share: f32) -> f32 {
+        self.pair(serving, filler).map_or(0.0, |(row, column)| row.weight(column) * share)
+    }
+
     /// What fillers' use takes from a serving image's headroom, by the best estimate.
     pub fn taken(&self, serving: ImageNo, exposure: &Exposure) -> f32 {
         let Some(image) = self.images.get(usize::from(serving.0)) else { return 0.0 };
--- a/crates/workflow/src/colocation/mod.rs
+++ b/crates/workflow/src/colocation/mod.rs
@@ -52,6 +52,12 @@
 /// headroom is 2.2 at the usual load, and half of the figures stray by 5%.
 const NOTICEABLE: f32 = 0.08;
 
+/// A filler works at this share of its pace at least, or not at all: below it its figures show nothing.
+const LEAST_SHARE: f32 = 0.1;
+
+/// Little is known of a filler while what is feared of it is so many times what is likely.
+const MOSTLY_FEAR: f32 = 3.0;
+
 /// Pressures are compared in steps of this size; finer ones are noise.
 const PRESSURE_STEP: f32 = 0.1;
 
@@ -191,6 +197,16 @@
         self.interference.pressure(serving, filler, worker.share(cores))
     }
 
+    /// The same by the best estimate, which is nothing for a pair that was never seen.
+    fn likely_pressure(
+        &self,
+        worker: &Neighbours,
+        serving: ImageNo,
+        (filler, cores): (ImageNo, f32),
+    ) -> f32 {
+        self.interference.likely_pressure(serving, filler, worker.share(cores))
+    }
+
     /// What all fillers of a worker take from a serving image's headroom there.
     fn pressure_on(&self, worker: &Neighbours, serving: ImageNo) -> f32 {
         let pressure =
@@ -215,6 +231,18 @@
         Some((highest / PRESSURE_STEP) as u32)
     }
 
+    /// Whether a worker's serving tasks bear one more filler by the best estimate, and at [`LEAST_SHARE`] of its
+    /// pace also by the cautious one: it is refused only since too little is known of it.
+    pub(crate) fn is_unproved(&self, worker: &Neighbours, filler: (ImageNo, f32)) -> bool {
+        worker.serving().iter().all(|(serving, _)| {
+            let left = self.budget(worker, *serving) - self.pressure_on(worker, *serving);
+            let likely = self.likely_pressure(worker, *serving, filler);
+            let feared = self.pressure(worker, *serving, filler);
+            let unknown = feared < NOTICEABLE || feared >= MOSTLY_FEAR * likely;
+            unknown && likely <= left && feared * LEAST_SHARE <= left
+        })
+    }
+
     /// For each image that serves at a worker, the share of their full pace at which it bears the fillers.
     pub(crate) fn bearable_shares(
         &self,
@@ -222,9 +250,17 @@
         fillers: impl Iterator<Item = (ImageNo, f32)> + Clone,
     ) -> SmallVec<[(ImageNo, f32); 4]> {
         let share = |serving: ImageNo| {
-            let all: f32 =
+            let budget = self.budget(worker, serving).max(0.0);
+            let feared: f32 =
                 fillers.clone().map(|filler| self.pressure(worker, serving, filler)).sum();
-            self.budget(worker, serving).max(0.0) / all.max(f32::MIN_POSITIVE)
+            let likely: f32 =
+                fillers.clone().map(|filler| self.likely_pressure(worker, serving, filler)).sum();
+            let share = budget / feared.max(f32::MIN_POSITIVE);
+            // Held back wholly for what is only feared, a filler would stand still for good: nothing more would
+            // be learned of it.
+            let unknown = feared >= MOSTLY_FEAR * likely && worker.filling().len() == 1;
+            let safe = unknown && budget > 0.0 && likely * LEAST_SHARE <= budget;
+            if safe { share.max(LEAST_SHARE) } else { share }
         };
         worker.serving().iter().map(|(serving, _)| (*serving, share(*serving))).collect()
     }
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -299,12 +299,29 @@
         }
         let open = (self.colocation.openness(&worker.neighbours) / OPENNESS_STEP) as i64;
         if step.fills {
-            let disturbance = self.colocation.disturbance(&worker.neighbours, need.filler())?;
+            let disturbance = self.colocation.disturbance(&worker.neighbours, need.filler());
+            let disturbance = match disturbance {
+                Some(known) => known,
+                None if self.is_tried(now, worker, task, need) => TRIED,
+                None => return None,
+            };
             return Some((near, fast, -open, -i64::from(disturbance), left));
         }
         Some((near, fast, -open, i64::from(worker.serving > 0), left))
     }
 
+    /// Whether a filler of which too little is known is tried at a worker, by itself.
+    ///
+    /// What is feared of an image that was never seen beside the serving images, which may stand on all
+    /// workers, would keep its tasks waiting for good: as long as none runs, nothing is learned of it. One that is
+    /// tried works at the pace that what is feared leaves, and gets faster as more is known.
+    fn is_tried(&self, now: Time, worker: &Worker, task: TaskId, need: &Need<'_>) -> bool {
+        worker.filling == 0
+            && self.waited(now, task.step_id()) >= TRY_AFTER
+            && self.task(task).is_some_and(TaskState::waits)
+            && self.colocation.is_unproved(&worker.neighbours, need.filler())
+    }
+
     /// How much room for fillers one more serving task of an image would close at a worker, in steps.
     fn closes(&self, worker: &Worker, image: ImageNo) -> i64 {
         let closed = self.colocation.closed_by(&worker.neighbours, image);
@@ -329,6 +346,12 @@
 /// Room for fillers that is closed or opened is compared in steps of so many cores: half a filler.
 pub(super) const ROOM_STEP: f32 = 2_000.0;
 
+/// A filler of which little is known has waited for so long when it is tried.
+const TRY_AFTER: Duration = Duration::from_secs(4);
+
+/// A filler that is tried counts as pressing harder than any that is known to be borne.
+const TRIED: u32 = 1_000;
+
 /// What a worker is open to is compared in steps of this share of the fillers' demand.
 const OPENNESS_STEP: f32 = 0.1;
 
--- a/crates/workflow/src/scheduler/queue.rs
+++ b/crates/workflow/src/scheduler/queue.rs
@@ -134,6 +134,11 @@
         flow.submission.workflow.steps.get(usize::from(task.step))
     }
 
+    pub(super) fn task(&self, task: TaskId) -> Option<&TaskState> {
+        let occurrence = self.flows.get(&task.workflow)?.occurrences.get(&task.occurrence)?;
+        occurrence.steps.get(usize::from(task.step))?.tasks.get(task.index as usize)
+    }
+
     pub(super) fn task_mut(&mut self, task: TaskId) -> Option<&mut TaskState> {
         let flow = self.flows.get_mut(&task.workflow)?;
         let occurrence = flow.occurrences.get_mut(&task.occurrence)?;
--- a/crates/workflow/src/scheduler/waits/held.rs
+++ b/crates/workflow/src/scheduler/waits/held.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        super::{Copy, Phase, Scheduler, Worker, flow::TaskState},
+        super::{Copy, Phase, Scheduler, Worker},
         HeldSteps, MOST_NAMED, Reason,
     },
     crate::{RunId, StepId, TaskId, WorkerId},
@@ -102,11 +102,6 @@
         !state.done && !others.any(works)
     }
 
-    pub(super) fn task(&self, task: TaskId) -> Option<&TaskState> {
-        let occurrence = self.flows.get(&task.workflow)?.occurrences.get(&task.occurrence)?;
-        occurrence.steps.get(usize::from(task.step))?.tasks.get(task.index as usize)
-    }
-
     /// Since when a task in a queue hasn't run.
     pub(super) fn down_since(&self, task: TaskId) -> Option<Time> {
         let StepId { workflow, occurrence, step } = task.step_id();
