Relays: followers carry the leader's calls to workers

Cause: one leader calls every worker by HTTP.

Change: a leader of 96 workers and more uses a follower for each 64 of them. A follower that reads of a new leader connects and offers itself; calls go in frames that name workers and payloads once, lists come back as changes. Relays decide nothing. What arrives later than 0.4 s isn't carried out; a relay that is silent for 0.5 s, or cut off from most workers, is given up; a worker that doesn't answer by way of its relay is called directly for 5 s.

--- a/crates/egretlbd/src/main.rs
+++ b/crates/egretlbd/src/main.rs
@@ -111,6 +111,7 @@
     };
     let options = NodeOptions {
         name: settings.node_name.clone(),
+        data_centre: settings.data_centre.clone(),
         incarnation: SmallRng::from_os_rng().random(),
         power: settings.power(),
         limits,
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -150,15 +150,7 @@
     }
 
     async fn connect(&self) -> Result<Connection, CallError> {
-        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr)).await;
-        let stream = match connecting {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-                return Err(CallError::Refused);
-            }
-            Ok(Err(_)) | Err(_) => return Err(CallError::NotSent),
-        };
-        prepare(&stream);
+        let stream = open(self.addr).await?;
         let (conn, driver) =
             handshake(TokioIo::new(stream)).await.map_err(|_| CallError::NotSent)?;
         tokio::task::spawn_local(async move {
@@ -170,6 +162,19 @@
     }
 }
 
+/// Opens a connection.
+pub(crate) async fn open(addr: SocketAddr) -> Result<TcpStream, CallError> {
+    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            return Err(CallError::Refused);
+        }
+        Ok(Err(_)) | Err(_) => return Err(CallError::NotSent),
+    };
+    prepare(&stream);
+    Ok(stream)
+}
+
 /// Sets what shows a silent peer: a cut-off one neither answers nor resets.
 pub(crate) fn prepare(stream: &TcpStream) {
     let socket = SockRef::from(stream);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,8 +7,10 @@
 
 mod client;
 mod server;
+mod upgrade;
 
 pub use crate::{
     client::{Answer, CallError, Client},
     server::{Request, Response, ServerLimits, serve},
+    upgrade::{Duplex, Upgrade, Upgrading, upgrade},
 };
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,7 +1,7 @@
 //! Serving clients.
 
 use {
-    crate::client::prepare,
+    crate::{client::prepare, upgrade::Upgrading},
     bytes::Bytes,
     http::{Method, StatusCode, header::HeaderValue},
     http_body_util::{BodyExt, Full, Limited},
@@ -40,6 +40,8 @@
     pub headers: http::HeaderMap,
     /// The whole body; none if it is larger than allowed or broke off.
     pub body: Option<Bytes>,
+    /// Set if the client asks for another protocol: the connection, once [`Response::switching`] is answered.
+    pub upgrade: Option<Upgrading>,
 }
 
 /// What a client is answered.
@@ -53,6 +55,8 @@
     pub content_type: &'static str,
     /// When to come back, in seconds.
     pub retry_after: Option<u32>,
+    /// The protocol that the connection has from here on, if it is another one.
+    pub switches_to: Option<&'static str>,
 }
 
 /// The content type of most bodies.
@@ -61,7 +65,19 @@
 impl Response {
     /// An answer without a body.
     pub fn empty(status: u16) -> Response {
-        Response { status, body: Bytes::new(), content_type: JSON, retry_after: None }
+        Response {
+            status,
+            body: Bytes::new(),
+            content_type: JSON,
+            retry_after: None,
+            switches_to: None,
+        }
+    }
+
+    /// The answer after which the connection speaks `protocol`.
+    pub fn switching(protocol: &'static str) -> Response {
+        let status = StatusCode::SWITCHING_PROTOCOLS.as_u16();
+        Response { switches_to: Some(protocol), ..Response::empty(status) }
     }
 }
 
@@ -128,7 +144,8 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head)
         .max_buf_size(MAX_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(stream), service)
+        .with_upgrades();
     tokio::pin!(conn);
     let ended = tokio::select! {
         ended = conn.as_mut() => ended,
@@ -145,7 +162,8 @@
 /// The most bytes buffered for one connection; a head of 16 KiB fits.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
-async fn read(req: hyper::Request<Incoming>, limit: usize) -> Request {
+async fn read(mut req: hyper::Request<Incoming>, limit: usize) -> Request {
+    let upgrade = Upgrading::of(&mut req);
     let (parts, body) = req.into_parts();
     let body = Limited::new(body, limit).collect().await.ok().map(|body| body.to_bytes());
     let host = parts.headers.get("host").and_then(|host| host.to_str().ok()).unwrap_or_default();
@@ -156,11 +174,12 @@
         query: parts.uri.query().unwrap_or_default().to_string(),
         headers: parts.headers,
         body,
+        upgrade,
     }
 }
 
 fn write(response: Response) -> hyper::Response<Full<Bytes>> {
-    let Response { status, body, content_type, retry_after } = response;
+    let Response { status, body, content_type, retry_after, switches_to } = response;
     let has_body = !body.is_empty();
     let mut answer = hyper::Response::new(Full::new(body));
     *answer.status_mut() =
@@ -169,6 +188,10 @@
     if has_body {
         headers.insert("content-type", HeaderValue::from_static(content_type));
     }
+    if let Some(protocol) = switches_to {
+        headers.insert("connection", HeaderValue::from_static("upgrade"));
+        headers.insert("upgrade", HeaderValue::from_static(protocol));
+    }
     if let Some(seconds) = retry_after {
         headers.insert("retry-after", HeaderValue::from(seconds));
     }
--- a/crates/runtime/src/border.rs
+++ b/crates/runtime/src/border.rs
@@ -215,6 +215,9 @@
 
     /// Changes the pace of a filler.
     fn pace(&self, call: PaceCall) -> LocalBoxFuture<'_, PaceResult>;
+
+    /// Closes idle connections to the worker at `addr`: it will be called in another way.
+    fn release(&self, addr: SocketAddr);
 }
 
 /// The service that knows which workers a policy allows to run a step.
--- a/crates/runtime/src/dump.rs
+++ b/crates/runtime/src/dump.rs
@@ -1,6 +1,11 @@
 //! What a process knows, for whoever looks into it. Without clients' payloads, and bounded in size.
 
-use {crate::node::Node, egretlb_types::Time, serde::Serialize, std::time::Duration};
+use {
+    crate::{node::Node, relays::UsedRelay},
+    egretlb_types::Time,
+    serde::Serialize,
+    std::time::Duration,
+};
 
 /// The most steps that are listed: at 200 bytes each 200 KB.
 const MOST_STEPS: usize = 1_000;
@@ -21,6 +26,8 @@
     records_read_ms: Option<u64>,
     /// Workers that the new leader waits for.
     unaccounted: usize,
+    /// The VMs that carry this leader's calls.
+    relays: Vec<Relay>,
     /// Tasks that nothing would ever start; there is none unless the scheduler has a fault.
     stranded: Vec<String>,
     /// Steps with tasks that wait: those in the queue, the first of them first, then those whose tasks are
@@ -30,6 +37,14 @@
     more_waiting: bool,
 }
 
+#[derive(Serialize)]
+struct Relay {
+    name: String,
+    data_centre: String,
+    /// How many workers it carries.
+    workers: usize,
+}
+
 #[derive(Serialize)]
 struct Waiting {
     step: String,
@@ -56,6 +71,12 @@
 impl Node {
     /// The state as JSON.
     pub(crate) fn dump(&self, now: Time) -> Vec<u8> {
+        let relay = |used: UsedRelay| Relay {
+            name: used.name.to_string(),
+            data_centre: used.data_centre.to_string(),
+            workers: used.workers,
+        };
+        let relays = self.relays.used().into_iter().map(relay).collect();
         let core = &mut *self.core.borrow_mut();
         let ready = core.is_ready(now);
         let leader = core.leader().to_string();
@@ -68,6 +89,7 @@
             workers: core.directory.len(),
             records_read_ms: core.work.fresh.map(|at| ms(now.since(at))),
             unaccounted: 0,
+            relays,
             stranded: Vec::new(),
             waiting: Vec::new(),
             more_waiting: false,
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod reads;
 mod records;
+mod relays;
 mod serve;
 
 pub use crate::{
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -10,6 +10,7 @@
         orders::Turns,
         peers::{Leader, Waiting},
         reads::Reads,
+        relays::{self, Relays},
     },
     compact_str::CompactString,
     egretlb_telemetry::{RunEvent, WorkflowMetrics},
@@ -46,6 +47,8 @@
 pub struct NodeOptions {
     /// The name of its VM.
     pub name: CompactString,
+    /// The VM's data centre.
+    pub data_centre: CompactString,
     /// Drawn at random at each start.
     pub incarnation: u64,
     /// The VM's share of the processor, in thousandths of a core.
@@ -95,9 +98,12 @@
     pub(crate) core: Rc<RefCell<Core>>,
     pub(crate) store: Rc<dyn Store>,
     pub(crate) workers: Rc<dyn Workers>,
+    pub(crate) relays: Rc<Relays>,
     pub(crate) advisor: Rc<dyn Advisor>,
     pub(crate) fleet: Rc<dyn Fleet>,
     pub(crate) name: CompactString,
+    pub(crate) data_centre: CompactString,
+    power: u32,
     formats: Rc<dyn Formats>,
     pub(crate) appender: Rc<Appender>,
     pub(crate) leader: Leader,
@@ -121,21 +127,26 @@
     /// A node that follows nothing yet.
     pub fn new(options: NodeOptions, platform: Platform) -> Rc<Node> {
         let Platform { store, workers, advisor, fleet, formats } = platform;
-        let name = options.name.clone();
+        let (name, data_centre, power) =
+            (options.name.clone(), options.data_centre.clone(), options.power);
         let clock = Clock;
         let place = place(&options);
         let leadership =
             Leadership::new(clock.now(), options.name, options.incarnation, place, options.limits);
         let core = Rc::new(RefCell::new(Core::new(leadership, options.limits)));
         let reads = Rc::new(Reads::new(Rc::clone(&core)));
+        let relays = Rc::new(Relays::new(workers, Rc::clone(&core), clock));
         let appender = Appender::new(Rc::clone(&store), Rc::clone(&reads));
         Rc::new(Node {
             core,
             store,
-            workers,
+            workers: Rc::clone(&relays) as Rc<dyn Workers>,
+            relays,
             advisor,
             fleet,
             name,
+            data_centre,
+            power,
             formats,
             appender: Rc::new(appender),
             leader: Leader::default(),
@@ -164,6 +175,11 @@
         self.clock
     }
 
+    /// Whether its VM has so little of a core that others come first.
+    pub(crate) fn is_weak(&self) -> bool {
+        self.power < FIT_POWER
+    }
+
     pub(crate) fn core(&self) -> Ref<'_, Core> {
         self.core.borrow()
     }
@@ -212,6 +228,7 @@
             spawn_local(crate::follow::follow(Rc::clone(self), topic));
         }
         spawn_local(Rc::clone(&self.appender).run());
+        spawn_local(relays::offer(Rc::clone(self)));
         spawn_local(Rc::clone(self).tick_on());
     }
 
@@ -338,6 +355,7 @@
                 let leader = self.core.borrow().leader();
                 log::info!(leader:% = leader; "deposed");
                 self.core.borrow_mut().scheduler = None;
+                self.relays.end();
             }
         }
     }
@@ -361,6 +379,7 @@
             scheduler.on_wave(now, *number, Some(wave), &core.ledger);
         }
         core.scheduler = Some(scheduler);
+        self.relays.begin(epoch);
         self.metrics.elected();
         self.wake.notify_one();
     }
--- a/crates/runtime/src/peers.rs
+++ b/crates/runtime/src/peers.rs
@@ -7,7 +7,7 @@
 //! is passed over: the same record may be appended twice without harm.
 
 use {
-    crate::{append::Stored, node::Node},
+    crate::{append::Stored, node::Node, relays},
     bytes::Bytes,
     egretlb_http::{CallError, Client, Request, Response},
     egretlb_telemetry::METRICS_CONTENT_TYPE,
@@ -99,6 +99,9 @@
         let body = Bytes::from(node.dump(node.clock().now()));
         return Response { body, ..Response::empty(status::STORED) };
     }
+    if req.path == relays::PATH {
+        return node.relays.answer(req.upgrade);
+    }
     let record = req.body.filter(|_| req.path == PATH).and_then(|body| Record::from_bytes(&body));
     let Some(record) = record else { return Response::empty(status::REJECTED) };
     if !node.may_lead() {
--- /dev/null
+++ b/crates/runtime/src/relays/leader.rs
@@ -0,0 +1,457 @@
+//! The leader's side: which calls go by way of which relay.
+
+use {
+    super::{FRAME_GAP, PROTOCOL, SILENT_AFTER, frames},
+    crate::{
+        border::{Decoded, HoldCall, PaceCall, StartCall, StopCall, Workers},
+        clock::Clock,
+        core::Core,
+    },
+    bytes::Bytes,
+    compact_str::CompactString,
+    egretlb_http::{Response, Upgrading},
+    egretlb_relay::{
+        Answer, Assignment, Call, CallNo, CodecError, Hello, LeaderCodec, RelayNo, Route,
+        relays_wanted,
+    },
+    egretlb_types::{Epoch, Time},
+    egretlb_workflow::{HoldResult, PaceResult, StartResult, StopResult, WorkerId},
+    futures::{SinkExt, StreamExt, future::LocalBoxFuture},
+    std::{
+        cell::{Cell, RefCell},
+        collections::{BTreeMap, HashMap},
+        fmt,
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        sync::{Notify, oneshot},
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+/// A call that reaches its relay later than this after it was handed over isn't carried out: what it starts may
+/// have been cancelled since.
+const CARRIED_WITHIN: Duration = Duration::from_millis(400);
+
+/// How long the answer to a call may take beyond the call's own wait. A relay gives a call up after 0.6 s.
+const ANSWER_LIMIT: Duration = Duration::from_millis(900);
+
+/// How long the first frame of a VM that offers itself may take.
+const HELLO_LIMIT: Duration = Duration::from_millis(500);
+
+/// Offers that are kept beyond those in use, to take the place of one that is lost.
+const SPARES: usize = 2;
+
+/// How often a call that waits for the first offers looks for its relay.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
+
+/// How often workers that are gone are forgotten.
+const SWEEP_EVERY: Duration = Duration::from_secs(2);
+
+/// The answer to an offer that isn't wanted.
+mod status {
+    pub(super) const NOT_LEADER: u16 = 409;
+    pub(super) const NOT_WANTED: u16 = 503;
+}
+
+/// Why a relay's connection ended.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    /// It closed, or broke.
+    Closed,
+    /// Nothing was heard for too long.
+    Silent,
+    /// It sent what can't be read.
+    Unreadable(CodecError),
+    /// This process gave it up.
+    GivenUp,
+}
+
+impl fmt::Display for End {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            End::Closed => write!(f, "closed"),
+            End::Silent => write!(f, "silent"),
+            End::Unreadable(error) => write!(f, "unreadable: {error}"),
+            End::GivenUp => write!(f, "given up"),
+        }
+    }
+}
+
+/// A connection to a relay.
+struct Session {
+    number: RelayNo,
+    name: CompactString,
+    data_centre: CompactString,
+    codec: RefCell<LeaderCodec>,
+    /// Since when the first call waits for the next frame.
+    waits_since: Cell<Time>,
+    /// The relay's clock in milliseconds, and when it was read.
+    clock: Cell<(u64, Time)>,
+    pending: RefCell<HashMap<CallNo, oneshot::Sender<Answer>>>,
+    used: Cell<bool>,
+    wake: Notify,
+    given_up: Notify,
+}
+
+impl Session {
+    /// The end of the time in which calls of the next frame may be carried out, on the relay's clock.
+    fn until_ms(&self) -> u64 {
+        let (clock_ms, read) = self.clock.get();
+        let span = self.waits_since.get().since(read) + CARRIED_WITHIN;
+        clock_ms.saturating_add(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    fn add(&self, now: Time, worker: &WorkerId, addr: SocketAddr, call: Call) -> CallNo {
+        let mut codec = self.codec.borrow_mut();
+        if !codec.has_calls() {
+            self.waits_since.set(now);
+        }
+        let number = codec.add(worker, addr, call);
+        self.wake.notify_one();
+        number
+    }
+}
+
+/// A relay in use, for whoever looks into the leader.
+pub(crate) struct UsedRelay {
+    pub(crate) name: CompactString,
+    pub(crate) data_centre: CompactString,
+    /// How many workers it carries.
+    pub(crate) workers: usize,
+}
+
+/// The relays of one term.
+struct Term {
+    epoch: Epoch,
+    assignment: Assignment,
+    /// All that have offered themselves, whether they are used or not.
+    sessions: BTreeMap<RelayNo, Rc<Session>>,
+    next: u32,
+}
+
+impl Term {
+    /// Uses as many of those that have offered themselves as are wanted.
+    fn use_wanted(&mut self, now: Time, wanted: usize) -> bool {
+        let mut any = false;
+        for session in self.sessions.values().filter(|session| !session.used.get()) {
+            if self.assignment.relays() >= wanted {
+                break;
+            }
+            session.used.set(true);
+            // The empty frame tells it so.
+            session.wake.notify_one();
+            self.assignment.add(now, session.number, session.data_centre.clone());
+            log::info!(relay:% = session.name, used = self.assignment.relays(), wanted; "relay_used");
+            any = true;
+        }
+        any
+    }
+}
+
+/// The workers, called directly or by way of relays.
+pub(crate) struct Relays {
+    direct: Rc<dyn Workers>,
+    core: Rc<RefCell<Core>>,
+    term: RefCell<Option<Term>>,
+    /// A relay came into use.
+    offered: Notify,
+    clock: Clock,
+}
+
+impl Relays {
+    pub(crate) fn new(direct: Rc<dyn Workers>, core: Rc<RefCell<Core>>, clock: Clock) -> Relays {
+        Relays { direct, core, term: RefCell::default(), offered: Notify::new(), clock }
+    }
+
+    /// The workers, called directly.
+    pub(crate) fn direct(&self) -> &dyn Workers {
+        &*self.direct
+    }
+
+    /// This process leads from now on.
+    pub(crate) fn begin(self: &Rc<Self>, epoch: Epoch) {
+        self.end();
+        let assignment = Assignment::new(self.clock.now());
+        let term = Term { epoch, assignment, sessions: BTreeMap::new(), next: 0 };
+        *self.term.borrow_mut() = Some(term);
+        spawn_local(Rc::clone(self).sweep_on(epoch));
+    }
+
+    /// It leads no more: nothing is carried for it.
+    pub(crate) fn end(&self) {
+        let Some(term) = self.term.borrow_mut().take() else { return };
+        for session in term.sessions.values() {
+            session.given_up.notify_one();
+            session.pending.borrow_mut().clear();
+        }
+    }
+
+    /// The relays in use.
+    pub(crate) fn used(&self) -> Vec<UsedRelay> {
+        let term = self.term.borrow();
+        let Some(term) = &*term else { return Vec::new() };
+        let used = term.sessions.values().filter(|session| session.used.get());
+        let row = |session: &Rc<Session>| UsedRelay {
+            name: session.name.clone(),
+            data_centre: session.data_centre.clone(),
+            workers: term.assignment.load(session.number),
+        };
+        used.map(row).collect()
+    }
+
+    fn wanted(&self) -> usize {
+        relays_wanted(self.core.borrow().directory.len())
+    }
+
+    /// Answers a VM that offers itself.
+    pub(crate) fn answer(self: &Rc<Self>, upgrading: Option<Upgrading>) -> Response {
+        let wanted = self.wanted();
+        let term = self.term.borrow();
+        let Some(term) = &*term else { return Response::empty(status::NOT_LEADER) };
+        let spares = if wanted > 0 { SPARES } else { 0 };
+        let Some(upgrading) = upgrading.filter(|_| term.sessions.len() < wanted + spares) else {
+            return Response::empty(status::NOT_WANTED);
+        };
+        spawn_local(Rc::clone(self).serve(term.epoch, upgrading));
+        Response::switching(PROTOCOL)
+    }
+
+    async fn serve(self: Rc<Self>, epoch: Epoch, upgrading: Upgrading) {
+        let Ok(stream) = upgrading.complete().await else { return };
+        let mut frames = frames(stream);
+        let Ok(Some(Ok(frame))) = timeout(HELLO_LIMIT, frames.next()).await else { return };
+        let Ok(hello) = Hello::from_frame(&frame) else { return };
+        let Some(session) = self.register(epoch, hello) else { return };
+        let end = tokio::select! {
+            end = self.exchange(&session, frames, epoch) => end,
+            () = session.given_up.notified() => End::GivenUp,
+        };
+        self.close(epoch, &session, end);
+    }
+
+    fn register(&self, epoch: Epoch, hello: Hello) -> Option<Rc<Session>> {
+        let now = self.clock.now();
+        let wanted = self.wanted();
+        let mut term = self.term.borrow_mut();
+        let term = term.as_mut().filter(|term| term.epoch == epoch)?;
+        let number = RelayNo(term.next);
+        term.next += 1;
+        let session = Rc::new(Session {
+            number,
+            name: hello.name,
+            data_centre: hello.data_centre,
+            codec: RefCell::default(),
+            waits_since: Cell::new(now),
+            clock: Cell::new((hello.clock_ms, now)),
+            pending: RefCell::default(),
+            used: Cell::new(false),
+            wake: Notify::new(),
+            given_up: Notify::new(),
+        });
+        term.sessions.insert(number, Rc::clone(&session));
+        if term.use_wanted(now, wanted) {
+            self.offered.notify_waiters();
+        }
+        Some(session)
+    }
+
+    async fn exchange(&self, session: &Session, frames: super::Frames, epoch: Epoch) -> End {
+        let (mut sink, mut source) = frames.split();
+        let write = async {
+            loop {
+                session.wake.notified().await;
+                let until_ms = session.until_ms();
+                let frame = session.codec.borrow_mut().frame(epoch, until_ms);
+                if sink.send(Bytes::from(frame)).await.is_err() {
+                    return End::Closed;
+                }
+                sleep(FRAME_GAP).await;
+            }
+        };
+        let read = async {
+            // One that isn't used says nothing.
+            let mut used_since = None;
+            loop {
+                let frame = match timeout(SILENT_AFTER, source.next()).await {
+                    Ok(Some(Ok(frame))) => frame,
+                    Ok(_) => return End::Closed,
+                    Err(_) if used_since.is_some() => return End::Silent,
+                    Err(_) => {
+                        used_since = session.used.get().then(|| self.clock.now());
+                        continue;
+                    }
+                };
+                used_since = Some(self.clock.now());
+                if let Err(error) = self.take_in(session, &frame) {
+                    return End::Unreadable(error);
+                }
+            }
+        };
+        tokio::select! {
+            end = write => end,
+            end = read => end,
+        }
+    }
+
+    fn take_in(&self, session: &Session, frame: &[u8]) -> Result<(), CodecError> {
+        let (clock_ms, answers) = session.codec.borrow_mut().read(frame)?;
+        session.clock.set((clock_ms, self.clock.now()));
+        let mut pending = session.pending.borrow_mut();
+        for (number, answer) in answers {
+            if let Some(tx) = pending.remove(&number) {
+                // The call may have been given up.
+                let _ = tx.send(answer);
+            }
+        }
+        Ok(())
+    }
+
+    fn close(&self, epoch: Epoch, session: &Session, end: End) {
+        log::info!(relay:% = session.name, end:% = end; "relay_lost");
+        session.pending.borrow_mut().clear();
+        let now = self.clock.now();
+        let wanted = self.wanted();
+        let mut term = self.term.borrow_mut();
+        let Some(term) = term.as_mut().filter(|term| term.epoch == epoch) else { return };
+        term.sessions.remove(&session.number);
+        term.assignment.remove(session.number);
+        term.use_wanted(now, wanted);
+    }
+
+    async fn sweep_on(self: Rc<Self>, epoch: Epoch) {
+        loop {
+            sleep(SWEEP_EVERY).await;
+            let wanted = self.wanted();
+            let core = self.core.borrow();
+            let mut term = self.term.borrow_mut();
+            let Some(term) = term.as_mut().filter(|term| term.epoch == epoch) else { return };
+            term.assignment.retain(|id| core.directory.contains_key(id));
+            term.use_wanted(self.clock.now(), wanted);
+        }
+    }
+
+    /// The relay for a worker; none if it is called directly.
+    async fn relay_of(&self, worker: &WorkerId) -> Option<Rc<Session>> {
+        loop {
+            let offered = self.offered.notified();
+            {
+                let core = self.core.borrow();
+                let data_centre = core.directory.get(worker).map(|info| info.data_centre.clone());
+                let mut term = self.term.borrow_mut();
+                let term = term.as_mut()?;
+                let now = self.clock.now();
+                let (data_centre, known) = (data_centre.unwrap_or_default(), core.directory.len());
+                match term.assignment.route(now, worker, &data_centre, known) {
+                    Route::Direct => return None,
+                    Route::Via(number) => return term.sessions.get(&number).cloned(),
+                    Route::Later => {}
+                }
+            }
+            // Either way the route is asked for again.
+            let _ = timeout(LOOK_AGAIN, offered).await;
+        }
+    }
+
+    /// Has a relay make the call; the call back if none carries the worker.
+    async fn carry(&self, worker: &WorkerId, addr: SocketAddr, call: Call) -> Result<Answer, Call> {
+        let session = self.relay_of(worker).await;
+        // The process may have been paused meanwhile.
+        if self.core.borrow().leadership.authority(self.clock.now()).is_none() {
+            return Ok(call.withheld());
+        }
+        let Some(session) = session else { return Err(call) };
+        if !session.codec.borrow().knows(worker) {
+            self.direct.release(addr);
+        }
+        let own_wait = match &call {
+            Call::Hold { wait_ms, .. } => Duration::from_millis(*wait_ms),
+            Call::Start { .. } | Call::Stop { .. } | Call::Pace { .. } => Duration::ZERO,
+        };
+        let unanswered = call.unanswered();
+        let (tx, rx) = oneshot::channel();
+        let number = session.add(self.clock.now(), worker, addr, call);
+        session.pending.borrow_mut().insert(number, tx);
+        let answer = match timeout(own_wait + ANSWER_LIMIT, rx).await {
+            Ok(Ok(answer)) => answer,
+            // The relay is lost; that says nothing of the worker.
+            Ok(Err(_)) => return Ok(unanswered),
+            Err(_) => {
+                session.pending.borrow_mut().remove(&number);
+                unanswered
+            }
+        };
+        let loss = self.term.borrow_mut().as_mut().and_then(|term| {
+            let now = self.clock.now();
+            term.assignment.note(now, session.number, worker, answer.is_heard())
+        });
+        if let Some(loss) = loss {
+            log::warn!(relay:% = session.name, why:? = loss; "relay_given_up");
+            session.given_up.notify_one();
+        }
+        Ok(answer)
+    }
+}
+
+impl Workers for Relays {
+    fn hold(&self, call: HoldCall) -> LocalBoxFuture<'_, Decoded<HoldResult>> {
+        Box::pin(async move {
+            let HoldCall { recorded, until_ms, wait_ms, .. } = call;
+            let carried = Call::Hold { recorded, until_ms, wait_ms };
+            match self.carry(&call.worker, call.addr, carried).await {
+                Ok(Answer::Hold(result)) => result.into(),
+                Ok(_) => HoldResult::Failed.into(),
+                Err(_) => self.direct.hold(call).await,
+            }
+        })
+    }
+
+    fn start<'a>(&'a self, call: StartCall<'a>) -> LocalBoxFuture<'a, StartResult> {
+        Box::pin(async move {
+            let StartCall { task, run, until_ms, .. } = call;
+            let carried = Call::Start {
+                task,
+                run,
+                payload: call.payload.into(),
+                until_ms,
+                saved: call.saved.into(),
+                ticket: call.ticket.into(),
+            };
+            match self.carry(call.worker, call.addr, carried).await {
+                Ok(Answer::Start(result)) => result,
+                Ok(_) => StartResult::Unknown,
+                Err(_) => self.direct.start(call).await,
+            }
+        })
+    }
+
+    fn stop(&self, call: StopCall) -> LocalBoxFuture<'_, StopResult> {
+        Box::pin(async move {
+            let carried = Call::Stop { task: call.task, run: call.run };
+            match self.carry(&call.worker, call.addr, carried).await {
+                Ok(Answer::Stop(result)) => result,
+                Ok(_) => StopResult::Unknown,
+                Err(_) => self.direct.stop(call).await,
+            }
+        })
+    }
+
+    fn pace(&self, call: PaceCall) -> LocalBoxFuture<'_, PaceResult> {
+        Box::pin(async move {
+            let PaceCall { task, run, percent, .. } = call;
+            let carried = Call::Pace { task, run, percent };
+            match self.carry(&call.worker, call.addr, carried).await {
+                Ok(Answer::Pace(result)) => result,
+                Ok(_) => PaceResult::Unknown,
+                Err(_) => self.direct.pace(call).await,
+            }
+        })
+    }
+
+    fn release(&self, addr: SocketAddr) {
+        self.direct.release(addr);
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/relays/offer.rs
@@ -0,0 +1,166 @@
+//! A follower's side: it offers itself to the leader and carries its calls.
+
+use {
+    super::{FRAME_GAP, PATH, PROTOCOL, SIGN_EVERY, frames},
+    crate::{
+        border::{HoldCall, PaceCall, StartCall, StopCall},
+        node::Node,
+    },
+    bytes::Bytes,
+    compact_str::CompactString,
+    egretlb_http::{Duplex, Upgrade, upgrade},
+    egretlb_relay::{Answer, Call, Carried, Hello, RelayCodec},
+    futures::{SinkExt, StreamExt},
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        sync::Notify,
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+/// How long the leader's answer to an offer may take.
+const OFFER_LIMIT: Duration = Duration::from_millis(500);
+
+/// The pause before another offer, after one that wasn't wanted.
+const OFFER_AGAIN: Duration = Duration::from_secs(4);
+
+/// The same after a connection that ended. Many may have ended at once, and the leader would make all calls
+/// itself meanwhile.
+const CONNECT_AGAIN: Duration = Duration::from_millis(200);
+
+/// A VM that is weak offers itself so much later than the others, so that those are used first.
+const WEAK_LATER: Duration = Duration::from_millis(100);
+
+/// What is known of the connection to the leader.
+struct Link {
+    codec: RefCell<RelayCodec>,
+    /// There is something to report.
+    wake: Notify,
+    /// The leader has sent a frame: it uses this relay.
+    used: Notify,
+}
+
+/// Offers this process to whoever leads, again and again, until it ends.
+pub(crate) async fn offer(node: Rc<Node>) {
+    loop {
+        let leader = node.reads.find(|core| core.other_leader()).await;
+        if node.is_weak() {
+            sleep(WEAK_LATER).await;
+        }
+        tokio::select! {
+            pause = carry_for(&node, leader) => sleep(pause).await,
+            () = node.reads.other_leader(leader) => {}
+        }
+        if node.core().stopping {
+            return;
+        }
+    }
+}
+
+/// Carries calls for a leader until the connection ends; returns the pause before another one.
+async fn carry_for(node: &Rc<Node>, leader: SocketAddr) -> Duration {
+    let stream = match upgrade(leader, PATH, PROTOCOL, OFFER_LIMIT).await {
+        Ok(Upgrade::Agreed(stream)) => *stream,
+        Ok(Upgrade::Declined(status)) => {
+            log::debug!(leader:%, status = status.as_u16(); "offer_declined");
+            return OFFER_AGAIN;
+        }
+        Err(error) => {
+            log::debug!(leader:%, error:%; "offer_failed");
+            return CONNECT_AGAIN;
+        }
+    };
+    let link =
+        Rc::new(Link { codec: RefCell::default(), wake: Notify::new(), used: Notify::new() });
+    exchange(node, &link, stream).await;
+    log::info!(leader:%; "relaying_ended");
+    CONNECT_AGAIN
+}
+
+async fn exchange(node: &Rc<Node>, link: &Rc<Link>, stream: Duplex) {
+    let (mut sink, mut source) = frames(stream).split();
+    let hello = Hello {
+        name: node.name.clone(),
+        data_centre: node.data_centre.clone(),
+        clock_ms: clock_ms(node),
+    };
+    if sink.send(Bytes::from(hello.to_frame())).await.is_err() {
+        return;
+    }
+    let write = async {
+        link.used.notified().await;
+        while !node.core().stopping {
+            // With nothing to report, the frame is a sign of life.
+            let _ = timeout(SIGN_EVERY, link.wake.notified()).await;
+            let frame = link.codec.borrow_mut().frame(clock_ms(node));
+            if sink.send(Bytes::from(frame)).await.is_err() {
+                return;
+            }
+            sleep(FRAME_GAP).await;
+        }
+    };
+    let read = async {
+        while let Some(Ok(frame)) = source.next().await {
+            link.used.notify_one();
+            let read = link.codec.borrow_mut().read(&frame);
+            let (until_ms, calls) = match read {
+                Ok(read) => read,
+                Err(error) => {
+                    log::warn!(error:%; "relay_frame_unreadable");
+                    return;
+                }
+            };
+            let late = clock_ms(node) > until_ms;
+            if late && !calls.is_empty() {
+                log::info!(calls = calls.len(); "calls_arrived_late");
+            }
+            for carried in calls {
+                if late {
+                    report(link, carried.number, carried.call.withheld());
+                } else {
+                    spawn_local(carry(Rc::clone(node), Rc::clone(link), carried));
+                }
+            }
+        }
+    };
+    tokio::select! {
+        () = write => {}
+        () = read => {}
+    }
+}
+
+fn clock_ms(node: &Node) -> u64 {
+    node.clock().now().as_micros() / 1_000
+}
+
+fn report(link: &Link, number: egretlb_relay::CallNo, answer: Answer) {
+    link.codec.borrow_mut().add(number, answer);
+    link.wake.notify_one();
+}
+
+async fn carry(node: Rc<Node>, link: Rc<Link>, carried: Carried) {
+    let Carried { number, epoch, worker, addr, call } = carried;
+    let workers = node.relays.direct();
+    let answer = match call {
+        Call::Hold { recorded, until_ms, wait_ms } => {
+            let call = HoldCall { worker, addr, epoch, recorded, until_ms, wait_ms };
+            Answer::Hold(node.heed(workers.hold(call).await))
+        }
+        Call::Start { task, run, payload, until_ms, saved, ticket } => {
+            let (worker, payload): (_, &CompactString) = (&worker, &payload);
+            let (saved, ticket) = (saved.as_str(), ticket.as_str());
+            let call =
+                StartCall { worker, addr, epoch, task, run, payload, until_ms, saved, ticket };
+            Answer::Start(workers.start(call).await)
+        }
+        Call::Stop { task, run } => {
+            Answer::Stop(workers.stop(StopCall { worker, addr, epoch, task, run }).await)
+        }
+        Call::Pace { task, run, percent } => {
+            let call = PaceCall { worker, addr, epoch, task, run, percent };
+            Answer::Pace(workers.pace(call).await)
+        }
+    };
+    report(&link, number, answer);
+}
--- a/crates/workflow/src/scheduler/lists.rs
+++ b/crates/workflow/src/scheduler/lists.rs
@@ -3,13 +3,14 @@
 use {
     crate::{RunId, TaskId},
     compact_str::CompactString,
+    serde::{Deserialize, Serialize},
 };
 
 /// The most ends in one answer of a worker; a list of that length may go on.
 const ENDS_PER_ANSWER: usize = 500;
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum EndKind {
     /// The task is done.
     Done,
@@ -28,7 +29,7 @@
 }
 
 /// An end, as the worker lists it until it is acknowledged.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct End {
     /// Its number at this worker, from 1.
     pub number: u64,
@@ -43,7 +44,7 @@
 }
 
 /// A run that is under way.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct RunningTask {
     /// The task.
     pub task: TaskId,
@@ -85,7 +86,7 @@
 }
 
 /// Rows of a worker's lists that aren't whole.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct OddRows {
     /// Runs of which no more can be read than that they are under way.
     pub seen: Vec<(TaskId, RunId)>,
--- a/crates/workflow/src/scheduler/orders.rs
+++ b/crates/workflow/src/scheduler/orders.rs
@@ -7,11 +7,12 @@
     },
     crate::{RunId, TaskId, WorkerId},
     egretlb_types::Time,
+    serde::{Deserialize, Serialize},
     std::time::Duration,
 };
 
 /// What became of a start.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum StartResult {
     /// It runs.
     Started {
@@ -43,7 +44,7 @@
 }
 
 /// What became of a stop.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum StopResult {
     /// It ends soon, or will never begin.
     Confirmed {
--- a/crates/workflow/src/scheduler/pacing.rs
+++ b/crates/workflow/src/scheduler/pacing.rs
@@ -12,11 +12,12 @@
     super::{Copy, Effect, Phase, Scheduler, Worker, copy::FULL_PACE, waits::StopReason},
     crate::{RunId, TaskId, WorkerId},
     egretlb_types::Time,
+    serde::{Deserialize, Serialize},
     std::time::Duration,
 };
 
 /// What became of a change of pace.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum PaceResult {
     /// It is in force.
     Paced,
