Cheaper decisions: a step's places looked at once, only news after a search in vain, regrouping in turns; starts under way follow answers

The limit of 64 starts under way let 640 a second through where each takes 100 ms.

Change: workers are looked at once for all tasks of a step that are placed together; after a search in vain only those heard of since, all again after 0.3 s; slowed fillers of one demand search once in that time; regrouping takes 96 workers at a time, in turns; leases, stops and leaving workers are looked through each 20 ms and not with each pass. As many starts may be under way as were answered in the last 250 ms, at least 64. A VM offers itself to each new term, not only to each new address, and not while it ends.

--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -3,7 +3,7 @@
 use {
     crate::border::{BadEntry, EntryKind, OperatorChange, Stored},
     compact_str::CompactString,
-    egretlb_types::Time,
+    egretlb_types::{Epoch, Time},
     egretlb_workflow::{
         Change, DirectoryChange, Effect, Key, Leadership, LeadershipEffect, Ledger, Limits,
         RouteTable, Scheduler, Wave, WorkerId, WorkerInfo, WorkflowId,
@@ -36,6 +36,14 @@
     pub(crate) known_to: Option<Time>,
 }
 
+/// A term of another process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct OtherTerm {
+    /// Where it takes records and offers.
+    pub(crate) addr: SocketAddr,
+    pub(crate) epoch: Epoch,
+}
+
 /// The state of a node.
 #[derive(Debug)]
 pub(crate) struct Core {
@@ -212,6 +220,13 @@
         if self.leadership.is_own(leader) { None } else { leader.addr }
     }
 
+    /// Another process's term, if one leads that can be reached.
+    pub(crate) fn other_term(&self) -> Option<OtherTerm> {
+        let addr = self.other_leader()?;
+        let epoch = self.ledger.leader()?.epoch;
+        Some(OtherTerm { addr, epoch })
+    }
+
     /// Who leads, for logs.
     pub(crate) fn leader(&self) -> CompactString {
         self.ledger.leader().map_or_else(CompactString::default, |leader| leader.node.clone())
--- a/crates/runtime/src/relays/offer.rs
+++ b/crates/runtime/src/relays/offer.rs
@@ -4,6 +4,7 @@
     super::{FRAME_GAP, PATH, PROTOCOL, SIGN_EVERY, frames},
     crate::{
         border::{HoldCall, PaceCall, StartCall, StopCall},
+        core::Core,
         node::Node,
     },
     bytes::Bytes,
@@ -11,6 +12,7 @@
     egretlb_http::{Duplex, Upgrade, upgrade},
     egretlb_relay::{Answer, Call, Carried, Hello, RelayCodec},
     futures::{SinkExt, StreamExt},
+    http::StatusCode,
     std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         sync::Notify,
@@ -19,13 +21,14 @@
     },
 };
 
-/// How long the leader's answer to an offer may take.
-const OFFER_LIMIT: Duration = Duration::from_millis(500);
+/// How long the leader's answer to an offer may take. One that makes all calls by itself is slow to answer, and
+/// needs the offer most.
+const OFFER_LIMIT: Duration = Duration::from_secs(2);
 
 /// The pause before another offer, after one that wasn't wanted.
 const OFFER_AGAIN: Duration = Duration::from_secs(4);
 
-/// The same after a connection that ended. Many may have ended at once, and the leader would make all calls
+/// The same after a connection that ended, or where nobody leads yet. Many may have ended at once, and the leader would make all calls
 /// itself meanwhile.
 const CONNECT_AGAIN: Duration = Duration::from_millis(200);
 
@@ -44,17 +47,23 @@
 /// Offers this process to whoever leads, again and again, until it ends.
 pub(crate) async fn offer(node: Rc<Node>) {
     loop {
-        let leader = node.reads.find(|core| core.other_leader()).await;
+        let leader = node.reads.find(Core::other_term).await;
         if node.is_weak() {
             sleep(WEAK_LATER).await;
         }
-        tokio::select! {
-            pause = carry_for(&node, leader) => sleep(pause).await,
-            () = node.reads.other_leader(leader) => {}
-        }
         if node.core().stopping {
             return;
         }
+        let carried = async {
+            let pause = carry_for(&node, leader.addr).await;
+            sleep(pause).await;
+        };
+        // Another term is offered to at once, also one at the same address: its process has been started anew.
+        let other = node.reads.find(|core| (core.other_term() != Some(leader)).then_some(()));
+        tokio::select! {
+            () = carried => {}
+            () = other => {}
+        }
     }
 }
 
@@ -64,7 +73,8 @@
         Ok(Upgrade::Agreed(stream)) => *stream,
         Ok(Upgrade::Declined(status)) => {
             log::debug!(leader:%, status = status.as_u16(); "offer_declined");
-            return OFFER_AGAIN;
+            let leads_no_more = status == StatusCode::CONFLICT;
+            return if leads_no_more { CONNECT_AGAIN } else { OFFER_AGAIN };
         }
         Err(error) => {
             log::debug!(leader:%, error:%; "offer_failed");
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -36,7 +36,8 @@
     routes::{AdviceTerms, Route, RouteTable},
     scheduler::{
         AdviceResult, Effect, End, EndKind, HoldReply, HoldResult, Measures, OddRows, PaceResult,
-        Reason, RunningTask, Scheduler, ServiceWorkers, StartResult, StopResult, WaitingStep,
+        Reason, RunningTask, Scheduler, ServiceWorkers, StartResult, StartWindow, StopResult,
+        WaitingStep,
     },
     spec::{MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS_PER_STEP, Repeat, SpecError, Step, Workflow},
     upkeep::{UpkeepResult, VmEntry, VmId, VmList, VmState, Wave, WaveProgress, WaveState},
--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -377,6 +377,7 @@
     /// Forgets a run that is certainly not under way, and queues its task.
     pub(super) fn drop_copy(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId) {
         self.tell_drop(now, id, task, run);
+        self.heard.note(id);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.remove(task, run);
         }
--- a/crates/workflow/src/scheduler/fallback.rs
+++ b/crates/workflow/src/scheduler/fallback.rs
@@ -5,7 +5,7 @@
 //! which the only room is at a worker under quarantine, where two failures in a row may be chance.
 
 use {
-    super::{Need, Ready, Scheduler, flow::Avoided},
+    super::{Need, Ready, Scheduler, flow::Avoided, places::Places},
     crate::{TaskId, WorkerId},
     compact_str::CompactString,
     egretlb_types::Time,
@@ -30,16 +30,23 @@
         }
     }
 
-    /// The worker for a task, if one can take it.
+    /// The worker for a task, if one can take it. It is taken out of the step's `places`, which are looked for
+    /// with the first task.
     pub(super) fn choose(
         &mut self,
         now: Time,
         task: TaskId,
         service: &CompactString,
         need: &Need<'_>,
+        places: &mut Option<Places>,
     ) -> Option<WorkerId> {
-        let elsewhere = self.choose_elsewhere(now, task, service, need);
-        elsewhere
+        let avoided = self.avoided(task);
+        let known = match places {
+            Some(places) => places,
+            None => places.insert(self.places(now, task, service, need)),
+        };
+        known
+            .take(avoided.as_ref())
             .or_else(|| self.choose_again(now, task, service, need))
             .or_else(|| self.choose_quarantined(now, task, service, need))
     }
--- a/crates/workflow/src/scheduler/flow.rs
+++ b/crates/workflow/src/scheduler/flow.rs
@@ -63,6 +63,16 @@
     pub(crate) since: Time,
     /// All steps before it are done.
     pub(crate) open: bool,
+    /// When no worker had a place for its tasks, and what has been heard of workers by then.
+    pub(crate) searched: Option<Searched>,
+}
+
+/// A search among all workers that found no place for a step.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Searched {
+    pub(crate) at: Time,
+    /// How many times workers had been heard of.
+    pub(crate) heard: u64,
 }
 
 impl StepState {
--- a/crates/workflow/src/scheduler/gangs.rs
+++ b/crates/workflow/src/scheduler/gangs.rs
@@ -45,7 +45,7 @@
         let mut placed: Vec<(TaskId, WorkerId)> = Vec::with_capacity(waiting);
         for index in 0..step.count {
             let task = key.task(index);
-            let Some(id) = self.choose(now, task, service, &need) else { break };
+            let Some(id) = self.choose(now, task, service, &need, &mut None) else { break };
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.insert(task, RunId(0), Copy::new(now, &need, Phase::Starting));
             }
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod orders;
 mod pacing;
 mod place;
+mod places;
 mod polls;
 mod preempt;
 mod queue;
@@ -28,6 +29,7 @@
 mod regroup;
 mod restore;
 mod serving;
+mod start_window;
 mod stragglers;
 mod survey;
 mod unclear;
@@ -46,6 +48,7 @@
         Change, DirectoryChange, Ledger, Limits, Outcome, Record, RunId, StepId, Succession,
         TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId, colocation::Colocation,
     },
+    compact_str::CompactString,
     egretlb_types::{Epoch, Time},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -60,9 +63,14 @@
     orders::{StartResult, StopResult},
     pacing::PaceResult,
     polls::HoldResult,
+    start_window::StartWindow,
     waits::{Reason, ServiceWorkers, WaitingStep},
 };
 
+/// The pause between two looks through all workers for leases that have lapsed, stops that aren't confirmed and
+/// workers that leave. A pass over what waits follows each event, hundreds of times a second.
+const KEEP_GAP: Duration = Duration::from_millis(20);
+
 /// A step that has tasks to start. The order is that of the queue.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Ready {
@@ -113,8 +121,16 @@
     fillers_wait: Duration,
     /// When serving tasks were last considered for a better place.
     regrouped_at: Time,
-    /// Starts that were decided and not answered.
-    starts_under_way: usize,
+    /// Which of the workers were considered then.
+    regroup_turn: usize,
+    starts: StartWindow,
+    /// Workers of which something was heard, for steps that found no place.
+    heard: places::Heard,
+    nowhere: places::Nowhere,
+    /// Processor time, in thousandths of a core, that stops will free, by service; summed up once in a pass.
+    freed: Vec<(CompactString, u64)>,
+    /// When workers were last looked through for what time alone changes.
+    kept_at: Time,
     /// The records are read too late to start anything.
     behind: bool,
     measures: Measures,
@@ -141,6 +157,8 @@
     pub paced: u64,
     /// Serving tasks moved to better company.
     pub regrouped: u64,
+    /// Workers looked at to place tasks.
+    pub looked_at: u64,
 }
 
 impl Ready {
@@ -191,7 +209,12 @@
             upkeep: upkeep::Upkeep::default(),
             fillers_wait: Duration::ZERO,
             regrouped_at: now,
-            starts_under_way: 0,
+            regroup_turn: 0,
+            starts: StartWindow::new(now),
+            heard: places::Heard::default(),
+            nowhere: places::Nowhere::default(),
+            freed: Vec::new(),
+            kept_at: Time::ZERO,
             behind: false,
             measures: Measures::default(),
             waits: waits::Waits::default(),
@@ -210,6 +233,7 @@
 
     /// The worker's directory entry changed.
     pub fn on_directory(&mut self, now: Time, change: DirectoryChange) {
+        self.heard.note(change.worker());
         match change {
             DirectoryChange::Present(info) => self.on_present(now, info),
             DirectoryChange::Absent(id) => {
@@ -260,13 +284,21 @@
     /// Time has passed: begins what is due, places tasks, polls workers, records.
     pub fn tick(&mut self, now: Time, wall_ms: u64, out: &mut Vec<Effect>) {
         self.wall_ms = wall_ms;
-        self.expire(now);
+        self.starts.follow(now);
+        let keeps = now.since(self.kept_at) >= KEEP_GAP;
+        if keeps {
+            self.kept_at = now;
+            self.expire(now);
+        }
         while let Some(id) = self.spent.pop_first() {
             self.end_flow(now, id, Outcome::Failed, out);
         }
         self.begin_due(now);
-        self.evacuate(now, out);
-        self.keep_up(now, out);
+        if keeps {
+            self.evacuate(now, out);
+            self.repeat_stops(now, out);
+            self.keep_up(now, out);
+        }
         self.learn(now);
         self.place_ready(now, out);
         self.regroup(now, out);
--- a/crates/workflow/src/scheduler/orders.rs
+++ b/crates/workflow/src/scheduler/orders.rs
@@ -66,13 +66,6 @@
 /// An unwell worker gets nothing for so long.
 const UNWELL_PAUSE: Duration = Duration::from_secs(1);
 
-/// The most starts that are decided and not answered. A VM that is too weak for its load performs them
-/// seconds after they were decided: with 350 workers and 0.12 of a core, copies of tasks were started
-/// 3 s after those tasks were done. What isn't decided yet waits in the queue, in its order. Far above
-/// what a worker's answer within 10 ms needs (10 at 1,000 starts a second), and enough for a tenth of
-/// 500 workers to leave one start each unanswered.
-const MOST_STARTS_UNDER_WAY: usize = 64;
-
 /// A worker that left a start unanswered is tried with another one after this long, and with one at a time
 /// until it answers. Orders wait at a worker for the unanswered ones before them, half a second each; were
 /// more decided for it meanwhile, all starts under way would soon wait there, and workers that are well would
@@ -121,7 +114,7 @@
 
     /// Whether more starts may be decided now.
     pub(super) fn may_start(&self) -> bool {
-        !self.behind && self.starts_under_way < MOST_STARTS_UNDER_WAY
+        !self.behind && self.starts.is_open()
     }
 
     /// Tells whether the records are read too late to start anything: what was cancelled since isn't
@@ -142,8 +135,11 @@
         result: StartResult,
         out: &mut Vec<Effect>,
     ) {
-        self.starts_under_way = self.starts_under_way.saturating_sub(1);
-        if !matches!(result, StartResult::Unknown | StartResult::NotSent | StartResult::Withheld) {
+        let answered =
+            !matches!(result, StartResult::Unknown | StartResult::NotSent | StartResult::Withheld);
+        self.starts.settle(now, answered);
+        self.heard.note(id);
+        if answered {
             self.on_answered(id);
         }
         match result {
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -6,7 +6,7 @@
     compact_str::CompactString,
     egretlb_types::{Resources, Time},
     smallvec::SmallVec,
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Run numbers of one leader begin at its epoch times this. So a number is never used twice, also if a
@@ -29,6 +29,7 @@
         let mut unmet: SmallVec<[Unmet; 8]> = SmallVec::new();
         let mut longest = Duration::ZERO;
         let keys: Vec<Ready> = self.ready.iter().copied().collect();
+        self.freed.clear();
         for key in keys {
             if !self.may_start() {
                 return;
@@ -53,15 +54,16 @@
     ) -> bool {
         let Some(flow) = self.flows.get(&key.workflow) else { return true };
         let held = flow.inherited && !self.unaccounted.is_empty();
-        let service = flow.submission.service.clone();
-        let step = flow.submission.workflow.steps[usize::from(key.step)].clone();
+        let submission = Arc::clone(&flow.submission);
+        let service = &submission.service;
+        let step = &submission.workflow.steps[usize::from(key.step)];
         // Of what a predecessor may have started only what was found since can't run at a worker that is silent.
         if held && (step.gang || step.speculative || !self.put_found_first(key)) {
             return false;
         }
         let image = self.colocation.image(&step.image);
         let hopeless = |known: &Unmet| {
-            known.service == service
+            known.service == *service
                 && known.fills == step.fills
                 && known.image == image
                 && known.resources.fits(&step.resources)
@@ -74,9 +76,10 @@
             return false;
         }
         if step.gang {
-            return self.place_gang(now, key, &service, &step, out);
+            return self.place_gang(now, key, service, step, out);
         }
-        let need = Need::new(&step, &mut self.colocation);
+        let need = Need::new(step, &mut self.colocation);
+        let mut places = None;
         loop {
             if held && !self.put_found_first(key) {
                 return false;
@@ -88,9 +91,9 @@
                 return false;
             }
             let chosen = if hopeless {
-                self.choose_quarantined(now, task, &service, &need)
+                self.choose_quarantined(now, task, service, &need)
             } else {
-                self.choose(now, task, &service, &need)
+                self.choose(now, task, service, &need, &mut places)
             };
             let Some(worker) = chosen else {
                 if !held && self.bring_forward(now, key) {
@@ -98,11 +101,11 @@
                 }
                 let keeps_away = self.front_keeps_away(now, key);
                 let advised = self.want_advice(key);
-                self.make_room(now, key, &service, &step, out);
+                self.make_room(now, key, service, step, out);
                 if step.label.is_none() && step.per_worker == 0 && !advised && !keeps_away {
                     let Need { image, .. } = need;
-                    let Step { resources, fills, .. } = step;
-                    unmet.push(Unmet { service, resources, fills, image });
+                    let Step { resources, fills, .. } = *step;
+                    unmet.push(Unmet { service: service.clone(), resources, fills, image });
                 }
                 return false;
             };
@@ -110,6 +113,10 @@
             let wait = self.step_wait(now, key);
             self.measures.waits.push(wait);
             self.start(now, task, &need, &worker, None, out);
+            if let Some(places) = &mut places {
+                let next = key.task(self.front(key).unwrap_or(index));
+                self.put_back(now, next, service, &need, worker, places);
+            }
         }
     }
 
@@ -144,7 +151,11 @@
         let occurrence = flow.occurrences.get_mut(&key.occurrence)?;
         let step = occurrence.steps.get_mut(usize::from(key.step))?;
         let tasks = &step.tasks;
-        step.queue.retain(|index| tasks.get(*index as usize).is_some_and(TaskState::waits));
+        let waits = |index: &u32| tasks.get(*index as usize).is_some_and(TaskState::waits);
+        // Nearly always it does, and it is asked for with each task.
+        if !step.queue.front().is_some_and(waits) {
+            step.queue.retain(waits);
+        }
         step.queue.front().copied()
     }
 
@@ -214,14 +225,14 @@
         self.tell_start(now, task, run, id);
         let Some(flow) = self.flows.get(&task.workflow) else { return };
         log::debug!(task:%, run:%, worker:% = id; "task_started");
-        self.starts_under_way += 1;
+        self.starts.decide();
         out.push(Effect::Start {
             worker: id.clone(),
             addr,
             epoch: self.epoch,
             task,
             run,
-            submission: std::sync::Arc::clone(&flow.submission),
+            submission: Arc::clone(&flow.submission),
             until_ms,
             saved,
             ticket,
@@ -236,12 +247,13 @@
         service: &CompactString,
         need: &Need<'_>,
     ) -> Option<WorkerId> {
-        let avoid = self.task_mut(task).and_then(|state| state.avoid.clone());
-        let avoid = avoid.map(|avoid| avoid.worker);
-        let workers = self.workers.iter().filter(|(id, worker)| {
-            avoid.as_ref() != Some(*id) && worker.takes_work(now, &self.limits)
-        });
-        self.best(now, task, service, need, workers)
+        let avoided = self.avoided(task);
+        self.places(now, task, service, need).take(avoided.as_ref())
+    }
+
+    /// The worker that a task keeps away from.
+    pub(super) fn avoided(&self, task: TaskId) -> Option<WorkerId> {
+        self.task(task)?.avoid.as_ref().map(|avoid| avoid.worker.clone())
     }
 
     /// The best of these workers for a task, if one has room.
@@ -256,14 +268,12 @@
         let advised = self.needs_ticket(task.step_id()).is_some();
         let mut best: Option<(Fitness, &WorkerId)> = None;
         for (id, worker) in workers {
-            let suits = worker.info.service == *service
-                && has_room(worker, task, need)
-                && !self.is_held(id)
-                && (!advised || self.allows(now, task, id));
-            if !suits {
+            if !has_room(worker, task, need) || (advised && !self.allows(now, task, id)) {
                 continue;
             }
-            let Some(fitness) = self.fitness(now, worker, task, need) else { continue };
+            let Some(fitness) = self.suits(now, (id, worker), task, service, need) else {
+                continue;
+            };
             if best.as_ref().is_none_or(|(known, _)| fitness > *known) {
                 best = Some((fitness, id));
             }
@@ -278,7 +288,7 @@
     /// spread over the workers that hold it: a worker whose tail rises then takes a task or two of several
     /// workflows, and not most of one. Fillers and other tasks go where fewest other fillers could run. Fillers
     /// then go where they press least, and where most processor time is left.
-    fn fitness(
+    pub(super) fn fitness(
         &self,
         now: Time,
         worker: &Worker,
@@ -341,7 +351,7 @@
 }
 
 /// Near the data, not slow, then by kind of task: see [`Scheduler::fitness`].
-type Fitness = (bool, bool, i64, i64, i64);
+pub(super) type Fitness = (bool, bool, i64, i64, i64);
 
 /// Room for fillers that is closed or opened is compared in steps of so many cores: half a filler.
 pub(super) const ROOM_STEP: f32 = 2_000.0;
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -50,6 +50,7 @@
         result: &HoldResult,
         out: &mut Vec<Effect>,
     ) {
+        self.heard.note(id);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.poll_sent = None;
             worker.poll_at = now + self.limits.poll_gap;
@@ -71,7 +72,6 @@
 
     /// Sends the polls that are due.
     pub(super) fn poll(&mut self, now: Time, out: &mut Vec<Effect>) {
-        self.repeat_stops(now, out);
         let (epoch, limits) = (self.epoch, self.limits);
         for (id, worker) in &mut self.workers {
             if worker.poll_sent.is_some() || now < worker.poll_at {
--- a/crates/workflow/src/scheduler/preempt.rs
+++ b/crates/workflow/src/scheduler/preempt.rs
@@ -56,13 +56,16 @@
         let needed = u64::from(step.resources.cpu.0) * waiting as u64;
         let Ready { workflow, occurrence, step: number, .. } = key;
         let of_step = TaskId { workflow, occurrence, step: number, index: 0 };
-        let mut freed: u64 = self.being_freed(service);
+        let mut freed = match self.freed.iter().find(|(known, _)| known == service) {
+            Some((_, freed)) => *freed,
+            None => self.being_freed(service),
+        };
         for _ in 0..STOPS_PER_PASS {
             if freed >= needed {
-                return;
+                break;
             }
             let Some((id, task, run, cpu)) = self.victim(now, of_step, service, step) else {
-                return;
+                break;
             };
             freed += u64::from(cpu.0);
             self.measures.preempted += 1;
@@ -71,6 +74,8 @@
                 of == task && number == run
             });
         }
+        self.freed.retain(|(known, _)| known != service);
+        self.freed.push((service.clone(), freed));
     }
 
     /// Processor time, in thousandths of a core, that stops under way will free.
--- a/crates/workflow/src/scheduler/regroup.rs
+++ b/crates/workflow/src/scheduler/regroup.rs
@@ -14,10 +14,14 @@
     std::{collections::BTreeSet, time::Duration},
 };
 
-/// The pause between two passes, in which one task is moved or two change places: what a move opens shows
-/// in what is started next.
+/// The pause between two passes at the same workers, in which one task is moved or two change places: what a move
+/// opens shows in what is started next.
 const REGROUP_GAP: Duration = Duration::from_millis(250);
 
+/// So many workers are considered in a pass. Pairs of them are compared, so all of a large fleet at once would hold up
+/// everything else; they take turns, each as often as on a small one.
+const HOSTS_PER_PASS: usize = 96;
+
 /// Tasks are moved only while some filler has waited for so long: otherwise there is room enough.
 const FILLERS_WAIT: Duration = Duration::from_millis(300);
 
@@ -34,9 +38,12 @@
 impl Scheduler {
     /// Stops serving tasks that stand better elsewhere, one or two at a time; they start again at once.
     pub(super) fn regroup(&mut self, now: Time, out: &mut Vec<Effect>) {
-        if now.since(self.regrouped_at) < REGROUP_GAP || self.fillers_wait < FILLERS_WAIT {
+        let turns = self.workers.len().div_ceil(HOSTS_PER_PASS).max(1);
+        let gap = REGROUP_GAP / u32::try_from(turns).unwrap_or(u32::MAX);
+        if now.since(self.regrouped_at) < gap || self.fillers_wait < FILLERS_WAIT {
             return;
         }
+        self.regroup_turn = (self.regroup_turn + 1) % turns;
         self.regrouped_at = now;
         let services: BTreeSet<CompactString> =
             self.workers.values().map(|worker| worker.info.service.clone()).collect();
@@ -55,8 +62,9 @@
         let takes = |worker: &Worker| {
             worker.info.service == *service && worker.takes_work(now, &self.limits)
         };
-        let workers: Vec<(&WorkerId, &Worker)> =
-            self.workers.iter().filter(|(_, worker)| takes(worker)).collect();
+        let turn =
+            self.workers.iter().skip(self.regroup_turn * HOSTS_PER_PASS).take(HOSTS_PER_PASS);
+        let workers: Vec<(&WorkerId, &Worker)> = turn.filter(|(_, worker)| takes(worker)).collect();
         let hosts: Vec<Host> = workers.iter().map(|(_, worker)| host(worker)).collect();
         let (mut movable, mut candidates) = (Vec::new(), Vec::new());
         for (place, (id, worker)) in workers.iter().enumerate() {
--- a/crates/workflow/src/scheduler/stragglers.rs
+++ b/crates/workflow/src/scheduler/stragglers.rs
@@ -196,7 +196,14 @@
         let service = flow.submission.service.clone();
         self.avoid(now, task, id);
         let need = Need::new(&step, &mut self.colocation);
-        self.choose_elsewhere(now, task, &service, &need).is_some()
+        if self.nowhere.knows(now, &service, &step) {
+            return false;
+        }
+        let fits = self.choose_elsewhere(now, task, &service, &need).is_some();
+        if !fits {
+            self.nowhere.note(now, service, &step);
+        }
+        fits
     }
 
     fn move_straggler(
