--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -57,8 +57,8 @@
     pub limits: Limits,
 }
 
-/// The place among the followers, from 0 for the one that claims first to 999. Leading takes a third of
-/// a core at 500 workers; a weak VM would lead late and badly, so it claims after the strong ones. What
+/// The place among the followers, from 0 for the one that claims first to 999. A weak VM would
+/// lead late and badly, so it claims after the strong ones. What
 /// is left of the range tells VMs of one strength apart.
 fn place(options: &NodeOptions) -> u32 {
     let mut hasher = DefaultHasher::new();
@@ -69,8 +69,8 @@
     weakness + chance + behind
 }
 
-/// A VM with a smaller share of a core is unfit to lead, in thousandths. One of 120 led 350 workers, and
-/// started a task four seconds after its cancellation was acknowledged.
+/// A VM with a smaller share of a core is unfit to lead, in thousandths: it would carry out
+/// starts seconds after they were decided, and after the cancellation of their workflows was acknowledged.
 const FIT_POWER: u32 = 200;
 
 /// Unfit VMs come so much later, in thousandths of the spread: 1.6 s, and half of that after a leader
@@ -245,8 +245,9 @@
     }
 
     fn measure(&self) {
-        let core = &mut *self.core.borrow_mut();
         let metrics = &self.metrics;
+        metrics.set_relays(self.relays.count());
+        let core = &mut *self.core.borrow_mut();
         metrics.set_config(core.routes.as_ref().map_or(0, |routes| routes.version));
         let Some(scheduler) = &mut core.scheduler else {
             metrics.set_load(false, 0, 0);
@@ -262,6 +263,7 @@
         metrics.runs(RunEvent::Relieved, measures.relieved);
         metrics.runs(RunEvent::Paced, measures.paced);
         metrics.runs(RunEvent::Regrouped, measures.regrouped);
+        metrics.looked_at(measures.looked_at);
         measures.waits.into_iter().for_each(|wait| metrics.started_after(wait));
     }
 
--- a/crates/runtime/src/relays/leader.rs
+++ b/crates/runtime/src/relays/leader.rs
@@ -190,6 +190,11 @@
         }
     }
 
+    /// How many relays are in use.
+    pub(crate) fn count(&self) -> usize {
+        self.term.borrow().as_ref().map_or(0, |term| term.assignment.relays())
+    }
+
     /// The relays in use.
     pub(crate) fn used(&self) -> Vec<UsedRelay> {
         let term = self.term.borrow();
--- a/crates/telemetry/src/metrics/workflow.rs
+++ b/crates/telemetry/src/metrics/workflow.rs
@@ -90,6 +90,8 @@
     start_wait: Histogram,
     append_latency: Histogram,
     terms: Counter,
+    relays: Gauge,
+    looked_at: Counter,
     leads: Gauge,
     active: Gauge,
     waiting: Gauge,
@@ -114,6 +116,8 @@
             start_wait: latencies(),
             append_latency: latencies(),
             terms: Counter::default(),
+            relays: Gauge::default(),
+            looked_at: Counter::default(),
             leads: Gauge::default(),
             active: Gauge::default(),
             waiting: Gauge::default(),
@@ -148,6 +152,12 @@
         );
         registry.register("terms", "Terms that this process led", self.terms.clone());
         registry.register("leads", "1 while this process leads", self.leads.clone());
+        registry.register("relays", "VMs that carry this leader's calls", self.relays.clone());
+        registry.register(
+            "workers_looked_at",
+            "Workers that were looked at to place tasks",
+            self.looked_at.clone(),
+        );
         registry.register(
             "active_workflows",
             "Workflows that haven't ended, leader only",
@@ -205,6 +215,16 @@
         self.waiting.set(waiting as i64);
     }
 
+    /// How many VMs carry this leader's calls.
+    pub fn set_relays(&self, relays: usize) {
+        self.relays.set(relays as i64);
+    }
+
+    /// So many workers were looked at to place tasks.
+    pub fn looked_at(&self, workers: u64) {
+        self.looked_at.inc_by(workers);
+    }
+
     /// The configuration in force.
     pub fn set_config(&self, version: u64) {
         self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
--- a/crates/workflow/src/colocation/caution.rs
+++ b/crates/workflow/src/colocation/caution.rs
@@ -6,9 +6,8 @@
 /// changes threefold within seconds, and it can run elsewhere.
 const MOST_CAUTION: f32 = 5.0;
 
-/// And so many times once fillers have waited for [`LONG_WAIT`]. With 1.2, 1.6 and 2.0 serving tasks were over
-/// target for 426, 368 and 350 s a play on six days at four seeds each, and batch tasks got 0.876, 0.870 and
-/// 0.841 of what they were owed.
+/// And so many times once fillers have waited for [`LONG_WAIT`]: less keeps serving tasks over their target for
+/// longer, more leaves batches without a worker.
 const LEAST_CAUTION: f32 = 1.6;
 
 /// Fillers have a second and as long as they run to spare; this much of it may be spent waiting.
--- a/crates/workflow/src/colocation/company.rs
+++ b/crates/workflow/src/colocation/company.rs
@@ -3,9 +3,7 @@
 //! Load: lasting serving tasks of several images hold four fifths of what the workers have, and come, go and
 //! fail all the time, so each new one goes where something has just left. After half a minute nearly every
 //! worker holds some of each image, and a filler that presses on only two of five finds none that bears it.
-//! Most fillers press on the same serving images as others do, so serving images fall into a few kinds. On a
-//! recorded day of 48 workers, 30 s after its start, 16 workers bore fillers of one kind and 3 those of the other;
-//! with serving tasks placed, stopped and moved by kind, 25 and 8.
+//! Most fillers press on the same serving images as others do, so serving images fall into a few kinds.
 
 use {
     super::{
@@ -26,7 +24,7 @@
 const LEAST_GAIN: f32 = 1.0;
 
 /// Images that keep out this share of the fillers' demand together, and neither alone, are of different
-/// kinds. On recorded days it was 0.3 or more for those, and nearly nothing for others.
+/// kinds.
 const DIFFERENT: f32 = 0.1;
 
 /// So many images at hosts, those whose leaving opens most, are considered in a pass.
--- a/crates/workflow/src/colocation/interference.rs
+++ b/crates/workflow/src/colocation/interference.rs
@@ -15,11 +15,9 @@
 //! The tasks of one workflow have the same load at a time, wherever they run: without fillers their figures
 //! are within some 5% of each other, and one in twenty strays by more than a fifth. So two of them at two
 //! workers tell what the difference between the fillers there does, whatever the load is: the weights are
-//! fitted to these contrasts alone. On recorded days the weights found so explained 43 to 45% of what differs
-//! between workers at a time, with the processor time that fillers were listed to use; with what they ask
-//! for in place of it, and in cores in place of shares of a worker, 36 to 38%. Comparing each figure with a
-//! moving average of the workflow's headroom, which depends on the weights itself, found weights of 0.14 to 0.25
-//! a core where contrasts find 0.24 to 0.32.
+//! fitted to these contrasts alone. Compared with a moving average of the workflow's headroom, which depends on the
+//! weights itself, part of what fillers take everywhere would be put down to the workflow's own load. What fillers are
+//! listed to use explains more than what they ask for.
 
 use {
     super::row::{FIRST_SPREAD, Row},
--- a/crates/workflow/src/colocation/row.rs
+++ b/crates/workflow/src/colocation/row.rs
@@ -8,7 +8,7 @@
 };
 
 /// What is believed of a weight before anything was seen: that it is about this large at most, for a whole
-/// worker. On recorded days pairs that press had weights of 5 to 16, the others 0 to 2.
+/// worker. Pairs that press have weights of 5 to 16, the others 0 to 2.
 pub(super) const FIRST_SPREAD: f32 = 8.0;
 
 /// What is believed at first counts as much as sightings of this moment.
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -365,11 +365,11 @@
 /// What a worker is open to is compared in steps of this share of the fillers' demand.
 const OPENNESS_STEP: f32 = 0.1;
 
-/// A serving task that closes more steps of room than this waits for a better place for [`PATIENCE`]. It
-/// stays for a minute or more; with this and the choice of what is stopped for short work, batch tasks got 3%
-/// more of what they were owed on six days at four seeds each, and serving tasks no less. The platform takes
-/// a lasting task as forgotten after 3 s with room for it.
+/// A serving task that closes more steps of room than this waits for a better place for [`PATIENCE`]: it
+/// stays there for a minute or more.
 const CLOSES_LITTLE: i64 = 1;
+
+/// The platform takes a lasting task as forgotten after 3 s with room for it.
 const PATIENCE: Duration = Duration::from_secs(1);
 
 /// A task of the same image counts so many times what one of the same step counts against a worker.
--- a/crates/workflow/src/scheduler/preempt.rs
+++ b/crates/workflow/src/scheduler/preempt.rs
@@ -88,7 +88,7 @@
 
     /// The lasting task whose end makes room for a task of `step` and opens most of its worker to fillers; of
     /// several the smallest. It starts again where it closes less, so what is stopped anyway puts serving
-    /// tasks in better order: batch tasks got 1.8% more of what they were owed on six days at four seeds each.
+    /// tasks in better order.
     fn victim(
         &self,
         now: Time,
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -17,9 +17,6 @@
 }
 
 /// Serving tasks use about half of the processor time that they declare; the rest is left to fillers.
-/// Fillers got 85% of what they declare in all of some 10,000 figures under this assumption, whether a
-/// worker held many or few. On six days at four seeds each, 38 or 60% in its place left batch tasks 1 and 5%
-/// less of what they were owed, and serving tasks over target for a fifth longer, or a fifteenth shorter.
 const SERVING_USE_PERCENT: u32 = 50;
 
 /// A worker and what may run there by our orders.
