Each run that is lost with its worker leaves a line: run_lost

Callers saw workflows that were neither done nor failed. The logs told which workers were lost, and of lasting tasks that they took along; of all other runs nothing, so whether one task ran at each lost worker, or tasks were lost by turns, couldn't be seen. Bounded like the other lines on runs; a counter, and a finding of `egretlb explain`.

--- a/crates/explain/src/findings.rs
+++ b/crates/explain/src/findings.rs
@@ -66,6 +66,11 @@
         /// How many, by worker.
         by_worker: BTreeMap<CompactString, usize>,
     },
+    /// Runs were lost with their worker.
+    RunsLost {
+        /// How many, by task.
+        by_task: BTreeMap<CompactString, usize>,
+    },
     /// Workers at which it had something were found to be at fault.
     WorkersAtFault {
         /// The workers.
@@ -131,6 +136,17 @@
     },
 }
 
+/// A count for each name.
+fn write_counts(
+    f: &mut fmt::Formatter<'_>,
+    head: &str,
+    joint: &str,
+    counts: &BTreeMap<CompactString, usize>,
+) -> fmt::Result {
+    f.write_str(head)?;
+    counts.iter().try_for_each(|(name, count)| write!(f, " {count} {joint} {name}"))
+}
+
 /// Tries before a success, if there were some.
 fn write_tries(f: &mut fmt::Formatter<'_>, tries: usize) -> fmt::Result {
     match tries {
@@ -178,9 +194,9 @@
                     None => write!(f, "; {UNHEARD}"),
                 }
             }
-            Finding::RunsFailed { by_worker } => {
-                write!(f, "runs failed:")?;
-                by_worker.iter().try_for_each(|(worker, count)| write!(f, " {count} at {worker}"))
+            Finding::RunsFailed { by_worker } => write_counts(f, "runs failed:", "at", by_worker),
+            Finding::RunsLost { by_task } => {
+                write_counts(f, "runs lost with their worker:", "of", by_task)
             }
             Finding::WorkersAtFault { workers } => {
                 write_workers(f, "the fault was the workers', which failed others, too", workers)
@@ -340,15 +356,25 @@
         workers
     }
 
+    /// How many lines of an event there are for each value of `key`.
+    fn count_by(&self, event: &'a str, key: &str) -> BTreeMap<CompactString, usize> {
+        let mut counts: BTreeMap<CompactString, usize> = BTreeMap::new();
+        for value in self.of(event).filter_map(|happening| happening.get(key)) {
+            *counts.entry(CompactString::new(value)).or_default() += 1;
+        }
+        counts
+    }
+
     fn runs(&self) -> Vec<Finding> {
         let mut found = Vec::new();
-        let mut by_worker: BTreeMap<CompactString, usize> = BTreeMap::new();
-        for worker in self.of("task_failed").filter_map(|happening| happening.get("worker")) {
-            *by_worker.entry(CompactString::new(worker)).or_default() += 1;
-        }
+        let by_worker = self.count_by("task_failed", "worker");
         if !by_worker.is_empty() {
             found.push(Finding::RunsFailed { by_worker });
         }
+        let by_task = self.count_by("run_lost", "task");
+        if !by_task.is_empty() {
+            found.push(Finding::RunsLost { by_task });
+        }
         let workers = self.workers(&["worker_quarantined"]);
         if !workers.is_empty() {
             found.push(Finding::WorkersAtFault { workers });
--- a/crates/explain/tests/three_walks.rs
+++ b/crates/explain/tests/three_walks.rs
@@ -67,6 +67,21 @@
     assert!(matches!(findings.last(), Some(Finding::Ended { outcome, .. }) if outcome == "Failed"));
 }
 
+/// A workflow isn't done since one of its tasks is lost with each worker that starts it.
+#[test]
+fn lost_with_workers() {
+    let findings = walk(&[
+        (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
+        (1.010, "entry-2", "workflow_started workflow=97aa5350f2a720be worker=w-1"),
+        (4.300, "entry-2", "run_lost task=97aa5350f2a720be.0.0.4 run=1 worker=w-1 loss=replaced"),
+        (4.300, "entry-2", "run_lost task=97aa5350f2a720be.0.0.5 run=1 worker=w-1 loss=replaced"),
+        (7.700, "entry-2", "run_lost task=97aa5350f2a720be.0.0.4 run=2 worker=w-2 loss=replaced"),
+    ]);
+    let told =
+        "runs lost with their worker: 2 of 97aa5350f2a720be.0.0.4 1 of 97aa5350f2a720be.0.0.5";
+    assert!(findings.iter().any(|finding| finding.to_string() == told), "{findings:?}");
+}
+
 #[test]
 fn refused_only() {
     let findings = walk(&[
--- a/crates/telemetry/src/metrics/workflow.rs
+++ b/crates/telemetry/src/metrics/workflow.rs
@@ -39,6 +39,8 @@
     Failed,
     /// Stopped by an order, or ended by its lease or its gang.
     Stopped,
+    /// Lost with its worker.
+    Lost,
     /// Stopped for a task that ends soon.
     Preempted,
     /// Stopped for a serving task over its target.
--- a/crates/workflow/src/scheduler/copy.rs
+++ b/crates/workflow/src/scheduler/copy.rs
@@ -42,6 +42,8 @@
     /// The end of the lease that it was started with, on the worker's clock in milliseconds: a start that arrives
     /// later is rejected. None if this leader didn't start it.
     pub(crate) starts_until_ms: Option<u64>,
+    /// The worker has answered its start or listed it.
+    pub(crate) confirmed: bool,
     /// When it was started, or found.
     pub(crate) placed: Time,
     /// When it began to run, as far as is known.
@@ -119,6 +121,7 @@
             phase,
             again: false,
             starts_until_ms: None,
+            confirmed: false,
             placed: now,
             began: now,
             moved_at: now,
--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -312,6 +312,7 @@
         let step = step.unwrap_or_default();
         let need = Need::new(&step, &mut self.colocation);
         let mut copy = Copy::new(now, &need, Phase::Running { clock_ms });
+        copy.confirmed = true;
         copy.percent = percent;
         // A predecessor may have held it back.
         copy.pace_told = None;
@@ -388,13 +389,4 @@
             self.queue(now, task);
         }
     }
-
-    /// Forgets a worker's runs, all of which have certainly ended.
-    pub(super) fn drop_all(&mut self, now: Time, id: &WorkerId) {
-        let Some(worker) = self.workers.get(id) else { return };
-        let keys: Vec<(TaskId, RunId)> = worker.copies.keys().copied().collect();
-        for (task, run) in keys {
-            self.drop_copy(now, id, task, run);
-        }
-    }
 }
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod flow;
 mod gangs;
 mod lists;
+mod losses;
 mod orders;
 mod pacing;
 mod place;
@@ -133,6 +134,7 @@
     kept_at: Time,
     /// The records are read too late to start anything.
     behind: bool,
+    losses: losses::Losses,
     measures: Measures,
     waits: waits::Waits,
     wall_ms: u64,
@@ -149,6 +151,8 @@
     pub failed: u64,
     /// Runs that were stopped or lapsed.
     pub stopped: u64,
+    /// Runs that were lost with their worker.
+    pub lost: u64,
     /// Lasting tasks stopped for tasks that end soon.
     pub preempted: u64,
     /// Fillers stopped for a serving task over its target.
@@ -216,6 +220,7 @@
             freed: Vec::new(),
             kept_at: Time::ZERO,
             behind: false,
+            losses: losses::Losses::default(),
             measures: Measures::default(),
             waits: waits::Waits::default(),
             wall_ms,
@@ -306,6 +311,7 @@
         self.poll(now, out);
         self.record(now, out);
         self.tell_waits(now);
+        self.losses.tell_left_out(now);
     }
 
     /// Stops what can go on elsewhere on workers that are about to leave: when they go, all that still
--- a/crates/workflow/src/scheduler/orders.rs
+++ b/crates/workflow/src/scheduler/orders.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Copy, Effect, Phase, Scheduler, Worker,
+        losses::Loss,
         waits::{Stop, StopReason},
     },
     crate::{RunId, TaskId, WorkerId},
@@ -277,17 +278,17 @@
     /// The worker has left: all that ran there has ended.
     pub(super) fn on_left(&mut self, now: Time, id: &WorkerId) {
         log::info!(worker:% = id; "worker_left");
-        self.forget_worker(now, id);
+        self.forget_worker(now, id, Loss::Left);
     }
 
     /// The address answers for another incarnation: all that ran under this one has ended.
     pub(super) fn on_other_incarnation(&mut self, now: Time, id: &WorkerId) {
         log::info!(worker:% = id; "worker_replaced");
-        self.forget_worker(now, id);
+        self.forget_worker(now, id, Loss::Replaced);
     }
 
-    fn forget_worker(&mut self, now: Time, id: &WorkerId) {
-        self.drop_all(now, id);
+    fn forget_worker(&mut self, now: Time, id: &WorkerId, loss: Loss) {
+        self.lose_runs(now, id, loss);
         self.workers.remove(id);
         self.unaccounted.remove(id);
         self.roster_dirty = true;
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -2,8 +2,8 @@
 //! worker lives.
 
 use {
-    super::{Effect, HoldReply, Phase, Scheduler},
-    crate::{RunId, TaskId, WorkerId, WorkerState},
+    super::{Effect, HoldReply, Phase, Scheduler, losses::Loss},
+    crate::{WorkerId, WorkerState},
     egretlb_types::Time,
     std::time::Duration,
 };
@@ -146,14 +146,11 @@
 
     fn drop_lapsed(&mut self, now: Time, id: &WorkerId) {
         let Some(worker) = self.workers.get(id) else { return };
-        let keys: Vec<(TaskId, RunId)> = worker.copies.keys().copied().collect();
-        let present = worker.present;
-        if !keys.is_empty() {
-            log::warn!(worker:% = id, runs = keys.len(); "leases_lapsed");
-        }
-        for (task, run) in keys {
-            self.drop_copy(now, id, task, run);
+        let (runs, present) = (worker.copies.len(), worker.present);
+        if runs > 0 {
+            log::warn!(worker:% = id, runs; "leases_lapsed");
         }
+        self.lose_runs(now, id, Loss::Lapsed);
         if !present && self.unaccounted.get(id).is_none_or(|until| now >= *until) {
             self.workers.remove(id);
             self.roster_dirty = true;
--- a/crates/workflow/src/scheduler/stragglers.rs
+++ b/crates/workflow/src/scheduler/stragglers.rs
@@ -70,6 +70,7 @@
     /// It runs, by the worker's word.
     pub(super) fn begin(&mut self, now: Time, clock_ms: u64) {
         self.phase = Phase::Running { clock_ms };
+        self.confirmed = true;
         (self.began, self.moved_at, self.sampled) = (now, now, (now, 0));
     }
 
--- a/crates/workflow/src/scheduler/waits/budget.rs
+++ b/crates/workflow/src/scheduler/waits/budget.rs
@@ -8,7 +8,7 @@
 /// Lines that may be written: so many at once, and so many each second in the long run. What is left out is
 /// counted and told afterwards, so that a reader knows that the lines aren't all.
 #[derive(Debug)]
-pub(super) struct LineBudget {
+pub(in crate::scheduler) struct LineBudget {
     kind: &'static str,
     burst: u32,
     per_second: u32,
@@ -20,7 +20,7 @@
 }
 
 impl LineBudget {
-    pub(super) fn new(kind: &'static str, burst: u32, per_second: u32) -> LineBudget {
+    pub(in crate::scheduler) fn new(kind: &'static str, burst: u32, per_second: u32) -> LineBudget {
         LineBudget {
             kind,
             burst,
@@ -33,7 +33,7 @@
     }
 
     /// Whether one more line may be written with `spare` left for others; otherwise it counts as left out.
-    pub(super) fn take(&mut self, now: Time, spare: u32) -> bool {
+    pub(in crate::scheduler) fn take(&mut self, now: Time, spare: u32) -> bool {
         self.fill(now);
         if self.left >= u64::from(spare + 1) * 1_000 {
             self.left -= 1_000;
@@ -56,7 +56,7 @@
     }
 
     /// Tells what was left out, if it is time.
-    pub(super) fn tell_left_out(&mut self, now: Time) {
+    pub(in crate::scheduler) fn tell_left_out(&mut self, now: Time) {
         if self.left_out == 0 || now.since(self.told_at) < TOLD_EVERY {
             return;
         }
--- a/crates/workflow/src/scheduler/waits/mod.rs
+++ b/crates/workflow/src/scheduler/waits/mod.rs
@@ -22,6 +22,7 @@
     std::{collections::BTreeMap, fmt, time::Duration},
 };
 
+pub(super) use self::budget::LineBudget;
 pub use self::reason::Reason;
 pub(super) use self::runs::{Stop, StopReason};
 
