A test in which a task crashes each worker that starts it (red, listed)

The stand-in of a worker crashes under tasks that are named as culprits, and is back at its address after 3.2 s; the checker knows the bound: no third start after three crashes.

On this code the culprit is started 11 times in 40 s and its workflow goes on running ("started after 5 crashes" and so on to the eleventh). A lasting task that was queued with it after the first crash went along to each worker and was lost with it as often: a second harm of the same cause.

--- a/crates/workflow/tests/support/checker.rs
+++ b/crates/workflow/tests/support/checker.rs
@@ -8,6 +8,12 @@
     },
 };
 
+/// After so many workers have crashed under a task, its starts are counted.
+const CRASHES: u32 = 3;
+
+/// So many starts of such a task are too many.
+const STARTS_AFTER_CRASHES: u32 = 3;
+
 /// Faults found, and what they are judged by.
 #[derive(Default)]
 pub struct Checker {
@@ -19,6 +25,8 @@
     done: BTreeSet<TaskId>,
     noted: BTreeSet<TaskId>,
     failed: BTreeMap<TaskId, u32>,
+    /// Workers that each culprit has crashed, and its starts after the third.
+    culprits: BTreeMap<TaskId, (u32, u32)>,
     pub cancelled: BTreeSet<WorkflowId>,
 }
 
@@ -43,6 +51,14 @@
         if self.failed.get(&task).is_some_and(|failed| *failed >= submission.max_attempts) {
             self.faults.push(format!("{task} run {run} started after its last attempt"));
         }
+        if let Some((crashes, starts)) = self.culprits.get_mut(&task)
+            && *crashes >= CRASHES
+        {
+            *starts += 1;
+            if *starts >= STARTS_AFTER_CRASHES {
+                self.faults.push(format!("{task} run {run} started after {crashes} crashes"));
+            }
+        }
         for after in &step.after {
             let count = submission.workflow.steps[usize::from(*after)].count;
             let before = |index| TaskId { step: *after, index, ..task };
@@ -88,6 +104,16 @@
         }
     }
 
+    /// A task has crashed its worker.
+    pub fn crashed_by(&mut self, culprit: TaskId) {
+        self.culprits.entry(culprit).or_default().0 += 1;
+    }
+
+    /// How many workers a task has crashed.
+    pub fn crashes_by(&self, culprit: TaskId) -> u32 {
+        self.culprits.get(&culprit).map_or(0, |(crashes, _)| *crashes)
+    }
+
     /// A worker crashed: ends that nobody took note of are void.
     pub fn forgotten(&mut self, worker: &WorkerId) {
         self.unnoted.remove(worker);
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod advisor;
 pub mod checker;
+pub mod culprits;
 pub mod fleet;
 pub mod lines;
 pub mod messages;
--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -9,7 +9,7 @@
         End, EndKind, HoldReply, HoldResult, OddRows, PaceResult, RunId, RunningTask, StartResult,
         Step, StopResult, Submission, TaskId, WorkerId, WorkerInfo, WorkerState,
     },
-    std::{collections::BTreeMap, ops::RangeInclusive, sync::Arc},
+    std::{collections::BTreeMap, ops::RangeInclusive, sync::Arc, time::Duration},
 };
 
 pub struct Run {
@@ -17,6 +17,8 @@
     /// Milliseconds of work that were left when that last changed, and when that was.
     left_ms: u64,
     since: u64,
+    /// When it began.
+    began: u64,
     /// How long all of it takes.
     whole_ms: u64,
     /// The share at which it works, in percent.
@@ -251,8 +253,10 @@
         checker.started(&self.info.id, task, run, submission);
         let runtime = if step.lasting { u64::MAX / 4 } else { u64::from(step.estimate_ms) };
         let (left_ms, since, whole_ms) = (runtime, clock_ms, runtime);
-        self.running
-            .insert(task, Run { run, left_ms, since, whole_ms, pace: 100, stops_at: None, step });
+        let began = clock_ms;
+        let (pace, stops_at) = (100, None);
+        let run = Run { run, left_ms, since, began, whole_ms, pace, stops_at, step };
+        self.running.insert(task, run);
         StartResult::Started { clock_ms }
     }
 
@@ -305,6 +309,17 @@
         PaceResult::Paced
     }
 
+    /// A task here that crashes its worker so long after its start.
+    pub fn culprit(&self, now: Time, after: &BTreeMap<TaskId, Duration>) -> Option<TaskId> {
+        let clock = self.clock_ms(now);
+        let due = |(task, run): &(&TaskId, &Run)| {
+            after
+                .get(*task)
+                .is_some_and(|after| clock.saturating_sub(run.began) >= after.as_millis() as u64)
+        };
+        self.running.iter().find(due).map(|(task, _)| *task)
+    }
+
     /// What runs doesn't get on for so many milliseconds.
     pub fn stand_still(&mut self, span_ms: u64) {
         for run in self.running.values_mut() {
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        advisor::Advisor, checker::Checker, fleet::Fleet, messages::Msg, node::Node, store::Store,
-        worker::Worker,
+        advisor::Advisor, checker::Checker, culprits::Culprits, fleet::Fleet, messages::Msg,
+        node::Node, store::Store, worker::Worker,
     },
     egretlb_types::{Offset, Time},
     egretlb_workflow::{
@@ -47,6 +47,7 @@
     pub nodes: Vec<Node>,
     pub workers: Vec<Worker>,
     pub checker: Checker,
+    pub culprits: Culprits,
     pub submitted: Vec<WorkflowId>,
     limits: Limits,
     incarnations: u64,
@@ -75,6 +76,7 @@
             nodes: Vec::new(),
             workers: Vec::new(),
             checker: Checker::default(),
+            culprits: Culprits::default(),
             submitted: Vec::new(),
             limits,
             incarnations: 0,
@@ -182,6 +184,7 @@
         for worker in &mut self.workers {
             worker.advance(self.now, &mut self.checker);
         }
+        self.crash_by_culprits();
         self.end_upkeep();
         self.deliver();
         for index in 0..self.nodes.len() {
