--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -260,6 +260,7 @@
         metrics.runs(RunEvent::Failed, measures.failed);
         metrics.runs(RunEvent::Stopped, measures.stopped);
         metrics.runs(RunEvent::Lost, measures.lost);
+        metrics.runs(RunEvent::GivenUp, measures.given_up);
         metrics.runs(RunEvent::Preempted, measures.preempted);
         metrics.runs(RunEvent::Relieved, measures.relieved);
         metrics.runs(RunEvent::Paced, measures.paced);
--- a/crates/telemetry/src/metrics/workflow.rs
+++ b/crates/telemetry/src/metrics/workflow.rs
@@ -41,6 +41,8 @@
     Stopped,
     /// Lost with its worker.
     Lost,
+    /// Given up with its task, which crashes the workers that start it.
+    GivenUp,
     /// Stopped for a task that ends soon.
     Preempted,
     /// Stopped for a serving task over its target.
--- /dev/null
+++ b/crates/workflow/src/crash.rs
@@ -0,0 +1,78 @@
+//! Evidence that a task crashes the workers that start it.
+//!
+//! A worker that crashes takes all its runs along, and says nothing of the cause. A run that had just begun is suspected, one that
+//! had been at work is hardly to blame, and a run that was the only one to have just begun is the cause unless chance
+//! struck at that moment.
+
+use {
+    crate::{RunId, WorkerId},
+    serde::{Deserialize, Serialize},
+    std::fmt,
+};
+
+/// After so many crashes of any kind a task is given up; the platform's bound is two starts after the third.
+const MOST_CRASHES: usize = 5;
+
+/// After so many workers have certainly crashed right after its start a task is given up, whatever else crashed then.
+const MOST_CERTAIN: usize = 3;
+
+/// After so many crashes right after its start a task is given up, however unsure each is.
+const MOST_SUSPICIONS: usize = 4;
+
+/// What a lost worker says of a run that was lost with it, from the weakest to the strongest.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub enum Evidence {
+    /// The run had been at work for a while.
+    Late,
+    /// The worker may merely be cut off, or the run may never have begun.
+    Unsure,
+    /// The worker crashed, and other runs had just begun there or other workers crashed at that moment, too.
+    Shared,
+    /// The worker crashed alone, and nothing else had just begun there.
+    Alone,
+}
+
+/// A worker that was lost under a run of a task.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The run. A crash is counted once, also if two leaders hear of it.
+    pub run: RunId,
+    /// What it says of the run.
+    pub evidence: Evidence,
+}
+
+/// A run that is about to be started alone. It is recorded first: a successor that never heard of the run would otherwise
+/// start its task as if nothing had been.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Announced {
+    /// The run.
+    pub run: RunId,
+    /// Where it is to run.
+    pub worker: WorkerId,
+}
+
+impl fmt::Display for Evidence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Evidence::Late => "late",
+            Evidence::Unsure => "unsure",
+            Evidence::Shared => "shared",
+            Evidence::Alone => "alone",
+        })
+    }
+}
+
+/// Whether a task's next start is better made alone.
+pub(crate) fn is_suspect(crashes: &[Crash]) -> bool {
+    crashes.iter().any(|crash| crash.evidence >= Evidence::Unsure)
+}
+
+/// Whether a task is given up.
+pub(crate) fn is_convicted(crashes: &[Crash]) -> bool {
+    let count = |least| crashes.iter().filter(|crash| crash.evidence >= least).count();
+    let last_alone = crashes.last().is_some_and(|crash| crash.evidence == Evidence::Alone);
+    (last_alone && count(Evidence::Shared) >= 2)
+        || count(Evidence::Shared) >= MOST_CERTAIN
+        || count(Evidence::Unsure) >= MOST_SUSPICIONS
+        || crashes.len() >= MOST_CRASHES
+}
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod bits;
 mod colocation;
+mod crash;
 mod directory;
 mod ids;
 mod leadership;
@@ -24,6 +25,7 @@
         Company, Demand, Exposure, Host, ImageNo, Interference, Movable, Regrouping, Sighting,
         headroom_of, openness, set,
     },
+    crash::{Announced, Crash, Evidence},
     directory::{DirectoryChange, WorkerInfo, WorkerState},
     ids::{IdError, RunId, StepId, TaskId, WorkerId, WorkflowId},
     leadership::{AppendResult, Leadership, LeadershipEffect, Succession},
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -6,7 +6,7 @@
 //! the leader alone, under its epoch.
 
 use {
-    crate::{AdviceTerms, Bits, RunId, TaskId, WorkerId, Workflow, WorkflowId},
+    crate::{AdviceTerms, Announced, Bits, Crash, RunId, TaskId, WorkerId, Workflow, WorkflowId},
     compact_str::CompactString,
     egretlb_types::{Epoch, Seq},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -14,7 +14,7 @@
 };
 
 /// The version of the values' form; a process passes over a record of another one.
-const FORM: u8 = 4;
+const FORM: u8 = 5;
 
 /// What a record is about.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -156,6 +156,8 @@
     Silent {
         /// The runs that may be under way there, and no others.
         runs: Vec<(TaskId, RunId)>,
+        /// Those of them that had just begun when it fell silent, and may have crashed it.
+        unproved: Vec<(TaskId, RunId)>,
         /// When they must have lapsed.
         lapses_ms: u64,
     },
@@ -200,7 +202,7 @@
 pub enum Outcome {
     /// All tasks are done.
     Completed,
-    /// A task failed as often as its queue allows.
+    /// A task failed as often as its queue allows, or crashes the workers that start it.
     Failed,
     /// It was cancelled.
     Cancelled,
@@ -213,6 +215,10 @@
     pub done: Bits,
     /// Failed runs. Each is counted once, however often its end is read.
     pub failed: Vec<(u32, RunId)>,
+    /// Workers that were lost under runs.
+    pub crashes: Vec<(u32, Crash)>,
+    /// Runs that are started alone.
+    pub announced: Vec<(u32, Announced)>,
     /// Checkpoints of tasks that run nowhere.
     pub saved: Vec<(u32, CompactString)>,
 }
--- a/crates/workflow/src/scheduler/copy.rs
+++ b/crates/workflow/src/scheduler/copy.rs
@@ -42,6 +42,10 @@
     /// The end of the lease that it was started with, on the worker's clock in milliseconds: a start that arrives
     /// later is rejected. None if this leader didn't start it.
     pub(crate) starts_until_ms: Option<u64>,
+    /// Nothing is started beside it until it has been at work for a moment.
+    pub(crate) trial: bool,
+    /// A predecessor started it and didn't see it at work.
+    pub(crate) inherited_unproved: bool,
     /// The worker has answered its start or listed it.
     pub(crate) confirmed: bool,
     /// When it was started, or found.
@@ -121,6 +125,8 @@
             phase,
             again: false,
             starts_until_ms: None,
+            trial: false,
+            inherited_unproved: false,
             confirmed: false,
             placed: now,
             began: now,
--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Copy, Effect, End, EndKind, HoldReply, Need, Phase, RunningTask, Scheduler,
-        polls::POLL_RETRY, unclear::Absent, waits::StopReason,
+        losses::ACQUITTED_AFTER, polls::POLL_RETRY, unclear::Absent, waits::StopReason,
     },
     crate::{RunId, TaskId, WorkerId},
     compact_str::CompactString,
@@ -23,6 +23,8 @@
     ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.heard(now, reply.clock_ms);
+        self.clear_crashes_at(id);
+        let Some(worker) = self.workers.get_mut(id) else { return };
         let before = worker.unclear.clone();
         let unclear = worker.unclear.note(now, reply);
         let first = !worker.surveyed;
@@ -68,6 +70,7 @@
             EndKind::Failed => self.measures.failed += 1,
             _ => self.measures.stopped += 1,
         }
+        self.clear_crash(end.task, end.run);
         let Some(state) = self.task_mut(end.task) else { return };
         state.copies.retain(|(_, run)| *run != end.run);
         state.last_run = state.last_run.max(end.run);
@@ -151,6 +154,7 @@
     fn on_failed(&mut self, now: Time, id: &WorkerId, end: &End) {
         let lasting = self.step(end.task).is_none_or(|step| step.lasting);
         self.avoid(now, end.task, id);
+        self.clear_crashes(end.task);
         let Some(state) = self.task_mut(end.task) else { return };
         if !lasting && !state.failed.contains(&end.run) {
             state.failed.push(end.run);
@@ -242,6 +246,7 @@
         }
         copy.percent = percent;
         copy.figure = running.figure;
+        let cleared = now.since(copy.began) >= ACQUITTED_AFTER;
         match copy.phase {
             Phase::Starting | Phase::Doubtful { .. } => copy.begin(now, clock_ms),
             Phase::Running { .. } => {}
@@ -257,10 +262,20 @@
         if let Some(speed) = speed {
             worker.measure_speed(now, speed);
         }
+        let passed = worker.end_trial(now, task, run);
         let Some(state) = self.task_mut(task) else { return };
+        if passed {
+            state.announced = None;
+        }
         if !running.saved.is_empty() {
             state.saved.clone_from(&running.saved);
         }
+        if cleared && !state.crashes.is_empty() {
+            self.clear_crashes(task);
+        }
+        if passed {
+            self.dirty.insert(task.workflow);
+        }
     }
 
     /// A run is listed in a row of which nothing else can be read: it is under way, and how far it is isn't
@@ -298,6 +313,7 @@
     ) {
         let RunningTask { task, run, percent, .. } = *running;
         self.drop_supposed(task, run);
+        self.clear_crash(task, run);
         let step = self.step(task).cloned();
         log::debug!(task:%, run:%, worker:% = id; "task_found");
         let wanted = match self.task_mut(task) {
--- a/crates/workflow/src/scheduler/fallback.rs
+++ b/crates/workflow/src/scheduler/fallback.rs
@@ -22,6 +22,10 @@
 /// takes it as forgotten after 3 s with room for it.
 const LAST_RESORT: Duration = Duration::from_secs(2);
 
+/// A lasting task that has been down for so long is started beside a trial if nothing else has room. The platform takes it
+/// as forgotten 3 s later.
+const MISSED_AFTER: Duration = Duration::from_secs(6);
+
 impl Scheduler {
     /// Notes that a task failed at a worker or is slow there: it goes elsewhere if it can.
     pub(super) fn avoid(&mut self, now: Time, task: TaskId, id: &WorkerId) {
@@ -48,7 +52,7 @@
         known
             .take(avoided.as_ref())
             .or_else(|| self.choose_again(now, task, service, need))
-            .or_else(|| self.choose_quarantined(now, task, service, need))
+            .or_else(|| self.choose_last_resort(now, task, service, need))
     }
 
     /// The worker that a task avoids, once it needn't any more.
@@ -68,8 +72,8 @@
         self.best(now, task, service, need, again.into_iter())
     }
 
-    /// A worker under quarantine, for a task that lasts and has waited long enough.
-    pub(super) fn choose_quarantined(
+    /// A worker under quarantine or kept for a trial, for a task that lasts and has waited long enough.
+    pub(super) fn choose_last_resort(
         &mut self,
         now: Time,
         task: TaskId,
@@ -82,23 +86,38 @@
         // Where it has just failed it would fail again and again.
         let avoid = self.task_mut(task).and_then(|state| state.avoid.clone());
         let avoid = avoid.filter(|avoid| now.since(avoid.since) < LAST_RESORT);
-        let workers = self.quarantined.iter().filter_map(|id| self.workers.get_key_value(id));
+        let missed = self.is_missed(now, task);
+        let quarantined = self.quarantined.iter().filter(|_| self.waits_long(now, task));
+        let workers = quarantined.chain(self.kept.iter().filter(|_| missed));
+        let workers = workers.filter_map(|id| self.workers.get_key_value(id));
         let workers = workers.filter(|(id, worker)| {
             worker.takes_any_work(now, &self.limits)
+                && (missed || !worker.is_kept(now))
                 && avoid.as_ref().is_none_or(|avoid| avoid.worker != **id)
         });
         self.best(now, task, service, need, workers)
     }
 
-    /// Whether a step of lasting tasks may try a worker under quarantine: there is one, and the step has
-    /// waited long enough.
+    /// Whether a step of lasting tasks may try a worker under quarantine, or one kept for a trial: there is one, and
+    /// it has waited long enough.
     pub(super) fn is_last_resort(&self, now: Time, task: TaskId) -> bool {
-        !self.quarantined.is_empty() && self.waited(now, task.step_id()) >= LAST_RESORT
+        (!self.quarantined.is_empty() && self.waits_long(now, task))
+            || (!self.kept.is_empty() && self.is_missed(now, task))
+    }
+
+    fn waits_long(&self, now: Time, task: TaskId) -> bool {
+        self.waited(now, task.step_id()) >= LAST_RESORT
+    }
+
+    /// Whether a task has been down for so long that it is started beside a trial, too.
+    pub(super) fn is_missed(&self, now: Time, task: TaskId) -> bool {
+        self.down_since(task).is_some_and(|since| now.since(since) >= MISSED_AFTER)
     }
 
-    /// Forgets workers that aren't under quarantine any more.
-    pub(super) fn release_quarantined(&mut self, now: Time) {
+    /// Forgets workers that aren't kept from other tasks any more.
+    pub(super) fn release_workers(&mut self, now: Time) {
         let workers = &self.workers;
+        self.kept.retain(|id| workers.get(id).is_some_and(|worker| worker.is_kept(now)));
         let held = |id: &WorkerId| workers.get(id).is_some_and(|w| now < w.quarantined_until);
         self.quarantined.retain(held);
         self.quarantined.sort_unstable();
@@ -124,7 +143,9 @@
             return false;
         }
         let waiting: Vec<u32> = self.queue_of(key).into_iter().flatten().map(|i| *i).collect();
-        let free = waiting.iter().position(|index| !self.keeps_away(now, key.task(*index)));
+        let free = waiting.iter().map(|index| key.task(*index));
+        let free =
+            free.into_iter().position(|task| !self.keeps_away(now, task) && !self.is_suspect(task));
         let Some(place) = free else { return false };
         if let Some(queue) = self.queue_of(key) {
             queue.swap(0, place);
--- a/crates/workflow/src/scheduler/flow.rs
+++ b/crates/workflow/src/scheduler/flow.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        Entry, OccurrenceProgress, Outcome, Progress, RunId, StepProgress, Submission, WorkerId,
+        Announced, Crash, Entry, OccurrenceProgress, Outcome, Progress, RunId, StepProgress,
+        Submission, WorkerId,
+        crash::{is_convicted, is_suspect},
     },
     compact_str::CompactString,
     egretlb_types::Time,
@@ -18,6 +20,10 @@
 pub(crate) struct TaskState {
     pub(crate) done: bool,
     pub(crate) failed: SmallVec<[RunId; 2]>,
+    /// Workers that were lost under its runs since one showed that it doesn't crash its worker.
+    pub(crate) crashes: SmallVec<[Crash; 1]>,
+    /// Its next run, or the one on trial.
+    pub(crate) announced: Option<Announced>,
     /// Runs that may be under way, and where.
     pub(crate) copies: SmallVec<[(WorkerId, RunId); 1]>,
     pub(crate) last_run: RunId,
@@ -38,9 +44,19 @@
         !self.done && self.copies.is_empty()
     }
 
-    /// Whether it has failed as often as its queue allows.
+    /// Whether it is given up: it has failed as often as its queue allows, or crashes its workers.
     pub(crate) fn is_spent(&self, max_attempts: u32) -> bool {
-        self.failed.len() >= max_attempts.max(1) as usize
+        self.failed.len() >= max_attempts.max(1) as usize || is_convicted(&self.crashes)
+    }
+
+    /// The run that was announced and not started yet.
+    pub(crate) fn announced_run(&self) -> Option<RunId> {
+        self.announced.as_ref().map(|announced| announced.run).filter(|run| *run > self.last_run)
+    }
+
+    /// Whether it may crash its workers.
+    pub(crate) fn is_suspect(&self) -> bool {
+        is_suspect(&self.crashes)
     }
 }
 
@@ -207,6 +223,17 @@
             task.last_run = task.last_run.max(*run);
         }
     }
+    for (index, crash) in &recorded.crashes {
+        if let Some(task) = state.tasks.get_mut(*index as usize) {
+            task.crashes.push(*crash);
+            task.last_run = task.last_run.max(crash.run);
+        }
+    }
+    for (index, announced) in &recorded.announced {
+        if let Some(task) = state.tasks.get_mut(*index as usize) {
+            task.announced = Some(announced.clone());
+        }
+    }
     for (index, saved) in &recorded.saved {
         if let Some(task) = state.tasks.get_mut(*index as usize) {
             task.saved.clone_from(saved);
@@ -222,6 +249,10 @@
             continue;
         }
         progress.failed.extend(task.failed.iter().map(|run| (index, *run)));
+        progress.crashes.extend(task.crashes.iter().map(|crash| (index, *crash)));
+        progress
+            .announced
+            .extend(task.announced.iter().map(|announced| (index, announced.clone())));
         if !task.saved.is_empty() && task.copies.is_empty() {
             progress.saved.push((index, task.saved.clone()));
         }
--- a/crates/workflow/src/scheduler/losses.rs
+++ b/crates/workflow/src/scheduler/losses.rs
@@ -1,12 +1,48 @@
-//! Workers that are lost with what runs there.
+//! Workers that are lost with what runs there, and what that says of the runs.
 
 use {
     super::{Copy, Scheduler, Worker, waits::LineBudget},
-    crate::{RunId, TaskId, WorkerId},
+    crate::{
+        Crash, Evidence, RunId, StepId, TaskId, WorkerId, WorkerState, WorkflowId,
+        crash::is_convicted,
+    },
+    compact_str::CompactString,
     egretlb_types::Time,
-    std::{fmt, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        fmt,
+        time::Duration,
+    },
 };
 
+/// A run that has been at work for so long has not crashed its worker by being started.
+pub(super) const PROBATION: Duration = Duration::from_millis(500);
+
+/// A run that has been at work for so long clears its task of all earlier crashes.
+pub(super) const ACQUITTED_AFTER: Duration = Duration::from_secs(10);
+
+/// How long a silent worker may take to come back and clear what was lost there.
+const MAY_RETURN: Duration = Duration::from_secs(60);
+
+/// A worker that was last heard so long before another one may have been lost at the same moment: the longest pause between two
+/// answers of a busy worker.
+const HEARD_BEFORE: Duration = Duration::from_millis(1_600);
+
+/// The same for one that was heard after it. A worker where something has just begun answers each quarter of a second.
+const HEARD_AFTER: Duration = Duration::from_millis(400);
+
+/// A worker that hasn't been heard for so long is about to be found lost.
+const UNHEARD: Duration = Duration::from_secs(2);
+
+/// How long a lost worker is remembered, to see what else was lost with it.
+const REMEMBERED: Duration = Duration::from_secs(10);
+
+/// So many other workers of a rack that are lost at the same moment tell of the rack, not of a task.
+const RACK_MATES: usize = 1;
+
+/// So many other workers of a service that are lost at the same moment tell of a common cause.
+const SERVICE_MATES: usize = 4;
+
 /// The most lines on lost runs at once: as many as a rack of eight workers holds.
 const BURST: u32 = 200;
 
@@ -38,11 +74,22 @@
 #[derive(Debug)]
 pub(super) struct Losses {
     lines: LineBudget,
+    /// Runs counted as lost with workers that were merely silent, and when that was.
+    silent: BTreeMap<WorkerId, (Time, Vec<(TaskId, RunId)>)>,
+    /// Workers that were lost lately.
+    lately: VecDeque<LostWorker>,
+    /// Workflows with a crash that no append has taken along yet.
+    unrecorded: BTreeSet<WorkflowId>,
 }
 
 impl Default for Losses {
     fn default() -> Losses {
-        Losses { lines: LineBudget::new("lost_runs", BURST, LINES_PER_SECOND) }
+        Losses {
+            lines: LineBudget::new("lost_runs", BURST, LINES_PER_SECOND),
+            silent: BTreeMap::new(),
+            lately: VecDeque::new(),
+            unrecorded: BTreeSet::new(),
+        }
     }
 }
 
@@ -50,35 +97,240 @@
     pub(super) fn tell_left_out(&mut self, now: Time) {
         self.lines.tell_left_out(now);
     }
+
+    /// Whether one more line may be written.
+    pub(super) fn may_tell(&mut self, now: Time) -> bool {
+        self.lines.take(now, 0)
+    }
+
+    /// Notes that an append takes a workflow's crashes along; returns whether there are new ones.
+    pub(super) fn take_unrecorded(&mut self, id: WorkflowId) -> bool {
+        self.unrecorded.remove(&id)
+    }
+
+    pub(super) fn note_unrecorded(&mut self, id: WorkflowId) {
+        self.unrecorded.insert(id);
+    }
+
+    pub(super) fn is_unrecorded(&self, id: WorkflowId) -> bool {
+        self.unrecorded.contains(&id)
+    }
+}
+
+/// A worker that was lost.
+#[derive(Debug)]
+struct LostWorker {
+    id: WorkerId,
+    at: Time,
+    heard: Time,
+    service: CompactString,
+    rack: Option<CompactString>,
+}
+
+/// A run that is lost with its worker.
+struct LostRun {
+    task: TaskId,
+    run: RunId,
+    /// How long it is known to have been at work; none if it may never have begun.
+    worked: Option<Duration>,
+    evidence: Option<Evidence>,
 }
 
-/// How long a run is known to have been at work; none if it may never have begun.
-fn worked(worker: &Worker, copy: &Copy) -> Option<Duration> {
-    let heard = worker.last_heard.unwrap_or(copy.began);
-    copy.confirmed.then(|| heard.max(copy.began).since(copy.began))
+impl Worker {
+    /// How long a run here is known to have been at work; none if it may never have begun.
+    fn worked(&self, copy: &Copy) -> Option<Duration> {
+        let heard = self.last_heard.unwrap_or(copy.began);
+        copy.confirmed.then(|| heard.max(copy.began).since(copy.began))
+    }
+
+    /// Whether a run here may have begun so lately that it would be suspected if the worker crashed now.
+    fn is_unproved(&self, copy: &Copy) -> bool {
+        let inherited = copy.starts_until_ms.is_none();
+        match self.worked(copy) {
+            _ if inherited => copy.inherited_unproved && !copy.confirmed,
+            worked => worked.is_none_or(|span| span < PROBATION),
+        }
+    }
+
+    /// The runs here that have certainly begun, and had just done so when the worker was last heard.
+    pub(super) fn unproved_runs(&self) -> impl Iterator<Item = (TaskId, RunId)> {
+        let unproved =
+            |copy: &Copy| self.is_unproved(copy) && (copy.confirmed || copy.inherited_unproved);
+        self.copies.iter().filter(move |(_, copy)| unproved(copy)).map(|(key, _)| *key)
+    }
+
+    /// Whether no run here has just begun.
+    pub(super) fn is_settled(&self) -> bool {
+        !self.copies.values().any(|copy| self.is_unproved(copy))
+    }
 }
 
 impl Scheduler {
     /// Forgets what ran at a worker that was lost, and queues its tasks.
     pub(super) fn lose_runs(&mut self, now: Time, id: &WorkerId, loss: Loss) {
-        let Some(worker) = self.workers.get(id) else { return };
-        let beside = worker.copies.len().saturating_sub(1);
-        let runs: Vec<(TaskId, RunId, Option<Duration>)> = worker
-            .copies
-            .iter()
-            .map(|((task, run), copy)| (*task, *run, worked(worker, copy)))
-            .collect();
-        for (task, run, worked) in runs {
+        let runs = self.lost_runs(now, id, loss);
+        self.note_lost(now, id, loss);
+        let beside = runs.len().saturating_sub(1);
+        for LostRun { task, run, worked, evidence } in runs {
             self.measures.lost += 1;
-            if self.losses.lines.take(now, 0) {
+            let crashes = evidence.map_or(0, |evidence| self.note_crash(task, run, evidence));
+            if evidence.is_some() && loss == Loss::Lapsed {
+                self.may_clear(now, id, task, run);
+            }
+            if self.losses.may_tell(now) {
                 let in_doubt = worked.is_none();
                 let worked_ms = worked.unwrap_or_default().as_millis() as u64;
+                let evidence = evidence.map_or_else(|| "-".to_owned(), |e| e.to_string());
                 log::info!(
-                    task:%, run:%, worker:% = id, loss:%, in_doubt, worked_ms, beside;
+                    task:%, run:%, worker:% = id, loss:%, in_doubt, worked_ms, beside, evidence:%,
+                    crashes;
                     "run_lost"
                 );
             }
             self.drop_copy(now, id, task, run);
         }
     }
+
+    /// Remembers a lost worker.
+    fn note_lost(&mut self, now: Time, id: &WorkerId, loss: Loss) {
+        let lately = &mut self.losses.lately;
+        while lately.front().is_some_and(|lost| now.since(lost.at) >= REMEMBERED) {
+            lately.pop_front();
+        }
+        let Some(worker) = self.workers.get(id) else { return };
+        let Some(heard) = worker.last_heard.filter(|_| loss != Loss::Left) else { return };
+        let service = worker.info.service.clone();
+        let rack = worker.info.rack().map(CompactString::new);
+        lately.push_back(LostWorker { id: id.clone(), at: now, heard, service, rack });
+    }
+
+    /// Whether so many workers were lost at the same moment that a common cause is likely.
+    fn has_common_cause(&self, now: Time, id: &WorkerId, worker: &Worker) -> bool {
+        let Some(heard) = worker.last_heard else { return true };
+        // It was replaced before others that were lost with it can be known to be silent.
+        if now.since(heard) < UNHEARD {
+            return true;
+        }
+        let near =
+            |other: Time| heard.since(other) <= HEARD_BEFORE && other.since(heard) <= HEARD_AFTER;
+        let lately = &self.losses.lately;
+        let unheard = self.workers.iter().filter_map(|(other, known)| {
+            let counted = other == id || lately.iter().any(|lost| lost.id == *other);
+            let since = known.last_heard.filter(|at| !counted && now.since(*at) >= UNHEARD)?;
+            (known.info.service == worker.info.service && near(since)).then(|| known.info.rack())
+        });
+        let lost =
+            lately.iter().filter(|lost| lost.service == worker.info.service && near(lost.heard));
+        let racks: Vec<Option<&str>> =
+            unheard.chain(lost.map(|lost| lost.rack.as_deref())).collect();
+        let rack = worker.info.rack();
+        let mates = racks.iter().filter(|known| rack.is_some() && **known == rack).count();
+        mates >= RACK_MATES || racks.len() >= SERVICE_MATES
+    }
+
+    fn lost_runs(&self, now: Time, id: &WorkerId, loss: Loss) -> Vec<LostRun> {
+        let Some(worker) = self.workers.get(id) else { return Vec::new() };
+        let left = loss == Loss::Left || self.is_held(id);
+        let leaves = worker.info.state == WorkerState::Draining;
+        let alone = self.unproved_groups(worker) == 1 && !self.has_common_cause(now, id, worker);
+        let lost = |((task, run), copy): (&(TaskId, RunId), &Copy)| {
+            let worked = worker.worked(copy);
+            let evidence = if left {
+                None
+            } else if worker.is_unproved(copy) {
+                let began = worked.is_some() || copy.inherited_unproved;
+                Some(match loss {
+                    // It gets no starts any more, and stays for some seconds yet.
+                    _ if leaves => Evidence::Unsure,
+                    Loss::Replaced if began && alone => Evidence::Alone,
+                    Loss::Replaced if began => Evidence::Shared,
+                    _ => Evidence::Unsure,
+                })
+            } else {
+                let inherited = copy.starts_until_ms.is_none();
+                let settled = worked.is_some_and(|span| span >= ACQUITTED_AFTER);
+                (!inherited && !settled && !leaves).then_some(Evidence::Late)
+            };
+            LostRun { task: *task, run: *run, worked, evidence }
+        };
+        worker.copies.iter().map(lost).collect()
+    }
+
+    /// How many tasks have just begun at a worker. Members of a gang count as one, since they are started and
+    /// given up together.
+    fn unproved_groups(&self, worker: &Worker) -> usize {
+        let unproved = worker.copies.iter().filter(|(_, copy)| worker.is_unproved(copy));
+        let gang = |task: TaskId| self.step(task).is_some_and(|step| step.gang);
+        let groups: BTreeSet<(StepId, Option<u32>)> = unproved
+            .map(|((task, _), _)| (task.step_id(), (!gang(*task)).then_some(task.index)))
+            .collect();
+        groups.len()
+    }
+
+    /// Counts a crash under a task; returns how many there are.
+    pub(super) fn note_crash(&mut self, task: TaskId, run: RunId, evidence: Evidence) -> usize {
+        let Some(state) = self.task_mut(task).filter(|state| !state.done) else { return 0 };
+        state.announced.take_if(|announced| announced.run == run);
+        if state.crashes.iter().all(|known| known.run != run) {
+            state.crashes.push(Crash { run, evidence });
+        }
+        let crashes = state.crashes.len();
+        self.dirty.insert(task.workflow);
+        self.losses.note_unrecorded(task.workflow);
+        crashes
+    }
+
+    /// Keeps in mind which run was counted as lost with a worker that may only be cut off.
+    fn may_clear(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId) {
+        self.losses.silent.retain(|_, (at, _)| now.since(*at) < MAY_RETURN);
+        let (_, runs) = self.losses.silent.entry(id.clone()).or_insert((now, Vec::new()));
+        runs.push((task, run));
+    }
+
+    /// A worker that was taken for lost answers: nothing crashed it.
+    pub(super) fn clear_crashes_at(&mut self, id: &WorkerId) {
+        let Some((_, runs)) = self.losses.silent.remove(id) else { return };
+        for (task, run) in runs {
+            self.clear_crash(task, run);
+        }
+    }
+
+    /// A worker lists a run or its end: it has outlived it.
+    pub(super) fn clear_crash(&mut self, task: TaskId, run: RunId) {
+        let Some(state) = self.task_mut(task) else { return };
+        let crashes = state.crashes.len();
+        state.crashes.retain(|crash| crash.run != run);
+        let announced = state.announced.take_if(|announced| announced.run == run);
+        if state.crashes.len() != crashes || announced.is_some() {
+            self.dirty.insert(task.workflow);
+        }
+    }
+
+    /// A run of a task has shown that it doesn't crash its worker.
+    pub(super) fn clear_crashes(&mut self, task: TaskId) {
+        let Some(state) = self.task_mut(task).filter(|state| !state.crashes.is_empty()) else {
+            return;
+        };
+        let crashes = state.crashes.len();
+        state.crashes.clear();
+        state.announced = None;
+        self.dirty.insert(task.workflow);
+        log::info!(task:%, crashes; "task_cleared");
+    }
+
+    /// Tells which task of a workflow that is given up has crashed its workers, if one has.
+    pub(super) fn tell_given_up(&mut self, id: WorkflowId) {
+        let Some(flow) = self.flows.get(&id).filter(|flow| flow.outcome.is_none()) else { return };
+        for (number, occurrence) in &flow.occurrences {
+            for (step, state) in (0u16..).zip(&occurrence.steps) {
+                let tasks = (0u32..).zip(&state.tasks);
+                for (index, state) in tasks.filter(|(_, task)| is_convicted(&task.crashes)) {
+                    let task = TaskId { workflow: id, occurrence: *number, step, index };
+                    let crashes = state.crashes.len();
+                    log::warn!(task:%, crashes; "task_given_up");
+                    self.measures.given_up += 1;
+                }
+            }
+        }
+    }
 }
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -33,6 +33,7 @@
 mod start_window;
 mod stragglers;
 mod survey;
+mod trials;
 mod unclear;
 mod upkeep;
 mod waits;
@@ -116,6 +117,8 @@
     crowded_at: Option<Time>,
     /// Workers under quarantine, and maybe some that have just left it.
     quarantined: Vec<WorkerId>,
+    /// Workers kept for trials, and maybe some that have just been released.
+    kept: Vec<WorkerId>,
     advice: advice::Advice,
     upkeep: upkeep::Upkeep,
     /// How long the filler that waits longest has waited, as of the last pass over what waits.
@@ -135,6 +138,8 @@
     /// The records are read too late to start anything.
     behind: bool,
     losses: losses::Losses,
+    /// Whether this pass looks for workers for suspected tasks: each takes a look at all of them.
+    trials_due: bool,
     measures: Measures,
     waits: waits::Waits,
     wall_ms: u64,
@@ -153,6 +158,8 @@
     pub stopped: u64,
     /// Runs that were lost with their worker.
     pub lost: u64,
+    /// Tasks given up since they crash their workers.
+    pub given_up: u64,
     /// Lasting tasks stopped for tasks that end soon.
     pub preempted: u64,
     /// Fillers stopped for a serving task over its target.
@@ -209,6 +216,7 @@
             learned_news: false,
             crowded_at: None,
             quarantined: Vec::new(),
+            kept: Vec::new(),
             advice: advice::Advice::default(),
             upkeep: upkeep::Upkeep::default(),
             fillers_wait: Duration::ZERO,
@@ -221,6 +229,7 @@
             kept_at: Time::ZERO,
             behind: false,
             losses: losses::Losses::default(),
+            trials_due: false,
             measures: Measures::default(),
             waits: waits::Waits::default(),
             wall_ms,
@@ -233,6 +242,7 @@
             scheduler.add_flow(now, id, entry, true);
         }
         scheduler.inherit_runs(now, ledger);
+        scheduler.inherit_announced(now);
         scheduler
     }
 
@@ -295,7 +305,9 @@
             self.kept_at = now;
             self.expire(now);
         }
+        self.trials_due = keeps;
         while let Some(id) = self.spent.pop_first() {
+            self.tell_given_up(id);
             self.end_flow(now, id, Outcome::Failed, out);
         }
         self.begin_due(now);
--- a/crates/workflow/src/scheduler/orders.rs
+++ b/crates/workflow/src/scheduler/orders.rs
@@ -146,7 +146,10 @@
         match result {
             StartResult::Started { clock_ms } => self.on_started(now, id, task, run, clock_ms),
             StartResult::Outranked => out.push(Effect::Outranked),
-            StartResult::OtherIncarnation => self.on_other_incarnation(now, id),
+            StartResult::OtherIncarnation => {
+                self.drop_copy(now, id, task, run);
+                self.on_other_incarnation(now, id);
+            }
             StartResult::Unknown => self.on_start_unknown(now, id, task, run),
             StartResult::NoRoom => self.reject_start(now, id, task, run, NO_ROOM_PAUSE),
             StartResult::Unwell | StartResult::NotSent => {
--- a/crates/workflow/src/scheduler/place.rs
+++ b/crates/workflow/src/scheduler/place.rs
@@ -1,7 +1,7 @@
 //! Where tasks go.
 
 use {
-    super::{Copy, Effect, Need, Phase, Ready, Scheduler, Worker, flow::TaskState},
+    super::{Copy, Effect, Need, Phase, Ready, Scheduler, Worker, flow::TaskState, trials::Trial},
     crate::{RunId, Step, StepId, TaskId, WorkerId, colocation::ImageNo},
     compact_str::CompactString,
     egretlb_types::{Resources, Time},
@@ -90,8 +90,15 @@
             if early || !self.may_start() {
                 return false;
             }
-            let chosen = if hopeless {
-                self.choose_quarantined(now, task, service, &need)
+            let chosen = if self.is_suspect(task) {
+                match self.choose_trial(now, task, service, &need) {
+                    Trial::At(worker) => Some(worker),
+                    Trial::Later if !held && self.pass_over_suspects(key) => continue,
+                    Trial::Later => return false,
+                    Trial::NoRoom => None,
+                }
+            } else if hopeless {
+                self.choose_last_resort(now, task, service, &need)
             } else {
                 self.choose(now, task, service, &need, &mut places)
             };
@@ -198,8 +205,10 @@
         run: Option<RunId>,
         out: &mut Vec<Effect>,
     ) {
-        let run = run.unwrap_or_else(|| self.next_run(task));
+        let announced = self.task(task).and_then(|state| state.announced_run());
+        let run = run.or(announced).unwrap_or_else(|| self.next_run(task));
         let again = self.was_started(task);
+        let trial = self.is_suspect(task);
         let limits = self.limits;
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(until_ms) = worker.lease_until(now, limits.lease, limits.lease_bound()) else {
@@ -207,10 +216,13 @@
         };
         let addr = worker.info.addr;
         worker.poll_at = worker.poll_at.min(now + limits.poll_gap);
-        let mut copy = Copy::new(now, need, Phase::Starting);
+        let mut copy = Copy::new(now, need, Phase::Starting).on_trial(trial);
         copy.again = again;
         copy.starts_until_ms = Some(until_ms);
         worker.insert(task, run, copy);
+        if trial {
+            worker.quiet_until = now;
+        }
         let Some(state) = self.task_mut(task) else { return };
         state.last_run = run;
         state.copies.push((id.clone(), run));
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -99,7 +99,8 @@
             let unsettled = |phase: &Phase| !matches!(phase, Phase::Running { .. });
             let hurried = !worker.surveyed || worker.copies.values().any(|c| unsettled(&c.phase));
             let pressed = worker.serving > 0 && (worker.filling > 0 || worker.over_target);
-            let fresh = worker.copies.values().any(|copy| copy.is_fresh(now));
+            let fresh =
+                worker.is_kept(now) || worker.copies.values().any(|copy| copy.is_fresh(now));
             let wait = match (hurried, busy, fresh, pressed) {
                 (true, ..) | (_, false, ..) => Duration::ZERO,
                 (false, true, true, _) => FRESH_WAIT,
@@ -141,7 +142,7 @@
         };
         self.roster_dirty |= self.workers.values().any(changed);
         self.unaccounted.retain(|_, until| now < *until);
-        self.release_quarantined(now);
+        self.release_workers(now);
     }
 
     fn drop_lapsed(&mut self, now: Time, id: &WorkerId) {
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -17,6 +17,14 @@
     roster: Vec<Listed>,
     ended: Vec<WorkflowId>,
     waves: Vec<(u64, WaveProgress)>,
+    /// Workflows with crashes that weren't recorded before.
+    crashes: Vec<WorkflowId>,
+}
+
+impl Recording {
+    pub(super) fn has_crashes_of(&self, id: WorkflowId) -> bool {
+        self.crashes.contains(&id)
+    }
 }
 
 /// What the roster says of a worker.
@@ -119,6 +127,7 @@
     fn record_progress(&mut self, recording: &mut Recording, records: &mut Vec<Record>) -> bool {
         let mut bytes = 0;
         while let Some(id) = self.dirty.pop_first() {
+            recording.crashes.extend(self.losses.take_unrecorded(id).then_some(id));
             let Some(flow) = self.flows.get(&id) else { continue };
             let record = Record::new(Key::Progress(id), &flow.progress());
             if flow.outcome.is_some() {
--- a/crates/workflow/src/scheduler/survey.rs
+++ b/crates/workflow/src/scheduler/survey.rs
@@ -8,9 +8,10 @@
 //! of the leader, however long it has been lost.
 
 use {
-    super::{Copy, Inherited, Need, Phase, Scheduler, Worker},
+    super::{Copy, Inherited, Need, Phase, Scheduler, Worker, flow::TaskState},
     crate::{
-        Ledger, Roster, RosterEntry, RunId, Standing, TaskId, WorkerId, WorkerInfo, WorkerState,
+        Announced, Evidence, Ledger, Roster, RosterEntry, RunId, Standing, TaskId, WorkerId,
+        WorkerInfo, WorkerState,
     },
     compact_str::CompactString,
     egretlb_types::{Resources, Time},
@@ -54,7 +55,48 @@
             for (task, run) in runs {
                 self.suppose(now, &entry.id, *task, *run);
             }
+            if let Standing::Silent { unproved, .. } = &entry.standing {
+                unproved.iter().for_each(|key| self.suspect_inherited(&entry.id, *key));
+            }
+        }
+    }
+
+    /// Takes runs that a predecessor announced as under way where they were to run, until that worker answers. If it is
+    /// gone, they may have crashed it.
+    pub(super) fn inherit_announced(&mut self, now: Time) {
+        for (task, Announced { run, worker: id }) in self.all_announced() {
+            let held = self.task(task).is_some_and(|state| !state.copies.is_empty());
+            if !self.workers.contains_key(&id) {
+                self.note_crash(task, run, Evidence::Unsure);
+            } else if !held {
+                self.suppose(now, &id, task, run);
+            }
+            self.suspect_inherited(&id, (task, run));
+        }
+    }
+
+    fn suspect_inherited(&mut self, id: &WorkerId, key: (TaskId, RunId)) {
+        let copy = self.workers.get_mut(id).and_then(|worker| worker.copies.get_mut(&key));
+        if let Some(copy) = copy {
+            copy.inherited_unproved = true;
+        }
+    }
+
+    fn all_announced(&self) -> Vec<(TaskId, Announced)> {
+        let mut found = Vec::new();
+        for (workflow, flow) in &self.flows {
+            for (occurrence, steps) in &flow.occurrences {
+                for (step, state) in (0u16..).zip(&steps.steps) {
+                    let of = |(index, task): (u32, &TaskState)| {
+                        let (workflow, occurrence) = (*workflow, *occurrence);
+                        let id = TaskId { workflow, occurrence, step, index };
+                        Some((id, task.announced.clone()?))
+                    };
+                    found.extend((0u32..).zip(&state.tasks).filter_map(of));
+                }
+            }
         }
+        found
     }
 
     /// When all that leaders before this one started at a worker must have lapsed.
@@ -105,7 +147,8 @@
             return Standing::Unanswered { lapses_ms };
         }
         if worker.lists_silent(now, &self.limits) {
-            return Standing::Silent { runs: runs(), lapses_ms };
+            let unproved = worker.unproved_runs().collect();
+            return Standing::Silent { runs: runs(), unproved, lapses_ms };
         }
         if worker.leaves() {
             return Standing::Leaving { runs: runs() };
--- /dev/null
+++ b/crates/workflow/src/scheduler/trials.rs
@@ -0,0 +1,219 @@
+//! Starts of tasks that are suspected of crashing workers.
+//!
+//! Such a task is started where nothing else has just begun, and nothing is started beside it until it has been at work for
+//! a moment. So the next crash tells whether it was the cause, and takes along as little as possible.
+
+use {
+    super::{
+        Copy, Need, Ready, Scheduler, Worker, flow::TaskState, losses::PROBATION, place::has_room,
+    },
+    crate::{Announced, RunId, TaskId, WorkerId},
+    compact_str::CompactString,
+    egretlb_types::Time,
+    std::time::Duration,
+};
+
+/// Of so many workers of a service one may be kept for a trial at a time: the others stay open to all other tasks.
+const WORKERS_PER_TRIAL: usize = 4;
+
+/// How long a worker is kept free of new starts before a trial. What has just begun there has been at work for
+/// [`PROBATION`] by then, and two polls have told so.
+const QUIET_SPAN: Duration = Duration::from_secs(1);
+
+/// A worker on trial that is polled each quarter of a second, and unheard for so long, has probably crashed.
+const UNHEARD: Duration = Duration::from_secs(1);
+
+/// Where a suspected task is started.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Trial {
+    /// At this worker.
+    At(WorkerId),
+    /// Workers have room, and none is free for a trial yet.
+    Later,
+    /// No worker has room.
+    NoRoom,
+}
+
+/// What speaks against a worker for a trial: that it has to wait for other runs there, and what a crash would take along.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Stakes {
+    unsettled: bool,
+    lasting: usize,
+    runs: usize,
+}
+
+impl Worker {
+    /// Whether it is kept for a trial, or one is under way.
+    pub(super) fn is_kept(&self, now: Time) -> bool {
+        self.trials > 0 || now < self.quiet_until
+    }
+
+    /// Ends the trial of a run that has been at work for long enough; returns whether there was one.
+    pub(super) fn end_trial(&mut self, now: Time, task: TaskId, run: RunId) -> bool {
+        let Some(copy) = self.copies.get_mut(&(task, run)) else { return false };
+        let ends = copy.trial && now.since(copy.began) >= PROBATION;
+        if ends {
+            copy.trial = false;
+            self.trials -= 1;
+        }
+        ends
+    }
+
+    fn stakes(&self) -> Stakes {
+        let lasting = self.copies.values().filter(|copy| copy.lasts).count();
+        Stakes { unsettled: !self.is_settled(), lasting, runs: self.copies.len() }
+    }
+}
+
+impl Copy {
+    /// The run is the first of a suspected task since a crash.
+    pub(super) fn on_trial(mut self, trial: bool) -> Copy {
+        self.trial = trial;
+        self
+    }
+}
+
+impl Scheduler {
+    /// Whether a task is started alone. Members of a gang aren't: they have to start together.
+    pub(super) fn is_suspect(&self, task: TaskId) -> bool {
+        self.task(task).is_some_and(TaskState::is_suspect)
+            && !self.step(task).is_some_and(|step| step.gang)
+    }
+
+    /// Where a suspected task is started, once that is recorded.
+    pub(super) fn choose_trial(
+        &mut self,
+        now: Time,
+        task: TaskId,
+        service: &CompactString,
+        need: &Need<'_>,
+    ) -> Trial {
+        if !self.trials_due {
+            return Trial::Later;
+        }
+        match self.announced_place(now, task, service, need) {
+            Some(trial) => trial,
+            None => self.announce(now, task, service, need),
+        }
+    }
+
+    /// What has become of the place that was announced; none if there is none, or it won't do any more.
+    fn announced_place(
+        &mut self,
+        now: Time,
+        task: TaskId,
+        service: &CompactString,
+        need: &Need<'_>,
+    ) -> Option<Trial> {
+        let state = self.task(task)?;
+        state.announced_run()?;
+        let id = state.announced.as_ref()?.worker.clone();
+        let worker = self.workers.get(&id)?;
+        if !self.takes_trial(now, &id, worker, task, service, need) {
+            return None;
+        }
+        let settled = worker.is_settled();
+        if !self.is_recorded(task) {
+            self.keep_quiet(now, &id);
+            return Some(Trial::Later);
+        }
+        match (settled, now < worker.quiet_until) {
+            (true, _) => Some(Trial::At(id)),
+            (false, true) => Some(Trial::Later),
+            (false, false) => None,
+        }
+    }
+
+    /// Whether all crashes under a task and its next run are in the store.
+    fn is_recorded(&self, task: TaskId) -> bool {
+        let under_way = self.recording.as_ref();
+        !self.losses.is_unrecorded(task.workflow)
+            && !under_way.is_some_and(|recording| recording.has_crashes_of(task.workflow))
+    }
+
+    fn keep_quiet(&mut self, now: Time, id: &WorkerId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.quiet_until = now + QUIET_SPAN;
+        }
+        if !self.kept.contains(id) {
+            self.kept.push(id.clone());
+        }
+    }
+
+    /// Picks the worker with least at stake, keeps it free of other starts and has the run recorded.
+    fn announce(
+        &mut self,
+        now: Time,
+        task: TaskId,
+        service: &CompactString,
+        need: &Need<'_>,
+    ) -> Trial {
+        let (mut fit, mut kept) = (0_usize, 0_usize);
+        let mut best: Option<(Stakes, &WorkerId)> = None;
+        let of_service = |(_, worker): &(&WorkerId, &Worker)| worker.info.service == *service;
+        for (id, worker) in self.workers.iter().filter(of_service) {
+            fit += usize::from(worker.is_fit(now, &self.limits));
+            // One that has just crashed is kept until it is found out, and others needn't wait for that.
+            let heard = worker.last_heard.is_some_and(|at| now.since(at) < UNHEARD);
+            kept += usize::from(worker.is_kept(now) && heard);
+            if worker.is_kept(now) || !self.takes_trial(now, id, worker, task, service, need) {
+                continue;
+            }
+            let stakes = worker.stakes();
+            if best.is_none_or(|(known, _)| stakes < known) {
+                best = Some((stakes, id));
+            }
+        }
+        self.measures.looked_at += fit as u64;
+        let Some(id) = best.map(|(_, id)| id.clone()) else {
+            return if kept > 0 { Trial::Later } else { Trial::NoRoom };
+        };
+        let missed = need.step.lasting && self.is_missed(now, task);
+        if kept >= (fit / WORKERS_PER_TRIAL).max(1) && !missed {
+            return Trial::Later;
+        }
+        self.keep_quiet(now, &id);
+        let run = self.next_run(task);
+        if self.losses.may_tell(now) {
+            let crashes = self.task(task).map_or(0, |state| state.crashes.len());
+            log::info!(task:%, run:%, worker:% = id, crashes; "start_announced");
+        }
+        if let Some(state) = self.task_mut(task) {
+            state.announced = Some(Announced { run, worker: id });
+        }
+        self.dirty.insert(task.workflow);
+        self.losses.note_unrecorded(task.workflow);
+        Trial::Later
+    }
+
+    /// Puts a task that isn't suspected before those that are; returns whether there was one. Otherwise one
+    /// suspected task would hold up all others of its step.
+    pub(super) fn pass_over_suspects(&mut self, key: Ready) -> bool {
+        let waiting: Vec<u32> = self.queue_of(key).into_iter().flatten().map(|i| *i).collect();
+        let place = waiting.iter().position(|index| !self.is_suspect(key.task(*index)));
+        let Some(place) = place else { return false };
+        if let Some(queue) = self.queue_of(key) {
+            queue.swap(0, place);
+        }
+        true
+    }
+
+    /// Whether a worker has room for a suspected task, whatever else has just begun there.
+    fn takes_trial(
+        &self,
+        now: Time,
+        id: &WorkerId,
+        worker: &Worker,
+        task: TaskId,
+        service: &CompactString,
+        need: &Need<'_>,
+    ) -> bool {
+        has_room(worker, task, need)
+            && worker.is_fit(now, &self.limits)
+            && worker.trials == 0
+            && now >= worker.barred_span_end()
+            && !worker.is_doubted(now)
+            && self.allows(now, task, id)
+            && self.suits(now, (id, worker), task, service, need).is_some()
+    }
+}
--- a/crates/workflow/src/scheduler/waits/held.rs
+++ b/crates/workflow/src/scheduler/waits/held.rs
@@ -103,7 +103,7 @@
     }
 
     /// Since when a task in a queue hasn't run.
-    pub(super) fn down_since(&self, task: TaskId) -> Option<Time> {
+    pub(in crate::scheduler) fn down_since(&self, task: TaskId) -> Option<Time> {
         let StepId { workflow, occurrence, step } = task.step_id();
         let occurrence = self.flows.get(&workflow)?.occurrences.get(&occurrence)?;
         let step = occurrence.steps.get(usize::from(step))?;
--- a/crates/workflow/src/scheduler/waits/queued.rs
+++ b/crates/workflow/src/scheduler/waits/queued.rs
@@ -109,6 +109,9 @@
         if self.was_started(key.task(index)) && !self.may_repeat(now) {
             return Some(Cause::plain(Reason::Unproven));
         }
+        if self.is_suspect(key.task(index)) {
+            return Some(Cause::plain(Reason::Trial));
+        }
         let cause = self.best_place(now, key.task(index), &step)?;
         if step.gang && cause.reason == Reason::Next {
             return Some(Cause::plain(Reason::Gang));
--- a/crates/workflow/src/scheduler/waits/reason.rs
+++ b/crates/workflow/src/scheduler/waits/reason.rs
@@ -36,6 +36,8 @@
     Company,
     /// It leaves the room to tasks that end soon.
     GivesWay,
+    /// Workers were lost under it, so it is started where nothing else has just begun.
+    Trial,
     /// Members of its gang haven't ended yet, or no worker or rack has room for all of them.
     Gang,
     /// Nothing holds it up: it starts next.
@@ -72,6 +74,7 @@
             Reason::ServingTasks => "serving tasks where there is room can't bear it",
             Reason::Company => "it waits a little for a place that keeps fewer fillers away",
             Reason::GivesWay => "it leaves the room to tasks that end soon",
+            Reason::Trial => "workers were lost under it, and none is free to start it alone",
             Reason::Gang => "its gang can't start as a whole",
             Reason::Next => "it starts next",
             Reason::BeingStarted => "a start isn't answered yet",
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -60,6 +60,10 @@
     pub(crate) soft: u32,
     pub(crate) serving: u32,
     pub(crate) filling: u32,
+    /// Runs on trial.
+    pub(crate) trials: u32,
+    /// Kept free of new starts until then, for a trial.
+    pub(crate) quiet_until: Time,
     /// The tasks that share it, as far as they disturb each other.
     pub(crate) neighbours: Neighbours,
     /// How fast tasks get on here, as a multiple of their estimates, and when that was last measured.
@@ -104,6 +108,8 @@
             soft: 0,
             serving: 0,
             filling: 0,
+            trials: 0,
+            quiet_until: Time::ZERO,
             neighbours,
             speed: None,
             failures: 0,
@@ -120,6 +126,7 @@
         self.soft += copy.soft.0;
         self.serving += u32::from(copy.serves);
         self.filling += u32::from(copy.fills);
+        self.trials += u32::from(copy.trial);
         if copy.serves {
             self.neighbours.add_serving(copy.image);
         }
@@ -135,6 +142,7 @@
         self.soft -= copy.soft.0;
         self.serving -= u32::from(copy.serves);
         self.filling -= u32::from(copy.fills);
+        self.trials -= u32::from(copy.trial);
         if copy.serves {
             self.neighbours.remove_serving(copy.image);
         }
@@ -217,7 +225,7 @@
 
     /// Whether it may get a new task.
     pub(crate) fn takes_work(&self, now: Time, limits: &Limits) -> bool {
-        now >= self.quarantined_until && self.takes_any_work(now, limits)
+        now >= self.quarantined_until && !self.is_kept(now) && self.takes_any_work(now, limits)
     }
 
     /// Whether it may get a new task that can't go elsewhere.
--- a/crates/workflow/tests/seeded_successions.rs
+++ b/crates/workflow/tests/seeded_successions.rs
@@ -6,7 +6,7 @@
 mod support;
 
 use {
-    egretlb_workflow::{Limits, State, Step, WorkerState, WorkflowId},
+    egretlb_workflow::{Limits, Outcome, State, Step, TaskId, WorkerState, WorkflowId},
     rand::Rng,
     std::{env, ops::Range, time::Duration},
     support::{step, submission, worker::Worker, world::World},
@@ -37,15 +37,24 @@
     network_kinds: u32,
     /// Faults of one round are over before the next.
     apart: bool,
+    /// Some tasks crash each worker that starts them.
+    culprits: bool,
 }
 
 /// One change of the leader after the other.
-const APART: Mix = Mix { rounds: 3, network_kinds: 6, apart: true };
+const APART: Mix = Mix { rounds: 3, network_kinds: 6, apart: true, culprits: false };
 
 /// Faults that overlap, and workers that the leader can't hear or its successor can't reach.
-const DENSE: Mix = Mix { rounds: 5, network_kinds: 9, apart: false };
+const DENSE: Mix = Mix { rounds: 5, network_kinds: 9, apart: false, culprits: false };
 const DENSE_SEEDS: Range<u64> = 1_000..1_020;
 
+/// The same with tasks that crash their workers.
+const CULPRITS: Mix = Mix { culprits: true, ..DENSE };
+const CULPRIT_SEEDS: Range<u64> = 2_000..2_040;
+
+/// The most workers that one culprit may crash: two starts after the third crash are allowed.
+const MOST_CRASHES: u32 = 5;
+
 /// Ids of workflows that are cancelled while the leader changes, before any of their tasks can be done.
 const DOOMED: u64 = 3_000;
 
@@ -164,9 +173,15 @@
 }
 
 /// Clients' work of a moment.
-fn submit_some(world: &mut World, id: &mut u64) {
+fn submit_some(world: &mut World, id: &mut u64, mix: Mix) {
     for _ in 0..3 {
         *id += 1;
+        if mix.culprits && world.rng.random_range(0..6) == 0 {
+            let workflow = WorkflowId(*id);
+            let culprit = TaskId { workflow, occurrence: 0, step: 0, index: 1 };
+            let after = millis(world, 0..400);
+            world.culprits.tasks.insert(culprit, after);
+        }
         let (count, ms) = (world.rng.random_range(2..10), world.rng.random_range(200..6_000));
         let later = Step { after: [0].into_iter().collect(), ..step(3, 400) };
         world.submit(*id, &submission(vec![step(count, ms), later]));
@@ -188,8 +203,15 @@
     world.workers.iter().map(of).sum()
 }
 
-/// Plays a day; returns what went wrong, and how many tasks were started.
-fn play(seed: u64, mix: Mix) -> (Vec<String>, u32) {
+/// What came of a day.
+struct Played {
+    wrong: Vec<String>,
+    starts: u32,
+    /// How many workers each culprit that was started has crashed.
+    crashes: Vec<u32>,
+}
+
+fn play(seed: u64, mix: Mix) -> Played {
     let mut world = World::new(seed, NODES, WORKERS, Limits::default());
     for worker in &mut world.workers {
         worker.stop_ms = seed % 3 * 200;
@@ -200,11 +222,11 @@
     let mut id = 0;
     for round in 0..mix.rounds {
         let doomed = world.submit(DOOMED + round, &submission(vec![step(6, 90_000)]));
-        submit_some(&mut world, &mut id);
+        submit_some(&mut world, &mut id, mix);
         let pause = millis(&mut world, 100..1_000);
         world.run(pause);
         let lost = strike_workers(&mut world);
-        submit_some(&mut world, &mut id);
+        submit_some(&mut world, &mut id, mix);
         let pause = millis(&mut world, 0..6_000);
         world.run(pause);
         let early = world.rng.random_range(0..2) == 0;
@@ -215,7 +237,7 @@
         let pause = millis(&mut world, 0..600);
         world.run(pause);
         strike_leader(&mut world);
-        submit_some(&mut world, &mut id);
+        submit_some(&mut world, &mut id, mix);
         let pause = millis(&mut world, 0..3_000);
         world.run(pause);
         world.cancel(doomed);
@@ -232,9 +254,11 @@
         let pause = millis(&mut world, 0..4_000);
         world.run(pause);
     }
-    world.run(30 * SECOND);
+    world.run(if mix.culprits { 90 } else { 30 } * SECOND);
     let wrong = check_end(&mut world, mix, id, lasting);
-    (wrong, world.checker.starts)
+    let culprits = world.culprits.tasks.keys();
+    let crashes = culprits.map(|task| world.checker.crashes_by(*task)).filter(|n| *n > 0).collect();
+    Played { wrong, starts: world.checker.starts, crashes }
 }
 
 fn check_end(world: &mut World, mix: Mix, last: u64, lasting: WorkflowId) -> Vec<String> {
@@ -244,6 +268,10 @@
         if !matches!(state, Some(State::Ended(_))) || running > 0 {
             wrong.push(format!("workflow {id}: {state:?}, {running} tasks run"));
         }
+        let hopeless = world.culprits.tasks.keys().any(|task| task.workflow == id);
+        if state == Some(State::Ended(Outcome::Failed)) && !hopeless {
+            wrong.push(format!("workflow {id} is given up without cause"));
+        }
     }
     let at_work = running(world, lasting);
     if at_work != LASTING as usize {
@@ -271,15 +299,20 @@
 fn play_all(seeds: &[u64], mix: Mix) {
     let mut starts = 0;
     let mut failed = Vec::new();
+    let mut crashes = Vec::new();
     for seed in seeds {
-        let (wrong, started) = play(*seed, mix);
-        starts += started;
-        if !wrong.is_empty() {
-            failed.push(format!("seed {seed}: {wrong:?}"));
+        let played = play(*seed, mix);
+        starts += played.starts;
+        crashes.extend(&played.crashes);
+        if !played.wrong.is_empty() {
+            failed.push(format!("seed {seed}: {:?}", played.wrong));
         }
     }
-    println!("{} days, {starts} starts", seeds.len());
+    let (culprits, lost) = (crashes.len(), crashes.iter().sum::<u32>());
+    println!("{} days, {starts} starts, {culprits} culprits, {lost} crashes", seeds.len());
     assert_eq!(failed, Vec::<String>::new());
+    let most = crashes.into_iter().max();
+    assert!(most.is_none_or(|most| most <= MOST_CRASHES), "{most:?}");
 }
 
 #[test]
@@ -291,3 +324,9 @@
 fn dense_seeds() {
     play_all(&seeds(DENSE_SEEDS), DENSE);
 }
+
+/// Guards against tasks that crash their workers being started without end, or others being given up for them.
+#[test]
+fn culprit_seeds() {
+    play_all(&seeds(CULPRIT_SEEDS), CULPRITS);
+}
--- a/crates/workflow/tests/support/culprits.rs
+++ b/crates/workflow/tests/support/culprits.rs
@@ -3,7 +3,7 @@
 use {
     super::world::World,
     egretlb_types::Time,
-    egretlb_workflow::TaskId,
+    egretlb_workflow::{Effect, EndKind, TaskId},
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -13,16 +13,40 @@
     pub tasks: BTreeMap<TaskId, Duration>,
     /// How long a worker is away.
     pub away: Duration,
+    /// Their starts get no answer.
+    pub unanswered: bool,
     down: Vec<(Time, usize)>,
 }
 
 impl Default for Culprits {
     fn default() -> Culprits {
-        Culprits { tasks: BTreeMap::new(), away: Duration::from_millis(3_200), down: Vec::new() }
+        let away = Duration::from_millis(3_200);
+        Culprits { tasks: BTreeMap::new(), away, unanswered: false, down: Vec::new() }
+    }
+}
+
+impl Culprits {
+    /// Whether an order gets no answer since its worker crashes at once.
+    pub fn swallows(&self, effect: &Effect) -> bool {
+        let Effect::Start { task, .. } = effect else { return false };
+        self.unanswered && self.tasks.contains_key(task)
     }
 }
 
 impl World {
+    /// Ends the members of a gang of which one is lost.
+    fn break_gang(&mut self, lost: TaskId) {
+        for worker in &mut self.workers {
+            let of_gang = |task: &TaskId| task.step_id() == lost.step_id();
+            let members =
+                worker.running.iter().filter(|(task, run)| run.step.gang && of_gang(task));
+            let members: Vec<TaskId> = members.map(|(task, _)| *task).collect();
+            for task in members {
+                worker.finish(task, EndKind::Broken, &mut self.checker);
+            }
+        }
+    }
+
     /// Crashes the workers at which a culprit has run for as long as it takes, and brings back those whose time is
     /// over.
     pub fn crash_by_culprits(&mut self) {
@@ -31,7 +55,9 @@
             let worker = &self.workers[number];
             let Some(task) = worker.culprit(now, &self.culprits.tasks) else { continue };
             self.checker.crashed_by(task);
+            let lost: Vec<TaskId> = self.workers[number].running.keys().copied().collect();
             self.workers[number].crash(&mut self.checker);
+            lost.into_iter().for_each(|task| self.break_gang(task));
             self.culprits.down.push((now + self.culprits.away, number));
         }
         let (back, down) = self.culprits.down.drain(..).partition(|(at, _)| *at <= now);
--- a/crates/workflow/tests/support/messages.rs
+++ b/crates/workflow/tests/support/messages.rs
@@ -245,7 +245,7 @@
         }
         let mute = self.workers[index].mute && !polls;
         let meets = if late || mute { Meets::Silence } else { self.meets(node, index) };
-        let deaf = self.nodes[node].deaf_to.contains(&index);
+        let deaf = self.nodes[node].deaf_to.contains(&index) || self.culprits.swallows(&effect);
         // A call without an answer is given up after half a second.
         let wait = if deaf || meets == Meets::Silence { Duration::from_millis(500) } else { STEP };
         if !polls {
