--- a/crates/explain/src/findings.rs
+++ b/crates/explain/src/findings.rs
@@ -71,6 +71,13 @@
         /// How many, by task.
         by_task: BTreeMap<CompactString, usize>,
     },
+    /// A task crashed the workers that started it, so it was given up.
+    CrashedWorkers {
+        /// The task.
+        task: CompactString,
+        /// How many workers were lost under it.
+        crashes: u64,
+    },
     /// Workers at which it had something were found to be at fault.
     WorkersAtFault {
         /// The workers.
@@ -198,6 +205,12 @@
             Finding::RunsLost { by_task } => {
                 write_counts(f, "runs lost with their worker:", "of", by_task)
             }
+            Finding::CrashedWorkers { task, crashes } => {
+                write!(
+                    f,
+                    "{task} was given up: {crashes} workers crashed right after it was started"
+                )
+            }
             Finding::WorkersAtFault { workers } => {
                 write_workers(f, "the fault was the workers', which failed others, too", workers)
             }
@@ -375,6 +388,10 @@
         if !by_task.is_empty() {
             found.push(Finding::RunsLost { by_task });
         }
+        found.extend(self.of("task_given_up").filter_map(|happening| {
+            let crashes = happening.get("crashes")?.parse().ok()?;
+            Some(Finding::CrashedWorkers { task: happening.get("task")?.into(), crashes })
+        }));
         let workers = self.workers(&["worker_quarantined"]);
         if !workers.is_empty() {
             found.push(Finding::WorkersAtFault { workers });
--- a/crates/explain/tests/three_walks.rs
+++ b/crates/explain/tests/three_walks.rs
@@ -82,6 +82,19 @@
     assert!(findings.iter().any(|finding| finding.to_string() == told), "{findings:?}");
 }
 
+/// A workflow failed although none of its runs did: one of its tasks crashed the workers that started it.
+#[test]
+fn given_up() {
+    let findings = walk(&[
+        (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
+        (1.010, "entry-2", "workflow_started workflow=97aa5350f2a720be worker=w-1"),
+        (7.700, "entry-2", "task_given_up task=97aa5350f2a720be.0.0.4 crashes=2"),
+        (7.700, "entry-2", "workflow_ended workflow=97aa5350f2a720be outcome=Failed copies=3"),
+    ]);
+    let (task, crashes) = ("97aa5350f2a720be.0.0.4".into(), 2);
+    assert!(findings.contains(&Finding::CrashedWorkers { task, crashes }), "{findings:?}");
+}
+
 #[test]
 fn refused_only() {
     let findings = walk(&[
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -100,9 +100,13 @@
         self.workers.len() - 1
     }
 
-    /// A worker that is gone comes back at its address, with another id.
+    /// A worker that is gone comes back at its address, with another id, unless one is there already.
     pub fn revive(&mut self, number: usize) -> usize {
         let addr = self.workers[number].info.addr;
+        let there = |worker: &Worker| worker.up && worker.info.addr == addr;
+        if let Some(there) = self.workers.iter().position(there) {
+            return there;
+        }
         let revived = self.add_worker(8);
         self.workers[revived].info.addr = addr;
         revived
