Runs that had just begun at a worker that falls silent are recorded

Now such runs are announced once their worker hasn't been heard for a second, like those on trial.

The stand-in's gangs end when a member stays away, so that a gang with a culprit can't be done without it.

--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -262,18 +262,16 @@
         if let Some(speed) = speed {
             worker.measure_speed(now, speed);
         }
-        let passed = worker.end_trial(now, task, run);
+        let proved = worker.prove(now, task, run);
         let Some(state) = self.task_mut(task) else { return };
-        if passed {
-            state.announced = None;
-        }
+        let settled = proved && state.announced.take_if(|known| known.run == run).is_some();
         if !running.saved.is_empty() {
             state.saved.clone_from(&running.saved);
         }
         if cleared && !state.crashes.is_empty() {
             self.clear_crashes(task);
         }
-        if passed {
+        if settled {
             self.dirty.insert(task.workflow);
         }
     }
--- a/crates/workflow/src/scheduler/losses.rs
+++ b/crates/workflow/src/scheduler/losses.rs
@@ -3,7 +3,7 @@
 use {
     super::{Copy, Scheduler, Worker, waits::LineBudget},
     crate::{
-        Crash, Evidence, RunId, StepId, TaskId, WorkerId, WorkerState, WorkflowId,
+        Announced, Crash, Evidence, RunId, StepId, TaskId, WorkerId, WorkerState, WorkflowId,
         crash::is_convicted,
     },
     compact_str::CompactString,
@@ -31,6 +31,9 @@
 /// The same for one that was heard after it. A worker where something has just begun answers each quarter of a second.
 const HEARD_AFTER: Duration = Duration::from_millis(400);
 
+/// A worker with a run that has just begun is polled each quarter of a second. One unheard for so long may have crashed.
+const SILENT_AFTER: Duration = Duration::from_secs(1);
+
 /// A worker that hasn't been heard for so long is about to be found lost.
 const UNHEARD: Duration = Duration::from_secs(2);
 
@@ -267,6 +270,26 @@
         groups.len()
     }
 
+    /// Records the runs that had just begun at workers that have fallen silent. A leader that is lost before it knows what
+    /// became of such a worker would otherwise take the first crash along.
+    pub(super) fn announce_unheard(&mut self, now: Time) {
+        let unheard =
+            |worker: &Worker| worker.last_heard.is_some_and(|at| now.since(at) >= SILENT_AFTER);
+        let silent = self.workers.iter().filter(|(_, worker)| unheard(worker));
+        let runs: Vec<(WorkerId, TaskId, RunId)> = silent
+            .flat_map(|(id, worker)| {
+                worker.unproved_runs().map(|(task, run)| (id.clone(), task, run))
+            })
+            .collect();
+        for (worker, task, run) in runs {
+            let Some(state) = self.task_mut(task) else { continue };
+            if state.announced.as_ref().is_none_or(|known| known.run < run) {
+                state.announced = Some(Announced { run, worker });
+                self.dirty.insert(task.workflow);
+            }
+        }
+    }
+
     /// Counts a crash under a task; returns how many there are.
     pub(super) fn note_crash(&mut self, task: TaskId, run: RunId, evidence: Evidence) -> usize {
         let Some(state) = self.task_mut(task).filter(|state| !state.done) else { return 0 };
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -304,6 +304,7 @@
         if keeps {
             self.kept_at = now;
             self.expire(now);
+            self.announce_unheard(now);
         }
         self.trials_due = keeps;
         while let Some(id) = self.spent.pop_first() {
--- a/crates/workflow/src/scheduler/trials.rs
+++ b/crates/workflow/src/scheduler/trials.rs
@@ -48,15 +48,14 @@
         self.trials > 0 || now < self.quiet_until
     }
 
-    /// Ends the trial of a run that has been at work for long enough; returns whether there was one.
-    pub(super) fn end_trial(&mut self, now: Time, task: TaskId, run: RunId) -> bool {
+    /// Whether a run that is listed has been at work for long enough to clear it; its trial ends then.
+    pub(super) fn prove(&mut self, now: Time, task: TaskId, run: RunId) -> bool {
         let Some(copy) = self.copies.get_mut(&(task, run)) else { return false };
-        let ends = copy.trial && now.since(copy.began) >= PROBATION;
-        if ends {
-            copy.trial = false;
+        let proved = now.since(copy.began) >= PROBATION;
+        if proved && std::mem::take(&mut copy.trial) {
             self.trials -= 1;
         }
-        ends
+        proved
     }
 
     fn stakes(&self) -> Stakes {
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -189,6 +189,7 @@
             worker.advance(self.now, &mut self.checker);
         }
         self.crash_by_culprits();
+        self.end_lonely_gangs();
         self.end_upkeep();
         self.deliver();
         for index in 0..self.nodes.len() {
