--- a/crates/workflow/src/crash.rs
+++ b/crates/workflow/src/crash.rs
@@ -41,8 +41,8 @@
     pub evidence: Evidence,
 }
 
-/// A run that is about to be started alone. It is recorded first: a successor that never heard of the run would otherwise
-/// start its task as if nothing had been.
+/// A run that is about to be started alone, or had just begun at a worker that fell silent. It is recorded: a successor that
+/// never heard of the run would otherwise start its task as if nothing had been.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Announced {
     /// The run.
@@ -68,7 +68,7 @@
 }
 
 /// Whether a task is given up.
-pub(crate) fn is_convicted(crashes: &[Crash]) -> bool {
+pub(crate) fn is_given_up(crashes: &[Crash]) -> bool {
     let count = |least| crashes.iter().filter(|crash| crash.evidence >= least).count();
     let last_alone = crashes.last().is_some_and(|crash| crash.evidence == Evidence::Alone);
     (last_alone && count(Evidence::Shared) >= 2)
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -217,7 +217,7 @@
     pub failed: Vec<(u32, RunId)>,
     /// Workers that were lost under runs.
     pub crashes: Vec<(u32, Crash)>,
-    /// Runs that are started alone.
+    /// Runs that are started alone, or that may have crashed a silent worker.
     pub announced: Vec<(u32, Announced)>,
     /// Checkpoints of tasks that run nowhere.
     pub saved: Vec<(u32, CompactString)>,
--- a/crates/workflow/src/scheduler/ends.rs
+++ b/crates/workflow/src/scheduler/ends.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Copy, Effect, End, EndKind, HoldReply, Need, Phase, RunningTask, Scheduler,
-        losses::ACQUITTED_AFTER, polls::POLL_RETRY, unclear::Absent, waits::StopReason,
+        losses::CLEARED_AFTER, polls::POLL_RETRY, unclear::Absent, waits::StopReason,
     },
     crate::{RunId, TaskId, WorkerId},
     compact_str::CompactString,
@@ -246,7 +246,7 @@
         }
         copy.percent = percent;
         copy.figure = running.figure;
-        let cleared = now.since(copy.began) >= ACQUITTED_AFTER;
+        let cleared = now.since(copy.began) >= CLEARED_AFTER;
         match copy.phase {
             Phase::Starting | Phase::Doubtful { .. } => copy.begin(now, clock_ms),
             Phase::Running { .. } => {}
--- a/crates/workflow/src/scheduler/flow.rs
+++ b/crates/workflow/src/scheduler/flow.rs
@@ -4,7 +4,7 @@
     crate::{
         Announced, Crash, Entry, OccurrenceProgress, Outcome, Progress, RunId, StepProgress,
         Submission, WorkerId,
-        crash::{is_convicted, is_suspect},
+        crash::{is_given_up, is_suspect},
     },
     compact_str::CompactString,
     egretlb_types::Time,
@@ -22,7 +22,7 @@
     pub(crate) failed: SmallVec<[RunId; 2]>,
     /// Workers that were lost under its runs since one showed that it doesn't crash its worker.
     pub(crate) crashes: SmallVec<[Crash; 1]>,
-    /// Its next run, or the one on trial.
+    /// A run that is recorded before its outcome is known: the next one, or one that may have crashed its worker.
     pub(crate) announced: Option<Announced>,
     /// Runs that may be under way, and where.
     pub(crate) copies: SmallVec<[(WorkerId, RunId); 1]>,
@@ -46,7 +46,7 @@
 
     /// Whether it is given up: it has failed as often as its queue allows, or crashes its workers.
     pub(crate) fn is_spent(&self, max_attempts: u32) -> bool {
-        self.failed.len() >= max_attempts.max(1) as usize || is_convicted(&self.crashes)
+        self.failed.len() >= max_attempts.max(1) as usize || is_given_up(&self.crashes)
     }
 
     /// The run that was announced and not started yet.
--- a/crates/workflow/src/scheduler/losses.rs
+++ b/crates/workflow/src/scheduler/losses.rs
@@ -4,7 +4,7 @@
     super::{Copy, Scheduler, Worker, waits::LineBudget},
     crate::{
         Announced, Crash, Evidence, RunId, StepId, TaskId, WorkerId, WorkerState, WorkflowId,
-        crash::is_convicted,
+        crash::is_given_up,
     },
     compact_str::CompactString,
     egretlb_types::Time,
@@ -19,7 +19,7 @@
 pub(super) const PROBATION: Duration = Duration::from_millis(500);
 
 /// A run that has been at work for so long clears its task of all earlier crashes.
-pub(super) const ACQUITTED_AFTER: Duration = Duration::from_secs(10);
+pub(super) const CLEARED_AFTER: Duration = Duration::from_secs(10);
 
 /// How long a silent worker may take to come back and clear what was lost there.
 const MAY_RETURN: Duration = Duration::from_secs(60);
@@ -167,7 +167,7 @@
         let leaves = self.info.state == WorkerState::Draining;
         if !self.is_unproved(copy) {
             let inherited = copy.starts_until_ms.is_none();
-            let settled = self.worked(copy).is_some_and(|span| span >= ACQUITTED_AFTER);
+            let settled = self.worked(copy).is_some_and(|span| span >= CLEARED_AFTER);
             return (!inherited && !settled && !leaves).then_some(Evidence::Late);
         }
         let began = copy.confirmed || copy.inherited_unproved;
@@ -348,7 +348,7 @@
         for (number, occurrence) in &flow.occurrences {
             for (step, state) in (0u16..).zip(&occurrence.steps) {
                 let tasks = (0u32..).zip(&state.tasks);
-                for (index, state) in tasks.filter(|(_, task)| is_convicted(&task.crashes)) {
+                for (index, state) in tasks.filter(|(_, task)| is_given_up(&task.crashes)) {
                     let task = TaskId { workflow: id, occurrence: *number, step, index };
                     let crashes = state.crashes.len();
                     log::warn!(task:%, crashes; "task_given_up");
