Evacuated data centres get no starts

Change: platform/ decodes them; each process keeps the set, reloads it with the operator's entries (an end that was only in lost history is noticed, unless an entry of that load was unreadable), and gives it to its scheduler. Workers there aren't eligible for any kind of start: queued tasks, gangs, isolated starts, copies, last resort, moves, tickets. Starts decided before are withheld right before they are sent, by relays too. A leader that hasn't read the operator's entries yet starts nothing. Runs there go on.

With one protection off at a time the tests notice: the check before a call is sent, the set given to a new leader, the wait for the operator's entries.

--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -1,7 +1,10 @@
 //! The state of a node.
 
 use {
-    crate::platform::{BadEntry, EntryKind, OperatorChange, StoredRecord},
+    crate::{
+        follow::Listed,
+        platform::{BadEntry, EntryKind, OperatorChange, StoredRecord},
+    },
     compact_str::CompactString,
     egretlb_types::{Epoch, Time},
     egretlb_workflow::{
@@ -58,6 +61,10 @@
     pub(crate) routes: Option<RouteTable>,
     /// Maintenance waves by number, with the time at which the operator's request was read.
     pub(crate) waves: BTreeMap<u64, (Time, Wave)>,
+    /// Evacuated data centres.
+    pub(crate) evacuated: BTreeSet<CompactString>,
+    /// Whether all entries of the operator have been read once.
+    operator_loaded: bool,
     pub(crate) work_progress: ReadProgress,
     /// Workflows accepted here whose records haven't been read yet.
     pub(crate) accepted: HashSet<WorkflowId>,
@@ -76,6 +83,8 @@
             unreadable_workers: BTreeSet::new(),
             routes: None,
             waves: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
+            operator_loaded: false,
             work_progress: ReadProgress::default(),
             accepted: HashSet::new(),
             stopping: false,
@@ -122,6 +131,9 @@
         let table = match change {
             OperatorChange::Routes(table) => table,
             OperatorChange::Wave { number, wave } => return self.on_wave(now, number, wave),
+            OperatorChange::Evacuation { data_centre, in_force } => {
+                return self.on_evacuation(data_centre, in_force);
+            }
             OperatorChange::Other => return,
         };
         if self.routes.as_ref().is_some_and(|current| current.version >= table.version) {
@@ -131,6 +143,37 @@
         self.routes = Some(table);
     }
 
+    fn on_evacuation(&mut self, data_centre: CompactString, in_force: bool) {
+        if in_force {
+            let is_known = self.directory.values().any(|info| info.data_centre == data_centre);
+            if self.evacuated.insert(data_centre.clone()) && !is_known {
+                log::warn!(data_centre:%; "evacuation_without_workers");
+            }
+        } else {
+            self.evacuated.remove(&data_centre);
+        }
+        if let Some(scheduler) = &mut self.scheduler {
+            scheduler.set_evacuated(&self.evacuated);
+        }
+    }
+
+    /// Handles a load of the operator's entries: if it is complete, evacuations that it doesn't list have ended.
+    pub(crate) fn on_operator_loaded(&mut self, listed: &Listed) {
+        self.operator_loaded = true;
+        if listed.complete {
+            self.evacuated.retain(|data_centre| listed.evacuated.contains(data_centre));
+        }
+        if let Some(scheduler) = &mut self.scheduler {
+            scheduler.set_evacuated(&self.evacuated);
+        }
+    }
+
+    /// Whether a worker's data centre is evacuated, as far as this process knows.
+    pub(crate) fn is_evacuated(&self, worker: &WorkerId) -> bool {
+        let data_centre = self.directory.get(worker).map(|info| &info.data_centre);
+        data_centre.is_some_and(|data_centre| self.evacuated.contains(data_centre))
+    }
+
     /// Stores the first request of a wave, and passes each one on to the scheduler.
     fn on_wave(&mut self, now: Time, number: u64, wave: Option<Wave>) {
         match &wave {
@@ -194,7 +237,8 @@
         let authority = self.leadership.authority(now);
         let Some(scheduler) = &mut self.scheduler else { return };
         if authority.is_some() {
-            scheduler.set_lagging(lagging);
+            // Before the first load, evacuations aren't known.
+            scheduler.set_lagging(lagging || !self.operator_loaded);
             scheduler.tick(now, wall_ms, &mut out.scheduler);
         } else {
             scheduler.send_heartbeat(now, &mut out.scheduler);
--- a/crates/runtime/src/dump.rs
+++ b/crates/runtime/src/dump.rs
@@ -20,6 +20,8 @@
     /// Version of the active configuration.
     configuration: Option<u64>,
     ready: bool,
+    /// Evacuated data centres.
+    evacuated: Vec<String>,
     workflows: usize,
     workers: usize,
     /// Age of the last read of the records; none before the first.
@@ -85,6 +87,7 @@
             leader,
             configuration: core.routes.as_ref().map(|routes| routes.version),
             ready,
+            evacuated: core.evacuated.iter().map(ToString::to_string).collect(),
             workflows: core.ledger.iter().count(),
             workers: core.directory.len(),
             records_read_ms: core.work_progress.answered_at.map(|at| ms(now.since(at))),
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -5,14 +5,19 @@
         core::ReadProgress,
         node::Node,
         platform::{
-            BadEntry, EntryError, EntryKind, NewestResult, ReadResult, StoredRecord, Topic,
+            BadEntry, EntryError, EntryKind, NewestResult, OperatorChange, ReadResult,
+            StoredRecord, Topic,
         },
     },
     bytes::Bytes,
     compact_str::CompactString,
     egretlb_types::{Offset, Time},
     egretlb_workflow::{DirectoryChange, Key, WorkerId, WorkerState},
-    std::{collections::HashSet, rc::Rc, time::Duration},
+    std::{
+        collections::{BTreeSet, HashSet},
+        rc::Rc,
+        time::Duration,
+    },
     tokio::time::sleep,
 };
 
@@ -44,6 +49,23 @@
 /// Pause between a follower's reads of the directory, which only keep the list available.
 const DIRECTORY_FOLLOWER_READ_GAP: Duration = Duration::from_millis(1_500);
 
+/// What a load of a topic found.
+#[derive(Debug)]
+pub(crate) struct Listed {
+    /// Workers in the directory.
+    pub(crate) workers: HashSet<WorkerId>,
+    /// Evacuated data centres.
+    pub(crate) evacuated: BTreeSet<CompactString>,
+    /// Whether all entries were read. If not, what isn't listed may still be in the store.
+    pub(crate) complete: bool,
+}
+
+impl Default for Listed {
+    fn default() -> Listed {
+        Listed { workers: HashSet::new(), evacuated: BTreeSet::new(), complete: true }
+    }
+}
+
 /// Loads a topic and follows it until the process ends.
 pub(crate) async fn follow(node: Rc<Node>, topic: Topic) {
     loop {
@@ -82,8 +104,7 @@
 async fn load(node: &Rc<Node>, topic: Topic) -> Option<Offset> {
     let mut after: Option<Bytes> = None;
     let mut start = None;
-    let mut listed_workers = HashSet::new();
-    let mut all_complete = true;
+    let mut listed = Listed::default();
     // Leader records are applied last: a term that starts from one must know all other records.
     let mut leader_records = Vec::new();
     loop {
@@ -92,27 +113,30 @@
             return None;
         };
         let next = *start.get_or_insert(end);
-        all_complete &= complete;
+        listed.complete &= complete;
         for stored in records {
             if topic == Topic::Work && Key::from_bytes(&stored.key) == Ok(Key::Leader) {
                 leader_records.push(stored);
             } else {
-                listed_workers.extend(apply(node, topic, &stored));
+                apply(node, topic, &stored, &mut listed);
             }
         }
-        if topic == Topic::Directory {
-            listed_workers.extend(unreadable.iter().map(|key| mark_unreadable(node, key)));
+        match topic {
+            Topic::Directory => {
+                listed.workers.extend(unreadable.iter().map(|key| mark_unreadable(node, key)));
+            }
+            Topic::Operator => listed.complete &= unreadable.is_empty(),
+            Topic::Work => {}
         }
         // Ends the loop if the store returns the same page again.
         let page_repeated = next_after.is_some() && next_after == after;
         after = next_after;
         if after.is_none() || page_repeated {
             for stored in &leader_records {
-                apply(node, topic, stored);
-            }
-            if topic == Topic::Directory && all_complete && !page_repeated {
-                node.on_directory_loaded(&listed_workers);
+                apply(node, topic, stored, &mut listed);
             }
+            listed.complete &= !page_repeated;
+            node.on_loaded(topic, &listed);
             node.on_read_done(topic, ReadProgress { loaded: true, ..ReadProgress::default() });
             return Some(next);
         }
@@ -129,7 +153,7 @@
     match node.take_decoded(read) {
         ReadResult::Records { records, next: resume_at, end } => {
             for stored in &records {
-                apply(node, topic, stored);
+                apply(node, topic, stored, &mut Listed::default());
             }
             *next = resume_at;
             let answered_at: Option<Time> = Some(node.clock().now());
@@ -150,22 +174,26 @@
     }
 }
 
-/// Applies a record and returns the worker if it is a directory entry. An unreadable entry is logged and skipped.
-fn apply(node: &Rc<Node>, topic: Topic, stored: &StoredRecord) -> Option<WorkerId> {
+/// Applies a record and adds what it names to `listed`. An unreadable entry is logged and skipped.
+fn apply(node: &Rc<Node>, topic: Topic, stored: &StoredRecord, listed: &mut Listed) {
     match topic {
-        Topic::Work => {
-            node.step(|core, now, out| core.on_work(now, stored, out));
-            None
-        }
-        Topic::Operator => {
-            match node.formats().operator(&stored.key, &stored.value) {
-                Ok(change) => node.step(|core, now, _| core.on_operator(now, change)),
-                // The previous entry stays in effect.
-                Err(error) => node.log_bad_entries(&[bad_entry(stored, &error)]),
+        Topic::Work => node.step(|core, now, out| core.on_work(now, stored, out)),
+        Topic::Operator => match node.formats().operator(&stored.key, &stored.value) {
+            Ok(change) => {
+                if let OperatorChange::Evacuation { data_centre, in_force: true } = &change {
+                    listed.evacuated.insert(data_centre.clone());
+                }
+                node.step(|core, now, _| core.on_operator(now, change));
             }
-            None
+            // The previous entry stays in effect.
+            Err(error) => {
+                listed.complete = false;
+                node.log_bad_entries(&[bad_entry(stored, &error)]);
+            }
+        },
+        Topic::Directory => {
+            listed.workers.insert(apply_directory(node, stored));
         }
-        Topic::Directory => Some(apply_directory(node, stored)),
     }
 }
 
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -7,6 +7,7 @@
         clock::Clock,
         commands::CommandSlots,
         core::{Core, Effects, ReadProgress},
+        follow::Listed,
         peers::{LeaderClient, PendingRecord},
         platform::{Advisor, Append, Fence, Fleet, Formats, Platform, Store, Topic, Workers},
         reads::RecordWatch,
@@ -16,11 +17,11 @@
     egretlb_telemetry::{RunEvent, WorkflowMetrics},
     egretlb_types::{Epoch, Time},
     egretlb_workflow::{
-        Leadership, LeadershipEffect, Limits, Scheduler, Succession, Wave, WorkerId, WorkflowId,
+        Leadership, LeadershipEffect, Limits, Scheduler, Succession, Wave, WorkflowId,
     },
     std::{
         cell::{Cell, Ref, RefCell},
-        collections::{BTreeMap, HashSet},
+        collections::BTreeMap,
         hash::{DefaultHasher, Hash, Hasher},
         net::SocketAddr,
         rc::Rc,
@@ -260,6 +261,7 @@
         metrics.set_relays(self.relays.count());
         let core = &mut *self.core.borrow_mut();
         metrics.set_config(core.routes.as_ref().map_or(0, |routes| routes.version));
+        metrics.set_evacuated(core.evacuated.len());
         let Some(scheduler) = &mut core.scheduler else {
             metrics.set_load(false, 0, 0);
             return;
@@ -321,9 +323,15 @@
         }
     }
 
-    /// Handles a complete load of the directory; `listed` are the workers in it.
-    pub(crate) fn on_directory_loaded(self: &Rc<Self>, listed: &HashSet<WorkerId>) {
-        self.step(|core, now, _| core.on_directory_loaded(now, listed));
+    /// Handles the load of a topic.
+    pub(crate) fn on_loaded(self: &Rc<Self>, topic: Topic, listed: &Listed) {
+        match topic {
+            Topic::Directory if listed.complete => {
+                self.step(|core, now, _| core.on_directory_loaded(now, &listed.workers));
+            }
+            Topic::Operator => self.step(|core, _, _| core.on_operator_loaded(listed)),
+            Topic::Directory | Topic::Work => {}
+        }
     }
 
     /// Records when a read of the work topic was sent.
@@ -396,6 +404,7 @@
             let wave = Wave { within, ..wave.clone() };
             scheduler.on_wave(now, *number, Some(wave), &core.ledger);
         }
+        scheduler.set_evacuated(&core.evacuated);
         core.scheduler = Some(scheduler);
         self.relays.begin_term(epoch);
         self.metrics.elected();
--- a/crates/runtime/src/platform.rs
+++ b/crates/runtime/src/platform.rs
@@ -23,7 +23,7 @@
 pub enum Topic {
     /// The system's own records: submissions, cancellations, progress, leadership.
     Work,
-    /// Configurations and maintenance waves, published by the operator.
+    /// Configurations, maintenance waves and evacuations, published by the operator.
     Operator,
     /// The entries of the workers.
     Directory,
@@ -273,6 +273,13 @@
         /// The wave; `None` if it is withdrawn.
         wave: Option<Wave>,
     },
+    /// A data centre is evacuated: nothing may be started on its workers, until it is taken back.
+    Evacuation {
+        /// The data centre.
+        data_centre: CompactString,
+        /// Whether it is evacuated; false if it is taken back.
+        in_force: bool,
+    },
     /// Not relevant to the scheduler.
     Other,
 }
--- a/crates/runtime/src/relays/offer.rs
+++ b/crates/runtime/src/relays/offer.rs
@@ -11,6 +11,7 @@
     compact_str::CompactString,
     egretlb_http::{Duplex, Upgrade, upgrade},
     egretlb_relay::{Answer, Call, Hello, RelayCodec, RelayedCall},
+    egretlb_workflow::StartResult,
     futures::{SinkExt, StreamExt},
     http::StatusCode,
     std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
@@ -165,7 +166,12 @@
             let (checkpoint, ticket) = (checkpoint.as_str(), ticket.as_str());
             let call =
                 StartCall { worker, addr, epoch, task, run, payload, until_ms, checkpoint, ticket };
-            Answer::Start(workers.start(call).await)
+            // The evacuation may have been read after the leader sent the call.
+            if node.core().is_evacuated(worker) {
+                Answer::Start(StartResult::Withheld)
+            } else {
+                Answer::Start(workers.start(call).await)
+            }
         }
         Call::Stop { task, run } => {
             Answer::Stop(workers.stop(StopCall { worker, addr, epoch, task, run }).await)
--- a/crates/telemetry/src/metrics/workflow.rs
+++ b/crates/telemetry/src/metrics/workflow.rs
@@ -67,6 +67,8 @@
     Configuration,
     /// Maintenance wave requested by the operator.
     Wave,
+    /// Evacuation requested by the operator.
+    Evacuation,
     /// Record written by the scheduler.
     Record,
     /// VM in the list of all VMs.
@@ -100,6 +102,7 @@
     active: Gauge,
     waiting: Gauge,
     config_version: Gauge,
+    evacuated: Gauge,
     unreadable: Family<ByEntryKind, Counter>,
 }
 
@@ -126,6 +129,7 @@
             active: Gauge::default(),
             waiting: Gauge::default(),
             config_version: Gauge::default(),
+            evacuated: Gauge::default(),
             unreadable: Family::default(),
         };
         metrics.register();
@@ -177,6 +181,11 @@
             "Version of the configuration in force",
             self.config_version.clone(),
         );
+        registry.register(
+            "evacuated_data_centres",
+            "Data centres in which nothing may be started",
+            self.evacuated.clone(),
+        );
         registry.register(
             "unreadable_entries",
             "Entries that couldn't be read, each counted when it is first seen",
@@ -234,6 +243,11 @@
         self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of evacuated data centres.
+    pub fn set_evacuated(&self, data_centres: usize) {
+        self.evacuated.set(i64::try_from(data_centres).unwrap_or(i64::MAX));
+    }
+
     /// Counts an unreadable entry; call it once per entry.
     pub fn unreadable(&self, kind: EntryKind) {
         self.unreadable.get_or_create(&ByEntryKind { kind }).inc();
--- a/crates/workflow/src/scheduler/commands.rs
+++ b/crates/workflow/src/scheduler/commands.rs
@@ -97,7 +97,7 @@
 impl Scheduler {
     /// Whether a start is still wanted, checked right before it is sent: meanwhile its workflow may
     /// have been cancelled, another attempt of its task may be done, or the worker may have stopped
-    /// answering.
+    /// answering or been evacuated.
     pub fn wants_start(&self, now: Time, id: &WorkerId, task: TaskId, run: RunId) -> bool {
         let Some(worker) = self.workers.get(id) else { return false };
         let Some(attempt) = worker.attempts.get(&(task, run)) else { return false };
@@ -105,7 +105,8 @@
         let gang = self.step(task).is_some_and(|step| step.gang);
         let outdated = worker.is_outdated(attempt) && !gang;
         let restart_allowed = !attempt.is_restart || self.may_restart(now);
-        !self.lagging && attempt.phase == Phase::Starting && !outdated && restart_allowed
+        let allowed = !self.lagging && !worker.evacuated && restart_allowed;
+        allowed && attempt.phase == Phase::Starting && !outdated
     }
 
     /// Whether a task that was started before may be started again.
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -16,6 +16,7 @@
 mod candidates;
 mod commands;
 mod effect;
+mod evacuation;
 mod fallback;
 mod gangs;
 mod isolated_start;
@@ -43,12 +44,11 @@
     self::{
         active_workflow::ActiveWorkflow,
         attempt::{Attempt, Phase, Requirements},
-        waits::StopReason,
         worker::{Inherited, Worker},
     },
     crate::{
-        DirectoryChange, Ledger, LedgerChange, Limits, Outcome, Record, RunId, StepId, Succession,
-        TaskId, WorkerId, WorkerInfo, WorkerState, WorkflowId, colocation::Colocation,
+        DirectoryChange, Ledger, LedgerChange, Limits, Outcome, Record, StepId, Succession, TaskId,
+        WorkerId, WorkerInfo, WorkerState, WorkflowId, colocation::Colocation,
     },
     compact_str::CompactString,
     egretlb_types::{Epoch, Time},
@@ -95,6 +95,8 @@
     queued_steps: BTreeSet<QueuedStep>,
     /// Workers of the predecessor that haven't answered, and when all runs there have lapsed.
     unreconciled: BTreeMap<WorkerId, Time>,
+    /// Data centres in which nothing may be started.
+    evacuated: BTreeSet<CompactString>,
     /// Workflows whose progress has changed since it was last recorded.
     dirty: BTreeSet<WorkflowId>,
     /// Workflows with a task that has no attempts left and none under way.
@@ -214,6 +216,7 @@
             workflows: BTreeMap::new(),
             queued_steps: BTreeSet::new(),
             unreconciled: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
             dirty: BTreeSet::new(),
             exhausted: BTreeSet::new(),
             roster_dirty: ledger.roster().is_some(),
@@ -290,6 +293,7 @@
         let worker =
             self.workers.entry(id.clone()).or_insert_with(|| Worker::new(now, info.clone()));
         let was_ready = worker.info.state == WorkerState::Ready;
+        worker.evacuated = self.evacuated.contains(&info.data_centre);
         worker.set_info(info);
         if draining && was_ready {
             // Nothing more is started there, so the roster lists its runs, and a successor needn't wait for its answer.
@@ -337,7 +341,7 @@
         }
         self.begin_due_occurrences(now);
         if scan_due {
-            self.evacuate(now, out);
+            self.move_off_draining_workers(now, out);
             self.resend_stops(now, out);
             self.advance_waves(now, out);
         }
@@ -351,29 +355,6 @@
         self.lost_workers.log_suppressed_lines(now);
     }
 
-    /// Stops movable tasks on draining workers, so that they restart elsewhere. A run that is still
-    /// there when its worker leaves is lost, and that is detected only when its lease has lapsed.
-    fn evacuate(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let is_movable =
-            |attempt: &Attempt| attempt.movable && matches!(attempt.phase, Phase::Running { .. });
-        let mut movable_by_worker: Vec<(WorkerId, Vec<(TaskId, RunId)>)> = Vec::new();
-        for (id, worker) in &self.workers {
-            if worker.info.state != WorkerState::Draining || !worker.in_directory {
-                continue;
-            }
-            let movable = worker.attempts.iter().filter(|(_, attempt)| is_movable(attempt));
-            let movable: Vec<(TaskId, RunId)> = movable.map(|(key, _)| *key).collect();
-            if !movable.is_empty() {
-                movable_by_worker.push((id.clone(), movable));
-            }
-        }
-        for (id, movable) in movable_by_worker {
-            log::info!(worker:% = id, runs = movable.len(); "worker_evacuated");
-            let reason = StopReason::Evacuated;
-            self.stop_runs(now, &id, reason, out, |task, run| movable.contains(&(task, run)));
-        }
-    }
-
     /// Returns the counts since the last call and resets them.
     pub fn take_stats(&mut self) -> SchedulerStats {
         std::mem::take(&mut self.stats)
--- a/crates/workflow/src/scheduler/waits/queued.rs
+++ b/crates/workflow/src/scheduler/waits/queued.rs
@@ -17,6 +17,7 @@
     NoWorkers,
     NoLabel,
     NoCapacity,
+    Evacuated,
     Excluded,
     AntiAffinity,
     FailedThere,
@@ -33,6 +34,7 @@
             CheckStage::NoWorkers => Reason::NoWorkers,
             CheckStage::NoLabel => Reason::NoLabel,
             CheckStage::NoCapacity => Reason::NoRoom,
+            CheckStage::Evacuated => Reason::Evacuated,
             CheckStage::Excluded => Reason::Barred,
             CheckStage::AntiAffinity => Reason::AntiAffinity,
             CheckStage::FailedThere => Reason::FailedThere,
@@ -173,7 +175,7 @@
         worker: &Worker,
     ) -> Option<CheckStage> {
         let WaitingTask { task, requirements, without_anti_affinity } = *waiting;
-        if !worker.is_eligible(now, &self.limits) {
+        if !worker.is_available(now, &self.limits) {
             return None;
         }
         if requirements.step.label.as_ref().is_some_and(|label| !worker.info.has_label(label)) {
@@ -184,6 +186,7 @@
         }
         let state = self.task(task)?;
         Some(match () {
+            () if worker.evacuated => CheckStage::Evacuated,
             () if now < worker.excluded_until() => CheckStage::Excluded,
             () if !meets_requirements(worker, task, &requirements) => CheckStage::AntiAffinity,
             () if state.avoid.as_ref().is_some_and(|avoid| avoid.worker == *id) => {
--- a/crates/workflow/src/scheduler/waits/reason.rs
+++ b/crates/workflow/src/scheduler/waits/reason.rs
@@ -21,6 +21,8 @@
     NoLabel,
     /// No worker has enough free capacity.
     NoRoom,
+    /// The data centres of all workers with free capacity are evacuated.
+    Evacuated,
     /// Workers with free capacity are in backoff or quarantine after failed or rejected starts.
     Barred,
     /// Workers with free capacity run the maximum number of tasks of its step.
@@ -68,6 +70,7 @@
             Reason::NoWorkers => "no worker of its service takes work",
             Reason::NoLabel => "no worker that takes work has its label",
             Reason::NoRoom => "no worker has room",
+            Reason::Evacuated => "the data centres of all workers with room are evacuated",
             Reason::Barred => {
                 "workers with room get nothing for now, after failed or rejected starts"
             }
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -26,6 +26,8 @@
     pub(crate) info: WorkerInfo,
     /// It has an entry in the directory.
     pub(crate) in_directory: bool,
+    /// Its data centre is evacuated: nothing is started there.
+    pub(crate) evacuated: bool,
     /// The recorded roster names it, so a successor polls it.
     pub(crate) in_roster: bool,
     /// Set if a predecessor's roster names it.
@@ -94,6 +96,7 @@
         Worker {
             info,
             in_directory: true,
+            evacuated: false,
             in_roster: false,
             inherited: None,
             listed_unresponsive: false,
@@ -250,6 +253,11 @@
 
     /// Whether it accepts new tasks, apart from backoff and quarantine.
     pub(crate) fn is_eligible(&self, now: Time, limits: &Limits) -> bool {
+        !self.evacuated && self.is_available(now, limits)
+    }
+
+    /// Like [`Self::is_eligible`], regardless of the evacuation of its data centre.
+    pub(crate) fn is_available(&self, now: Time, limits: &Limits) -> bool {
         self.in_directory
             && self.in_roster
             && !self.listed_unresponsive
--- a/crates/workflow/tests/support/messages.rs
+++ b/crates/workflow/tests/support/messages.rs
@@ -273,7 +273,20 @@
         if !polls {
             self.busy_until.entry(id.clone()).or_default().push(now + wait);
         }
+        let start = match &effect {
+            Effect::Start { task, run, .. } if !self.workers[index].is_running(*task) => {
+                Some((*task, *run))
+            }
+            _ => None,
+        };
         let Some(mut answer) = self.execute(index, id, effect, delivery) else { return };
+        // Commands that were executed late are sent again later than this.
+        let on_time = now.since(sent) < Duration::from_millis(100);
+        if let (Some(start), Answer::Start(.., StartResult::Started { .. }), true) =
+            (start, &answer, on_time)
+        {
+            self.check_evacuated_start(node, sent, index, start);
+        }
         if answer_lost {
             answer = answer.lost();
         }
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod advisor;
 pub mod checker;
 pub mod crashing_tasks;
+pub mod evacuations;
 pub mod fleet;
 pub mod lines;
 pub mod messages;
--- a/crates/workflow/tests/support/node.rs
+++ b/crates/workflow/tests/support/node.rs
@@ -1,11 +1,13 @@
 //! Simulated node that runs the state machines of one process.
 
 use {
+    compact_str::CompactString,
     egretlb_types::{Epoch, Offset, Seq, Time},
     egretlb_workflow::{
         DirectoryChange, Effect, Leadership, LeadershipEffect, Ledger, LedgerChange, Limits,
         Scheduler, WorkerInfo,
     },
+    std::collections::BTreeSet,
 };
 
 pub struct Node {
@@ -28,6 +30,10 @@
     pub refused_by: Vec<usize>,
     pub elections: u32,
     pub directory: Vec<WorkerInfo>,
+    /// The evacuated data centres as of `read_at`.
+    pub evacuated: BTreeSet<CompactString>,
+    /// When the evacuations were last read.
+    pub read_at: Time,
     pub incarnation: u64,
     limits: Limits,
 }
@@ -60,6 +66,8 @@
             refused_by: Vec::new(),
             elections: 0,
             directory: Vec::new(),
+            evacuated: BTreeSet::new(),
+            read_at: now,
             incarnation,
             limits,
         }
@@ -113,7 +121,7 @@
                     self.elections += 1;
                     let directory = self.directory.iter().cloned().map(DirectoryChange::Present);
                     let wall_ms = now.as_micros() / 1_000;
-                    let scheduler = Scheduler::new(
+                    let mut scheduler = Scheduler::new(
                         now,
                         wall_ms,
                         (epoch, succession),
@@ -121,6 +129,7 @@
                         &self.ledger,
                         directory,
                     );
+                    scheduler.set_evacuated(&self.evacuated);
                     self.scheduler = Some(scheduler);
                 }
                 LeadershipEffect::Deposed => self.scheduler = None,
--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -228,6 +228,10 @@
         PollResult::Lists(PollReply { clock_ms, running, ended, unreadable })
     }
 
+    pub fn is_running(&self, task: TaskId) -> bool {
+        self.running.contains_key(&task)
+    }
+
     pub fn start(
         &mut self,
         now: Time,
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        advisor::Advisor, checker::Checker, crashing_tasks::CrashingTasks, fleet::Fleet,
-        messages::Msg, node::Node, store::Store, worker::Worker,
+        advisor::Advisor, checker::Checker, crashing_tasks::CrashingTasks,
+        evacuations::Evacuations, fleet::Fleet, messages::Msg, node::Node, store::Store,
+        worker::Worker,
     },
     egretlb_types::{Offset, Time},
     egretlb_workflow::{
@@ -48,6 +49,7 @@
     pub workers: Vec<Worker>,
     pub checker: Checker,
     pub crashing_tasks: CrashingTasks,
+    pub evacuations: Evacuations,
     pub submitted: Vec<WorkflowId>,
     limits: Limits,
     incarnations: u64,
@@ -77,6 +79,7 @@
             workers: Vec::new(),
             checker: Checker::default(),
             crashing_tasks: CrashingTasks::default(),
+            evacuations: Evacuations::default(),
             submitted: Vec::new(),
             limits,
             incarnations: 0,
@@ -230,6 +233,7 @@
         }
         if self.steps.is_multiple_of(READ_EVERY) {
             if readable {
+                self.read_evacuations(index);
                 let from = self.nodes[index].next;
                 self.nodes[index].leadership.on_read_sent(now);
                 let records: Vec<(Offset, Record)> = self
