Records that a silent store won't take in time are rejected

Cause: clients' records queued behind an unanswered append, at the leader until a timeout of 1.9 s and then behind the VM's own append, so clients of a silent store waited until their deadlines. Each VM found out anew with each append that it gave up.

Change: StoreHealth decides without I/O whether a record may be queued: not behind an append that is 1 s old, and not while no read was answered for 1.2 s. Records queued behind such an append weren't sent and are rejected at once. Reads that fail are repeated without waiting at the store, so the VM notices soon that it is back. Records that were sent still end in 504.

--- a/crates/runtime/src/append.rs
+++ b/crates/runtime/src/append.rs
@@ -5,17 +5,19 @@
         clock::Clock,
         platform::{Append, Store},
         reads::RecordWatch,
+        store_health::{STUCK_AFTER, StoreHealth},
     },
     egretlb_types::Time,
     egretlb_workflow::{AppendResult, Record},
     std::{
         cell::{Cell, RefCell},
+        pin::pin,
         rc::Rc,
         time::Duration,
     },
     tokio::{
         sync::{Notify, oneshot},
-        time::sleep,
+        time::{sleep, timeout},
     },
 };
 
@@ -40,9 +42,6 @@
 /// harmless. Clients wait for 3 s.
 const MAX_RETRY_TIME: Duration = Duration::from_millis(2_600);
 
-/// Age of an append after which new records are rejected at once instead of queued. A slow store takes 0.5 s.
-pub(crate) const STUCK_AFTER: Duration = Duration::from_millis(1_000);
-
 /// Maximum size of an append; the store's limit is 2 MB.
 const MAX_APPEND_BYTES: usize = 1024 * 1024;
 
@@ -75,14 +74,19 @@
         }
     }
 
-    /// Whether the append in progress is older than [`STUCK_AFTER`].
+    fn health(&self) -> StoreHealth {
+        let append_started = self.append_started.get();
+        StoreHealth { append_started, read_answered: self.watch.last_answer() }
+    }
+
+    /// Whether the append in progress is overdue.
     pub(crate) fn is_stuck(&self) -> bool {
-        self.append_started.get().is_some_and(|since| self.clock.now().since(since) >= STUCK_AFTER)
+        self.health().is_stuck(self.clock.now())
     }
 
     /// Appends a record and waits for the outcome.
     pub(crate) async fn append(&self, record: Record) -> Stored {
-        if self.is_stuck() {
+        if !self.health().accepts_records(self.clock.now()) {
             return Stored::No;
         }
         let (tx, rx) = oneshot::channel();
@@ -126,7 +130,14 @@
         let started = self.clock.now();
         self.append_started.set(Some(started));
         let records = append.records.len();
-        let stored = self.append_until_settled(started, append).await;
+        let mut settled = pin!(self.append_until_settled(started, append));
+        let stored = match timeout(STUCK_AFTER, settled.as_mut()).await {
+            Ok(stored) => stored,
+            Err(_) => {
+                self.reject_queued();
+                settled.await
+            }
+        };
         self.append_started.set(None);
         // The store is failing: clients of queued records can try another VM.
         if stored != Stored::Yes {
@@ -157,9 +168,6 @@
             if uncertain && self.clock.now().since(started) >= MAX_RETRY_TIME {
                 return Stored::Unknown;
             }
-            if self.is_stuck() {
-                self.reject_queued();
-            }
             sleep(RETRY_PAUSE).await;
         }
     }
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -149,7 +149,9 @@
     if topic == Topic::Work {
         node.on_read_sent(sent);
     }
-    let read = node.store().read(topic, *next, read_wait(topic)).await;
+    // A read that doesn't wait shows soon that a silent store answers again.
+    let wait = if node.is_failing(topic) { Duration::ZERO } else { read_wait(topic) };
+    let read = node.store().read(topic, *next, wait).await;
     match node.take_decoded(read) {
         ReadResult::Records { records, next: resume_at, end } => {
             for stored in &records {
--- a/crates/runtime/src/leader_append.rs
+++ b/crates/runtime/src/leader_append.rs
@@ -6,11 +6,12 @@
         node::Node,
         peers::PendingRecord,
         platform::{self, Append, Fence},
+        store_health::STUCK_AFTER,
     },
     egretlb_types::Offset,
     egretlb_workflow::{AppendResult, Record},
-    std::{rc::Rc, time::Duration},
-    tokio::time::sleep,
+    std::{pin::pin, rc::Rc, time::Duration},
+    tokio::time::{sleep, timeout},
 };
 
 /// Pause between tries.
@@ -40,7 +41,14 @@
         records.extend(pending.iter().map(|pending| pending.record.clone()));
         let started = self.clock.now();
         self.append_started.set(Some(started));
-        let stored = self.append_until_settled(records).await;
+        let mut settled = pin!(self.append_until_settled(records));
+        let stored = match timeout(STUCK_AFTER, settled.as_mut()).await {
+            Ok(stored) => stored,
+            Err(_) => {
+                self.reject_pending_records();
+                settled.await
+            }
+        };
         // An append that outlasts its term may overlap with those of the next term.
         if self.append_started.get() == Some(started) {
             self.append_started.set(None);
@@ -54,6 +62,16 @@
         }
     }
 
+    /// Rejects the clients' records that wait for the append in progress; they haven't been sent.
+    fn reject_pending_records(&self) {
+        let pending = std::mem::take(&mut *self.pending_records.borrow_mut());
+        log::info!(records = pending.len(); "append_stuck");
+        for pending in pending {
+            // Fails if the client has disconnected.
+            let _ = pending.tx.send(Stored::No);
+        }
+    }
+
     /// Applies clients' records once they are stored, before they are read; the later read changes nothing.
     fn apply_stored(self: &Rc<Self>, pending: &[PendingRecord]) {
         for pending in pending {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -20,10 +20,12 @@
 mod reads;
 mod relays;
 mod serve;
+mod store_health;
 
 pub use crate::{
     bad_entries::{BadEntry, BadEntryLog, Decoded, LogAction},
     clock::Clock,
     node::{Node, NodeOptions},
     serve::{Listeners, run},
+    store_health::{SILENT_AFTER, STUCK_AFTER, StoreHealth},
 };
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        append::{Appender, STUCK_AFTER},
+        append::Appender,
         bad_entries::{BadEntry, BadEntryLog, Decoded, LogAction},
         clock::Clock,
         commands::CommandSlots,
@@ -12,6 +12,7 @@
         platform::{Advisor, Append, Fence, Fleet, Formats, Platform, Store, Topic, Workers},
         reads::RecordWatch,
         relays::{self, Relays},
+        store_health::StoreHealth,
     },
     compact_str::CompactString,
     egretlb_telemetry::{RunEvent, WorkflowMetrics},
@@ -216,8 +217,8 @@
 
     /// Adds a client's record to the leader's next append; false if appends are stuck.
     pub(crate) fn add_pending_record(self: &Rc<Self>, pending: PendingRecord) -> bool {
-        let stuck = |since| self.clock.now().since(since) >= STUCK_AFTER;
-        if self.append_started.get().is_some_and(stuck) {
+        let health = StoreHealth { append_started: self.append_started.get(), read_answered: None };
+        if !health.accepts_records(self.clock.now()) {
             return false;
         }
         self.pending_records.borrow_mut().push(pending);
@@ -356,6 +357,11 @@
         }
     }
 
+    /// Whether reads of a topic fail.
+    pub(crate) fn is_failing(&self, topic: Topic) -> bool {
+        self.failing_topics.borrow().contains_key(&topic)
+    }
+
     pub(crate) fn on_read_failed(self: &Rc<Self>, topic: Topic) {
         let now = self.clock.now();
         if !self.failing_topics.borrow().contains_key(&topic) {
--- a/crates/runtime/src/reads.rs
+++ b/crates/runtime/src/reads.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{clock::Clock, core::Core},
-    egretlb_types::{Epoch, Seq},
+    egretlb_types::{Epoch, Seq, Time},
     egretlb_workflow::Record,
     std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{sync::Notify, time::sleep},
@@ -21,6 +21,11 @@
         RecordWatch { core, read_applied: Notify::new() }
     }
 
+    /// When a read of the work records was last answered.
+    pub(crate) fn last_answer(&self) -> Option<Time> {
+        self.core.borrow().work_progress.answered_at
+    }
+
     /// Wakes the waiting tasks after the result of a read has been applied.
     pub(crate) fn notify_read(&self) {
         self.read_applied.notify_waiters();
