The workers' directory is read by leaders and claimants only

Change: a process reads the directory from its claim to lead until its term is over. Relays get the data centre of a start's worker with the call, so that they can withhold it without a directory of their own.

--- a/crates/relay/src/codec.rs
+++ b/crates/relay/src/codec.rs
@@ -80,6 +80,7 @@
         until_ms: u64,
         checkpoint: CompactString,
         ticket: CompactString,
+        data_centre: CompactString,
     },
     Stop {
         worker: WorkerNo,
@@ -185,9 +186,9 @@
             Call::Poll { recorded, until_ms, wait_ms } => {
                 Command::Poll { worker, recorded, until_ms, wait_ms }
             }
-            Call::Start { task, run, payload, until_ms, checkpoint, ticket } => {
+            Call::Start { task, run, payload, until_ms, checkpoint, ticket, data_centre } => {
                 self.declare_payload(task.workflow, payload);
-                Command::Start { worker, task, run, until_ms, checkpoint, ticket }
+                Command::Start { worker, task, run, until_ms, checkpoint, ticket, data_centre }
             }
             Call::Stop { task, run } => Command::Stop { worker, task, run },
             Call::Pace { task, run, percent } => Command::Pace { worker, task, run, percent },
@@ -318,10 +319,19 @@
                     self.polls.insert(number, worker);
                     (worker, Call::Poll { recorded, until_ms, wait_ms })
                 }
-                Command::Start { worker, task, run, until_ms, checkpoint, ticket } => {
+                Command::Start { worker, task, run, until_ms, checkpoint, ticket, data_centre } => {
                     let payload = self.payloads.by_workflow.get(&task.workflow);
                     let payload = payload.ok_or(CodecError::UndeclaredReference)?.clone();
-                    (worker, Call::Start { task, run, payload, until_ms, checkpoint, ticket })
+                    let call = Call::Start {
+                        task,
+                        run,
+                        payload,
+                        until_ms,
+                        checkpoint,
+                        ticket,
+                        data_centre,
+                    };
+                    (worker, call)
                 }
                 Command::Stop { worker, task, run } => (worker, Call::Stop { task, run }),
                 Command::Pace { worker, task, run, percent } => {
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -63,6 +63,8 @@
         checkpoint: CompactString,
         /// The policy service's permission to run the task on the worker; empty if none is needed.
         ticket: CompactString,
+        /// The worker's data centre, which may be evacuated by the time the relay sends the start.
+        data_centre: CompactString,
     },
     /// Stops a run, or prevents it from starting.
     Stop {
--- a/crates/relay/tests/codec_ends.rs
+++ b/crates/relay/tests/codec_ends.rs
@@ -31,6 +31,7 @@
         until_ms: 480_000,
         checkpoint: "".into(),
         ticket: "".into(),
+        data_centre: "east".into(),
     }
 }
 
@@ -152,6 +153,7 @@
             until_ms: 0,
             checkpoint: "".into(),
             ticket: "".into(),
+            data_centre: "west".into(),
         };
         leader.add(&id, addr, call.clone());
         let (_, received) = relay.read(&leader.next_frame(EPOCH, 0)).expect("a frame");
--- a/crates/runtime/src/commands.rs
+++ b/crates/runtime/src/commands.rs
@@ -136,9 +136,21 @@
         let result = if self.may_start(epoch, &worker, task, run) {
             let payload = submission.workflow.payload.as_str();
             let worker = &worker;
+            let data_centre = self.core.borrow().data_centre_of(worker);
+            let data_centre = data_centre.as_str();
             let (checkpoint, ticket) = (saved.as_str(), ticket.as_str());
-            let call =
-                StartCall { worker, addr, epoch, task, run, payload, until_ms, checkpoint, ticket };
+            let call = StartCall {
+                worker,
+                addr,
+                epoch,
+                task,
+                run,
+                payload,
+                until_ms,
+                checkpoint,
+                ticket,
+                data_centre,
+            };
             self.workers.start(call).await
         } else {
             StartResult::Withheld
--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -55,7 +55,10 @@
     pub(crate) leadership: Leadership,
     /// The scheduler, while this process leads.
     pub(crate) scheduler: Option<Scheduler>,
+    /// The workers' entries, while this process leads or claims to lead.
     pub(crate) directory: BTreeMap<WorkerId, WorkerInfo>,
+    /// Whether all entries have been read since the directory was last empty.
+    directory_loaded: bool,
     /// Workers whose newest entry is unreadable, up to [`MAX_UNREADABLE_WORKERS`].
     unreadable_workers: BTreeSet<WorkerId>,
     pub(crate) routes: Option<RouteTable>,
@@ -80,6 +83,7 @@
             leadership,
             scheduler: None,
             directory: BTreeMap::new(),
+            directory_loaded: false,
             unreadable_workers: BTreeSet::new(),
             routes: None,
             waves: BTreeMap::new(),
@@ -145,9 +149,8 @@
 
     fn on_evacuation(&mut self, data_centre: CompactString, in_force: bool) {
         if in_force {
-            let is_known = self.directory.values().any(|info| info.data_centre == data_centre);
-            if self.evacuated.insert(data_centre.clone()) && !is_known {
-                log::warn!(data_centre:%; "evacuation_without_workers");
+            if self.evacuated.insert(data_centre) && self.directory_loaded {
+                self.log_evacuations_without_workers();
             }
         } else {
             self.evacuated.remove(&data_centre);
@@ -168,10 +171,24 @@
         }
     }
 
-    /// Whether a worker's data centre is evacuated, as far as this process knows.
-    pub(crate) fn is_evacuated(&self, worker: &WorkerId) -> bool {
-        let data_centre = self.directory.get(worker).map(|info| &info.data_centre);
-        data_centre.is_some_and(|data_centre| self.evacuated.contains(data_centre))
+    fn log_evacuations_without_workers(&self) {
+        for data_centre in &self.evacuated {
+            if !self.directory.values().any(|info| info.data_centre == *data_centre) {
+                log::warn!(data_centre:%; "evacuation_without_workers");
+            }
+        }
+    }
+
+    /// The data centre of a worker; empty if the worker isn't in the directory.
+    pub(crate) fn data_centre_of(&self, worker: &WorkerId) -> CompactString {
+        self.directory.get(worker).map(|info| info.data_centre.clone()).unwrap_or_default()
+    }
+
+    /// Drops the directory, which only a leader keeps up to date.
+    pub(crate) fn drop_directory(&mut self) {
+        self.directory = BTreeMap::new();
+        self.unreadable_workers = BTreeSet::new();
+        self.directory_loaded = false;
     }
 
     /// Stores the first request of a wave, and passes each one on to the scheduler.
@@ -217,6 +234,8 @@
         for id in missing {
             self.on_directory(now, DirectoryChange::Absent(id));
         }
+        self.directory_loaded = true;
+        self.log_evacuations_without_workers();
     }
 
     /// The directory as changes, for a new scheduler.
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -42,13 +42,10 @@
 /// calls to the store.
 const FOLLOWER_READ_GAP: Duration = Duration::from_millis(150);
 
-/// Pause between a leader's reads of the directory. Each worker writes once a second; a draining worker must
+/// Pause between reads of the directory. Each worker writes once a second; a draining worker must
 /// receive no new tasks after 2 s.
 const DIRECTORY_READ_GAP: Duration = Duration::from_millis(250);
 
-/// Pause between a follower's reads of the directory, which only keep the list available.
-const DIRECTORY_FOLLOWER_READ_GAP: Duration = Duration::from_millis(1_500);
-
 /// What a load of a topic found.
 #[derive(Debug)]
 pub(crate) struct Listed {
@@ -66,9 +63,12 @@
     }
 }
 
-/// Loads a topic and follows it until the process ends.
+/// Loads a topic and follows it until the process ends; the directory only while the process leads or claims to.
 pub(crate) async fn follow(node: Rc<Node>, topic: Topic) {
     loop {
+        if topic == Topic::Directory {
+            node.wait_for_term().await;
+        }
         let Some(mut next) = load(&node, topic).await else {
             node.on_read_failed(topic);
             sleep(RETRY_PAUSE).await;
@@ -76,8 +76,15 @@
         };
         while tail(&node, topic, &mut next).await {
             sleep(read_gap(&node, topic)).await;
+            if topic == Topic::Directory && !node.needs_directory() {
+                break;
+            }
+        }
+        if topic == Topic::Directory && !node.needs_directory() {
+            node.drop_directory();
+        } else {
+            log::info!(topic:% = topic; "history_forgotten");
         }
-        log::info!(topic:% = topic; "history_forgotten");
     }
 }
 
@@ -86,8 +93,7 @@
         (Topic::Work, true) => LEADER_READ_GAP,
         (Topic::Work, false) => FOLLOWER_READ_GAP,
         (Topic::Operator, _) => LEADER_READ_GAP,
-        (Topic::Directory, true) => DIRECTORY_READ_GAP,
-        (Topic::Directory, false) => DIRECTORY_FOLLOWER_READ_GAP,
+        (Topic::Directory, _) => DIRECTORY_READ_GAP,
     }
 }
 
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -87,6 +87,9 @@
 /// Size of the random part of the rank.
 const JITTER_RANGE: u32 = 300;
 
+/// Time after which a claim has either begun a term or failed.
+const MAX_CLAIM_TIME: Duration = Duration::from_secs(3);
+
 /// What remains available without a topic of the store, as a log value.
 fn available_without(topic: Topic) -> &'static str {
     match topic {
@@ -124,6 +127,10 @@
     bad_entries: RefCell<BadEntryLog>,
     pub(crate) clock: Clock,
     pub(crate) command_slots: CommandSlots,
+    /// When this process last claimed to lead.
+    claimed_at: Cell<Option<Time>>,
+    /// A claim has been made.
+    claim_made: Notify,
     /// Ends the pause of the tick loop.
     end_pause: Notify,
     /// Waits for records to be read.
@@ -170,6 +177,8 @@
             bad_entries: RefCell::default(),
             clock,
             command_slots: CommandSlots::default(),
+            claimed_at: Cell::new(None),
+            claim_made: Notify::new(),
             end_pause: Notify::new(),
             watch,
         })
@@ -235,6 +244,26 @@
         self.core.borrow().scheduler.is_some()
     }
 
+    /// Whether this process leads, or has claimed to so recently that it may soon.
+    pub(crate) fn needs_directory(&self) -> bool {
+        let recent = |at| self.clock.now().since(at) < MAX_CLAIM_TIME;
+        self.leads() || self.claimed_at.get().is_some_and(recent)
+    }
+
+    /// Waits until this process claims to lead, if it doesn't lead already.
+    pub(crate) async fn wait_for_term(&self) {
+        while !self.needs_directory() {
+            self.claim_made.notified().await;
+        }
+    }
+
+    pub(crate) fn drop_directory(&self) {
+        // A term may have begun just now.
+        if !self.needs_directory() {
+            self.core.borrow_mut().drop_directory();
+        }
+    }
+
     /// Spawns the background tasks: reading topics, appending, offering to be a relay, ticking.
     pub(crate) fn spawn(self: &Rc<Self>) {
         for topic in [Topic::Operator, Topic::Work, Topic::Directory] {
@@ -379,6 +408,8 @@
     fn perform_leadership(self: &Rc<Self>, effect: LeadershipEffect) {
         match effect {
             LeadershipEffect::Claim { epoch, seq, records } => {
+                self.claimed_at.set(Some(self.clock.now()));
+                self.claim_made.notify_one();
                 let fence = Some(Fence { epoch, seq });
                 spawn_local(Rc::clone(self).claim(Append { records, fence }));
             }
--- a/crates/runtime/src/platform.rs
+++ b/crates/runtime/src/platform.rs
@@ -168,6 +168,8 @@
     pub checkpoint: &'a str,
     /// Permission to run the task on the worker; empty if none is needed.
     pub ticket: &'a str,
+    /// The worker's data centre.
+    pub data_centre: &'a str,
 }
 
 /// A stop of a run.
--- a/crates/runtime/src/relays/leader.rs
+++ b/crates/runtime/src/relays/leader.rs
@@ -440,6 +440,7 @@
                 until_ms,
                 checkpoint: call.checkpoint.into(),
                 ticket: call.ticket.into(),
+                data_centre: call.data_centre.into(),
             };
             match self.relay_call(call.worker, call.addr, relayed).await {
                 Ok(Answer::Start(result)) => result,
--- a/crates/runtime/src/relays/offer.rs
+++ b/crates/runtime/src/relays/offer.rs
@@ -161,13 +161,23 @@
             let call = PollCall { worker, addr, epoch, recorded, until_ms, wait_ms };
             Answer::Poll(node.take_decoded(workers.poll(call).await))
         }
-        Call::Start { task, run, payload, until_ms, checkpoint, ticket } => {
+        Call::Start { task, run, payload, until_ms, checkpoint, ticket, data_centre } => {
             let (worker, payload): (_, &CompactString) = (&worker, &payload);
             let (checkpoint, ticket) = (checkpoint.as_str(), ticket.as_str());
-            let call =
-                StartCall { worker, addr, epoch, task, run, payload, until_ms, checkpoint, ticket };
+            let call = StartCall {
+                worker,
+                addr,
+                epoch,
+                task,
+                run,
+                payload,
+                until_ms,
+                checkpoint,
+                ticket,
+                data_centre: &data_centre,
+            };
             // The evacuation may have been read after the leader sent the call.
-            if node.core().is_evacuated(worker) {
+            if node.core().evacuated.contains(&data_centre) {
                 Answer::Start(StartResult::Withheld)
             } else {
                 Answer::Start(workers.start(call).await)
