Reads adapt their size, and loads their timeout, to the bandwidth they get

Cause: a read asks for 512 KB and times out after 1.3 s. On a slow link a lagging process asked for the same again and never caught up.

Change: ReadLimits halves the size after a failed read and adds 32 KB after an answered one; after the smallest size comes the largest, since a record may exceed it. The timeout of a page of a load doubles after a failure, 6 s at most.

--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -8,6 +8,7 @@
             BadEntry, EntryError, EntryKind, NewestResult, OperatorChange, ReadResult,
             StoredRecord, Topic,
         },
+        read_limits::ReadLimits,
     },
     bytes::Bytes,
     compact_str::CompactString,
@@ -65,16 +66,17 @@
 
 /// Loads a topic and follows it until the process ends; the directory only while the process leads or claims to.
 pub(crate) async fn follow(node: Rc<Node>, topic: Topic) {
+    let mut limits = ReadLimits::default();
     loop {
         if topic == Topic::Directory {
             node.wait_for_term().await;
         }
-        let Some(mut next) = load(&node, topic).await else {
+        let Some(mut next) = load(&node, topic, &mut limits).await else {
             node.on_read_failed(topic);
             sleep(RETRY_PAUSE).await;
             continue;
         };
-        while tail(&node, topic, &mut next).await {
+        while tail(&node, topic, &mut next, &mut limits).await {
             sleep(read_gap(&node, topic)).await;
             if topic == Topic::Directory && !node.needs_directory() {
                 break;
@@ -107,17 +109,20 @@
 
 /// Reads the newest record of each key and returns the offset to continue from. Pages aren't a snapshot, so that is
 /// the end offset of the first page.
-async fn load(node: &Rc<Node>, topic: Topic) -> Option<Offset> {
+async fn load(node: &Rc<Node>, topic: Topic, limits: &mut ReadLimits) -> Option<Offset> {
     let mut after: Option<Bytes> = None;
     let mut start = None;
     let mut listed = Listed::default();
     // Leader records are applied last: a term that starts from one must know all other records.
     let mut leader_records = Vec::new();
     loop {
-        let page = node.take_decoded(node.store().newest(topic, after.clone()).await);
+        let page = node.store().newest(topic, after.clone(), limits.page_timeout).await;
+        let page = node.take_decoded(page);
         let NewestResult::Page { records, unreadable, end, next_after, complete } = page else {
+            limits.on_page_failed();
             return None;
         };
+        limits.on_page();
         let next = *start.get_or_insert(end);
         listed.complete &= complete;
         for stored in records {
@@ -150,16 +155,17 @@
 }
 
 /// Reads once from `next` and advances it. Returns false if the topic must be reloaded.
-async fn tail(node: &Rc<Node>, topic: Topic, next: &mut Offset) -> bool {
+async fn tail(node: &Rc<Node>, topic: Topic, next: &mut Offset, limits: &mut ReadLimits) -> bool {
     let sent = node.clock().now();
     if topic == Topic::Work {
         node.on_read_sent(sent);
     }
     // A read that doesn't wait shows soon that a silent store answers again.
     let wait = if node.is_failing(topic) { Duration::ZERO } else { read_wait(topic) };
-    let read = node.store().read(topic, *next, wait).await;
+    let read = node.store().read(topic, *next, wait, limits.max_kb).await;
     match node.take_decoded(read) {
         ReadResult::Records { records, next: resume_at, end } => {
+            limits.on_read();
             for stored in &records {
                 apply(node, topic, stored, &mut Listed::default());
             }
@@ -175,6 +181,7 @@
         }
         ReadResult::OffsetTooOld => false,
         ReadResult::Failed => {
+            limits.on_read_failed();
             node.on_read_failed(topic);
             sleep(RETRY_PAUSE).await;
             true
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -17,6 +17,7 @@
 mod leader_append;
 mod node;
 mod peers;
+mod read_limits;
 mod reads;
 mod relays;
 mod serve;
@@ -26,6 +27,7 @@
     bad_entries::{BadEntry, BadEntryLog, Decoded, LogAction},
     clock::Clock,
     node::{Node, NodeOptions},
+    read_limits::ReadLimits,
     serve::{Listeners, run},
     store_health::{SILENT_AFTER, STUCK_AFTER, StoreHealth},
 };
--- a/crates/runtime/src/platform.rs
+++ b/crates/runtime/src/platform.rs
@@ -111,22 +111,24 @@
     /// Appends to the work topic.
     fn append<'a>(&'a self, append: &'a Append) -> LocalBoxFuture<'a, AppendResult>;
 
-    /// Reads records from an offset on, waiting up to `wait` for the first one.
+    /// Reads up to `max_kb` KB of records from an offset on, waiting up to `wait` for the first one.
     fn read(
         &self,
         topic: Topic,
         from: Offset,
         wait: Duration,
+        max_kb: u32,
     ) -> LocalBoxFuture<'_, Decoded<ReadResult>>;
 
     /// Reports the state of a maintenance wave to the operator.
     fn report_wave(&self, wave: u64, state: WaveState) -> LocalBoxFuture<'_, AppendResult>;
 
-    /// Reads a page of the newest record of each key, starting after the key `after`.
+    /// Reads a page of the newest record of each key, starting after the key `after`, within `limit`.
     fn newest(
         &self,
         topic: Topic,
         after: Option<Bytes>,
+        limit: Duration,
     ) -> LocalBoxFuture<'_, Decoded<NewestResult>>;
 }
 
