A process that lags doesn't tell the number of pending workflows

Change: it is told only if all records of 1.8 s ago have been read, else 503. pending_withheld fails on the code before.

--- a/crates/runtime/src/clients.rs
+++ b/crates/runtime/src/clients.rs
@@ -83,7 +83,7 @@
 fn pending(node: &Node, route: &Route) -> Response {
     let now = node.clock().now();
     let core = node.core();
-    if !core.is_fresh(now) {
+    if !core.is_current(now) {
         return unavailable();
     }
     let body = node.formats().pending(core.ledger.pending(&route.name));
--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -275,6 +275,13 @@
             && self.work_progress.answered_at.is_some_and(|at| now.since(at) < STALE_AFTER)
     }
 
+    /// Whether all records of some seconds ago have been read: a process may lag behind although its reads are
+    /// answered.
+    pub(crate) fn is_current(&self, now: Time) -> bool {
+        let complete_until = self.work_progress.complete_until;
+        self.is_fresh(now) && complete_until.is_some_and(|read| now.since(read) < MAX_LAG)
+    }
+
     /// Whether this leader's reads lag behind its appends. Other processes may then have acknowledged cancellations
     /// that this one hasn't read. While the store is unavailable, neither reads nor appends advance.
     fn is_lagging(&self) -> bool {
@@ -310,6 +317,9 @@
 /// normally answered several times a second, since a leader appends a heartbeat every 250 ms.
 const STALE_AFTER: std::time::Duration = std::time::Duration::from_millis(1_800);
 
+/// Maximum lag of reads with which the number of pending workflows is told.
+const MAX_LAG: std::time::Duration = std::time::Duration::from_millis(1_800);
+
 /// Lag of reads behind appends at which a leader starts no tasks. Reads wait for up to 0.6 s and starts are sent
 /// within 0.5 s; a task must not start 3 s after its cancellation.
 const LAGGING_AFTER: std::time::Duration = std::time::Duration::from_millis(1_500);
