--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -317,7 +317,7 @@
 /// normally answered several times a second, since a leader appends a heartbeat every 250 ms.
 const STALE_AFTER: std::time::Duration = std::time::Duration::from_millis(1_800);
 
-/// Maximum lag of reads with which the number of pending workflows is told.
+/// Maximum lag of reads with which the number of pending workflows is still reported.
 const MAX_LAG: std::time::Duration = std::time::Duration::from_millis(1_800);
 
 /// Lag of reads behind appends at which a leader starts no tasks. Reads wait for up to 0.6 s and starts are sent
--- a/crates/runtime/tests/silent_store.rs
+++ b/crates/runtime/tests/silent_store.rs
@@ -12,51 +12,51 @@
 /// How long clients wait.
 const DEADLINE: Duration = Duration::from_secs(3);
 
-/// What a client is told, and when.
+/// The outcome of a client's request, and when it is known.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Told {
+enum Outcome {
     Stored(Time),
     Rejected(Time),
 }
 
 /// Plays a store that is silent for `outage`: an append is answered at its end, reads up to `read_delay` later.
-/// Returns when each client came and what it was told.
-fn play(outage: Duration, read_delay: Duration) -> Vec<(Time, Told)> {
+/// Returns the arrival of each client and the outcome of its request.
+fn play(outage: Duration, read_delay: Duration) -> Vec<(Time, Outcome)> {
     let silent_from = Time::from_secs(100);
     let silent_until = silent_from + outage;
     let end = silent_until + Duration::from_secs(1);
     let mut health =
         StoreHealth { append_started: Some(silent_from), read_answered: Some(silent_from) };
-    let (mut now, mut told, mut queued) = (silent_from, Vec::new(), Vec::new());
+    let (mut now, mut outcomes, mut queued) = (silent_from, Vec::new(), Vec::new());
     while now < end {
         if now >= silent_until + read_delay {
             health.read_answered = Some(now);
         }
         if now >= silent_until {
-            told.extend(queued.drain(..).map(|came| (came, Told::Stored(now))));
+            outcomes.extend(queued.drain(..).map(|came| (came, Outcome::Stored(now))));
             health.append_started = None;
         }
         if health.is_stuck(now) {
-            told.extend(queued.drain(..).map(|came| (came, Told::Rejected(now))));
+            outcomes.extend(queued.drain(..).map(|came| (came, Outcome::Rejected(now))));
         }
         if health.accepts_records(now) {
             queued.push(now);
         } else {
-            told.push((now, Told::Rejected(now)));
+            outcomes.push((now, Outcome::Rejected(now)));
         }
         now = now + CLIENT_INTERVAL;
     }
-    told
+    outcomes
 }
 
 /// Guards against clients that wait for a silent store until their deadline.
 #[test]
 fn rejected_in_time() {
     for outage_ms in [1_500, 4_200, 9_000] {
-        let told = play(Duration::from_millis(outage_ms), Duration::from_millis(700));
-        for (came, told) in told {
-            let (Told::Stored(at) | Told::Rejected(at)) = told;
-            assert!(at.since(came) <= STUCK_AFTER, "{outage_ms}: {came:?} {told:?}");
+        let outcomes = play(Duration::from_millis(outage_ms), Duration::from_millis(700));
+        for (came, outcome) in outcomes {
+            let (Outcome::Stored(at) | Outcome::Rejected(at)) = outcome;
+            assert!(at.since(came) <= STUCK_AFTER, "{outage_ms}: {came:?} {outcome:?}");
             assert!(at.since(came) < DEADLINE);
         }
     }
@@ -65,11 +65,11 @@
 /// Guards against clients that are held although the process knows that the store is silent.
 #[test]
 fn later_ones_at_once() {
-    let told = play(Duration::from_millis(4_200), Duration::ZERO);
+    let outcomes = play(Duration::from_millis(4_200), Duration::ZERO);
     let known_at = Time::from_secs(100) + STUCK_AFTER;
-    let after = told.iter().filter(|(came, _)| *came > known_at);
+    let after = outcomes.iter().filter(|(came, _)| *came > known_at);
     assert!(after.clone().count() > 100);
-    let held = |(came, told): &&(Time, Told)| *told != Told::Rejected(*came);
+    let held = |(came, outcome): &&(Time, Outcome)| *outcome != Outcome::Rejected(*came);
     let back = Time::from_secs(100) + Duration::from_millis(4_200);
     assert_eq!(after.filter(held).filter(|(came, _)| *came < back).count(), 0);
 }
