Requests are answered by a configuration that is known to be the newest

Callers got 404, which tells them that no such queue exists, for routes that had been added seconds before, and workflows were taken for routes that had been removed.

Cause: a request was answered by the newest configuration that the VM had read, however long ago it could last read the operator's topic. Only the age of the records was checked.

A configuration now has an age: the time since an answered read showed that there is no newer one. A read without records shows that up to the end of its wait; one with records is followed by one that doesn't wait. From 1.8 s on, less than the 2 s within which a change must be in force, an unknown route is answered 503 with Retry-After instead of 404, workflows aren't taken and pending workflows aren't counted, and the VM isn't ready. The state of a workflow and its cancellation don't depend on routes and are answered as before.

Tried first: refusing every request by an outdated configuration.

--- a/crates/runtime/src/clients.rs
+++ b/crates/runtime/src/clients.rs
@@ -1,7 +1,7 @@
 //! The HTTP interface for clients.
 
 use {
-    crate::{append::Stored, node::Node},
+    crate::{append::Stored, configuration::NoRoute, node::Node},
     egretlb_http::{Request, Response},
     egretlb_telemetry::Answered,
     egretlb_types::Time,
@@ -53,13 +53,22 @@
 }
 
 async fn route_request(node: &Rc<Node>, arrived: Time, req: &Request) -> Response {
-    let route = {
-        let core = node.core();
-        let Some(routes) = &core.routes else { return unavailable() };
-        routes.find(&req.host, &req.path).cloned()
+    let (route, is_current) = {
+        let configuration = &node.core().configuration;
+        let route = configuration.find(arrived, &req.host, &req.path).cloned();
+        (route, configuration.is_current(arrived))
+    };
+    let route = match route {
+        Ok(route) => route,
+        Err(NoRoute::Absent) => return Response::empty(status::NOT_FOUND),
+        Err(NoRoute::Unknown) => return unavailable(),
     };
-    let Some(route) = route else { return Response::empty(status::NOT_FOUND) };
     let id_text = &req.path[route.prefix.len()..];
+    // What is known of a workflow doesn't depend on its route.
+    let about_workflow = !id_text.is_empty() && req.method != Method::POST;
+    if !is_current && !about_workflow {
+        return unavailable();
+    }
     if id_text.is_empty() && req.method == Method::GET {
         return pending(node, &route).await;
     }
--- /dev/null
+++ b/crates/runtime/src/configuration.rs
@@ -0,0 +1,72 @@
+//! The operator's configuration, and until when it is known to be the newest.
+//!
+//! A process that can't read the operator's topic doesn't notice a change. Its configuration then neither shows that a
+//! route doesn't exist nor that one still does.
+
+use {
+    egretlb_types::Time,
+    egretlb_workflow::{Route, RouteTable},
+    std::time::Duration,
+};
+
+/// Age from which a configuration counts as outdated. A change must be in force 2 s after its acknowledgement, and
+/// answered reads follow each other within 1.4 s even if the store is slow.
+pub const MAX_CONFIGURATION_AGE: Duration = Duration::from_millis(1_800);
+
+/// Why a request has no route.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoRoute {
+    /// The configuration has none for it.
+    Absent,
+    /// No configuration has been read, or there may be a newer one.
+    Unknown,
+}
+
+/// The newest configuration that was read.
+#[derive(Clone, Debug, Default)]
+pub struct Configuration {
+    routes: Option<RouteTable>,
+    /// All versions published before are known.
+    complete_until: Option<Time>,
+}
+
+impl Configuration {
+    /// Puts routes in force, and returns whether they are newer than those before.
+    pub fn apply(&mut self, table: RouteTable) -> bool {
+        if self.version().is_some_and(|current| current >= table.version) {
+            return false;
+        }
+        self.routes = Some(table);
+        true
+    }
+
+    /// Notes that all versions published before `until` are known.
+    pub fn set_complete_until(&mut self, until: Time) {
+        self.complete_until = self.complete_until.max(Some(until));
+    }
+
+    /// Version in force; `None` before the first.
+    pub fn version(&self) -> Option<u64> {
+        self.routes.as_ref().map(|table| table.version)
+    }
+
+    /// Time since the configuration was last known to be the newest; `None` before the first read.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.complete_until.map(|until| now.since(until))
+    }
+
+    /// Whether this is known to be the configuration that has to be in force.
+    pub fn is_current(&self, now: Time) -> bool {
+        self.routes.is_some() && self.age(now).is_some_and(|age| age < MAX_CONFIGURATION_AGE)
+    }
+
+    /// Finds the route of a request. If the configuration is outdated, the route may have been removed.
+    ///
+    /// # Errors
+    ///
+    /// The error tells whether it is known that there is none.
+    pub fn find(&self, now: Time, host: &str, path: &str) -> Result<&Route, NoRoute> {
+        let route = self.routes.as_ref().and_then(|table| table.find(host, path));
+        route.ok_or(if self.is_current(now) { NoRoute::Absent } else { NoRoute::Unknown })
+    }
+}
--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        configuration::Configuration,
         follow::Listed,
         platform::{BadEntry, EntryKind, OperatorChange, StoredRecord},
         standbys::Announcement,
@@ -10,7 +11,7 @@
     egretlb_types::{Epoch, Time},
     egretlb_workflow::{
         DirectoryChange, Effect, Key, Leadership, LeadershipEffect, Ledger, LedgerChange, Limits,
-        RouteTable, Scheduler, Wave, WorkerId, WorkerInfo, WorkflowId,
+        Scheduler, Wave, WorkerId, WorkerInfo, WorkflowId,
     },
     std::{
         collections::{BTreeMap, BTreeSet, HashSet},
@@ -63,15 +64,13 @@
     directory_loaded: bool,
     /// Workers whose newest entry is unreadable, up to [`MAX_UNREADABLE_WORKERS`].
     unreadable_workers: BTreeSet<WorkerId>,
-    pub(crate) routes: Option<RouteTable>,
+    pub(crate) configuration: Configuration,
     /// Maintenance waves by number, with the time at which the operator's request was read.
     pub(crate) waves: BTreeMap<u64, (Time, Wave)>,
     /// Evacuated data centres.
     pub(crate) evacuated: BTreeSet<CompactString>,
     /// Whether all entries of the operator have been read once.
     operator_loaded: bool,
-    /// Time until which everything that the operator published is known.
-    operator_complete_until: Option<Time>,
     pub(crate) work_progress: ReadProgress,
     /// The newest announcement of a term.
     pub(crate) announcement: Option<Announcement>,
@@ -93,11 +92,10 @@
             directory: BTreeMap::new(),
             directory_loaded: false,
             unreadable_workers: BTreeSet::new(),
-            routes: None,
+            configuration: Configuration::default(),
             waves: BTreeMap::new(),
             evacuated: BTreeSet::new(),
             operator_loaded: false,
-            operator_complete_until: None,
             work_progress: ReadProgress::default(),
             announcement: None,
             terms_loaded: false,
@@ -151,11 +149,10 @@
             }
             OperatorChange::Other => return,
         };
-        if self.routes.as_ref().is_some_and(|current| current.version >= table.version) {
-            return;
+        let (version, routes) = (table.version, table.routes.len());
+        if self.configuration.apply(table) {
+            log::info!(version, routes; "configuration_in_force");
         }
-        log::info!(version = table.version, routes = table.routes.len(); "configuration_in_force");
-        self.routes = Some(table);
     }
 
     fn on_evacuation(&mut self, data_centre: CompactString, in_force: bool) {
@@ -182,16 +179,6 @@
         }
     }
 
-    /// Handles an answered read of what the operator published; everything published before `complete_until` is known.
-    pub(crate) fn on_operator_read(&mut self, complete_until: Option<Time>) {
-        self.operator_complete_until = self.operator_complete_until.max(complete_until);
-    }
-
-    /// Time since the configuration in force was last known to be the newest; `None` before the first load.
-    pub(crate) fn config_age(&self, now: Time) -> Option<Duration> {
-        self.operator_complete_until.map(|until| now.since(until))
-    }
-
     fn log_evacuations_without_workers(&self) {
         for data_centre in &self.evacuated {
             if !self.directory.values().any(|info| info.data_centre == *data_centre) {
@@ -338,10 +325,12 @@
         }
     }
 
-    /// Whether this process can serve clients: it has a configuration, and its records, or those of the standbys that it
+    /// Whether this process can serve clients: its configuration, and its records, or those of the standbys that it
     /// asks, are up to date.
     pub(crate) fn is_ready(&self, now: Time, standbys_fresh: bool) -> bool {
-        !self.stopping && self.routes.is_some() && (self.is_fresh(now) || standbys_fresh)
+        !self.stopping
+            && self.configuration.is_current(now)
+            && (self.is_fresh(now) || standbys_fresh)
     }
 
     /// Whether the records are up to date, so that a workflow that isn't listed doesn't exist.
--- a/crates/runtime/src/dump.rs
+++ b/crates/runtime/src/dump.rs
@@ -89,8 +89,8 @@
         let mut dump = Dump {
             leads: core.scheduler.is_some(),
             leader,
-            configuration: core.routes.as_ref().map(|routes| routes.version),
-            configuration_age_ms: core.config_age(now).map(ms),
+            configuration: core.configuration.version(),
+            configuration_age_ms: core.configuration.age(now).map(ms),
             ready,
             follows_records,
             evacuated: core.evacuated.iter().map(ToString::to_string).collect(),
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -73,15 +73,15 @@
     let mut limits = ReadLimits::default();
     loop {
         node.wait_to_follow(topic).await;
-        let mut next = match load(&node, topic, &mut limits).await {
-            Ok(next) => next,
+        let mut cursor = match load(&node, topic, &mut limits).await {
+            Ok(next) => Cursor { next, unconfirmed: false },
             Err(cause) => {
                 node.on_read_failed(topic, cause);
                 sleep(RETRY_PAUSE).await;
                 continue;
             }
         };
-        while tail(&node, topic, &mut next, &mut limits).await {
+        while tail(&node, topic, &mut cursor, &mut limits).await {
             sleep(read_gap(&node, topic)).await;
             if !node.follows(topic) {
                 break;
@@ -172,24 +172,32 @@
     }
 }
 
-/// Reads once from `next` and advances it. Returns false if the topic must be reloaded.
-async fn tail(node: &Rc<Node>, topic: Topic, next: &mut Offset, limits: &mut ReadLimits) -> bool {
+/// Position in a topic.
+struct Cursor {
+    next: Offset,
+    /// The last read returned a record before its wait was over, so it doesn't show how long there was no other one.
+    unconfirmed: bool,
+}
+
+/// Reads once from the cursor and advances it. Returns false if the topic must be reloaded.
+async fn tail(node: &Rc<Node>, topic: Topic, cursor: &mut Cursor, limits: &mut ReadLimits) -> bool {
     let sent = node.clock().now();
     if topic == Topic::Work {
         node.on_read_sent(sent);
     }
-    // A read that doesn't wait shows soon that a silent store answers again.
-    let wait = if node.is_failing(topic) { Duration::ZERO } else { read_wait(topic) };
-    let read = node.store().read(topic, *next, wait, limits.max_kb).await;
+    // A read that doesn't wait shows soon that a silent store answers again, or that the configuration is the newest.
+    let confirm = topic == Topic::Operator && cursor.unconfirmed;
+    let wait = if node.is_failing(topic) || confirm { Duration::ZERO } else { read_wait(topic) };
+    let read = node.store().read(topic, cursor.next, wait, limits.max_kb).await;
     match node.take_decoded(read) {
         ReadResult::Records { records, next: resume_at, end } => {
             limits.on_read();
             for stored in &records {
                 apply(node, topic, stored, &mut Listed::default());
             }
-            *next = resume_at;
+            *cursor = Cursor { next: resume_at, unconfirmed: !records.is_empty() };
             let answered = node.clock().now();
-            let at_end = *next >= end;
+            let at_end = cursor.next >= end;
             // The store holds a read without records for `wait`.
             let held = topic == Topic::Operator && records.is_empty();
             let known_until = if held { answered.min(sent + wait) } else { sent };
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -11,6 +11,7 @@
 mod clients;
 mod clock;
 mod commands;
+mod configuration;
 mod core;
 mod dump;
 mod failing_topics;
@@ -28,6 +29,7 @@
 pub use crate::{
     bad_entries::{BadEntry, BadEntryLog, Decoded, LogAction},
     clock::Clock,
+    configuration::{Configuration, MAX_CONFIGURATION_AGE, NoRoute},
     failing_topics::{FailingTopics, FailureCounts, FailureReport, Regained},
     node::{Node, NodeOptions},
     read_limits::ReadLimits,
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -345,8 +345,8 @@
         let metrics = &self.metrics;
         metrics.set_relays(self.relays.count());
         let core = &mut *self.core.borrow_mut();
-        metrics.set_config(core.routes.as_ref().map_or(0, |routes| routes.version));
-        if let Some(age) = core.config_age(self.clock.now()) {
+        metrics.set_config(core.configuration.version().unwrap_or(0));
+        if let Some(age) = core.configuration.age(self.clock.now()) {
             metrics.set_config_age(age);
         }
         metrics.set_evacuated(core.evacuated.len());
@@ -440,7 +440,11 @@
                     core.work_progress = ReadProgress { complete_until, ..progress };
                     core.leadership.on_read(now);
                 }
-                Topic::Operator => core.on_operator_read(progress.complete_until),
+                Topic::Operator => {
+                    if let Some(until) = progress.complete_until {
+                        core.configuration.set_complete_until(until);
+                    }
+                }
                 Topic::Terms | Topic::Directory => {}
             }
         }
