A leader that can't read the evacuations starts nothing

The same cause as with the configuration, looked for elsewhere: a leader whose reads of the operator's topic alone fail went on starting tasks in a data centre that had been evacuated meanwhile, however long ago. Only one that had never read the topic held back.

From an age of 4 s on it starts nothing, as one whose authority has ended for want of the store. unknown_for_long failed before (34 starts at the evacuated worker after the 5 s, where 28 were allowed) and passes.

--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -69,8 +69,6 @@
     pub(crate) waves: BTreeMap<u64, (Time, Wave)>,
     /// Evacuated data centres.
     pub(crate) evacuated: BTreeSet<CompactString>,
-    /// Whether all entries of the operator have been read once.
-    operator_loaded: bool,
     pub(crate) work_progress: ReadProgress,
     /// The newest announcement of a term.
     pub(crate) announcement: Option<Announcement>,
@@ -95,7 +93,6 @@
             configuration: Configuration::default(),
             waves: BTreeMap::new(),
             evacuated: BTreeSet::new(),
-            operator_loaded: false,
             work_progress: ReadProgress::default(),
             announcement: None,
             terms_loaded: false,
@@ -170,7 +167,6 @@
 
     /// Handles a load of the operator's entries: if it is complete, evacuations that it doesn't list have ended.
     pub(crate) fn on_operator_loaded(&mut self, listed: &Listed) {
-        self.operator_loaded = true;
         if listed.complete {
             self.evacuated.retain(|data_centre| listed.evacuated.contains(data_centre));
         }
@@ -313,12 +309,11 @@
         if self.stopping {
             return;
         }
-        let lagging = self.is_lagging();
+        let lagging = self.is_lagging() || self.may_miss_evacuations(now);
         let authority = self.leadership.authority(now);
         let Some(scheduler) = &mut self.scheduler else { return };
         if authority.is_some() {
-            // Before the first load, evacuations aren't known.
-            scheduler.set_lagging(lagging || !self.operator_loaded);
+            scheduler.set_lagging(lagging);
             scheduler.tick(now, wall_ms, &mut out.scheduler);
         } else {
             scheduler.send_heartbeat(now, &mut out.scheduler);
@@ -354,6 +349,11 @@
         })
     }
 
+    /// Whether there may be evacuations that this process hasn't read in time.
+    fn may_miss_evacuations(&self, now: Time) -> bool {
+        self.configuration.age(now).is_none_or(|age| age >= MAX_EVACUATIONS_AGE)
+    }
+
     /// Address of the leader for records, if another process leads.
     pub(crate) fn other_leader(&self) -> Option<SocketAddr> {
         Some(self.other_term()?.addr)
@@ -390,6 +390,11 @@
 /// Maximum lag of reads with which the number of pending workflows is still reported.
 const MAX_LAG: Duration = Duration::from_millis(1_800);
 
+/// Age of the last read of the operator's topic from which a leader starts nothing. Nothing may be started in a data centre
+/// 5 s after its evacuation, and starts are sent within 0.5 s. While the whole store is away, a leader's authority ends by
+/// then, too.
+const MAX_EVACUATIONS_AGE: Duration = Duration::from_secs(4);
+
 /// Lag of reads behind appends at which a leader starts no tasks. Reads wait for up to 0.6 s and starts are sent
 /// within 0.5 s; a task must not start 3 s after its cancellation.
 const LAGGING_AFTER: Duration = Duration::from_millis(1_500);
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -103,7 +103,7 @@
     match topic {
         Topic::Work => "what runs; orders for 4 s; known states",
         Topic::Terms => "standbys that are known",
-        Topic::Operator => "the configuration in force",
+        Topic::Operator => "known workflows; new ones for 2 s; starts for 4 s",
         Topic::Directory => "workers that are known",
     }
 }
