An unreadable newest configuration doesn't show that a route is absent

Also the same class: the newest configuration is known to exist but couldn't be read, the one before stays in force, and a route that only the newest one has was answered 404, which is final for the client. It is answered 503 until a configuration can be read. malformed_configurations asks for such a route beside each malformed configuration: 404 before.

--- a/crates/runtime/src/configuration.rs
+++ b/crates/runtime/src/configuration.rs
@@ -18,7 +18,7 @@
 pub enum NoRoute {
     /// The configuration has none for it.
     Absent,
-    /// No configuration has been read, or there may be a newer one.
+    /// No configuration has been read, or there may be a newer one, or the newest one couldn't be read.
     Unknown,
 }
 
@@ -28,11 +28,14 @@
     routes: Option<RouteTable>,
     /// All versions published before are known.
     complete_until: Option<Time>,
+    /// The newest one couldn't be read; the one before it stays in force.
+    newest_unreadable: bool,
 }
 
 impl Configuration {
     /// Puts routes in force, and returns whether they are newer than those before.
     pub fn apply(&mut self, table: RouteTable) -> bool {
+        self.newest_unreadable = false;
         if self.version().is_some_and(|current| current >= table.version) {
             return false;
         }
@@ -40,6 +43,11 @@
         true
     }
 
+    /// Notes that the newest configuration couldn't be read.
+    pub fn set_newest_unreadable(&mut self) {
+        self.newest_unreadable = true;
+    }
+
     /// Notes that all versions published before `until` are known.
     pub fn set_complete_until(&mut self, until: Time) {
         self.complete_until = self.complete_until.max(Some(until));
@@ -67,6 +75,7 @@
     /// The error tells whether it is known that there is none.
     pub fn find(&self, now: Time, host: &str, path: &str) -> Result<&Route, NoRoute> {
         let route = self.routes.as_ref().and_then(|table| table.find(host, path));
-        route.ok_or(if self.is_current(now) { NoRoute::Absent } else { NoRoute::Unknown })
+        let complete = self.is_current(now) && !self.newest_unreadable;
+        route.ok_or(if complete { NoRoute::Absent } else { NoRoute::Unknown })
     }
 }
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -234,6 +234,9 @@
             // The previous entry stays in effect.
             Err(error) => {
                 listed.complete = false;
+                if error.kind == EntryKind::Configuration {
+                    node.core_mut().configuration.set_newest_unreadable();
+                }
                 node.log_bad_entries(&[bad_entry(stored, &error)]);
             }
         },
