Soak: routes change, the operator's topic is withheld, workers start again under their names

A daemon that answers 404 for a route that has been there for 2 s, or 200 for one that has been gone for 2 s, is a violation whatever faults it has met. Two of the four workers say when they started, are away for 0.4 s and start again with nothing of before.

--- a/crates/egretlbd/tests/fault_soak.rs
+++ b/crates/egretlbd/tests/fault_soak.rs
@@ -1,6 +1,6 @@
 //! Soak test with real processes. Daemons are killed, paused, stopped and restarted by signals; the store rejects
-//! calls and loses responses; proxies delay, block, blackhole and reset connections to store and workers. The
-//! faults are drawn from a seed and may overlap.
+//! calls and loses responses; proxies delay, block, blackhole and reset connections to store and workers. Routes are added
+//! and removed, and workers start again under their names. All of it is drawn from a seed and may overlap.
 //!
 //! CI runs two seeds. Manually: `EGRETLB_SOAK_SEEDS=1..51 cargo test --release -p egretlbd --test
 //! fault_soak -- --nocapture`. Each process has its own loopback address.
@@ -14,8 +14,9 @@
     http::Method,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     rustix::process::{Pid, Signal, kill_process},
+    serde_json::json,
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         env, fs,
         net::SocketAddr,
         process::{Child, Command, Stdio},
@@ -43,6 +44,21 @@
 /// Timeout of a client's request; a paused daemon doesn't respond.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time from the acknowledgement of a configuration until it must be in force.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(2);
+
+/// Maximum number of added routes.
+const MAX_ADDED: usize = 4;
+
+/// How long a worker that starts again is away.
+const RESTART_TIME: Duration = Duration::from_millis(400);
+
+/// When the first incarnations of workers started, in milliseconds since 1970.
+const FIRST_START_MS: u64 = 1_796_308_000_000;
+
+/// Workers with lower numbers say when they started.
+const NAMED_WORKERS: usize = 2;
+
 struct Daemon {
     number: usize,
     settings: String,
@@ -118,8 +134,17 @@
     }
 }
 
+/// A route that the operator adds or has removed.
+struct ChangedRoute {
+    queue: String,
+    is_present: bool,
+    changed_at: Instant,
+}
+
 struct Soak {
     rng: SmallRng,
+    /// Draws changes and restarts, so that the faults of a seed don't depend on them.
+    change_rng: SmallRng,
     platform: Platform,
     /// Between each daemon and the store.
     store_proxies: Vec<Proxy>,
@@ -127,6 +152,12 @@
     daemons: Vec<Daemon>,
     accepted: BTreeSet<String>,
     next_id: u64,
+    version: u64,
+    /// The last changes of the configuration; the oldest is forgotten.
+    routes: VecDeque<ChangedRoute>,
+    /// Workers that start again, and when.
+    restarts: Vec<(Instant, usize)>,
+    restart_count: u64,
     violations: Vec<String>,
 }
 
@@ -142,6 +173,9 @@
 impl Soak {
     async fn new(seed: u64) -> Soak {
         let mut platform = Platform::start(WORKERS).await;
+        for worker in platform.workers.iter().take(NAMED_WORKERS) {
+            worker.borrow_mut().born = json!(FIRST_START_MS);
+        }
         let worker_proxies = platform.proxy_workers().await;
         let mut store_proxies = Vec::new();
         for _ in 0..DAEMONS {
@@ -151,12 +185,17 @@
         let daemons = store_proxies.iter().enumerate().map(daemon).collect();
         Soak {
             rng: SmallRng::seed_from_u64(seed),
+            change_rng: SmallRng::seed_from_u64(!seed),
             platform,
             store_proxies,
             worker_proxies,
             daemons,
             accepted: BTreeSet::new(),
             next_id: seed << 32,
+            version: 1,
+            routes: VecDeque::new(),
+            restarts: Vec::new(),
+            restart_count: 0,
             violations: Vec::new(),
         }
     }
@@ -201,8 +240,88 @@
         }
     }
 
+    /// Changes routes, withholds the operator's topic, or takes a worker down that starts again under its name.
+    fn inject_change(&mut self) {
+        match self.change_rng.random_range(0..8) {
+            0..4 => self.change_routes(),
+            4 => self.platform.store.borrow_mut().busy_topic = Some("keyed.op".to_string()),
+            5 => self.platform.store.borrow_mut().busy_topic = None,
+            _ => {
+                let worker = self.change_rng.random_range(0..NAMED_WORKERS);
+                if !self.restarts.iter().any(|(_, other)| *other == worker) {
+                    self.worker_proxies[worker].reset_open_connections();
+                    self.worker_proxies[worker].set_fault(Fault::BlockAll);
+                    self.restarts.push((Instant::now() + RESTART_TIME, worker));
+                }
+            }
+        }
+    }
+
+    /// Adds a route, or removes one that was added before.
+    fn change_routes(&mut self) {
+        self.version += 1;
+        let (queue, is_present) = match self.routes.iter().position(|route| route.is_present) {
+            Some(index) if self.change_rng.random_bool(0.5) => {
+                let removed = self.routes.remove(index).expect("it is there");
+                (removed.queue, false)
+            }
+            _ => (format!("added-{}", self.version), true),
+        };
+        self.routes.push_back(ChangedRoute { queue, is_present, changed_at: Instant::now() });
+        if self.routes.len() > MAX_ADDED {
+            self.routes.pop_front();
+        }
+        let present = self.routes.iter().filter(|route| route.is_present);
+        let mut queues = vec!["queue"];
+        queues.extend(present.map(|route| route.queue.as_str()));
+        self.platform.configure(self.version, &queues);
+        if let Some(changed) = self.routes.back_mut() {
+            changed.changed_at = Instant::now();
+        }
+    }
+
+    /// Starts workers again whose time away is over.
+    fn restart_workers(&mut self) {
+        let now = Instant::now();
+        let due: Vec<usize> =
+            self.restarts.iter().filter(|(at, _)| *at <= now).map(|(_, worker)| *worker).collect();
+        self.restarts.retain(|(at, _)| *at > now);
+        for number in due {
+            self.restart_count += 1;
+            let proxy = &self.worker_proxies[number];
+            let mut worker = self.platform.workers[number].borrow_mut();
+            worker.restart(FIRST_START_MS + self.restart_count);
+            let entry = worker.entry(proxy.addr, "ready");
+            self.platform.store.borrow_mut().put("keyed.servers", &worker.id, entry.as_bytes());
+            proxy.set_fault(Fault::None);
+        }
+    }
+
+    /// Asks a daemon about a route whose last change must be in force, and checks that it doesn't answer as before the
+    /// change.
+    async fn check_routes(&mut self) {
+        let sent_at = Instant::now();
+        let in_force =
+            |route: &&ChangedRoute| sent_at.duration_since(route.changed_at) >= IN_FORCE_WITHIN;
+        let routes: Vec<&ChangedRoute> = self.routes.iter().filter(in_force).collect();
+        if routes.is_empty() {
+            return;
+        }
+        let route = routes[self.change_rng.random_range(0..routes.len())];
+        let Daemon { number, ref client, .. } =
+            self.daemons[self.change_rng.random_range(0..DAEMONS)];
+        let path = format!("/{}/", route.queue);
+        let answer = request(client.clone(), Method::GET, &path, "").await;
+        let Some(answer) = answer else { return };
+        let outdated = if route.is_present { 404 } else { 200 };
+        if answer.status == outdated {
+            self.violations.push(format!("{path} is answered {outdated} by {number}"));
+        }
+    }
+
     /// Ends all faults and restarts all daemons.
     fn end_faults(&mut self) {
+        self.platform.store.borrow_mut().busy_topic = None;
         for link in self.store_proxies.iter().chain(&self.worker_proxies) {
             link.set_fault(Fault::None);
         }
@@ -272,11 +391,18 @@
         if soak.rng.random_bool(0.25) {
             soak.inject_fault();
         }
+        if soak.change_rng.random_bool(0.08) {
+            soak.inject_change();
+        }
+        soak.restart_workers();
         soak.submit().await;
         soak.check_single_runs();
+        soak.check_routes().await;
         sleep(Duration::from_millis(40)).await;
     }
     soak.end_faults();
+    sleep(RESTART_TIME).await;
+    soak.restart_workers();
     soak.wait_for_completion().await;
     (soak.accepted.len(), std::mem::take(&mut soak.violations))
 }
@@ -289,7 +415,8 @@
 }
 
 /// Faults of processes, store and connections while clients submit workflows. Guards against accepted workflows that
-/// are lost, unknown to a daemon or never completed, and against tasks that run on two workers at a time.
+/// are lost, unknown to a daemon or never completed, against tasks that run on two workers at a time, and against answers by a
+/// configuration that was replaced.
 #[test]
 fn faults_from_outside() {
     on_one_thread(async {
