A repeated submission is confirmed while the configuration may be outdated

A client may send a workflow again that was accepted before. While the configuration was outdated, the repetition was answered 503, which says that the workflow never runs.

A read that returns only records that can't be decoded doesn't count as one that was held without records.

--- a/crates/runtime/src/clients.rs
+++ b/crates/runtime/src/clients.rs
@@ -64,20 +64,15 @@
         Err(NoRoute::Unknown) => return unavailable(),
     };
     let id_text = &req.path[route.prefix.len()..];
-    // What is known of a workflow doesn't depend on its route.
-    let about_workflow = !id_text.is_empty() && req.method != Method::POST;
-    if !is_current && !about_workflow {
-        return unavailable();
-    }
     if id_text.is_empty() && req.method == Method::GET {
-        return pending(node, &route).await;
+        return if is_current { pending(node, &route).await } else { unavailable() };
     }
     let id: WorkflowId = match id_text.parse() {
         Ok(id) => id,
         Err(error) => return error_response(node, status::BAD_REQUEST, &error),
     };
     match req.method {
-        Method::POST => submit(node, &route, id, req).await,
+        Method::POST => submit(node, &route, is_current, id, req).await,
         Method::GET => show(node, id, arrived, req).await,
         Method::DELETE => cancel(node, id, arrived, req).await,
         _ => Response::empty(status::METHOD_NOT_ALLOWED),
@@ -101,16 +96,31 @@
     Response { body: node.formats().pending(count), ..Response::empty(status::OK) }
 }
 
-async fn submit(node: &Rc<Node>, route: &Route, id: WorkflowId, req: &Request) -> Response {
+/// Stores a workflow. If the configuration may be outdated, only one that is stored already is confirmed: the route may have
+/// been removed. Requests about a known workflow don't depend on it.
+async fn submit(
+    node: &Rc<Node>,
+    route: &Route,
+    is_current: bool,
+    id: WorkflowId,
+    req: &Request,
+) -> Response {
     let Some(body) = &req.body else { return Response::empty(status::TOO_LARGE) };
     let workflow =
         match node.formats().workflow(body).and_then(|parsed| parsed.check().map(|()| parsed)) {
             Ok(workflow) => workflow,
             Err(error) => return error_response(node, status::BAD_REQUEST, &error),
         };
-    if node.core().ledger.get(id).is_some() {
+    let is_stored = {
+        let core = node.core();
+        core.ledger.get(id).is_some() || core.accepted.contains(&id)
+    };
+    if is_stored {
         return Response::empty(status::OK);
     }
+    if !is_current {
+        return unavailable();
+    }
     let submission = Submission {
         route: route.name.clone(),
         service: route.service.clone(),
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -195,11 +195,12 @@
             for stored in &records {
                 apply(node, topic, stored, &mut Listed::default());
             }
-            *cursor = Cursor { next: resume_at, unconfirmed: !records.is_empty() };
+            let is_empty = resume_at == cursor.next;
+            *cursor = Cursor { next: resume_at, unconfirmed: !is_empty };
             let answered = node.clock().now();
             let at_end = cursor.next >= end;
             // The store holds a read without records for `wait`.
-            let held = topic == Topic::Operator && records.is_empty();
+            let held = topic == Topic::Operator && is_empty;
             let known_until = if held { answered.min(sent + wait) } else { sent };
             let progress = ReadProgress {
                 loaded: true,
