--- a/crates/runtime/tests/failing_topics.rs
+++ b/crates/runtime/tests/failing_topics.rs
@@ -11,7 +11,7 @@
 
 const OPERATOR: Topic = Topic::Operator;
 
-/// Guards against an outage whose cause can't be told from the logs.
+/// Guards against logs that don't show why reads fail.
 #[test]
 fn causes_counted() {
     let mut topics = FailingTopics::default();
