--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -19,6 +19,7 @@
 mod evacuation;
 mod fallback;
 mod gangs;
+mod given_up;
 mod idle_share;
 mod isolated_start;
 mod latency_critical;
