The cost of a placement pass doesn't grow with the queue's failing searches

Change: - a failed search is repeated only at workers that have more to offer since, not at each that was polled; as before, at all every 300 ms; - the searches of one pass share the list of workers with free capacity, and end at once if no worker has as much as the task demands; - a demand that fits no worker is skipped for all images, but where the image decides (best-effort and latency-critical tasks).

backlog_waited_for (large_fleet): 186,730 workers scanned for 10 waiting steps and 5,601,900 for 300 before; now at most twice as many for 300 as for 10.

--- a/crates/workflow/src/scheduler/candidates.rs
+++ b/crates/workflow/src/scheduler/candidates.rs
@@ -2,8 +2,8 @@
 //!
 //! Scanning all workers for each task would be too expensive: steps have dozens of tasks, and there are thousands of
 //! starts each second on hundreds of workers. A start only changes its own worker, so the other workers are
-//! scanned once for all tasks of a step that are placed together. If none qualifies, only workers polled or
-//! changed since are scanned again, and all workers after [`FULL_SCAN_INTERVAL`].
+//! scanned once for all tasks of a step that are placed together. If none qualifies, only workers that have more to
+//! offer since are scanned again, and all workers after [`FULL_SCAN_INTERVAL`].
 
 use {
     super::{
@@ -13,11 +13,13 @@
     },
     crate::{Step, TaskId, WorkerId},
     compact_str::CompactString,
-    egretlb_types::Time,
+    egretlb_types::{Resources, Time},
+    smallvec::SmallVec,
     std::{
         cmp::Reverse,
-        collections::{BinaryHeap, VecDeque},
+        collections::{BTreeSet, BinaryHeap, VecDeque},
         iter,
+        sync::Arc,
         time::Duration,
     },
 };
@@ -54,7 +56,27 @@
     }
 }
 
-/// The workers whose polls ended, answered or not, or that changed most recently, in order.
+/// What a worker has to offer to waiting tasks.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Offer {
+    accepts_work: bool,
+    free: Resources,
+    /// CPU for best-effort tasks, in millicores; none while a latency-critical task exceeds its target.
+    best_effort_cpu: Option<i64>,
+}
+
+impl Offer {
+    /// Whether a task may fit now that didn't fit `earlier`.
+    fn exceeds(&self, earlier: &Offer) -> bool {
+        self.accepts_work
+            && (!earlier.accepts_work
+                || !self.free.fits(&earlier.free)
+                || self.best_effort_cpu > earlier.best_effort_cpu)
+    }
+}
+
+/// The workers that most recently had more to offer than before, or whose entries changed, in order. Most polls of a busy
+/// worker change nothing.
 #[derive(Debug, Default)]
 pub(super) struct ContactLog {
     ids: VecDeque<WorkerId>,
@@ -63,7 +85,7 @@
 }
 
 impl ContactLog {
-    /// Adds a worker after a poll or a change.
+    /// Adds a worker.
     pub(super) fn note(&mut self, id: &WorkerId) {
         self.ids.push_back(id.clone());
         if self.ids.len() > MAX_CONTACTS {
@@ -84,6 +106,84 @@
     }
 }
 
+/// The workers with free capacity that the searches of one placement pass have to consider, by service and by the contact
+/// from which on they search. In a long queue hundreds of steps search the same workers in each pass, and most are full.
+/// During a pass no worker gains capacity.
+#[derive(Debug, Default)]
+pub(super) struct PassCache {
+    active: bool,
+    found: SmallVec<[Arc<AvailableWorkers>; 4]>,
+}
+
+impl PassCache {
+    /// Begins a pass.
+    pub(super) fn begin(&mut self) {
+        self.active = true;
+        self.found.clear();
+    }
+
+    /// Ends the pass: from now on workers may gain capacity.
+    pub(super) fn end(&mut self) {
+        self.active = false;
+        self.found.clear();
+    }
+
+    fn get(&self, service: &CompactString, since: Option<u64>) -> Option<Arc<AvailableWorkers>> {
+        self.found
+            .iter()
+            .find(|found| found.since == since && found.service == *service)
+            .map(Arc::clone)
+    }
+
+    fn add(&mut self, workers: &Arc<AvailableWorkers>) {
+        if self.active {
+            self.found.push(Arc::clone(workers));
+        }
+    }
+}
+
+/// Workers of a service that accept work and have free capacity.
+#[derive(Debug)]
+struct AvailableWorkers {
+    service: CompactString,
+    /// Only workers contacted since this contact number are included; all if none.
+    since: Option<u64>,
+    ids: Vec<WorkerId>,
+    /// In each dimension, the most that is free on one of them.
+    max_free: Resources,
+    /// The most CPU that best-effort tasks can get on one of them, in millicores.
+    max_best_effort_cpu: i64,
+}
+
+impl AvailableWorkers {
+    fn new(service: CompactString, since: Option<u64>) -> AvailableWorkers {
+        AvailableWorkers {
+            service,
+            since,
+            ids: Vec::new(),
+            max_free: Resources::default(),
+            max_best_effort_cpu: 0,
+        }
+    }
+
+    fn add(&mut self, id: &WorkerId, worker: &Worker) {
+        let (free, best_effort_cpu) = (worker.free(), worker.free_best_effort_cpu());
+        if free == Resources::default() && best_effort_cpu <= 0 {
+            return;
+        }
+        self.ids.push(id.clone());
+        self.max_free = self.max_free.max(&free);
+        self.max_best_effort_cpu = self.max_best_effort_cpu.max(best_effort_cpu);
+    }
+
+    /// Whether a task certainly fits none of them.
+    fn all_too_small(&self, requirements: &Requirements<'_>) -> bool {
+        let Step { best_effort, resources, .. } = *requirements.step;
+        !requirements.reserved.fits(&self.max_free)
+            || (best_effort && self.max_best_effort_cpu < i64::from(resources.cpu.0))
+    }
+}
+
 /// A worker that can take a task; ties are broken by the lowest id.
 #[derive(Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Candidate {
@@ -122,6 +222,24 @@
 }
 
 impl Scheduler {
+    /// What a worker has to offer now; none if it is unknown.
+    pub(super) fn offer(&self, now: Time, id: &WorkerId) -> Option<Offer> {
+        let worker = self.workers.get(id)?;
+        Some(Offer {
+            accepts_work: worker.accepts_work(now, &self.limits),
+            free: worker.free(),
+            best_effort_cpu: (!worker.over_target).then(|| worker.free_best_effort_cpu()),
+        })
+    }
+
+    /// Notes a worker that has more to offer than before a reply.
+    pub(super) fn note_gain(&mut self, now: Time, id: &WorkerId, earlier: Option<Offer>) {
+        let Some(offer) = self.offer(now, id) else { return };
+        if earlier.is_none_or(|earlier| offer.exceeds(&earlier)) {
+            self.contacts.note(id);
+        }
+    }
+
     /// Collects the workers that can take `task`, and thus the other waiting tasks of its step.
     pub(super) fn candidates(
         &mut self,
@@ -134,34 +252,52 @@
         let last_search = self
             .last_search(task)
             .filter(|last_search| now.since(last_search.at) < FULL_SCAN_INTERVAL);
-        let contacted =
-            last_search.and_then(|last_search| self.contacted_since(last_search.contacts));
-        let (candidates, scanned) = match &contacted {
-            Some(ids) => {
-                let workers = ids.iter().filter_map(|id| self.workers.get_key_value(id));
-                (self.candidates_among(now, task, service, requirements, workers), ids.len())
-            }
-            None => {
-                let workers = self.workers.iter();
-                (
-                    self.candidates_among(now, task, service, requirements, workers),
-                    self.workers.len(),
-                )
-            }
+        let since = last_search
+            .map(|last_search| last_search.contacts)
+            .filter(|since| self.contacts.since(*since).is_some());
+        let cached = self.pass_cache.get(service, since);
+        // Otherwise they are counted where they are collected.
+        let counted = cached.is_none();
+        let available =
+            cached.unwrap_or_else(|| self.collect_available_workers(now, service, since));
+        let candidates = if available.all_too_small(requirements) {
+            Vec::new()
+        } else {
+            self.stats.workers_scanned += if counted { 0 } else { available.ids.len() as u64 };
+            let workers = available.ids.iter().filter_map(|id| self.workers.get_key_value(id));
+            self.candidates_among(now, task, service, requirements, workers)
         };
-        self.stats.workers_scanned += scanned as u64;
-        let at =
-            last_search.filter(|_| contacted.is_some()).map_or(now, |last_search| last_search.at);
+        let at = last_search.filter(|_| since.is_some()).map_or(now, |last_search| last_search.at);
         self.set_last_search(task, candidates.is_empty().then_some(LastSearch { at, contacts }));
         Candidates { best_first: candidates.into(), last_popped: None }
     }
 
-    /// The workers contacted since `count`; none if those entries were dropped.
-    fn contacted_since(&self, count: u64) -> Option<Vec<WorkerId>> {
-        let mut ids: Vec<WorkerId> = self.contacts.since(count)?.cloned().collect();
-        ids.sort_unstable();
-        ids.dedup();
-        Some(ids)
+    /// The workers of a service with free capacity that were contacted since contact number `since`, or all.
+    fn collect_available_workers(
+        &mut self,
+        now: Time,
+        service: &CompactString,
+        since: Option<u64>,
+    ) -> Arc<AvailableWorkers> {
+        let mut available = AvailableWorkers::new(service.clone(), since);
+        let mut scanned = 0;
+        let mut add = |(id, worker): (&WorkerId, &Worker)| {
+            scanned += 1;
+            if worker.info.service == *service && worker.accepts_work(now, &self.limits) {
+                available.add(id, worker);
+            }
+        };
+        match since.and_then(|since| self.contacts.since(since)) {
+            Some(ids) => {
+                let ids: BTreeSet<&WorkerId> = ids.collect();
+                ids.into_iter().filter_map(|id| self.workers.get_key_value(id)).for_each(&mut add);
+            }
+            None => self.workers.iter().for_each(&mut add),
+        }
+        self.stats.workers_scanned += scanned;
+        let available = Arc::new(available);
+        self.pass_cache.add(&available);
+        available
     }
 
     fn candidates_among<'a>(
--- a/crates/workflow/src/scheduler/commands.rs
+++ b/crates/workflow/src/scheduler/commands.rs
@@ -146,7 +146,7 @@
         let answered =
             !matches!(result, StartResult::Unknown | StartResult::NotSent | StartResult::Withheld);
         self.start_window.on_settled(now, answered);
-        self.contacts.note(id);
+        let earlier = self.offer(now, id);
         if answered {
             self.on_command_answered(id);
         }
@@ -173,6 +173,7 @@
                 self.on_start_rejected(now, id, task, run, Duration::ZERO);
             }
         }
+        self.note_gain(now, id, earlier);
     }
 
     fn on_started(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId, clock_ms: u64) {
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -147,6 +147,7 @@
     /// Workers that replied or changed recently; a step that found no worker searches only these again.
     contacts: candidates::ContactLog,
     pauses: restarted_workers::PauseDetector,
+    pass_cache: candidates::PassCache,
     idle_share: idle_share::IdleShare,
     /// Demands of running best-effort tasks that recently fit no other worker.
     failed_searches: candidates::FailedSearches,
@@ -250,6 +251,7 @@
             start_window: StartWindow::new(now),
             contacts: candidates::ContactLog::default(),
             pauses: restarted_workers::PauseDetector::new(now),
+            pass_cache: candidates::PassCache::default(),
             idle_share: idle_share::IdleShare::default(),
             failed_searches: candidates::FailedSearches::default(),
             cpu_being_freed: Vec::new(),
--- a/crates/workflow/src/scheduler/placement.rs
+++ b/crates/workflow/src/scheduler/placement.rs
@@ -22,7 +22,29 @@
     service: CompactString,
     resources: Resources,
     best_effort: bool,
-    image: ImageNo,
+    /// The image; none if any task with these resources fits no worker, whatever its image.
+    image: Option<ImageNo>,
+}
+
+impl UnmetDemand {
+    fn new(service: &CompactString, step: &Step, image: ImageNo) -> UnmetDemand {
+        let Step { resources, best_effort, .. } = *step;
+        let depends_on_image = best_effort || step.target_ms > 0;
+        UnmetDemand {
+            service: service.clone(),
+            resources,
+            best_effort,
+            image: depends_on_image.then_some(image),
+        }
+    }
+
+    /// Whether a step's tasks demand at least as much, so that they fit no worker either.
+    fn covers(&self, service: &CompactString, step: &Step, image: ImageNo) -> bool {
+        self.best_effort == step.best_effort
+            && self.image.is_none_or(|own| own == image)
+            && self.resources.fits(&step.resources)
+            && self.service == *service
+    }
 }
 
 impl Scheduler {
@@ -34,9 +56,12 @@
         let mut longest_wait = Duration::ZERO;
         let keys: Vec<QueuedStep> = self.queued_steps.iter().copied().collect();
         self.cpu_being_freed.clear();
+        self.pass_cache.begin();
+        let mut complete = true;
         for key in keys {
-            if !self.may_start() {
-                return;
+            complete = self.may_start();
+            if !complete {
+                break;
             }
             if self.place_step(now, key, &mut unmet, out) {
                 self.queued_steps.remove(&key);
@@ -44,6 +69,10 @@
                 longest_wait = longest_wait.max(self.step_wait(now, key));
             }
         }
+        self.pass_cache.end();
+        if !complete {
+            return;
+        }
         self.best_effort_wait = longest_wait;
         self.colocation.update_safety_factor(now, longest_wait);
     }
@@ -67,13 +96,7 @@
             return false;
         }
         let image = self.colocation.image(&step.image);
-        let is_unmet = |demand: &UnmetDemand| {
-            demand.service == *service
-                && demand.best_effort == step.best_effort
-                && demand.image == image
-                && demand.resources.fits(&step.resources)
-        };
-        let demand_is_unmet = unmet.iter().any(is_unmet);
+        let demand_is_unmet = unmet.iter().any(|demand| demand.covers(service, step, image));
         // Quarantined and reserved workers, the last resort of long-running tasks, aren't covered by `unmet`.
         if demand_is_unmet && !(step.long_running && self.has_last_resort(now, key.task(0))) {
             return false;
@@ -118,14 +141,7 @@
                 let needs_ticket = self.queue_ticket_query(key);
                 self.preempt_for(now, key, service, step, out);
                 if step.label.is_none() && step.per_worker == 0 && !needs_ticket && !avoids_worker {
-                    let Requirements { image, .. } = requirements;
-                    let Step { resources, best_effort, .. } = *step;
-                    unmet.push(UnmetDemand {
-                        service: service.clone(),
-                        resources,
-                        best_effort,
-                        image,
-                    });
+                    unmet.push(UnmetDemand::new(service, step, image));
                 }
                 return false;
             };
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -55,7 +55,7 @@
         result: &PollResult,
         out: &mut Vec<Effect>,
     ) {
-        self.contacts.note(id);
+        let earlier = self.offer(now, id);
         self.pauses.note_event(now);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.poll_sent = None;
@@ -79,6 +79,7 @@
                 }
             }
         }
+        self.note_gain(now, id, earlier);
     }
 
     /// Sends the polls that are due.
--- a/crates/workflow/tests/large_fleet.rs
+++ b/crates/workflow/tests/large_fleet.rs
@@ -65,6 +65,32 @@
     assert!(scanned <= max_scanned, "{scanned} workers, {max_scanned} at most");
 }
 
+/// Number of workers that the leader scans within two seconds while the fleet is full and `steps` steps wait, none of which
+/// demands as much as those before it.
+fn scanned_for_backlog(steps: u32) -> u64 {
+    let mut world = world();
+    let mut long_step = large_step(WORKERS as u32);
+    long_step.estimate_ms = 20_000;
+    world.submit(1, &submission(vec![long_step]));
+    world.run(SECOND);
+    for index in 0..steps {
+        let mut waiting_step = large_step(1);
+        waiting_step.resources.cpu.0 -= 10 * index;
+        world.submit(u64::from(2 + index), &submission(vec![waiting_step]));
+    }
+    world.run(SECOND);
+    workers_scanned(&mut world);
+    world.run(2 * SECOND);
+    workers_scanned(&mut world)
+}
+
+/// Guards against placement passes whose cost grows with the number of waiting steps.
+#[test]
+fn backlog_waited_for() {
+    let (short, long) = (scanned_for_backlog(10), scanned_for_backlog(300));
+    assert!(long <= 2 * short, "{short} workers for 10 steps, {long} for 300");
+}
+
 /// Guards against a waiting task that uses freed capacity only at the next full scan.
 #[test]
 fn freed_room_used() {
