Long-running tasks that were at work go first after 2 s, and aren't stopped again at once

Callers saw long-running tasks stopped by batch tasks or with their leaving workers at 15 to 22 s of bursts-and-leaving, and started again after 42 s.

Cause, by counters of the leader (queue by kind, room for each task that waits, what cut a pass short): whatever room a batch task leaves goes to the next batch task, since these come first at equal priority; nothing ever fits a long-running task by its turn, although rooms come free all the time. The order alone, taken back in, made preemption undo each start 3 s later.

Three levers together: - order: long-running tasks that were at work and are down for 2 s come first in a pass, so also at the limit of starts under way; - preemption: a run isn't preempted before it has lasted as long as its task was down before it, 3 s at least; - batch tasks that miss their target anyway preempt for one place at a time. Not at all, as tried first, would put them off forever where long-running tasks fill a service: held_and_stopped, lasting_lines, room_shared and why_waiting failed with that.

What is left are tasks of 7 to 10 cores of the large deployment: no worker has that much free at once while smaller tasks are started beside it.

--- a/crates/workflow/src/scheduler/attempt.rs
+++ b/crates/workflow/src/scheduler/attempt.rs
@@ -7,6 +7,7 @@
         colocation::{Colocation, ImageNo},
     },
     egretlb_types::{MilliCores, Resources, Time},
+    std::time::Duration,
 };
 
 /// The state of an attempt.
@@ -39,6 +40,8 @@
     pub(crate) phase: Phase,
     /// The task had been started before.
     pub(crate) is_restart: bool,
+    /// How long the task was without a run before this one; zero for its first run.
+    pub(crate) down_before: Duration,
     /// The worker's clock, in milliseconds, after which the worker rejects the start. None if a previous leader
     /// started it.
     pub(crate) start_deadline_ms: Option<u64>,
@@ -132,6 +135,7 @@
         Attempt {
             phase,
             is_restart: false,
+            down_before: Duration::ZERO,
             start_deadline_ms: None,
             isolated: false,
             inherited_in_crash_window: false,
--- a/crates/workflow/src/scheduler/placement.rs
+++ b/crates/workflow/src/scheduler/placement.rs
@@ -16,6 +16,9 @@
 /// so that they exceed those of previous leaders: workers reject starts with lower numbers.
 const EPOCH_RUN_STRIDE: u64 = 1_000;
 
+/// How long a long-running task that was at work waits behind batch tasks; below the platform's limit of 3 s.
+const OVERDUE_AFTER: Duration = Duration::from_secs(2);
+
 /// A demand that fits no worker in this placement pass; equal or larger demands are skipped for the rest of it.
 #[derive(Clone, Debug)]
 struct UnmetDemand {
@@ -54,7 +57,7 @@
     pub(super) fn place_queued_steps(&mut self, now: Time, out: &mut Vec<Effect>) {
         let mut unmet: SmallVec<[UnmetDemand; 8]> = SmallVec::new();
         let mut longest_wait = Duration::ZERO;
-        let keys: Vec<QueuedStep> = self.queued_steps.iter().copied().collect();
+        let keys = self.placement_order(now);
         self.cpu_being_freed.clear();
         self.pass_cache.begin();
         let mut complete = true;
@@ -77,6 +80,28 @@
         self.colocation.update_safety_factor(now, longest_wait);
     }
 
+    /// The queued steps in the order in which they are placed. Long-running tasks that were at work and have waited for too
+    /// long come first: batch tasks may use up the starts and the freed capacity for as long as they keep arriving.
+    fn placement_order(&self, now: Time) -> Vec<QueuedStep> {
+        let (mut keys, others): (Vec<QueuedStep>, Vec<QueuedStep>) =
+            self.queued_steps.iter().partition(|key| self.is_overdue(now, **key));
+        keys.extend(others);
+        keys
+    }
+
+    /// Whether a long-running task of the step that was at work has waited for too long.
+    fn is_overdue(&self, now: Time, key: QueuedStep) -> bool {
+        if !key.long_running {
+            return false;
+        }
+        let workflow = self.workflows.get(&key.workflow);
+        let occurrence = workflow.and_then(|workflow| workflow.occurrences.get(&key.occurrence));
+        let step = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(key.step)));
+        let Some(step) = step else { return false };
+        let down_since = |index: &u32| step.tasks.get(*index as usize)?.down_since;
+        step.queue.iter().filter_map(down_since).any(|since| now.since(since) >= OVERDUE_AFTER)
+    }
+
     /// Places the waiting tasks of a step; returns whether none is left.
     fn place_step(
         &mut self,
@@ -246,6 +271,8 @@
         let run = run.or(announced).unwrap_or_else(|| self.next_run(task));
         let is_restart = self.was_started(task);
         let isolated = self.is_suspect(task);
+        let down_since = self.task(task).and_then(|state| state.down_since);
+        let down_before = down_since.map_or(Duration::ZERO, |since| now.since(since));
         let limits = self.limits;
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(until_ms) = worker.lease_until(now, limits.lease, limits.lease_bound()) else {
@@ -255,6 +282,7 @@
         worker.next_poll_at = worker.next_poll_at.min(now + limits.poll_gap);
         let mut attempt = Attempt::new(now, requirements, Phase::Starting).with_isolation(isolated);
         attempt.is_restart = is_restart;
+        attempt.down_before = down_before;
         attempt.start_deadline_ms = Some(until_ms);
         worker.insert(task, run, attempt);
         if isolated {
--- a/crates/workflow/src/scheduler/preempt.rs
+++ b/crates/workflow/src/scheduler/preempt.rs
@@ -19,7 +19,8 @@
 /// below the platform's limit of 3 s for starting a long-running task that fits.
 const DEFER_FOR: Duration = Duration::from_secs(2);
 
-/// Minimum run time before a long-running task is stopped; earlier, its start would have been wasted.
+/// Minimum run time before a long-running task is stopped; earlier, its start would have been wasted. After a longer
+/// downtime it runs for at least as long, so that it isn't stopped again and again.
 const MIN_RUN_TIME: Duration = Duration::from_secs(3);
 
 /// Maximum number of tasks stopped in one pass, so that a wide step doesn't preempt a whole service before the
@@ -57,7 +58,10 @@
         }
         self.batch_blocked_at = Some(now);
         let waiting = self.queue_of(key).map_or(0, |queue| queue.len());
-        let needed_cpu = u64::from(step.resources.cpu.0) * waiting as u64;
+        // Tasks that miss their target anyway get one place at a time, so that they aren't put off forever either.
+        let late = self.wall_ms + u64::from(step.estimate_ms) > key.due_ms;
+        let places = if late { waiting.min(1) } else { waiting };
+        let needed_cpu = u64::from(step.resources.cpu.0) * places as u64;
         let QueuedStep { workflow, occurrence, step: step_index, .. } = key;
         let first_task = TaskId { workflow, occurrence, step: step_index, index: 0 };
         let mut freed_cpu =
@@ -148,7 +152,7 @@
         .filter(move |(_, attempt)| {
             attempt.preemptible
                 && is_running(attempt.phase)
-                && now.since(attempt.placed_at) >= MIN_RUN_TIME
+                && now.since(attempt.placed_at) >= MIN_RUN_TIME.max(attempt.down_before)
         })
         .filter(move |(_, attempt)| step.resources.fits(&free.plus(&attempt.reserved)))
         .map(|(key, attempt)| (*key, attempt))
