Two tasks that are to be given up for the same shared crash are both started again

Cause, by trace: the crash of worker-8 at 125.0 s was shared by eight tasks. Two of them then lost their workers in isolated starts, one by its own crash, the other 0.4 s into its start by an unrelated exit. Each counted as given up, so neither was an undecided suspect for the other; both were decided at once, and the innocent one came first.

At most one of them is the cause, and one more isolated start shows which: a second crash alone decides without the shared one, and clears it from the others. A crashing task loses one worker more in that case, three in all.

--- a/crates/workflow/src/scheduler/isolated_start.rs
+++ b/crates/workflow/src/scheduler/isolated_start.rs
@@ -8,7 +8,7 @@
         Attempt, QueuedStep, Requirements, Scheduler, Worker, active_workflow::TaskState,
         lost_workers::CRASH_WINDOW, placement::meets_requirements,
     },
-    crate::{AnnouncedRun, CrashEvidence, RunId, TaskId, WorkerId, crash::is_given_up},
+    crate::{AnnouncedRun, Crash, CrashEvidence, RunId, TaskId, WorkerId, crash::is_given_up},
     compact_str::CompactString,
     egretlb_types::Time,
     std::time::Duration,
@@ -39,6 +39,17 @@
     NoCapacity,
 }
 
+/// State of the decision on a task that is to be given up for a crash shared with others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Dispute {
+    /// Others that share the crash are still to be started in isolation.
+    Open,
+    /// Others that share the crash are to be given up for it, too.
+    Rivals,
+    /// The task is the only remaining suspect, or the others took too long.
+    Decided,
+}
+
 /// State of the crash window of a listed run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum CrashWindow {
@@ -113,10 +124,15 @@
             return IsolatedStart::Later;
         }
         if self.task(task).is_some_and(|state| is_given_up(&state.crashes)) {
-            if !self.awaits_other_suspects(now, task) {
-                self.exhausted.insert(task.workflow);
+            match self.dispute(now, task) {
+                Dispute::Open => return IsolatedStart::Later,
+                // At most one of them is the cause, which its next isolated start shows.
+                Dispute::Rivals => {}
+                Dispute::Decided => {
+                    self.exhausted.insert(task.workflow);
+                    return IsolatedStart::Later;
+                }
             }
-            return IsolatedStart::Later;
         }
         match self.announced_start(now, task, service, requirements) {
             Some(start) => start,
@@ -124,29 +140,35 @@
         }
     }
 
-    /// Whether another suspect of the shared crash that decides on a task is still to be started in isolation: if that
-    /// one is given up, the crash is cleared from this task.
-    fn awaits_other_suspects(&self, now: Time, task: TaskId) -> bool {
-        let Some(active) = self.workflows.get(&task.workflow) else { return false };
-        let Some(state) = self.task(task) else { return false };
+    /// Whether another suspect may have caused the shared crash that decides on a task: if that one is given up, the crash
+    /// is cleared from this task.
+    fn dispute(&self, now: Time, task: TaskId) -> Dispute {
+        let Some(active) = self.workflows.get(&task.workflow) else { return Dispute::Decided };
+        let Some(state) = self.task(task) else { return Dispute::Decided };
         let Some(worker) = state.disputed_worker(active.submission.max_attempts) else {
-            return false;
+            return Dispute::Decided;
         };
-        if self.down_since(task).is_none_or(|since| now.since(since) >= MAX_DECISION_DELAY) {
-            return false;
+        let is_shared =
+            |crash: &Crash| crash.evidence == CrashEvidence::Shared && crash.worker == *worker;
+        let occurrences = self.workflows.values().flat_map(|active| active.occurrences.values());
+        let steps = occurrences.flat_map(|occurrence| &occurrence.steps);
+        let (mut undecided, mut given_up) = (0, 0);
+        for other in steps.flat_map(|step| &step.tasks) {
+            if other.done || !other.crashes.iter().any(is_shared) {
+                continue;
+            }
+            *(if is_given_up(&other.crashes) { &mut given_up } else { &mut undecided }) += 1;
+        }
+        let overdue =
+            self.down_since(task).is_none_or(|since| now.since(since) >= MAX_DECISION_DELAY);
+        // The task itself is one of those.
+        if given_up > 1 {
+            Dispute::Rivals
+        } else if undecided > 0 && !overdue {
+            Dispute::Open
+        } else {
+            Dispute::Decided
         }
-        let is_undecided_suspect = |other: &TaskState| {
-            !other.done
-                && !is_given_up(&other.crashes)
-                && other
-                    .crashes
-                    .iter()
-                    .any(|crash| crash.evidence == CrashEvidence::Shared && crash.worker == *worker)
-        };
-        let steps = self.workflows.values().flat_map(|active| active.occurrences.values());
-        steps
-            .flat_map(|occurrence| &occurrence.steps)
-            .any(|step| step.tasks.iter().any(is_undecided_suspect))
     }
 
     /// Whether the announced run may start now; none if there is none or its worker doesn't qualify any more.
