--- a/crates/workflow/src/scheduler/lost_workers.rs
+++ b/crates/workflow/src/scheduler/lost_workers.rs
@@ -34,9 +34,9 @@
 /// run in its crash window replies every 250 ms.
 const MAX_LATER_CONTACT: Duration = Duration::from_millis(400);
 
-/// After this long without a reply from a worker, the runs in their crash window there are announced, since it may
-/// have crashed. Such a worker is polled every 250 ms.
-const ANNOUNCE_AFTER: Duration = Duration::from_secs(1);
+/// After this long without a reply from a worker, or once its address refuses a connection, the runs in their crash window
+/// there are announced, since it may have crashed. Such a worker is polled every 250 ms.
+const ANNOUNCE_AFTER: Duration = Duration::from_millis(500);
 
 /// After this long without a reply a worker counts as probably lost.
 const PROBABLY_LOST_AFTER: Duration = Duration::from_secs(2);
@@ -338,8 +338,10 @@
     /// Announces the runs in their crash window on unresponsive workers: they are recorded, so that a crash is counted
     /// even if the leader changes before the loss of the worker is certain.
     pub(super) fn announce_runs_on_unresponsive(&mut self, now: Time) {
-        let has_not_replied =
-            |worker: &Worker| worker.last_contact.is_some_and(|at| now.since(at) >= ANNOUNCE_AFTER);
+        let has_not_replied = |worker: &Worker| {
+            let silent_for = worker.last_contact.map_or(Duration::ZERO, |at| now.since(at));
+            worker.connection_refused || silent_for >= ANNOUNCE_AFTER
+        };
         let unresponsive = self.workers.iter().filter(|(_, worker)| has_not_replied(worker));
         let runs: Vec<(WorkerId, TaskId, RunId)> = unresponsive
             .flat_map(|(id, worker)| {
