--- a/crates/workflow/tests/seeded_successions.rs
+++ b/crates/workflow/tests/seeded_successions.rs
@@ -73,6 +73,15 @@
 /// its shared crash.
 const DISPUTED_SEEDS: [u64; 2] = [6_391, 20_481];
 
+/// Seeds on which two tasks are to be given up for the same shared crash.
+const RIVAL_SEEDS: [u64; 1] = [50_101];
+
+/// Seed on which two leaders stop right after a task's start, before its crash is known.
+const UNRECORDED_CRASH_SEEDS: [u64; 1] = [30_187];
+
+/// Seed on which a task loses two isolated starts while nobody leads, in each of which its whole rack is lost.
+const INHERITED_CRASH_SEEDS: [u64; 1] = [60_281];
+
 /// Maximum number of workers that one task may crash: two starts after the third crash are allowed.
 const MAX_CRASHES: u32 = 5;
 
@@ -407,3 +416,21 @@
 fn disputed_seeds() {
     run_all(&DISPUTED_SEEDS, CRASHING_TASKS);
 }
+
+/// Guards against tasks that are given up beside the one that caused the shared crash.
+#[test]
+fn rival_seeds() {
+    run_all(&RIVAL_SEEDS, CRASHING_TASKS);
+}
+
+/// Guards against crashing tasks that are started too often since leaders stopped before they had recorded their crashes.
+#[test]
+fn unrecorded_crash_seeds() {
+    run_all(&UNRECORDED_CRASH_SEEDS, CRASHING_TASKS);
+}
+
+/// Guards against tasks that are given up for losses of their workers that no leader saw.
+#[test]
+fn inherited_crash_seeds() {
+    run_all(&INHERITED_CRASH_SEEDS, CRASHING_TASKS);
+}
