Tasks whose crash is cleared before their workflow is ended are queued again

If the worker answers again before the next tick, its crash is taken back, the workflow isn't ended any more, and nothing would ever start the task. Comments of the searches reworded.

--- a/crates/workflow/src/scheduler/candidates.rs
+++ b/crates/workflow/src/scheduler/candidates.rs
@@ -106,9 +106,9 @@
     }
 }
 
-/// The workers with free capacity that the searches of one placement pass have to consider, by service and by the contact
-/// from which on they search. In a long queue hundreds of steps search the same workers in each pass, and most are full.
-/// During a pass no worker gains capacity.
+/// The workers with free capacity, as collected during a placement pass, by service and by the contact from which on the
+/// searches look. With a long queue, hundreds of steps search the same workers in each pass. Starts only reduce what is
+/// free, so a list remains complete until the end of the pass.
 #[derive(Debug, Default)]
 pub(super) struct PassCache {
     active: bool,
@@ -232,7 +232,7 @@
         })
     }
 
-    /// Notes a worker that has more to offer than before a reply.
+    /// Adds a worker to the contacts if it has more to offer than `earlier`, before a result from it was processed.
     pub(super) fn note_gain(&mut self, now: Time, id: &WorkerId, earlier: Option<Offer>) {
         let Some(offer) = self.offer(now, id) else { return };
         if earlier.is_none_or(|earlier| offer.exceeds(&earlier)) {
@@ -256,14 +256,14 @@
             .map(|last_search| last_search.contacts)
             .filter(|since| self.contacts.since(*since).is_some());
         let cached = self.pass_cache.get(service, since);
-        // Otherwise they are counted where they are collected.
-        let counted = cached.is_none();
+        let from_cache = cached.is_some();
         let available =
             cached.unwrap_or_else(|| self.collect_available_workers(now, service, since));
         let candidates = if available.all_too_small(requirements) {
             Vec::new()
         } else {
-            self.stats.workers_scanned += if counted { 0 } else { available.ids.len() as u64 };
+            // Newly collected ones have been counted already.
+            self.stats.workers_scanned += if from_cache { available.ids.len() as u64 } else { 0 };
             let workers = available.ids.iter().filter_map(|id| self.workers.get_key_value(id));
             self.candidates_among(now, task, service, requirements, workers)
         };
--- a/crates/workflow/src/scheduler/given_up.rs
+++ b/crates/workflow/src/scheduler/given_up.rs
@@ -15,7 +15,8 @@
 }
 
 impl ActiveWorkflow {
-    /// Whether a task that `predicate` holds for, given whether it belongs to a gang, has no attempts left and no run.
+    /// Whether a task without a run has no attempts left and meets `predicate`, which is also told whether the task belongs
+    /// to a gang.
     fn any_exhausted(&self, predicate: impl Fn(&TaskState, bool) -> bool) -> bool {
         let steps = &self.submission.workflow.steps;
         let max_attempts = self.submission.max_attempts;
@@ -49,10 +50,26 @@
             if workflow.is_some_and(|workflow| workflow.any_exhausted(|_, _| true)) {
                 self.give_up_crashing_tasks(now, id);
                 self.end_workflow(now, id, Outcome::Failed, out);
+            } else {
+                self.enqueue_pending(now, id);
             }
         }
     }
 
+    /// Queues all tasks of a workflow that are neither done nor running. A task that had no attempts left wasn't queued.
+    fn enqueue_pending(&mut self, now: Time, id: WorkflowId) {
+        let Some(workflow) = self.workflows.get(&id) else { return };
+        let mut pending: Vec<TaskId> = Vec::new();
+        for (occurrence, state) in &workflow.occurrences {
+            for (step, state) in (0u16..).zip(&state.steps) {
+                let tasks = (0u32..).zip(&state.tasks).filter(|(_, task)| task.is_pending());
+                let id = |(index, _)| TaskId { workflow: id, occurrence: *occurrence, step, index };
+                pending.extend(tasks.map(id));
+            }
+        }
+        pending.into_iter().for_each(|task| self.enqueue(now, task));
+    }
+
     /// Logs and counts the tasks of a workflow that are given up because they crash their workers, and clears the
     /// crashes that they explain from other tasks.
     fn give_up_crashing_tasks(&mut self, now: Time, id: WorkflowId) {
@@ -78,8 +95,8 @@
         }
     }
 
-    /// Clears the shared crashes of the given workers from the tasks of all other workflows. Some of these may have
-    /// attempts left now, and are queued again.
+    /// Clears the shared crashes of the given workers from the tasks of all other workflows. Some of these have attempts
+    /// left again, and are queued.
     fn clear_shared_crashes(&mut self, now: Time, given_up: WorkflowId, workers: &[WorkerId]) {
         let mut cleared: Vec<TaskId> = Vec::new();
         for (id, workflow) in self.workflows.iter_mut().filter(|(id, _)| **id != given_up) {
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -144,9 +144,10 @@
     /// Which block of workers the last regrouping pass scanned.
     regroup_block: usize,
     start_window: StartWindow,
-    /// Workers that replied or changed recently; a step that found no worker searches only these again.
+    /// Workers that recently had more to offer or changed; a step that found no worker searches only these again.
     contacts: candidates::ContactLog,
     pauses: restarted_workers::PauseDetector,
+    /// Workers with free capacity, shared by the searches of a placement pass.
     pass_cache: candidates::PassCache,
     idle_share: idle_share::IdleShare,
     /// Demands of running best-effort tasks that recently fit no other worker.
