Stored workflows beyond the limits are skipped, overdue occurrences begin in bounded numbers

What callers would see: one record stops every leader, one after the other, so nothing that was accepted runs any more.

Three causes of one class, a size from outside that is trusted: - Workflow::check was applied to requests alone. A stored submission of 4,294,967,295 tasks ended the process that leads by a failed allocation of 1 TiB, one that waits for a step which doesn't exist by a panic. The ledger checks them now, by limits of their own, which are never lowered. - A valid request could hold 1,000 steps of 100,000 tasks (25 GB at the leader), or be overdue by billions of occurrences, which began in one loop. Requests are limited to 200,000 tasks; of one workflow at most 200,000 tasks and 10,000 steps are unfinished at a time. - Times of occurrences were added without a check: in optimized builds one that is due beyond the range of times was due at once.

Not covered: progress, roster and other records of the system's own with absurd sizes; no fuzzing down to the scheduler yet.

--- a/crates/workflow/src/ledger/mod.rs
+++ b/crates/workflow/src/ledger/mod.rs
@@ -252,6 +252,7 @@
         // Repeated submissions are decoded too, so that an unreadable one is reported: it replaces the
         // first one in the store, and processes that start later read only the newest.
         let submission: Submission = read_value(value)?;
+        submission.workflow.check_readable().map_err(RecordError::Limits)?;
         if self.entries.get(&id).is_some_and(|entry| entry.submitted) {
             return Ok(LedgerChange::None);
         }
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -44,5 +44,8 @@
         Scheduler, SchedulerStats, ServiceWorkers, StartResult, StartWindow, StopResult,
         UnreadableRows, WaitingStep,
     },
-    spec::{MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS_PER_STEP, Repeat, SpecError, Step, Workflow},
+    spec::{
+        MAX_PAYLOAD_BYTES, MAX_STEPS, MAX_TASKS, MAX_TASKS_PER_STEP, Repeat, SpecError, Step,
+        Workflow,
+    },
 };
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -7,7 +7,8 @@
 
 use {
     crate::{
-        AdviceTerms, AnnouncedRun, Bits, Crash, RunId, TaskId, WorkerId, Workflow, WorkflowId,
+        AdviceTerms, AnnouncedRun, Bits, Crash, RunId, SpecError, TaskId, WorkerId, Workflow,
+        WorkflowId,
     },
     compact_str::CompactString,
     egretlb_types::{Epoch, Seq},
@@ -49,6 +50,8 @@
     },
     /// The value can't be decoded.
     Broken,
+    /// The submission is beyond the limits for stored workflows.
+    Limits(SpecError),
 }
 
 impl fmt::Display for RecordError {
@@ -61,6 +64,12 @@
                 write!(f, "value of form {version}; run one version everywhere")
             }
             RecordError::Broken => write!(f, "broken value; read the record again"),
+            RecordError::Limits(error) => {
+                write!(
+                    f,
+                    "workflow beyond the limits ({error}); does something else write to this topic?"
+                )
+            }
         }
     }
 }
@@ -203,6 +212,15 @@
     pub workflow: Workflow,
 }
 
+impl Submission {
+    /// Returns by when the workflow should be complete, in milliseconds since 1970.
+    pub(crate) fn due_ms(&self) -> u64 {
+        let critical_path_ms = self.workflow.critical_path_ms();
+        let stretched = critical_path_ms.saturating_mul(u64::from(self.stretch_permille)) / 1_000;
+        self.accepted_ms.saturating_add(stretched).saturating_add(u64::from(self.slack_ms))
+    }
+}
+
 /// How a workflow ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Outcome {
--- a/crates/workflow/src/scheduler/active_workflow.rs
+++ b/crates/workflow/src/scheduler/active_workflow.rs
@@ -5,6 +5,7 @@
         AnnouncedRun, Crash, Entry, OccurrenceProgress, Outcome, Progress, RunId, StepProgress,
         Submission, WorkerId,
         crash::{decisive_shared_crash, is_given_up, is_suspect},
+        spec::MAX_TASKS,
     },
     compact_str::CompactString,
     egretlb_types::Time,
@@ -15,6 +16,10 @@
     },
 };
 
+/// Maximum number of steps of all unfinished occurrences of a workflow, unless a single occurrence has more. Their
+/// progress must fit into a record of 256 KiB.
+const MAX_ACTIVE_STEPS: u64 = 10_000;
+
 /// A task of an occurrence.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TaskState {
@@ -140,11 +145,8 @@
     pub(crate) fn new(entry: &Entry, inherited: bool) -> Option<ActiveWorkflow> {
         let submission = Arc::clone(entry.submission.as_ref()?);
         let Progress { started, complete_below, complete, occurrences, .. } = &entry.progress;
-        let objective =
-            submission.workflow.critical_path_ms() * u64::from(submission.stretch_permille) / 1_000
-                + u64::from(submission.slack_ms);
         let mut active = ActiveWorkflow {
-            due_ms: submission.accepted_ms + objective,
+            due_ms: submission.due_ms(),
             submission,
             outcome: None,
             started: *started,
@@ -177,10 +179,20 @@
         occurrence
     }
 
+    /// Whether another occurrence may begin beside the unfinished ones. With many overdue at once, the
+    /// others wait.
+    pub(crate) fn may_begin_another(&self) -> bool {
+        let workflow = &self.submission.workflow;
+        let occurrences = self.occurrences.len() as u64 + 1;
+        self.occurrences.is_empty()
+            || (occurrences * workflow.steps.len() as u64 <= MAX_ACTIVE_STEPS
+                && occurrences * workflow.task_count() <= u64::from(MAX_TASKS))
+    }
+
     /// When occurrence `number` is due, in milliseconds since 1970.
     pub(crate) fn due_at(&self, number: u32) -> u64 {
         match self.submission.workflow.repeat {
-            Some(repeat) => repeat.first_ms + u64::from(number) * repeat.every_ms,
+            Some(repeat) => repeat.due_ms(number),
             None => 0,
         }
     }
--- a/crates/workflow/src/scheduler/queue.rs
+++ b/crates/workflow/src/scheduler/queue.rs
@@ -61,10 +61,14 @@
             if active.outcome.is_some() || !more || active.due_at(number) > self.wall_ms {
                 return;
             }
-            active.next_occurrence += 1;
             if active.complete.contains(&number) || active.occurrences.contains_key(&number) {
+                active.next_occurrence += 1;
                 continue;
             }
+            if !active.may_begin_another() {
+                return;
+            }
+            active.next_occurrence += 1;
             let occurrence = active.new_occurrence(None);
             active.occurrences.insert(number, occurrence);
             self.open_steps(now, id, number);
--- a/crates/workflow/src/spec.rs
+++ b/crates/workflow/src/spec.rs
@@ -18,6 +18,37 @@
 /// Maximum number of tasks per step. Progress takes one bit per task and must fit into a record.
 pub const MAX_TASKS_PER_STEP: u32 = 100_000;
 
+/// Maximum number of tasks of all steps. The leader keeps some 250 bytes per task.
+pub const MAX_TASKS: u32 = 200_000;
+
+/// Sizes up to which a workflow is taken.
+#[derive(Clone, Copy, Debug)]
+struct SizeLimits {
+    payload_bytes: usize,
+    steps: usize,
+    tasks_per_step: u32,
+    tasks: u64,
+}
+
+/// Limits for submissions of clients.
+const ACCEPTED: SizeLimits = SizeLimits {
+    payload_bytes: MAX_PAYLOAD_BYTES,
+    steps: MAX_STEPS,
+    tasks_per_step: MAX_TASKS_PER_STEP,
+    tasks: MAX_TASKS as u64,
+};
+
+/// Limits for stored submissions. They are never lowered: a workflow that an earlier version accepted must stay readable.
+const READABLE: SizeLimits =
+    SizeLimits { payload_bytes: 4_000, steps: 1_000, tasks_per_step: 100_000, tasks: 1_000_000 };
+
+const _: () = assert!(
+    ACCEPTED.payload_bytes <= READABLE.payload_bytes
+        && ACCEPTED.steps <= READABLE.steps
+        && ACCEPTED.tasks_per_step <= READABLE.tasks_per_step
+        && ACCEPTED.tasks <= READABLE.tasks
+);
+
 /// A group of identical tasks.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Step {
@@ -67,6 +98,19 @@
     pub count: u32,
 }
 
+impl Repeat {
+    /// Returns when the last occurrence is due, in milliseconds since 1970; `None` if out of range.
+    fn last_due_ms(&self) -> Option<u64> {
+        let intervals = u64::from(self.count.saturating_sub(1));
+        self.first_ms.checked_add(self.every_ms.checked_mul(intervals)?)
+    }
+
+    /// Returns when an occurrence is due, in milliseconds since 1970.
+    pub(crate) fn due_ms(&self, number: u32) -> u64 {
+        self.first_ms.saturating_add(self.every_ms.saturating_mul(u64::from(number)))
+    }
+}
+
 /// A workflow as it was submitted.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Workflow {
@@ -97,6 +141,8 @@
         /// The step's index.
         step: usize,
     },
+    /// All steps together have more than [`MAX_TASKS`].
+    TooManyTasks,
     /// A step depends on one that isn't earlier. Only earlier steps are allowed, which rules out
     /// cycles.
     After {
@@ -107,6 +153,8 @@
     },
     /// The workflow repeats more than once with an interval of zero.
     Repeat,
+    /// The last occurrence is due beyond the range of times.
+    RepeatRange,
 }
 
 impl fmt::Display for SpecError {
@@ -124,6 +172,9 @@
                 f,
                 "step {step} has no tasks or too many; give from 1 to {MAX_TASKS_PER_STEP}"
             ),
+            SpecError::TooManyTasks => {
+                write!(f, "too many tasks; give at most {MAX_TASKS} in all steps together")
+            }
             SpecError::After { step, after } => write!(
                 f,
                 "step {step} waits for step {after}, which isn't an earlier one; order the steps so \
@@ -132,6 +183,9 @@
             SpecError::Repeat => {
                 write!(f, "the interval is zero; give milliseconds between occurrences")
             }
+            SpecError::RepeatRange => {
+                write!(f, "the last occurrence is due too late; give fewer or shorter intervals")
+            }
         }
     }
 }
@@ -145,27 +199,50 @@
     ///
     /// The first violation.
     pub fn check(&self) -> Result<(), SpecError> {
-        if self.payload.len() > MAX_PAYLOAD_BYTES {
+        self.check_sizes(&ACCEPTED)?;
+        match self.repeat {
+            Some(repeat) if repeat.every_ms == 0 && repeat.count > 1 => Err(SpecError::Repeat),
+            Some(repeat) if repeat.last_due_ms().is_none() => Err(SpecError::RepeatRange),
+            _ => Ok(()),
+        }
+    }
+
+    /// Checks the sizes of a stored workflow, and that steps depend only on earlier ones.
+    ///
+    /// # Errors
+    ///
+    /// The first violation. No version of this crate has accepted such a workflow, or could run it.
+    pub(crate) fn check_readable(&self) -> Result<(), SpecError> {
+        self.check_sizes(&READABLE)
+    }
+
+    fn check_sizes(&self, limits: &SizeLimits) -> Result<(), SpecError> {
+        if self.payload.len() > limits.payload_bytes {
             return Err(SpecError::PayloadTooLong);
         }
         if self.steps.is_empty() {
             return Err(SpecError::NoSteps);
         }
-        if self.steps.len() > MAX_STEPS {
+        if self.steps.len() > limits.steps {
             return Err(SpecError::TooManySteps);
         }
         for (number, step) in self.steps.iter().enumerate() {
-            if step.count == 0 || step.count > MAX_TASKS_PER_STEP {
+            if step.count == 0 || step.count > limits.tasks_per_step {
                 return Err(SpecError::TaskCount { step: number });
             }
             if let Some(after) = step.after.iter().find(|after| usize::from(**after) >= number) {
                 return Err(SpecError::After { step: number, after: *after });
             }
         }
-        match self.repeat {
-            Some(repeat) if repeat.every_ms == 0 && repeat.count > 1 => Err(SpecError::Repeat),
-            _ => Ok(()),
+        if self.task_count() > limits.tasks {
+            return Err(SpecError::TooManyTasks);
         }
+        Ok(())
+    }
+
+    /// Returns the number of tasks of one occurrence.
+    pub(crate) fn task_count(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
     }
 
     /// Returns how many times the steps run.
