A leader whose predecessor recorded no roster waits from the last heartbeat

Callers saw long-running tasks stand still for up to 10.8 s after the last kill of a leader, though there was room: beyond the 10 s (3 s of contact, 4 s calm, 3 s) after which the platform counts them as lost.

Cause: a leader waits for 0.4 s for a lost worker before it records a roster. If it is killed before that, its successor doesn't know which leader may still send commands, and waited for authority and lease from its own election, 1.2 to 1.6 s after the kill.

All leaders before the last one lose their authority 4 s after its claim was stored, hence within 4 s of when its newest heartbeat was read. So the wait counts from there. A restarted process reads it when it starts, so its wait stays what it was.

No task runs twice: every append of an earlier leader that was acknowledged was stored before that claim, and authority counts from the sending of such an append. first_leader_still_commands shows a first leader that renews leases on a worker that only it reaches.

--- a/crates/workflow/src/leadership/succession.rs
+++ b/crates/workflow/src/leadership/succession.rs
@@ -32,6 +32,8 @@
     /// Epoch of the last leader; 0 if there was none.
     predecessor: Epoch,
     commands_until: Time,
+    /// Like `commands_until`, for all earlier leaders.
+    earlier_commands_until: Time,
     /// When the last leader's newest heartbeat was read.
     read_at: Time,
     /// Time since the start of the last leader's term at which that heartbeat was sent, in
@@ -56,17 +58,19 @@
                 began,
                 predecessor,
                 commands_until: latest,
+                earlier_commands_until: latest,
                 read_at: now,
                 term_ms: 0,
             };
         };
-        // Its authority counts from before the heartbeat was sent, hence from before it was read.
-        let commands_until =
-            if heartbeat.ended { now } else { latest.min(heartbeat.read_at + limits.authority) };
+        // Its authority counts from before the heartbeat was sent, hence from before it was read. That
+        // of the leaders before it counts from before its claim was stored.
+        let earlier_commands_until = latest.min(heartbeat.read_at + limits.authority);
         Succession {
             began,
             predecessor: heartbeat.epoch,
-            commands_until,
+            commands_until: if heartbeat.ended { now } else { earlier_commands_until },
+            earlier_commands_until,
             read_at: heartbeat.read_at,
             term_ms: heartbeat.term_ms,
         }
@@ -83,6 +87,11 @@
         self.commands_until
     }
 
+    /// Returns the time from which no earlier leader sends commands, whichever it is.
+    pub(crate) fn earlier_commands_until(&self) -> Time {
+        self.earlier_commands_until
+    }
+
     /// Converts a time of the last leader's term to this process's clock. The result may be
     /// slightly late, since a heartbeat is sent before it is read.
     pub(crate) fn local_time(&self, term_ms: u64) -> Time {
--- a/crates/workflow/src/scheduler/reconciliation.rs
+++ b/crates/workflow/src/scheduler/reconciliation.rs
@@ -33,7 +33,7 @@
             .flat_map(|(number, page)| page.entries.iter().map(move |entry| (number, page, entry)));
         for (number, page, entry) in entries {
             if self.workers.contains_key(&entry.id) {
-                self.inherit_twice_listed(now, &entry.id);
+                self.inherit_twice_listed(&entry.id);
                 continue;
             }
             let mut worker = Worker::new(now, placeholder(entry));
@@ -41,7 +41,7 @@
             self.roster.insert(number, entry.id.clone());
             worker.in_directory = false;
             worker.in_roster = true;
-            worker.lease_bound = self.inherited_lease_bound(now, page, &entry.state);
+            worker.lease_bound = self.inherited_lease_bound(page, &entry.state);
             worker.listed_draining = matches!(entry.state, RosterState::Draining { .. });
             worker.listed_unresponsive = matches!(
                 entry.state,
@@ -62,8 +62,8 @@
 
     /// Takes over a worker that two pages list, since a page was recorded after it had moved and the other one wasn't:
     /// anything may run there, by any earlier leader.
-    fn inherit_twice_listed(&mut self, now: Time, id: &WorkerId) {
-        let latest = now + self.limits.authority + self.limits.lease_bound();
+    fn inherit_twice_listed(&mut self, id: &WorkerId) {
+        let latest = self.succession.earlier_commands_until() + self.limits.lease_bound();
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.lease_bound = latest;
         worker.inherited = Some(Inherited::RunsUnknown);
@@ -129,17 +129,11 @@
     }
 
     /// When all runs that earlier leaders started at a worker must have lapsed.
-    fn inherited_lease_bound(
-        &self,
-        now: Time,
-        page: &RosterPage,
-        roster_state: &RosterState,
-    ) -> Time {
+    fn inherited_lease_bound(&self, page: &RosterPage, roster_state: &RosterState) -> Time {
         let max_lease = self.limits.lease_bound();
         // If the last leader wrote no roster, it is unknown which of its predecessors can still
-        // send commands. All of them lose their authority within this time after the last leader's
-        // claim.
-        let latest = now + self.limits.authority + max_lease;
+        // send commands.
+        let latest = self.succession.earlier_commands_until() + max_lease;
         let by_predecessor = self.succession.follows(page.epoch);
         match roster_state {
             RosterState::Open | RosterState::Draining { .. } if by_predecessor => {
--- /dev/null
+++ b/crates/workflow/tests/unrostered_leader.rs
@@ -0,0 +1,98 @@
+//! A leader is killed before it records a roster, and another process takes over.
+
+mod support;
+
+use {
+    egretlb_workflow::{Limits, TaskId, WorkflowId},
+    std::time::Duration,
+    support::{long_running, submission, world::World},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Long-running tasks, each of which takes a worker.
+const TASKS: u32 = 6;
+
+/// Creates a simulation in which six workers run one long-running task each, and two workers are free.
+fn world(seed: u64) -> (World, WorkflowId) {
+    let mut world = World::new(seed, 4, 6, Limits::default());
+    world.run(2 * SECOND);
+    let id = world.submit(1, &submission(vec![long_running(TASKS, 8)]));
+    world.run(2 * SECOND);
+    world.add_worker(8);
+    world.add_worker(8);
+    world.run(SECOND);
+    (world, id)
+}
+
+fn all_run(world: &World, id: WorkflowId) -> bool {
+    let task = |index| TaskId { workflow: id, occurrence: 0, step: 0, index };
+    (0..TASKS).all(|index| world.checker.is_running(task(index)))
+}
+
+/// Returns the number of a worker that runs a task.
+fn busy_worker(world: &World) -> usize {
+    let busy = world.workers.iter().position(|worker| !worker.running.is_empty());
+    busy.expect("six tasks run")
+}
+
+/// Waits for a leader other than `earlier`.
+fn next_leader(world: &mut World, seed: u64, earlier: &[usize]) -> usize {
+    let replaced = |world: &World| world.leader().is_some_and(|leader| !earlier.contains(&leader));
+    assert!(world.run_until(4 * SECOND, replaced).is_some(), "{seed}");
+    world.leader().expect("somebody leads")
+}
+
+/// Time from its election at which the second leader is killed. It waits for 400 ms for the lost worker before it records a
+/// roster.
+fn killed_after(seed: u64) -> Duration {
+    Duration::from_millis(50 + seed * 37 % 300)
+}
+
+/// Guards against a leader that waits for a lost worker from its own election, 1.6 s after its predecessor was killed.
+#[test]
+fn waits_from_last_heartbeat() {
+    for seed in 0..12 {
+        let (mut world, id) = world(seed);
+        let lost = busy_worker(&world);
+        world.workers[lost].crash(&mut world.checker);
+        world.run(Duration::from_millis(seed * 220));
+        let first = world.leader().expect("somebody leads");
+        world.kill(first);
+        let second = next_leader(&mut world, seed, &[first]);
+        world.run(killed_after(seed));
+        world.kill(second);
+        // The second leader's authority (4 s), the maximum lease (5.2 s) and a start.
+        let took = world.run_until(14 * SECOND, |world| all_run(world, id));
+        assert!(took.is_some_and(|took| took < Duration::from_millis(9_400)), "{seed}: {took:?}");
+        assert_eq!(world.checker.violations, Vec::<String>::new(), "{seed}");
+    }
+}
+
+/// Guards against a third leader that doesn't wait for the first one, which has lost the store and renews leases on a worker
+/// that only it reaches.
+#[test]
+fn first_leader_still_commands() {
+    for seed in 0..24 {
+        let (mut world, id) = world(seed);
+        let first = world.leader().expect("somebody leads");
+        let busy = busy_worker(&world);
+        world.workers[busy].rate = 980;
+        world.nodes[first].reaches_store = false;
+        // No other worker reports a later leader to it.
+        let others = (0..world.workers.len()).filter(|worker| *worker != busy);
+        world.nodes[first].unreachable = others.collect();
+        for node in (0..world.nodes.len()).filter(|node| *node != first) {
+            world.nodes[node].unreachable = vec![busy];
+        }
+        let second = next_leader(&mut world, seed, &[first]);
+        world.run(killed_after(seed));
+        world.kill(second);
+        next_leader(&mut world, seed, &[first, second]);
+        world.run(14 * SECOND);
+        assert!(all_run(&world, id), "{seed}");
+        world.nodes.iter_mut().for_each(|node| node.unreachable.clear());
+        world.run(4 * SECOND);
+        assert_eq!(world.checker.violations, Vec::<String>::new(), "{seed}");
+    }
+}
