Inherited long-running tasks count as down from the takeover

Long-running tasks that lose their worker around a change of the leader stood still for as long as batch tasks kept arriving, with room for them.

Cause: long-running tasks that have been down for 2 s come before batch tasks, but only if the leader itself had seen them at work. A task whose worker is lost before the takeover has no time since when it is down, so it waited behind all batch tasks, also once the wait for the lost worker was over.

Which tasks were at work under an earlier leader isn't recorded. So all long-running tasks of a started workflow whose steps are open at the takeover count as down from then on, until they are found running. Nothing else changes: they are held back until the lost worker's runs have lapsed as before.

--- a/crates/workflow/src/scheduler/active_workflow.rs
+++ b/crates/workflow/src/scheduler/active_workflow.rs
@@ -33,7 +33,8 @@
     pub(crate) saved: CompactString,
     /// Where it last failed or was slow: the next run prefers other workers.
     pub(crate) avoid: Option<Avoided>,
-    /// Since when it hasn't run; `None` if it never ran, as far as this leader knows.
+    /// Since when it hasn't run; `None` if it never ran. A long-running task that an earlier leader may have started counts as
+    /// down from the start of this term.
     pub(crate) down_since: Option<Time>,
     /// How often it was moved off a worker where it was slow.
     pub(crate) slow_moves: u8,
--- a/crates/workflow/src/scheduler/queue.rs
+++ b/crates/workflow/src/scheduler/queue.rs
@@ -38,9 +38,28 @@
         for number in occurrences {
             self.open_steps(now, id, number);
         }
+        self.mark_inherited_down(now, id);
         self.begin_occurrences(now, id);
     }
 
+    /// Counts the inherited long-running tasks of a workflow as down from now on, until they are found. Which of them were at
+    /// work isn't recorded, and those that have lost their worker would wait behind all batch tasks.
+    fn mark_inherited_down(&mut self, now: Time, id: WorkflowId) {
+        let Some(active) = self.workflows.get_mut(&id) else { return };
+        if !active.inherited || !active.started {
+            return;
+        }
+        let specs = &active.submission.workflow.steps;
+        for occurrence in active.occurrences.values_mut() {
+            for (state, _) in
+                occurrence.steps.iter_mut().zip(specs).filter(|(_, spec)| spec.long_running)
+            {
+                let pending = state.tasks.iter_mut().filter(|task| state.open && task.is_pending());
+                pending.for_each(|task| task.down_since = Some(now));
+            }
+        }
+    }
+
     /// Begins the due occurrences of all workflows.
     pub(super) fn begin_due_occurrences(&mut self, now: Time) {
         let due = |active: &ActiveWorkflow| {
