Inherited tasks are started only while no successor can exist

A task ran on two workers at once: a leader that waited for a worker lost the store shortly before the wait was over. Its successor reached that worker and renewed the task's run there; the leader, within the 4 s of its own authority, took the run for lapsed and started the task on a worker that the successor couldn't reach.

Cause: a task that was started before is started again only within 1.2 s after the sending of an acknowledged append, since nobody takes over before. That was asked only for tasks that this leader knows to have been started. Starts aren't recorded, so of what it inherits it doesn't know that, and nothing held it back once the wait was over.

Tasks of workflows accepted before the term now count as started before. They aren't started while no append has been acknowledged for 1.2 s, as restarts weren't so far; work accepted during the term still is for 4 s.

--- a/crates/workflow/src/scheduler/placement.rs
+++ b/crates/workflow/src/scheduler/placement.rs
@@ -245,9 +245,10 @@
         }
     }
 
-    /// Whether a task was started before, as far as known, by any leader.
-    pub(super) fn was_started(&mut self, task: TaskId) -> bool {
-        self.task_mut(task).is_some_and(|state| state.last_run > RunId(0))
+    /// Whether a task may have been started before, by any leader: starts by earlier ones aren't recorded.
+    pub(super) fn was_started(&self, task: TaskId) -> bool {
+        let inherited = self.workflows.get(&task.workflow).is_some_and(|active| active.inherited);
+        inherited || self.task(task).is_some_and(|state| state.last_run > RunId(0))
     }
 
     /// The number of the next run of a task.
