Freed room goes to the long-running task that has been down longest

Cause: tasks that were at work and have been down for 2 s come first in a pass, but among them the order was by due time, and within a step the task stopped last came first. Where a service is short of room for long, what little is freed went to tasks stopped later, and a few waited to the end. Ruled out: rooms too small for the large ones. Change: of these tasks the one down longest comes first, across steps and within them.

--- a/crates/workflow/src/scheduler/placement.rs
+++ b/crates/workflow/src/scheduler/placement.rs
@@ -81,25 +81,46 @@
     }
 
     /// The queued steps in the order in which they are placed. Long-running tasks that were at work and have waited for too
-    /// long come first: batch tasks may use up the starts and the freed capacity for as long as they keep arriving.
-    fn placement_order(&self, now: Time) -> Vec<QueuedStep> {
-        let (mut keys, others): (Vec<QueuedStep>, Vec<QueuedStep>) =
-            self.queued_steps.iter().partition(|key| self.is_overdue(now, **key));
-        keys.extend(others);
+    /// long come first: batch tasks may use up the starts and the freed capacity for as long as they keep arriving. Of these
+    /// the one that has waited longest comes first, since little capacity may be freed at a time.
+    fn placement_order(&mut self, now: Time) -> Vec<QueuedStep> {
+        let (mut overdue, mut others) = (Vec::new(), Vec::new());
+        for key in &self.queued_steps {
+            match self.overdue_since(now, *key) {
+                Some(since) => overdue.push((since, *key)),
+                None => others.push(*key),
+            }
+        }
+        overdue.sort_unstable();
+        let mut keys: Vec<QueuedStep> = overdue.into_iter().map(|(_, key)| key).collect();
+        for key in &keys {
+            self.sort_queue_by_downtime(*key);
+        }
+        keys.append(&mut others);
         keys
     }
 
-    /// Whether a long-running task of the step that was at work has waited for too long.
-    fn is_overdue(&self, now: Time, key: QueuedStep) -> bool {
+    /// Since when a long-running task of the step that was at work hasn't run, if that is too long.
+    fn overdue_since(&self, now: Time, key: QueuedStep) -> Option<Time> {
         if !key.long_running {
-            return false;
+            return None;
         }
-        let workflow = self.workflows.get(&key.workflow);
-        let occurrence = workflow.and_then(|workflow| workflow.occurrences.get(&key.occurrence));
-        let step = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(key.step)));
-        let Some(step) = step else { return false };
+        let occurrence = self.workflows.get(&key.workflow)?.occurrences.get(&key.occurrence)?;
+        let step = occurrence.steps.get(usize::from(key.step))?;
         let down_since = |index: &u32| step.tasks.get(*index as usize)?.down_since;
-        step.queue.iter().filter_map(down_since).any(|since| now.since(since) >= OVERDUE_AFTER)
+        let since = step.queue.iter().filter_map(down_since).min()?;
+        (now.since(since) >= OVERDUE_AFTER).then_some(since)
+    }
+
+    /// Sorts the waiting tasks of a step by their downtime, longest first. Those that never ran come last.
+    fn sort_queue_by_downtime(&mut self, key: QueuedStep) {
+        let Some(workflow) = self.workflows.get_mut(&key.workflow) else { return };
+        let Some(occurrence) = workflow.occurrences.get_mut(&key.occurrence) else { return };
+        let Some(step) = occurrence.steps.get_mut(usize::from(key.step)) else { return };
+        let tasks = &step.tasks;
+        let down_since = |index: &u32| tasks.get(*index as usize).and_then(|task| task.down_since);
+        let queue = step.queue.make_contiguous();
+        queue.sort_by_key(|index| (down_since(index).is_none(), down_since(index)));
     }
 
     /// Places the waiting tasks of a step; returns whether none is left.
