A worker is kept free for a large long-running task among batch tasks

Cause: among smaller batch tasks no worker ever has room for a large task: each takes what the previous one leaves. Change: after 3 s the worker where the task fits soonest, as batch tasks end, gets no other starts for 3 s at most. One hold a step, one worker in 16 of a service, one search a pass and one a second for each step; it ends when the task starts anywhere. Only what batch tasks hold counts, so nothing is held where long-running tasks fill the workers. Not recorded: a new leader begins anew.

--- a/crates/workflow/src/scheduler/active_workflow.rs
+++ b/crates/workflow/src/scheduler/active_workflow.rs
@@ -96,6 +96,8 @@
     pub(crate) open: bool,
     /// The last search of workers for its tasks, if it found none.
     pub(crate) last_search: Option<LastSearch>,
+    /// When a worker to keep free for its tasks was last searched.
+    pub(crate) hold_searched_at: Option<Time>,
 }
 
 /// A search of all workers that found none for a step.
--- a/crates/workflow/src/scheduler/candidates.rs
+++ b/crates/workflow/src/scheduler/candidates.rs
@@ -321,7 +321,7 @@
         workers.filter_map(candidate).collect()
     }
 
-    fn step_state(&mut self, task: TaskId) -> Option<&mut StepState> {
+    pub(super) fn step_state(&mut self, task: TaskId) -> Option<&mut StepState> {
         let workflow = self.workflows.get_mut(&task.workflow)?;
         let occurrence = workflow.occurrences.get_mut(&task.occurrence)?;
         occurrence.steps.get_mut(usize::from(task.step))
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -20,6 +20,7 @@
 mod fallback;
 mod gangs;
 mod given_up;
+mod held_rooms;
 mod idle_share;
 mod isolated_start;
 mod latency_critical;
@@ -136,6 +137,10 @@
     reserved: Vec<WorkerId>,
     /// What overdue long-running tasks demand, as of the begin of the last placement pass.
     overdue_demands: Vec<overdue::OverdueDemand>,
+    /// Workers kept free for large long-running tasks.
+    held_rooms: Vec<held_rooms::HeldRoom>,
+    /// This placement pass has searched for a worker to keep free; each search scans all workers.
+    hold_searched: bool,
     /// Tickets that permit workers to run certain steps.
     advice: advice::Advice,
     /// Maintenance waves under way.
@@ -248,6 +253,8 @@
             quarantined: Vec::new(),
             reserved: Vec::new(),
             overdue_demands: Vec::new(),
+            held_rooms: Vec::new(),
+            hold_searched: false,
             advice: advice::Advice::default(),
             maintenance: maintenance::Maintenance::default(),
             best_effort_wait: Duration::ZERO,
--- a/crates/workflow/src/scheduler/placement.rs
+++ b/crates/workflow/src/scheduler/placement.rs
@@ -60,6 +60,7 @@
         let keys = self.placement_order(now);
         self.cpu_being_freed.clear();
         self.pass_cache.begin();
+        self.begin_holds(now);
         let mut complete = true;
         for key in keys {
             complete = self.may_start();
@@ -145,7 +146,11 @@
         let image = self.colocation.image(&step.image);
         let demand_is_unmet = unmet.iter().any(|demand| demand.covers(service, step, image));
         // Quarantined and reserved workers, the last resort of long-running tasks, aren't covered by `unmet`.
-        if demand_is_unmet && !(step.long_running && self.has_last_resort(now, key.task(0))) {
+        let holds_room = self.holds_room(key);
+        let may_fit_elsewhere =
+            holds_room || (step.long_running && self.has_last_resort(now, key.task(0)));
+        if demand_is_unmet && !may_fit_elsewhere {
+            self.hold_room(now, key, service, step);
             return false;
         }
         if step.long_running && self.defers_to_batch(now, key) {
@@ -175,10 +180,13 @@
                     IsolatedStart::Later => return false,
                     IsolatedStart::NoCapacity => None,
                 }
-            } else if demand_is_unmet {
-                self.choose_last_resort(now, task, service, &requirements)
             } else {
-                self.choose_worker(now, task, service, &requirements, &mut candidates)
+                let found = if demand_is_unmet {
+                    self.choose_last_resort(now, task, service, &requirements)
+                } else {
+                    self.choose_worker(now, task, service, &requirements, &mut candidates)
+                };
+                found.or_else(|| self.choose_held(now, task, service, &requirements))
             };
             let Some(worker) = worker else {
                 if !found_only && self.move_non_avoiding_to_front(now, key) {
@@ -187,6 +195,7 @@
                 let avoids_worker = self.front_avoids_worker(now, key);
                 let needs_ticket = self.queue_ticket_query(key);
                 self.preempt_for(now, key, service, step, out);
+                self.hold_room(now, key, service, step);
                 if step.label.is_none() && step.per_worker == 0 && !needs_ticket && !avoids_worker {
                     unmet.push(UnmetDemand::new(service, step, image));
                 }
@@ -295,6 +304,7 @@
         let isolated = self.is_suspect(task);
         let down_since = self.task(task).and_then(|state| state.down_since);
         let down_before = down_since.map_or(Duration::ZERO, |since| now.since(since));
+        self.release_held(task);
         let limits = self.limits;
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(until_ms) = worker.lease_until(now, limits.lease, limits.lease_bound()) else {
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -82,6 +82,8 @@
     pub(crate) isolated_starts: u32,
     /// Reserved for an isolated start until then: gets no other starts.
     pub(crate) reserved_until: Time,
+    /// Kept free for a large long-running task until then: gets no other starts.
+    pub(crate) held_until: Time,
     /// The tasks that share it, for estimates of their interference.
     pub(crate) neighbours: Neighbours,
     /// Speed of its tasks, as a multiple of their estimates, and when that was last measured.
@@ -135,6 +137,7 @@
             best_effort: 0,
             isolated_starts: 0,
             reserved_until: Time::ZERO,
+            held_until: Time::ZERO,
             neighbours,
             speed: None,
             failures: 0,
@@ -254,6 +257,7 @@
     pub(crate) fn accepts_work(&self, now: Time, limits: &Limits) -> bool {
         now >= self.quarantined_until
             && !self.is_reserved(now)
+            && now >= self.held_until
             && self.accepts_as_last_resort(now, limits)
     }
 
