At most one place in 4 s is freed for batch tasks while long-running ones wait

Cause: with one held room at a time, two a second were freed on a large service. A room shows as free while the stop and the start are under way, so some room showed at any time, though none was left for those that wait.

--- a/crates/workflow/src/scheduler/held_rooms.rs
+++ b/crates/workflow/src/scheduler/held_rooms.rs
@@ -23,12 +23,14 @@
 /// Number of workers of a service per worker kept free at a time.
 const WORKERS_PER_HOLD: usize = 16;
 
+/// Interval at which long-running tasks of a service are stopped for batch tasks while others wait in vain; above the 3 s for
+/// which the platform lets a long-running task wait beside free capacity.
+const BATCH_HOLD_INTERVAL: Duration = Duration::from_secs(4);
+
 /// A worker kept free for a task.
 #[derive(Debug)]
 pub(super) struct HeldRoom {
     step: StepId,
-    /// For a batch task that has stopped a long-running one.
-    batch: bool,
     worker: WorkerId,
     until: Time,
 }
@@ -119,28 +121,35 @@
             return;
         }
         log::info!(task:%, worker:%, fits_in_ms = fits_in.as_millis() as u64; "room_held");
-        self.hold(now, key, worker, false);
+        self.hold(now, key, worker);
     }
 
     /// Keeps a worker free for a step.
-    fn hold(&mut self, now: Time, key: QueuedStep, worker: WorkerId, batch: bool) {
+    fn hold(&mut self, now: Time, key: QueuedStep, worker: WorkerId) {
         let until = now + MAX_HOLD;
         if let Some(worker) = self.workers.get_mut(&worker) {
             worker.held_until = until;
         }
-        self.held_rooms.push(HeldRoom { step: key.step_id(), batch, worker, until });
+        self.held_rooms.push(HeldRoom { step: key.step_id(), worker, until });
     }
 
-    /// Keeps a worker free for a batch task that has stopped a long-running one there.
-    pub(super) fn hold_for_batch(&mut self, now: Time, key: QueuedStep, worker: &WorkerId) {
-        self.hold(now, key, worker.clone(), true);
+    /// Keeps a worker free for a batch task that has stopped a long-running one there, for which others wait as well.
+    pub(super) fn hold_for_batch(
+        &mut self,
+        now: Time,
+        key: QueuedStep,
+        service: &CompactString,
+        worker: &WorkerId,
+    ) {
+        self.hold(now, key, worker.clone());
+        self.batch_holds.retain(|(other, _)| other != service);
+        self.batch_holds.push((service.clone(), now));
     }
 
-    /// Whether a worker of a service is kept free for a batch task.
-    pub(super) fn holds_for_batch(&self, service: &CompactString) -> bool {
-        let of_service =
-            |id: &WorkerId| self.workers.get(id).is_some_and(|w| w.info.service == *service);
-        self.held_rooms.iter().any(|held| held.batch && of_service(&held.worker))
+    /// Whether a worker of a service was kept free for a batch task just now.
+    pub(super) fn held_for_batch(&self, now: Time, service: &CompactString) -> bool {
+        let recent = |at| now.since(at) < BATCH_HOLD_INTERVAL;
+        self.batch_holds.iter().any(|(other, at)| other == service && recent(*at))
     }
 
     /// Whether workers may be searched for a hold for the task's step now.
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -139,6 +139,8 @@
     overdue_demands: Vec<overdue::OverdueDemand>,
     /// Workers kept free for large long-running tasks.
     held_rooms: Vec<held_rooms::HeldRoom>,
+    /// When a worker was last kept free for a batch task, by service.
+    batch_holds: Vec<(CompactString, Time)>,
     /// This placement pass has searched for a worker to keep free; each search scans all workers.
     hold_searched: bool,
     /// Tickets that permit workers to run certain steps.
@@ -254,6 +256,7 @@
             reserved: Vec::new(),
             overdue_demands: Vec::new(),
             held_rooms: Vec::new(),
+            batch_holds: Vec::new(),
             hold_searched: false,
             advice: advice::Advice::default(),
             maintenance: maintenance::Maintenance::default(),
--- a/crates/workflow/src/scheduler/preempt.rs
+++ b/crates/workflow/src/scheduler/preempt.rs
@@ -70,7 +70,7 @@
                 None => self.cpu_being_freed(service),
             };
         for _ in 0..MAX_STOPS_PER_PASS {
-            if freed_cpu >= needed_cpu || self.holds_for_batch(service) {
+            if freed_cpu >= needed_cpu || self.held_for_batch(now, service) {
                 break;
             }
             let Some((id, task, run, cpu)) = self.choose_victim(now, first_task, service, step)
@@ -80,7 +80,7 @@
             freed_cpu += u64::from(cpu.0);
             self.stats.preempted += 1;
             if self.overdue_would_take_run(&id, task, run) {
-                self.hold_for_batch(now, key, &id);
+                self.hold_for_batch(now, key, service, &id);
             }
             log::info!(task:%, run:%, worker:% = id, waiting; "task_preempted");
             self.stop_runs(now, &id, StopReason::Preempted, out, |other_task, other_run| {
