--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -20,12 +20,14 @@
 mod fallback;
 mod gangs;
 mod given_up;
+mod held_rooms;
 mod idle_share;
 mod isolated_start;
 mod latency_critical;
 mod lists;
 mod lost_workers;
 mod maintenance;
+mod overdue;
 mod pacing;
 mod placement;
 mod poll_reply;
@@ -133,6 +135,14 @@
     quarantined: Vec<WorkerId>,
     /// Workers reserved for isolated starts of tasks that may crash them. May include some just released.
     reserved: Vec<WorkerId>,
+    /// What overdue long-running tasks demand, as of the begin of the last placement pass.
+    overdue_demands: Vec<overdue::OverdueDemand>,
+    /// Workers kept free for large long-running tasks.
+    held_rooms: Vec<held_rooms::HeldRoom>,
+    /// When a worker was last kept free for a batch task, by service.
+    batch_holds: Vec<(CompactString, Time)>,
+    /// This placement pass has searched for a worker to keep free; each search scans all workers.
+    hold_searched: bool,
     /// Tickets that permit workers to run certain steps.
     advice: advice::Advice,
     /// Maintenance waves under way.
@@ -244,6 +254,10 @@
             batch_blocked_at: None,
             quarantined: Vec::new(),
             reserved: Vec::new(),
+            overdue_demands: Vec::new(),
+            held_rooms: Vec::new(),
+            batch_holds: Vec::new(),
+            hold_searched: false,
             advice: advice::Advice::default(),
             maintenance: maintenance::Maintenance::default(),
             best_effort_wait: Duration::ZERO,
