A task that is given up clears its late crashes from others, too

Traced: one of its tasks has one shared crash and four late ones, after 0.9 to 7.2 s at work, five of any kind. Each worker was crashed by another task. Two of these had been given up by then, certain of the worker, but giving up a task cleared only shared crashes from the others that were there.

--- a/crates/workflow/src/scheduler/given_up.rs
+++ b/crates/workflow/src/scheduler/given_up.rs
@@ -91,13 +91,13 @@
             }
         }
         if !explained.is_empty() {
-            self.clear_shared_crashes(now, id, &explained);
+            self.clear_explained_crashes(now, id, &explained);
         }
     }
 
-    /// Clears the shared crashes of the given workers from the tasks of all other workflows. Some of these have attempts
-    /// left again, and are queued.
-    fn clear_shared_crashes(&mut self, now: Time, given_up: WorkflowId, workers: &[WorkerId]) {
+    /// Clears the crashes of the given workers from the tasks of all other workflows, also of those that had run there for
+    /// a while. Some of these have attempts left again, and are queued.
+    fn clear_explained_crashes(&mut self, now: Time, given_up: WorkflowId, workers: &[WorkerId]) {
         let mut cleared: Vec<TaskId> = Vec::new();
         for (id, workflow) in self.workflows.iter_mut().filter(|(id, _)| **id != given_up) {
             for (occurrence, state) in &mut workflow.occurrences {
@@ -105,7 +105,7 @@
                     for (index, task) in (0u32..).zip(&mut state.tasks) {
                         let crashes = task.crashes.len();
                         task.crashes.retain(|crash| {
-                            crash.evidence != CrashEvidence::Shared
+                            crash.evidence == CrashEvidence::Alone
                                 || !workers.contains(&crash.worker)
                         });
                         if task.crashes.len() != crashes {
--- a/crates/workflow/tests/crash_loops.rs
+++ b/crates/workflow/tests/crash_loops.rs
@@ -206,6 +206,26 @@
     }
 }
 
+/// Guards against giving up tasks that ran for a while on workers that tasks since given up have crashed.
+#[test]
+fn late_crashes_explained() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 3, 1, Limits::default());
+        world.run(2 * SECOND);
+        world.submit(1, &submission(vec![long_running(3, 1)]));
+        world.run(SECOND);
+        for id in 10..16 {
+            world.submit(id, &submission(vec![step(1, 700)]));
+            world.crashing_tasks.tasks.insert(task(id, 0), CRASH_DELAY);
+            world.run_until(20 * SECOND, |world| failed(world, id)).expect("it is given up");
+            world.run(SECOND);
+        }
+        world.run(10 * SECOND);
+        assert_eq!(world.state(WorkflowId(1)), Some(WorkflowState::Running), "seed {seed}");
+        assert_eq!(world.checker.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 /// Guards against counting partitioned workers that return as crashes.
 #[test]
 fn cut_is_no_crash() {
