--- a/crates/workflow/tests/seeded_successions.rs
+++ b/crates/workflow/tests/seeded_successions.rs
@@ -71,16 +71,29 @@
 
 /// Seeds on which an unrelated loss hits the isolated start of a task while another one may still turn out to have caused
 /// its shared crash.
-const DISPUTED_SEEDS: [u64; 2] = [6_391, 20_481];
+const DISPUTED_SEEDS: [u64; 3] = [6_391, 20_481, 91_119];
 
 /// Seeds on which two tasks are to be given up for the same shared crash.
 const RIVAL_SEEDS: [u64; 1] = [50_101];
 
-/// Seed on which two leaders stop right after a task's start, before its crash is known.
-const UNRECORDED_CRASH_SEEDS: [u64; 1] = [30_187];
+/// Seeds on which two leaders stop right after a task's start, before its crash is known.
+const UNRECORDED_CRASH_SEEDS: [u64; 2] = [30_187, 121_758];
 
-/// Seed on which a task loses two isolated starts while nobody leads, in each of which its whole rack is lost.
-const INHERITED_CRASH_SEEDS: [u64; 1] = [60_281];
+/// Seeds on which a task loses isolated starts while nobody leads, with its whole rack or seconds after the start.
+const INHERITED_CRASH_SEEDS: [u64; 2] = [60_281, 90_349];
+
+/// Seeds on which a task is hit by unrelated losses right after each of its starts: of three racks, or of a rack and then of
+/// the one worker of its isolated start.
+const REPEATED_LOSS_SEEDS: [u64; 2] = [130_918, 131_063];
+
+/// Seed on which a leader is paused while a crashing task's isolated start crashes its worker.
+const PAUSED_LEADER_SEEDS: [u64; 1] = [131_363];
+
+/// Seed on which a long-running task is beside five crashing ones, each time after it had run for a while.
+const LATE_CRASH_SEEDS: [u64; 1] = [50_531];
+
+/// Seed on which racks are drained until one worker is left for all long-running tasks.
+const DRAINED_RACK_SEEDS: [u64; 1] = [80_238];
 
 /// Maximum number of workers that one task may crash: two starts after the third crash are allowed.
 const MAX_CRASHES: u32 = 5;
@@ -222,6 +235,23 @@
     }
 }
 
+/// Replaces the draining workers if the others haven't the capacity for the long-running tasks. Crashed ones come back by
+/// themselves.
+fn restore_capacity(world: &mut World, mix: FaultMix) {
+    let draining = |worker: &Worker| worker.up && worker.info.state == WorkerState::Draining;
+    let workers = world.workers.iter().enumerate();
+    let draining: Vec<usize> =
+        workers.filter(|(_, worker)| draining(worker)).map(|(index, _)| index).collect();
+    if cores(WORKERS - draining.len()) < LONG_RUNNING {
+        revive(world, &draining, mix);
+    }
+}
+
+/// Returns the capacity of a number of workers.
+fn cores(workers: usize) -> u32 {
+    u32::try_from(workers).expect("few workers") * CORES
+}
+
 /// Submits some workflows and may cancel one.
 fn submit_workflows(world: &mut World, id: &mut u64, mix: FaultMix) {
     for _ in 0..3 {
@@ -310,6 +340,7 @@
         let pause = millis(&mut world, 0..4_000);
         world.run(pause);
     }
+    restore_capacity(&mut world, mix);
     world.run(if mix.crashing_tasks { 90 } else { 30 } * SECOND);
     let violations = check_end(&mut world, mix, id, long_running);
     let crashing_tasks = world.crashing_tasks.tasks.keys();
@@ -336,11 +367,14 @@
     }
     let ready = |worker: &&Worker| worker.up && worker.info.state == WorkerState::Ready;
     let ready = world.workers.iter().filter(ready).count();
-    let free_cores = u32::try_from(ready).expect("few workers") * CORES - LONG_RUNNING;
-    let final_workflow = world.submit(FINAL_ID, &submission(vec![step(free_cores, 1_500)]));
-    if world.run_until(3 * SECOND, |world| world.completed(final_workflow)).is_none() {
-        let running_tasks = running(world, final_workflow);
-        violations.push(format!("{running_tasks} tasks run of a step for {ready} workers"));
+    if let Some(free_cores) = cores(ready).checked_sub(LONG_RUNNING) {
+        let final_workflow = world.submit(FINAL_ID, &submission(vec![step(free_cores, 1_500)]));
+        if world.run_until(3 * SECOND, |world| world.completed(final_workflow)).is_none() {
+            let running_tasks = running(world, final_workflow);
+            violations.push(format!("{running_tasks} tasks run of a step for {ready} workers"));
+        }
+    } else {
+        violations.push(format!("{ready} workers are ready for {LONG_RUNNING} long-running tasks"));
     }
     violations.append(&mut world.checker.violations);
     violations
@@ -429,8 +463,33 @@
     run_all(&UNRECORDED_CRASH_SEEDS, CRASHING_TASKS);
 }
 
+/// Guards against days that can't be judged since the drained racks leave too little capacity, and against tasks that
+/// aren't started again once it is restored.
+#[test]
+fn drained_rack_seeds() {
+    run_all(&DRAINED_RACK_SEEDS, CRASHING_TASKS);
+}
+
 /// Guards against tasks that are given up for losses of their workers that no leader saw.
 #[test]
 fn inherited_crash_seeds() {
     run_all(&INHERITED_CRASH_SEEDS, CRASHING_TASKS);
 }
+
+/// Guards against tasks that are given up for unrelated losses right after each of their starts.
+#[test]
+fn repeated_loss_seeds() {
+    run_all(&REPEATED_LOSS_SEEDS, CRASHING_TASKS);
+}
+
+/// Guards against crashing tasks that are started too often since a paused leader took an isolated start for survived.
+#[test]
+fn paused_leader_seeds() {
+    run_all(&PAUSED_LEADER_SEEDS, CRASHING_TASKS);
+}
+
+/// Guards against tasks that are given up for late crashes that other tasks caused.
+#[test]
+fn late_crash_seeds() {
+    run_all(&LATE_CRASH_SEEDS, CRASHING_TASKS);
+}
