Tests watch for tasks that could run and don't

Nothing in the simulated world checked when a task starts, only that all is finished in the end.

Gangs in the simulated world now end together, as the platform says: members ended one by one before, so that a later step seemed to be started too early. The policy may allow workers that start later.

--- a/crates/workflow/tests/seeded_faults.rs
+++ b/crates/workflow/tests/seeded_faults.rs
@@ -63,6 +63,7 @@
 
 fn run_seed(seed: u64) -> World {
     let mut world = World::new(seed, NODES, WORKERS, Limits::default());
+    world.watch_stalls();
     world.run(Duration::from_secs(2));
     let mut id = 0;
     for _ in 0..4 {
@@ -88,8 +89,9 @@
 fn all_seeds() {
     let mut starts = 0;
     for seed in 0..SEEDS {
-        let world = run_seed(seed);
+        let mut world = run_seed(seed);
         assert_eq!(world.checker.violations, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.take_stalls(), Vec::<String>::new(), "seed {seed}");
         for id in 1..=24 {
             let state = world.state(WorkflowId(id));
             assert!(
--- a/crates/workflow/tests/seeded_successions.rs
+++ b/crates/workflow/tests/seeded_successions.rs
@@ -270,6 +270,7 @@
     if mix.same_names {
         world.tell_start_times();
     }
+    world.watch_stalls();
     world.run(2 * SECOND);
     let long_running = world.submit(1_000, &submission(vec![long_running_step()]));
     let mut id = 0;
@@ -343,6 +344,7 @@
         violations.push(format!("{running_tasks} tasks run of a step for {ready} workers"));
     }
     violations.append(&mut world.checker.violations);
+    violations.append(&mut world.take_stalls());
     violations
 }
 
--- a/crates/workflow/tests/support/advisor.rs
+++ b/crates/workflow/tests/support/advisor.rs
@@ -13,6 +13,8 @@
 #[derive(Default)]
 pub struct Advisor {
     pub allowed: BTreeSet<WorkerId>,
+    /// Whether workers that start later are allowed, too.
+    pub allows_new: bool,
     /// Rejects calls as overloaded.
     pub busy: bool,
     /// Doesn't answer.
--- a/crates/workflow/tests/support/checker.rs
+++ b/crates/workflow/tests/support/checker.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Notes that a gang of `count` tasks is done: the end of one member represents all.
+    pub fn gang_done(&mut self, member: TaskId, count: u32) {
+        self.done.extend((0..count).map(|index| TaskId { index, ..member }));
+    }
+
     pub fn vanished(&mut self, worker: &WorkerId, task: TaskId, run: RunId) {
         if let Some(running) = self.running.get_mut(&task) {
             running.remove(&(worker.clone(), run));
--- a/crates/workflow/tests/support/crashing_tasks.rs
+++ b/crates/workflow/tests/support/crashing_tasks.rs
@@ -1,7 +1,10 @@
 //! Tasks that crash every worker that starts them.
 
 use {
-    super::{worker::Run, world::World},
+    super::{
+        worker::{Run, Worker},
+        world::World,
+    },
     egretlb_types::Time,
     egretlb_workflow::{Effect, EndKind, RunId, StepId, TaskId},
     std::{collections::BTreeMap, time::Duration},
@@ -37,21 +40,32 @@
 }
 
 impl World {
-    /// Ends the other members of a gang that lost one.
-    fn break_gang(&mut self, lost: TaskId) {
-        for worker in &mut self.workers {
-            let of_gang = |task: &TaskId| task.step_id() == lost.step_id();
-            let members =
-                worker.running.iter().filter(|(task, run)| run.step.gang && of_gang(task));
-            let members: Vec<TaskId> = members.map(|(task, _)| *task).collect();
-            for task in members {
-                worker.finish(task, EndKind::Broken, &mut self.checker);
+    /// Ends the other members of gangs of which one has ended: together with it if it is done.
+    pub fn end_gangs(&mut self) {
+        loop {
+            let ends = |worker: &mut Worker| std::mem::take(&mut worker.gang_ends);
+            let ends: Vec<_> = self.workers.iter_mut().flat_map(ends).collect();
+            if ends.is_empty() {
+                return;
+            }
+            for (step, gang_run, kind) in ends {
+                let kind = if kind == EndKind::Done { kind } else { EndKind::Broken };
+                for worker in &mut self.workers {
+                    let of_gang = |(task, run): &(&TaskId, &Run)| {
+                        task.step_id() == step && run.run == gang_run
+                    };
+                    let members = worker.running.iter().filter(of_gang);
+                    let members: Vec<TaskId> = members.map(|(task, _)| *task).collect();
+                    for task in members {
+                        worker.finish(task, kind, &mut self.checker);
+                    }
+                }
             }
         }
     }
 
-    /// Ends members of incomplete gangs after [`GANG_TIMEOUT`].
-    pub fn end_incomplete_gangs(&mut self) {
+    /// Holds incomplete gangs, and ends their members after [`GANG_TIMEOUT`].
+    pub fn hold_incomplete_gangs(&mut self) {
         let now = self.now;
         let mut present: BTreeMap<(StepId, RunId), u32> = BTreeMap::new();
         for worker in &self.workers {
@@ -62,12 +76,18 @@
         for worker in &mut self.workers {
             let incomplete = |(task, run): &(&TaskId, &Run)| {
                 let present = present.get(&(task.step_id(), run.run)).copied().unwrap_or(0);
-                run.step.gang && present < run.step.count && worker.waited(now, run) >= GANG_TIMEOUT
+                run.step.gang && present < run.step.count
             };
-            let ended: Vec<TaskId> =
-                worker.running.iter().filter(incomplete).map(|(t, _)| *t).collect();
-            for task in ended {
-                worker.finish(task, EndKind::Alone, &mut self.checker);
+            let incomplete = worker.running.iter().filter(incomplete);
+            let incomplete: Vec<(TaskId, bool)> = incomplete
+                .map(|(task, run)| (*task, worker.waited(now, run) >= GANG_TIMEOUT))
+                .collect();
+            for (task, expired) in incomplete {
+                if expired {
+                    worker.finish(task, EndKind::Alone, &mut self.checker);
+                } else {
+                    worker.hold(now, task);
+                }
             }
         }
     }
@@ -82,9 +102,7 @@
                 continue;
             };
             self.checker.crashed_by(task);
-            let lost: Vec<TaskId> = self.workers[number].running.keys().copied().collect();
             self.workers[number].crash(&mut self.checker);
-            lost.into_iter().for_each(|task| self.break_gang(task));
             self.crashing_tasks.down.push((now + self.crashing_tasks.away, number));
         }
         let (restored, down) = self.crashing_tasks.down.drain(..).partition(|(at, _)| *at <= now);
--- a/crates/workflow/tests/support/evacuations.rs
+++ b/crates/workflow/tests/support/evacuations.rs
@@ -7,6 +7,7 @@
     egretlb_workflow::{RunId, TaskId},
     std::{
         collections::{BTreeMap, BTreeSet},
+        hash::{Hash, Hasher},
         time::Duration,
     },
 };
@@ -27,18 +28,36 @@
     since: BTreeMap<CompactString, Time>,
     /// Whether nodes don't read them, so that the check must notice.
     pub unread: bool,
+    /// Whether nodes don't read that one has ended, so that the check for stalls must notice.
+    pub end_unread: bool,
+    /// All data centres that were ever evacuated.
+    ever: BTreeSet<CompactString>,
 }
 
 impl Evacuations {
     /// The evacuated data centres, as a node reads them.
     pub fn read(&self) -> BTreeSet<CompactString> {
-        if self.unread { BTreeSet::new() } else { self.since.keys().cloned().collect() }
+        match (self.unread, self.end_unread) {
+            (true, _) => BTreeSet::new(),
+            (false, true) => self.ever.clone(),
+            (false, false) => self.since.keys().cloned().collect(),
+        }
+    }
+
+    /// Whether a data centre is evacuated, as the store has it.
+    pub fn in_force(&self, data_centre: &str) -> bool {
+        self.since.contains_key(data_centre)
+    }
+
+    pub fn hash_in_force(&self, hasher: &mut impl Hasher) {
+        self.since.keys().for_each(|data_centre| data_centre.hash(hasher));
     }
 }
 
 impl World {
     pub fn evacuate(&mut self, data_centre: &str) {
         self.evacuations.since.entry(data_centre.into()).or_insert(self.now);
+        self.evacuations.ever.insert(data_centre.into());
     }
 
     pub fn take_back(&mut self, data_centre: &str) {
--- a/crates/workflow/tests/support/mod.rs
+++ b/crates/workflow/tests/support/mod.rs
@@ -12,6 +12,7 @@
 pub mod messages;
 pub mod node;
 pub mod services;
+pub mod stalls;
 pub mod store;
 pub mod worker;
 pub mod world;
--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -7,7 +7,7 @@
     egretlb_types::{Epoch, Megabytes, MilliCores, Resources, Time},
     egretlb_workflow::{
         End, EndKind, PaceResult, PollReply, PollResult, RunId, RunningTask, StartResult, Step,
-        StopResult, Submission, TaskId, UnreadableRows, WorkerId, WorkerInfo, WorkerState,
+        StepId, StopResult, Submission, TaskId, UnreadableRows, WorkerId, WorkerInfo, WorkerState,
     },
     std::{collections::BTreeMap, ops::RangeInclusive, sync::Arc, time::Duration},
 };
@@ -63,6 +63,8 @@
     pub running: BTreeMap<TaskId, Run>,
     pub ended: Vec<End>,
     pub next_end: u64,
+    /// Ends of gang members that the other members don't know of yet.
+    pub gang_ends: Vec<(StepId, RunId, EndKind)>,
     pub token: Epoch,
     pub lease_until: u64,
     pub stopped: BTreeMap<TaskId, RunId>,
@@ -119,6 +121,7 @@
             running: BTreeMap::new(),
             ended: Vec::new(),
             next_end: 1,
+            gang_ends: Vec::new(),
             token: Epoch(0),
             lease_until: 0,
             stopped: BTreeMap::new(),
@@ -148,6 +151,12 @@
     pub fn finish(&mut self, task: TaskId, kind: EndKind, checker: &mut Checker) {
         let Some(run) = self.running.remove(&task) else { return };
         self.stopped.insert(task, run.run);
+        if run.step.gang {
+            self.gang_ends.push((task.step_id(), run.run, kind));
+            if kind == EndKind::Done {
+                checker.gang_done(task, run.step.count);
+            }
+        }
         checker.ended(&self.info.id, task, run.run, kind, self.next_end);
         let saved = CompactString::default();
         self.ended.push(End { number: self.next_end, task, run: run.run, kind, saved });
@@ -340,6 +349,14 @@
         self.running.iter().find(due).map(|(task, _)| *task)
     }
 
+    /// Keeps a run from making progress up to now.
+    pub fn hold(&mut self, now: Time, task: TaskId) {
+        let clock_ms = self.clock_ms(now);
+        if let Some(run) = self.running.get_mut(&task) {
+            run.updated_ms = clock_ms;
+        }
+    }
+
     /// Stalls all runs for a time.
     pub fn stall_runs(&mut self, span_ms: u64) {
         for run in self.running.values_mut() {
@@ -358,6 +375,9 @@
         self.up = false;
         for (task, run) in std::mem::take(&mut self.running) {
             checker.vanished(&self.info.id, task, run.run);
+            if run.step.gang {
+                self.gang_ends.push((task.step_id(), run.run, EndKind::Broken));
+            }
         }
         checker.discard_ends(&self.info.id);
     }
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         advisor::Advisor, checker::Checker, crashing_tasks::CrashingTasks,
-        evacuations::Evacuations, fleet::Fleet, messages::Msg, node::Node, store::Store,
-        worker::Worker,
+        evacuations::Evacuations, fleet::Fleet, messages::Msg, node::Node, stalls::StallWatch,
+        store::Store, worker::Worker,
     },
     egretlb_types::{Offset, Time},
     egretlb_workflow::{
@@ -50,6 +50,9 @@
     pub checker: Checker,
     pub crashing_tasks: CrashingTasks,
     pub evacuations: Evacuations,
+    pub stall_watch: Option<StallWatch>,
+    /// A submission that no node reads, so that a check must notice.
+    pub hidden: Option<WorkflowId>,
     pub submitted: Vec<WorkflowId>,
     limits: Limits,
     incarnations: u64,
@@ -80,6 +83,8 @@
             checker: Checker::default(),
             crashing_tasks: CrashingTasks::default(),
             evacuations: Evacuations::default(),
+            stall_watch: None,
+            hidden: None,
             submitted: Vec::new(),
             limits,
             incarnations: 0,
@@ -100,6 +105,8 @@
     pub fn add_worker(&mut self, cores: u32) -> usize {
         self.workers.push(Worker::new(self.workers_made, cores));
         self.workers_made += 1;
+        let id = self.workers.last().map(|worker| worker.info.id.clone());
+        self.advisor.allowed.extend(id.filter(|_| self.advisor.allows_new));
         self.workers.len() - 1
     }
 
@@ -207,7 +214,8 @@
             worker.advance(self.now, &mut self.checker);
         }
         self.run_crashing_tasks();
-        self.end_incomplete_gangs();
+        self.end_gangs();
+        self.hold_incomplete_gangs();
         self.end_maintenance();
         self.deliver();
         for index in 0..self.nodes.len() {
@@ -215,6 +223,10 @@
                 self.step_node(index);
             }
         }
+        if let Some(mut watch) = self.stall_watch.take() {
+            watch.observe(self);
+            self.stall_watch = Some(watch);
+        }
     }
 
     /// Brings VMs back from maintenance, with new workers.
@@ -251,9 +263,11 @@
                 self.read_evacuations(index);
                 let from = self.nodes[index].next;
                 self.nodes[index].leadership.on_read_sent(now);
+                let hidden = self.hidden.map(|id| Key::Submission(id).to_bytes());
                 let records: Vec<(Offset, Record)> = self
                     .store
                     .from(from)
+                    .filter(|(_, record)| hidden.as_ref() != Some(&record.key))
                     .map(|(offset, record)| (offset, record.clone()))
                     .collect();
                 for (offset, record) in records {
