A leader that ends before it has recorded its roster hands on the wait for lost workers

Cause: a roster tells times of its writer's term. If the next leader ended before it had recorded its own (0.4 s, while a lost worker doesn't answer), its successor didn't know that term and waited the longest span, 9.2 s from its own election. Long-running tasks of a worker lost shortly before were down for 12 to 15 s.

Change: leader records tell the clocks of earlier terms and how much longer their leaders may send commands; a claim does so, too, with the longest authority unless it follows the last term without a gap.

Weighed: recording the roster sooner only makes the gap smaller; deriving the times from heartbeats that a process has read itself doesn't help processes that restart.

--- a/crates/workflow/src/leadership/succession.rs
+++ b/crates/workflow/src/leadership/succession.rs
@@ -1,11 +1,29 @@
 //! What a new leader knows of earlier terms.
 
 use {
-    crate::{LeaderRecord, Limits},
+    crate::{EarlierTerm, LeaderRecord, Limits},
     egretlb_types::{Epoch, Time},
+    smallvec::SmallVec,
     std::time::Duration,
 };
 
+/// Number of terms whose rosters a leader can use: a leader may end before it has recorded its own.
+const MAX_KNOWN_TERMS: usize = 4;
+
+/// An earlier term, on the clock of this process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct KnownTerm {
+    epoch: Epoch,
+    /// When its clock was read.
+    read_at: Time,
+    /// Its clock at that time or shortly before: time since its start, in milliseconds.
+    term_ms: u64,
+    /// When its leader, and those between it and this one, have stopped sending commands.
+    commands_until: Time,
+}
+
+type KnownTerms = [Option<KnownTerm>; MAX_KNOWN_TERMS];
+
 /// The newest leader record that was read.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Heartbeat {
@@ -15,28 +33,70 @@
     term_ms: u64,
     /// Whether that leader sends no more commands: it ended its term, or its process has ended.
     ended: bool,
+    /// The terms before that one, as handed on by its leader.
+    earlier: KnownTerms,
 }
 
 impl Heartbeat {
     pub(super) fn new(record: &LeaderRecord, read_at: Time, ended: bool) -> Heartbeat {
-        Heartbeat { epoch: record.epoch, read_at, term_ms: record.term_ms, ended }
+        let mut earlier = KnownTerms::default();
+        for (slot, term) in earlier.iter_mut().zip(&record.earlier) {
+            let commands_until = read_at + Duration::from_millis(term.commands_ms);
+            let EarlierTerm { epoch, term_ms, .. } = *term;
+            *slot = Some(KnownTerm { epoch, read_at, term_ms, commands_until });
+        }
+        Heartbeat { epoch: record.epoch, read_at, term_ms: record.term_ms, ended, earlier }
+    }
+
+    /// The terms to hand on with a claim of epoch `claimed`.
+    pub(super) fn claimed_after(
+        &self,
+        now: Time,
+        limits: &Limits,
+        claimed: Epoch,
+    ) -> SmallVec<[EarlierTerm; 2]> {
+        // Until the claim is stored, another process may lead under an epoch in between.
+        let ended = self.ended && self.epoch.next() == claimed;
+        let commands_until = if ended { now } else { now + limits.authority };
+        hand_on(now, &self.terms(commands_until))
     }
+
+    /// The term of this heartbeat and those before it, the newest first.
+    fn terms(&self, commands_until: Time) -> KnownTerms {
+        let Heartbeat { epoch, read_at, term_ms, .. } = *self;
+        let mut terms = KnownTerms::default();
+        terms[0] = Some(KnownTerm { epoch, read_at, term_ms, commands_until });
+        for (slot, term) in terms.iter_mut().skip(1).zip(self.earlier.iter().flatten()) {
+            let commands_until = term.commands_until.max(commands_until);
+            *slot = Some(KnownTerm { commands_until, ..*term });
+        }
+        terms
+    }
+}
+
+fn hand_on(now: Time, terms: &KnownTerms) -> SmallVec<[EarlierTerm; 2]> {
+    let hand_on = |term: &KnownTerm| EarlierTerm {
+        epoch: term.epoch,
+        term_ms: term.term_ms.saturating_add(millis(now.since(term.read_at))),
+        commands_ms: match millis(term.commands_until.since(now)) {
+            0 if term.commands_until <= now => 0,
+            left => left.saturating_add(1),
+        },
+    };
+    terms.iter().flatten().map(hand_on).collect()
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// How long earlier leaders may still send commands, and how to convert times recorded by the last
-/// one.
+/// How long earlier leaders may still send commands, and how to convert times that they recorded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Succession {
     /// Start of this term, shortly before its claim was read. Recorded times count from here.
     pub began: Time,
-    /// Epoch of the last leader; 0 if there was none.
-    predecessor: Epoch,
-    commands_until: Time,
-    /// When the last leader's newest heartbeat was read.
-    read_at: Time,
-    /// Time since the start of the last leader's term at which that heartbeat was sent, in
-    /// milliseconds.
-    term_ms: u64,
+    /// The earlier terms whose rosters may be the newest, that of the last leader first.
+    terms: KnownTerms,
 }
 
 impl Succession {
@@ -49,48 +109,47 @@
         heartbeat: Option<Heartbeat>,
         claimed: Epoch,
     ) -> Succession {
-        let latest = now + limits.authority;
-        let Some(heartbeat) = heartbeat.filter(|heartbeat| heartbeat.epoch < claimed) else {
-            let predecessor = Epoch(0);
-            return Succession {
-                began,
-                predecessor,
-                commands_until: latest,
-                read_at: now,
-                term_ms: 0,
-            };
+        let Some(mut heartbeat) = heartbeat.filter(|heartbeat| heartbeat.epoch < claimed) else {
+            return Succession { began, terms: KnownTerms::default() };
         };
+        // Leaders in between may have handed on more.
+        if heartbeat.epoch.next() != claimed {
+            heartbeat.earlier = KnownTerms::default();
+        }
         // Its authority counts from before the heartbeat was sent, hence from before it was read.
+        let latest = now + limits.authority;
         let commands_until =
             if heartbeat.ended { now } else { latest.min(heartbeat.read_at + limits.authority) };
-        Succession {
-            began,
-            predecessor: heartbeat.epoch,
-            commands_until,
-            read_at: heartbeat.read_at,
-            term_ms: heartbeat.term_ms,
+        Succession { began, terms: heartbeat.terms(commands_until) }
+    }
+
+    /// The terms to hand on to the next leader, which uses them if this one ends before it has recorded its roster. None
+    /// after the longest wait for leases.
+    pub(super) fn handed_on(&self, now: Time, limits: &Limits) -> SmallVec<[EarlierTerm; 2]> {
+        if now.since(self.began) > limits.authority + limits.lease_bound() {
+            return SmallVec::new();
         }
+        hand_on(now, &self.terms)
     }
 
-    /// Returns whether `writer` is the epoch of the last leader, whose recorded times can be
-    /// converted.
-    pub(crate) fn follows(&self, writer: Epoch) -> bool {
-        self.predecessor == writer
+    fn term(&self, epoch: Epoch) -> Option<&KnownTerm> {
+        self.terms.iter().flatten().find(|term| term.epoch == epoch)
     }
 
-    /// Returns the time from which the last leader sends no commands.
-    pub(crate) fn commands_until(&self) -> Time {
-        self.commands_until
+    /// Returns the time from which the leader of epoch `writer`, and those after it, send no commands, if that is known.
+    pub(crate) fn commands_until(&self, writer: Epoch) -> Option<Time> {
+        self.term(writer).map(|term| term.commands_until)
     }
 
-    /// Converts a time of the last leader's term to this process's clock. The result may be
+    /// Converts a time of the term of epoch `writer` to this process's clock, if the term is known. The result may be
     /// slightly late, since a heartbeat is sent before it is read.
-    pub(crate) fn local_time(&self, term_ms: u64) -> Time {
-        self.read_at + Duration::from_millis(term_ms.saturating_sub(self.term_ms))
+    pub(crate) fn local_time(&self, writer: Epoch, term_ms: u64) -> Option<Time> {
+        let term = self.term(writer)?;
+        Some(term.read_at + Duration::from_millis(term_ms.saturating_sub(term.term_ms)))
     }
 
     /// Converts a time to milliseconds since the start of this term, rounded up.
     pub(crate) fn term_ms(&self, at: Time) -> u64 {
-        u64::try_from(at.since(self.began).as_millis()).unwrap_or(u64::MAX).saturating_add(1)
+        millis(at.since(self.began)).saturating_add(1)
     }
 }
