Long-running tasks of a lost worker don't wait for anything more once its leases have lapsed

Cause: when the leases of a lost worker have lapsed (7.9 s after its loss), its tasks were queued anew, and waits that count from there were added: up to 2 s in favour of batch tasks, 1 s for a better worker, 2 s before quarantined ones may be used. Together that exceeds the platform's 9 s, without any change of the leader.

Change: tasks that were at work and have been down for 2 s skip these waits. They go to the front of their step's queue, since newer tasks of the step may have to wait on.

A first form that moved overdue tasks forward on each round never ended where another task was moved to the front; lasting_waits showed it.

--- a/crates/workflow/src/scheduler/fallback.rs
+++ b/crates/workflow/src/scheduler/fallback.rs
@@ -100,9 +100,9 @@
             || (!self.reserved.is_empty() && self.is_down_too_long(now, task))
     }
 
-    /// Whether the step of a task has waited long enough to use a quarantined worker.
+    /// Whether a task, or its step, has waited long enough to use a quarantined worker.
     fn may_use_quarantined(&self, now: Time, task: TaskId) -> bool {
-        self.queue_wait(now, task.step_id()) >= LAST_RESORT_AFTER
+        self.queue_wait(now, task.step_id()) >= LAST_RESORT_AFTER || self.is_task_overdue(now, task)
     }
 
     /// Whether a task has been without a run long enough to use a reserved worker.
--- a/crates/workflow/src/scheduler/placement.rs
+++ b/crates/workflow/src/scheduler/placement.rs
@@ -91,15 +91,35 @@
 
     /// Whether a long-running task of the step that was at work has waited for too long.
     fn is_overdue(&self, now: Time, key: QueuedStep) -> bool {
+        self.overdue_position(now, key).is_some()
+    }
+
+    /// The position of such a task in the step's queue.
+    fn overdue_position(&self, now: Time, key: QueuedStep) -> Option<usize> {
         if !key.long_running {
-            return false;
+            return None;
         }
         let workflow = self.workflows.get(&key.workflow);
         let occurrence = workflow.and_then(|workflow| workflow.occurrences.get(&key.occurrence));
-        let step = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(key.step)));
-        let Some(step) = step else { return false };
-        let down_since = |index: &u32| step.tasks.get(*index as usize)?.down_since;
-        step.queue.iter().filter_map(down_since).any(|since| now.since(since) >= OVERDUE_AFTER)
+        let step = occurrence.and_then(|occurrence| occurrence.steps.get(usize::from(key.step)))?;
+        let is_overdue =
+            |index: &u32| step.tasks.get(*index as usize).is_some_and(|task| is_overdue(now, task));
+        step.queue.iter().position(is_overdue)
+    }
+
+    /// Whether a long-running task was at work and has waited for too long, most of it for the leases of a lost worker:
+    /// nothing else that tasks wait for is added to that.
+    pub(super) fn is_task_overdue(&self, now: Time, task: TaskId) -> bool {
+        self.step(task).is_some_and(|step| step.long_running)
+            && self.task(task).is_some_and(|task| is_overdue(now, task))
+    }
+
+    /// Moves a task that has waited for too long to the front of the queue.
+    fn move_overdue_to_front(&mut self, now: Time, key: QueuedStep) {
+        let Some(position) = self.overdue_position(now, key) else { return };
+        if let Some(queue) = self.queue_of(key) {
+            queue.swap(0, position);
+        }
     }
 
     /// Places the waiting tasks of a step; returns whether none is left.
@@ -126,7 +146,8 @@
         if demand_is_unmet && !(step.long_running && self.has_last_resort(now, key.task(0))) {
             return false;
         }
-        if step.long_running && self.defers_to_batch(now, key) {
+        let deferred = step.long_running && self.defers_to_batch(now, key);
+        if deferred && (step.gang || !self.is_overdue(now, key)) {
             return false;
         }
         if step.gang {
@@ -134,12 +155,21 @@
         }
         let requirements = Requirements::new(step, &mut self.colocation);
         let mut candidates = None;
+        // Not after another task was moved to the front.
+        let mut overdue_first = true;
         loop {
             if found_only && !self.move_found_to_front(key) {
                 return false;
             }
+            self.front_task(key);
+            if !found_only && std::mem::replace(&mut overdue_first, false) {
+                self.move_overdue_to_front(now, key);
+            }
             let Some(index) = self.front_task(key) else { return true };
             let task = key.task(index);
+            if deferred && !self.is_task_overdue(now, task) {
+                return false;
+            }
             let restart_not_allowed = self.was_started(task) && !self.may_restart(now);
             if restart_not_allowed || !self.may_start() {
                 return false;
@@ -170,6 +200,7 @@
                 }
                 return false;
             };
+            overdue_first = true;
             self.pop_front_task(key);
             let wait = self.step_wait(now, key);
             self.stats.start_waits.push(wait);
@@ -389,6 +420,7 @@
             let lost_capacity = self.lost_best_effort_capacity(worker, requirements.image);
             if lost_capacity > MAX_LOST_CAPACITY_UNITS
                 && self.queue_wait(now, task.step_id()) < BETTER_WORKER_WAIT
+                && !self.is_task_overdue(now, task)
             {
                 return None;
             }
@@ -452,6 +484,10 @@
     }
 }
 
+fn is_overdue(now: Time, task: &TaskState) -> bool {
+    task.down_since.is_some_and(|since| now.since(since) >= OVERDUE_AFTER)
+}
+
 /// Compared in this order: whether a worker is near the task's data, whether it isn't slow (not considered for
 /// latency-critical tasks), then three scores that depend on the kind of task; see [`Scheduler::fitness`].
 pub(super) type Fitness = (bool, bool, i64, i64, i64);
