--- a/crates/workflow/src/scheduler/placement.rs
+++ b/crates/workflow/src/scheduler/placement.rs
@@ -125,6 +125,16 @@
         queue.sort_by_key(|index| (down_since(index).is_none(), down_since(index)));
     }
 
+    /// Whether a long-running task was at work and has waited for too long, most of it for the leases of a lost worker:
+    /// nothing else that tasks wait for is added to that.
+    pub(super) fn is_task_overdue(&self, now: Time, task: TaskId) -> bool {
+        self.step(task).is_some_and(|step| step.long_running)
+            && self
+                .task(task)
+                .and_then(|task| task.down_since)
+                .is_some_and(|since| now.since(since) >= OVERDUE_AFTER)
+    }
+
     /// Places the waiting tasks of a step; returns whether none is left.
     fn place_step(
         &mut self,
@@ -153,7 +163,8 @@
             self.hold_room(now, key, service, step);
             return false;
         }
-        if step.long_running && self.defers_to_batch(now, key) {
+        let deferred = step.long_running && self.defers_to_batch(now, key);
+        if deferred && (step.gang || self.overdue_since(now, key).is_none()) {
             return false;
         }
         if step.gang {
@@ -167,6 +178,9 @@
             }
             let Some(index) = self.front_task(key) else { return true };
             let task = key.task(index);
+            if deferred && !self.is_task_overdue(now, task) {
+                return false;
+            }
             let restart_not_allowed = self.was_started(task) && !self.may_restart(now);
             if restart_not_allowed || !self.may_start() {
                 return false;
@@ -422,6 +436,7 @@
             let lost_capacity = self.lost_best_effort_capacity(worker, requirements.image);
             if lost_capacity > MAX_LOST_CAPACITY_UNITS
                 && self.queue_wait(now, task.step_id()) < BETTER_WORKER_WAIT
+                && !self.is_task_overdue(now, task)
             {
                 return None;
             }
