A leader that ends before it has recorded its roster hands on the wait for lost workers

Cause: a roster tells times of its writer's term. If the next leader ended before it had recorded its own (0.4 s, while a lost worker doesn't answer), its successor didn't know that term and waited the longest span.

Change: leader records tell the clocks of earlier terms and how much longer their leaders may send commands; a claim does so, too, with the longest authority unless it follows the last term without a gap. Records have form 8.

--- a/crates/workflow/src/leadership/mod.rs
+++ b/crates/workflow/src/leadership/mod.rs
@@ -29,9 +29,10 @@
 
 use {
     self::succession::Heartbeat,
-    crate::{Key, LeaderRecord, Limits, Record},
+    crate::{EarlierTerm, Key, LeaderRecord, Limits, Record},
     compact_str::CompactString,
     egretlb_types::{Epoch, Seq, Time},
+    smallvec::SmallVec,
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -118,6 +119,8 @@
     last_heartbeat: Option<Heartbeat>,
     /// Start of this process's term, shortly before its claim was read.
     term_start: Time,
+    /// State inherited at the beginning of this process's last term.
+    succession: Option<Succession>,
     max_epoch: Epoch,
     /// Epoch of an abandoned claim, which may still take effect.
     abandoned_claim: Option<Epoch>,
@@ -185,6 +188,7 @@
             released: false,
             last_heartbeat: None,
             term_start: now,
+            succession: None,
             max_epoch: Epoch(0),
             abandoned_claim: None,
             last_read_sent: now,
@@ -225,20 +229,28 @@
         let epoch = self.term()?;
         let seq = self.next_seq();
         let term_ms = u64::try_from(now.since(self.term_start).as_millis()).unwrap_or(u64::MAX);
-        Some((epoch, seq, self.record(epoch, seq, released, term_ms)))
+        let earlier = self.succession.map(|succession| succession.handed_on(now, &self.limits));
+        let record = self.record(epoch, seq, term_ms, earlier.unwrap_or_default());
+        Some((epoch, seq, Record::new(Key::Leader, &LeaderRecord { released, ..record })))
     }
 
-    fn record(&self, epoch: Epoch, seq: Seq, released: bool, term_ms: u64) -> Record {
-        let record = LeaderRecord {
+    fn record(
+        &self,
+        epoch: Epoch,
+        seq: Seq,
+        term_ms: u64,
+        earlier: SmallVec<[EarlierTerm; 2]>,
+    ) -> LeaderRecord {
+        LeaderRecord {
             node: self.node.clone(),
             incarnation: self.incarnation,
             epoch,
-            released,
+            released: false,
             addr: self.addr,
             seq,
             term_ms,
-        };
-        Record::new(Key::Leader, &record)
+            earlier,
+        }
     }
 
     /// Returns whether an append of this process has been read, given the newest leader record.
@@ -346,7 +358,10 @@
         let epoch = self.max_epoch.next();
         self.role = Role::Claiming { epoch, sent: now };
         let seq = self.next_seq();
-        let records = vec![self.record(epoch, seq, false, 0)];
+        let earlier =
+            self.last_heartbeat.map(|heartbeat| heartbeat.claimed_after(now, &self.limits, epoch));
+        let record = self.record(epoch, seq, 0, earlier.unwrap_or_default());
+        let records = vec![Record::new(Key::Leader, &record)];
         out.push(LeadershipEffect::Claim { epoch, seq, records });
     }
 
@@ -401,6 +416,7 @@
         self.last_acknowledged_sent = sent;
         self.term_start = sent;
         let succession = Succession::new(now, sent, &self.limits, self.last_heartbeat, epoch);
+        self.succession = Some(succession);
         out.push(LeadershipEffect::Elected { epoch, succession });
     }
 
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -35,8 +35,8 @@
         MaintenanceResult, VmEntry, VmId, VmList, VmState, Wave, WaveProgress, WaveState,
     },
     record::{
-        Key, LeaderRecord, OccurrenceProgress, Outcome, Progress, Record, RecordError, RosterEntry,
-        RosterPage, RosterState, StepProgress, Submission,
+        EarlierTerm, Key, LeaderRecord, OccurrenceProgress, Outcome, Progress, Record, RecordError,
+        RosterEntry, RosterPage, RosterState, StepProgress, Submission,
     },
     routes::{AdviceTerms, Route, RouteTable},
     scheduler::{
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -13,11 +13,12 @@
     compact_str::CompactString,
     egretlb_types::{Epoch, Seq},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
+    smallvec::SmallVec,
     std::{fmt, net::SocketAddr},
 };
 
 /// Version of the value encoding. Records of other versions are skipped.
-const FORMAT_VERSION: u8 = 7;
+const FORMAT_VERSION: u8 = 8;
 
 /// What a record describes.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -138,6 +139,19 @@
     /// Time since the start of the term at which this was sent, in milliseconds. Times in the
     /// roster use the same origin.
     pub term_ms: u64,
+    /// Earlier terms, the newest first. A successor uses them if this leader has recorded no roster.
+    pub earlier: SmallVec<[EarlierTerm; 2]>,
+}
+
+/// What a leader knows of an earlier term when it sends a record.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct EarlierTerm {
+    /// Its epoch.
+    pub epoch: Epoch,
+    /// Time since its start, in milliseconds.
+    pub term_ms: u64,
+    /// How much longer its leader, and those between it and the sender, may send commands, in milliseconds.
+    pub commands_ms: u64,
 }
 
 /// A page of the list of workers that may run tasks on a leader's command.
--- a/crates/workflow/src/scheduler/reconciliation.rs
+++ b/crates/workflow/src/scheduler/reconciliation.rs
@@ -145,24 +145,21 @@
     /// When all runs that earlier leaders started at a worker must have lapsed.
     fn inherited_lease_bound(&self, page: &RosterPage, roster_state: &RosterState) -> Time {
         let max_lease = self.limits.lease_bound();
-        // If the last leader wrote no roster, it is unknown which of its predecessors can still
-        // send commands.
+        // If nothing is known of the page's writer, any earlier leader may still send commands.
         let latest = self.succession.earlier_commands_until() + max_lease;
-        let by_predecessor = self.succession.follows(page.epoch);
-        match roster_state {
-            RosterState::Open | RosterState::Draining { .. } if by_predecessor => {
-                self.succession.commands_until() + max_lease
+        let bound = match roster_state {
+            // Leaders after the page's writer may have started tasks there, too.
+            RosterState::Open | RosterState::Draining { .. } => {
+                self.succession.commands_until(page.epoch).map(|until| until + max_lease)
             }
+            // A leader starts and renews nothing at a worker that it lists so, or that it finds listed so, until it has
+            // recorded it otherwise. If the worker never answered, still earlier leaders may; the time allows for them.
             RosterState::Unresponsive { lapses_ms, .. }
-            | RosterState::Unreconciled { lapses_ms }
-                if by_predecessor =>
-            {
-                latest.min(self.succession.local_time(*lapses_ms))
+            | RosterState::Unreconciled { lapses_ms } => {
+                self.succession.local_time(page.epoch, *lapses_ms)
             }
-            // A leader starts and renews nothing at a worker that it lists as unresponsive. If that
-            // worker never answered it, though, an earlier leader may still renew its runs.
-            _ => latest,
-        }
+        };
+        bound.map_or(latest, |bound| bound.min(latest))
     }
 
     /// Assumes that a run is under way at a worker, until that worker answers or its leases have
--- a/crates/workflow/tests/leader_changes.rs
+++ b/crates/workflow/tests/leader_changes.rs
@@ -182,6 +182,7 @@
             addr: None,
             seq: Seq(9),
             term_ms: 0,
+            earlier: Default::default(),
         };
         leadership.on_leader_record(now, &gone, &mut Vec::new());
         let started = now;
--- a/crates/workflow/tests/odd_records.rs
+++ b/crates/workflow/tests/odd_records.rs
@@ -21,7 +21,7 @@
 const DRAWS_PER_SEED: usize = 200;
 
 /// Version of the value encoding, the first byte of each value.
-const VERSION: u8 = 7;
+const VERSION: u8 = 8;
 
 const WORKFLOW: WorkflowId = WorkflowId(1);
 
