A leader that loaded the records anew waits the longest span

A process whose claim is among them kept the heartbeat that it had read before, although another leader may have sent heartbeats, or led, in between. The predecessor's own bound had the same hole before.

The heartbeat is forgotten when the records are loaded; without one the longest span holds.

--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -121,6 +121,9 @@
     limits: &mut ReadLimits,
 ) -> Result<Offset, ReadFailure> {
     let sent = node.clock().now();
+    if topic == Topic::Work {
+        node.core_mut().leadership.on_records_lost();
+    }
     let mut after: Option<Bytes> = None;
     let mut start = None;
     let mut listed = Listed::default();
--- a/crates/workflow/src/leadership/mod.rs
+++ b/crates/workflow/src/leadership/mod.rs
@@ -318,6 +318,12 @@
         self.no_heartbeat_since = now;
     }
 
+    /// Forgets the last heartbeat, since the records are loaded anew: of each key only the newest is read, and other
+    /// leaders may have come in between.
+    pub fn on_records_lost(&mut self) {
+        self.last_heartbeat = None;
+    }
+
     /// Notes that a read of the records was sent.
     pub fn on_read_sent(&mut self, now: Time) {
         self.last_read_sent = now;
--- a/crates/workflow/src/leadership/succession.rs
+++ b/crates/workflow/src/leadership/succession.rs
@@ -160,9 +160,9 @@
         self.current && read_at.is_some_and(|read_at| self.began.since(read_at) <= span)
     }
 
-    /// Returns the time from which no earlier leader sends commands, whichever it is.
-    pub(crate) fn earlier_commands_until(&self) -> Time {
-        self.earlier_commands_until
+    /// Returns the time at which all runs that earlier leaders started must have lapsed, wherever they are.
+    pub fn waits_until(&self, limits: &Limits) -> Time {
+        self.earlier_commands_until + limits.lease_bound()
     }
 
     fn term(&self, epoch: Epoch) -> Option<&KnownTerm> {
--- a/crates/workflow/src/scheduler/reconciliation.rs
+++ b/crates/workflow/src/scheduler/reconciliation.rs
@@ -64,7 +64,7 @@
     /// Takes over a worker that two pages list, since a page was recorded after it had moved and the other one wasn't:
     /// anything may run there, by any earlier leader.
     fn inherit_twice_listed(&mut self, id: &WorkerId) {
-        let latest = self.succession.earlier_commands_until() + self.limits.lease_bound();
+        let latest = self.succession.waits_until(&self.limits);
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.lease_bound = latest;
         worker.inherited = Some(Inherited::RunsUnknown);
@@ -146,7 +146,7 @@
     fn inherited_lease_bound(&self, page: &RosterPage, roster_state: &RosterState) -> Time {
         let max_lease = self.limits.lease_bound();
         // If nothing is known of the page's writer, any earlier leader may still send commands.
-        let latest = self.succession.earlier_commands_until() + max_lease;
+        let latest = self.succession.waits_until(&self.limits);
         let bound = match roster_state {
             // Leaders after the page's writer may have started tasks there, too.
             RosterState::Open | RosterState::Draining { .. } => {
--- a/crates/workflow/tests/unrostered_leader.rs
+++ b/crates/workflow/tests/unrostered_leader.rs
@@ -3,7 +3,10 @@
 mod support;
 
 use {
-    egretlb_workflow::{Limits, TaskId, WorkflowId},
+    egretlb_types::{Epoch, Offset, Seq, Time},
+    egretlb_workflow::{
+        LeaderRecord, Leadership, LeadershipEffect, Ledger, Limits, TaskId, WorkflowId,
+    },
     std::time::Duration,
     support::{long_running, submission, world::World},
 };
@@ -96,3 +99,49 @@
         assert_eq!(world.checker.violations, Vec::<String>::new(), "{seed}");
     }
 }
+
+/// Guards against a wait that counts from a heartbeat that was read before the records were loaded anew: of each key only the
+/// newest is read then, so a leader in between may be unknown.
+#[test]
+fn records_loaded_anew() {
+    let limits = Limits::default();
+    let elected = |earlier: Option<Epoch>| {
+        let mut now = Time::from_secs(10);
+        let mut leadership = Leadership::new(now, "node", 7, 0, limits);
+        if let Some(epoch) = earlier {
+            let record = LeaderRecord {
+                node: "other".into(),
+                incarnation: 1,
+                epoch,
+                released: false,
+                addr: None,
+                seq: Seq(9),
+                term_ms: 500,
+                earlier: Default::default(),
+            };
+            leadership.on_leader_record(now, &record, &mut Vec::new());
+        }
+        let mut out = Vec::new();
+        while out.is_empty() {
+            now = now + Duration::from_millis(20);
+            leadership.on_read(now);
+            leadership.tick(now, true, &mut out);
+        }
+        let Some(LeadershipEffect::Claim { records, .. }) = out.pop() else { panic!("no claim") };
+        let mut ledger = Ledger::default();
+        let record = records.first().expect("a leader record");
+        ledger.apply(Offset(0), &record.key, &record.value).expect("a record of this crate");
+        leadership.on_records_lost();
+        let read_at = now + 2 * SECOND;
+        let claim = ledger.leader().expect("the claim");
+        leadership.on_leader_record(read_at, claim, &mut out);
+        let Some(LeadershipEffect::Elected { succession, .. }) = out.pop() else {
+            panic!("not elected")
+        };
+        (succession.waits_until(&limits), read_at)
+    };
+    for earlier in [None, Some(Epoch(3))] {
+        let (waits_until, read_at) = elected(earlier);
+        assert_eq!(waits_until, read_at + limits.authority + limits.lease_bound(), "{earlier:?}");
+    }
+}
