Workers aren't kept free where runs outlast their estimates, nor for two purposes at once

An isolated start took held workers, and the held task reserved ones, so that it would share the evidence of a crash. No test of its own: a try with two workers passed before, too.

--- a/crates/workflow/src/scheduler/held_rooms.rs
+++ b/crates/workflow/src/scheduler/held_rooms.rs
@@ -57,7 +57,9 @@
     ) -> Option<WorkerId> {
         let held = self.held_rooms.iter().find(|held| held.step == task.step_id())?;
         let entry = self.workers.get_key_value(&held.worker);
-        let entry = entry.filter(|(_, worker)| worker.accepts_as_last_resort(now, &self.limits));
+        let entry = entry.filter(|(_, worker)| {
+            worker.accepts_as_last_resort(now, &self.limits) && !worker.is_reserved(now)
+        });
         self.best_worker(now, task, service, requirements, entry.into_iter())
     }
 
@@ -164,13 +166,15 @@
 }
 
 /// In how long a worker is expected to have room for a task if nothing more is started there; none if tasks of unknown
-/// duration leave too little.
+/// duration, or beyond their estimates, leave too little.
 fn fits_in(now: Time, worker: &Worker, resources: &Resources) -> Option<Duration> {
-    let ending = worker.attempts.values().filter(|attempt| attempt.estimate_ms > 0);
-    let mut ends: Vec<(Duration, Resources)> = ending
-        .map(|attempt| {
+    let mut ends: Vec<(Duration, Resources)> = worker
+        .attempts
+        .values()
+        .filter_map(|attempt| {
             let estimate = Duration::from_millis(u64::from(attempt.estimate_ms));
-            (estimate.saturating_sub(now.since(attempt.running_since)), attempt.reserved)
+            let left = estimate.checked_sub(now.since(attempt.running_since))?;
+            (attempt.estimate_ms > 0).then_some((left, attempt.reserved))
         })
         .collect();
     ends.sort_unstable_by_key(|(left, _)| *left);
--- a/crates/workflow/src/scheduler/isolated_start.rs
+++ b/crates/workflow/src/scheduler/isolated_start.rs
@@ -297,6 +297,7 @@
             && worker.is_eligible(now, &self.limits)
             && worker.isolated_starts == 0
             && now >= worker.excluded_until()
+            && now >= worker.held_until
             && !worker.is_backing_off(now)
             && self.is_allowed(now, task, id)
             && self.eligible_fitness(now, (id, worker), task, service, requirements).is_some()
