--- a/crates/workflow/tests/seeded_stalls.rs
+++ b/crates/workflow/tests/seeded_stalls.rs
@@ -23,6 +23,10 @@
 /// Seeds on which tasks of a lost worker wait for something else once its leases have lapsed.
 const LOST_AND_DEFERRED_SEEDS: [u64; 3] = [652, 1_246, 1_332];
 
+/// Seeds on which tasks of lost workers wait beside room after leaders in series (2098), or a task is started after its last
+/// attempt (2401, 2508).
+const UNRESOLVED_SEEDS: [u64; 3] = [2_098, 2_401, 2_508];
+
 /// Environment variable with a range of seeds that replaces the default ones, such as `1000..1500`.
 const SEEDS_VARIABLE: &str = "EGRETLB_STALL_SEEDS";
 
@@ -369,3 +373,10 @@
 fn lost_and_deferred_seeds() {
     run_all(&LOST_AND_DEFERRED_SEEDS);
 }
+
+/// Guards against lost long-running tasks that stand still after leaders in series, and against tasks that are started after
+/// their last attempt.
+#[test]
+fn unresolved_stall_seeds() {
+    run_all(&UNRESOLVED_SEEDS);
+}
