The simulated check of attempts passes over long-running tasks, as the platform's rule does

Traced on seeds 2401 and 2508 of seeded_stalls: a long-running task fails three times at failing workers and is started a fourth time ('started after its last attempt'). The platform's rule on attempts says that tasks that last have no such limit, and the scheduler doesn't count their failures for that reason. Batch tasks are checked as before. Both seeds are kept as failing_seeds, which pass with the check corrected; they guard against giving up such a task. 2098 stays known red.

--- a/crates/workflow/tests/seeded_stalls.rs
+++ b/crates/workflow/tests/seeded_stalls.rs
@@ -23,9 +23,11 @@
 /// Seeds on which tasks of a lost worker wait for something else once its leases have lapsed.
 const LOST_AND_DEFERRED_SEEDS: [u64; 3] = [652, 1_246, 1_332];
 
-/// Seeds on which tasks of lost workers wait beside room after leaders in series (2098), or a task is started after its last
-/// attempt (2401, 2508).
-const UNRESOLVED_SEEDS: [u64; 3] = [2_098, 2_401, 2_508];
+/// Seed on which tasks of lost workers wait beside room after leaders in series.
+const UNRESOLVED_SEEDS: [u64; 1] = [2_098];
+
+/// Seeds on which long-running tasks fail more often than batch tasks may.
+const FAILING_SEEDS: [u64; 2] = [2_401, 2_508];
 
 /// Environment variable with a range of seeds that replaces the default ones, such as `1000..1500`.
 const SEEDS_VARIABLE: &str = "EGRETLB_STALL_SEEDS";
@@ -374,8 +376,13 @@
     run_all(&LOST_AND_DEFERRED_SEEDS);
 }
 
-/// Guards against lost long-running tasks that stand still after leaders in series, and against tasks that are started after
-/// their last attempt.
+/// Guards against long-running tasks that aren't started again since they have failed several times.
+#[test]
+fn failing_seeds() {
+    run_all(&FAILING_SEEDS);
+}
+
+/// Guards against lost long-running tasks that stand still after leaders in series.
 #[test]
 fn unresolved_stall_seeds() {
     run_all(&UNRESOLVED_SEEDS);
--- a/crates/workflow/tests/support/checker.rs
+++ b/crates/workflow/tests/support/checker.rs
@@ -48,7 +48,9 @@
         if self.acknowledged_done.contains(&task) {
             self.violations.push(format!("{task} run {run} started after it was done"));
         }
-        if self.failed.get(&task).is_some_and(|failed| *failed >= submission.max_attempts) {
+        // The platform sets no limit for long-running tasks.
+        let failed = self.failed.get(&task).copied().filter(|_| !step.long_running);
+        if failed.is_some_and(|failed| failed >= submission.max_attempts) {
             self.violations.push(format!("{task} run {run} started after its last attempt"));
         }
         if let Some((crashes, starts)) = self.crashing_tasks.get_mut(&task)
