--- a/crates/workflow/tests/seeded_successions.rs
+++ b/crates/workflow/tests/seeded_successions.rs
@@ -86,6 +86,9 @@
 /// the one worker of its isolated start.
 const REPEATED_LOSS_SEEDS: [u64; 2] = [130_918, 131_063];
 
+/// Seed on which a workflow without a crashing task is given up.
+const GIVEN_UP_SEEDS: [u64; 1] = [140_053];
+
 /// Seed on which a leader is paused while a crashing task's isolated start crashes its worker.
 const PAUSED_LEADER_SEEDS: [u64; 1] = [131_363];
 
@@ -495,3 +498,9 @@
 fn late_crash_seeds() {
     run_all(&LATE_CRASH_SEEDS, CRASHING_TASKS);
 }
+
+/// Guards against workflows without a crashing task that are given up.
+#[test]
+fn given_up_seeds() {
+    run_all(&GIVEN_UP_SEEDS, CRASHING_TASKS);
+}
