A crash of a worker that was lost with its rack is unsure

Cause, traced: a lost rack counted as a shared crash, as much as a crash of one worker, although the leader saw that all of the rack went at one moment. Three of them give up any task that was started there within half a second before.

Change: if two more workers of the rack were lost together with a worker, and none has outlived it, the crash is unsure. Four of these still give up the task, so a crashing task whose workers are lost with their racks stays within the bound of starts.

--- a/crates/workflow/src/crash.rs
+++ b/crates/workflow/src/crash.rs
@@ -27,8 +27,8 @@
 pub enum CrashEvidence {
     /// The run had been working for a while.
     Late,
-    /// The run had just started or may never have started, and the worker may only be unreachable or
-    /// was draining.
+    /// The run had just started or may never have started, and the worker may only be unreachable, was
+    /// draining, or was lost with its rack.
     Unsure,
     /// The worker crashed, but other runs had also just started there, many other workers crashed at the
     /// same time, or it isn't known whether its rack is up.
--- a/crates/workflow/src/scheduler/common_losses.rs
+++ b/crates/workflow/src/scheduler/common_losses.rs
@@ -1,4 +1,4 @@
-//! Finds workers that may have been lost for a common cause: with their rack, or with many others of their service.
+//! Finds workers that were lost for a common cause: with their rack, or with many others of their service.
 //!
 //! Whether two workers were lost together is judged by when they stopped replying. A rack has outlived a worker if
 //! another worker there has replied after that one was certainly gone, even if some of its replies were lost on the way.
@@ -14,6 +14,9 @@
 /// How long a lost worker is remembered, to find workers lost together with it.
 const LOSS_RETENTION: Duration = Duration::from_secs(10);
 
+/// Minimum number of other workers of the same rack lost together for the loss of the rack.
+const MIN_RACK_LOSSES: usize = 2;
+
 /// Minimum number of other workers of the same service lost together for a common cause.
 const MIN_SERVICE_LOSSES: usize = 4;
 
@@ -27,6 +30,8 @@
     Unlikely,
     /// Many others of its service were lost at the same time, or it isn't known whether its rack has outlived it.
     Possible,
+    /// Others of its rack were lost at the same time, and none has outlived it.
+    RackLost,
 }
 
 /// Polls of a worker that have failed since its last reply.
@@ -149,18 +154,19 @@
                 other.service == lost.service && !self.workers.contains_key(&other.id)
             });
         let replaced = replaced.map(|other| (other.time, other.rack.as_deref(), true));
-        let mut service_losses = 0;
+        let (mut service_losses, mut rack_losses) = (0, 0);
         let mut outlived = lost.rack.is_none();
         for (time, rack, is_gone) in known.chain(replaced) {
             let same_rack = rack.is_some() && rack == lost.rack.as_deref();
             let together = is_gone && time.is_together_with(lost.time);
             service_losses += usize::from(together);
+            rack_losses += usize::from(together && same_rack);
             outlived |= same_rack && time.outlived(lost.time);
         }
-        if outlived && service_losses < MIN_SERVICE_LOSSES {
-            CommonCause::Unlikely
-        } else {
-            CommonCause::Possible
+        match outlived {
+            false if rack_losses >= MIN_RACK_LOSSES => CommonCause::RackLost,
+            true if service_losses < MIN_SERVICE_LOSSES => CommonCause::Unlikely,
+            _ => CommonCause::Possible,
         }
     }
 
--- a/crates/workflow/src/scheduler/lost_workers.rs
+++ b/crates/workflow/src/scheduler/lost_workers.rs
@@ -258,6 +258,7 @@
             return CrashEvidence::Unsure;
         }
         match self.common_cause(now, id, worker) {
+            CommonCause::RackLost => CrashEvidence::Unsure,
             CommonCause::Unlikely if self.groups_in_crash_window(worker) == 1 => {
                 CrashEvidence::Alone
             }
--- a/crates/workflow/tests/rack_losses.rs
+++ b/crates/workflow/tests/rack_losses.rs
@@ -23,6 +23,16 @@
 
 const SEEDS: Range<u64> = 0..20;
 
+/// Maximum number of workers that one task may crash: two starts after the third crash are allowed.
+const MAX_CRASHES: u32 = 5;
+
+/// Loses the rack of the task's next start; returns its workers.
+fn lose_rack(world: &mut World) -> Vec<usize> {
+    let number = run_until_started(world);
+    world.run(RUN_TIME);
+    crash_rack(world, number)
+}
+
 /// Loses only the worker of the task's next start, which is replaced later.
 fn lose_worker(world: &mut World) {
     let number = run_until_started(world);
@@ -55,6 +65,20 @@
     assert_eq!(world.checker.violations, Vec::<String>::new(), "seed {seed}");
 }
 
+/// Guards against giving up a task for losses of whole racks that the leader sees.
+#[test]
+fn seen_losses() {
+    for seed in SEEDS {
+        let mut world = submitted_world(seed);
+        for _ in 0..3 {
+            let lost = lose_rack(&mut world);
+            world.run(AWAY);
+            revive(&mut world, &lost);
+        }
+        assert_completes(&mut world, seed);
+    }
+}
+
 /// Guards against taking a lost rack for a crash of one worker, since replies of that worker were lost before.
 #[test]
 fn replies_lost_before() {
@@ -100,3 +124,26 @@
         assert_given_up(&world, 3, seed);
     }
 }
+
+/// Guards against starting a crashing task too often since its crashes coincide with losses of racks.
+#[test]
+fn culprit_in_lost_racks() {
+    for seed in SEEDS {
+        let mut world = submitted_world(seed);
+        world.crashing_tasks.tasks.insert(TASK, RUN_TIME);
+        for _ in 0..MAX_CRASHES {
+            let running = |world: &World| world.checker.is_running(TASK);
+            if world.run_until(10 * SECOND, running).is_none() {
+                break;
+            }
+            let number = run_until_started(&mut world);
+            // The crash comes first.
+            world.run(RUN_TIME + Duration::from_millis(10));
+            let lost = crash_rack(&mut world, number);
+            world.run(AWAY);
+            revive(&mut world, &lost);
+        }
+        world.run(30 * SECOND);
+        assert_given_up(&world, MAX_CRASHES, seed);
+    }
+}
