--- a/crates/workflow/src/scheduler/common_losses.rs
+++ b/crates/workflow/src/scheduler/common_losses.rs
@@ -67,11 +67,10 @@
     }
 }
 
-/// When a worker was lost.
+/// When a worker was lost: after its last reply.
 #[derive(Clone, Copy, Debug)]
 struct LossTime {
-    /// Its last reply.
-    after: Time,
+    last_reply: Time,
     /// When it should have replied next.
     reply_due: Time,
     /// When it was certainly gone: later than `reply_due`, since replies may be lost on the way.
@@ -79,14 +78,14 @@
 }
 
 impl LossTime {
-    /// Whether both workers may have stopped replying at the same time.
+    /// Whether both workers may have been lost at the same time.
     fn is_together_with(self, other: LossTime) -> bool {
-        self.after <= other.reply_due && other.after <= self.reply_due
+        self.last_reply <= other.reply_due && other.last_reply <= self.reply_due
     }
 
     /// Whether the worker was alive when the other one was gone.
     fn outlived(self, other: LossTime) -> bool {
-        self.after > other.gone_by
+        self.last_reply > other.gone_by
     }
 }
 
@@ -135,7 +134,7 @@
     /// When it was lost, if it doesn't reply again; none if it has never replied.
     fn loss_time(&self, now: Time) -> Option<LossTime> {
         Some(LossTime {
-            after: self.last_contact?,
+            last_reply: self.last_contact?,
             reply_due: self.missed_polls.first_due.unwrap_or(now),
             gone_by: self.missed_polls.gone_by.unwrap_or(now),
         })
@@ -149,10 +148,10 @@
         let known = self
             .workers
             .iter()
-            .filter(|(id, worker)| **id != lost.id && worker.info.service == lost.service);
-        let known = known.filter_map(|(_, worker)| {
-            let is_gone = worker.missed_polls.is_gone();
-            Some((worker.loss_time(now)?, worker.info.rack(), is_gone))
+            .filter(|(other, worker)| *other != id && worker.info.service == lost.service);
+        let known = known.filter_map(|(_, other)| {
+            let is_gone = other.missed_polls.is_gone();
+            Some((other.loss_time(now)?, other.info.rack(), is_gone))
         });
         let replaced =
             self.lost_workers.recent.0.iter().filter(|other| {
