An isolated start waits for runs that the previous leader may have just started

The worker of the isolated start had got the crashing task 2d.0.0.1 80 ms before, from the previous leader. The new leader takes all runs that it finds at a worker for long started, so it takes the worker for free of runs in their crash window, and its own start for the only suspect.

The found runs themselves aren't suspected: most were started long before, and a rack lost at a takeover would suspect all it ran.

--- a/crates/workflow/src/scheduler/isolated_start.rs
+++ b/crates/workflow/src/scheduler/isolated_start.rs
@@ -91,7 +91,7 @@
     fn isolation_cost(&self) -> IsolationCost {
         let long_running = self.attempts.values().filter(|attempt| attempt.long_running).count();
         IsolationCost {
-            any_in_crash_window: !self.all_past_crash_window(),
+            any_in_crash_window: !self.all_certainly_past_crash_window(),
             long_running,
             runs: self.attempts.len(),
         }
@@ -188,7 +188,7 @@
         if !self.can_take_suspect(now, &id, worker, task, service, requirements) {
             return None;
         }
-        let past_crash_window = worker.all_past_crash_window();
+        let past_crash_window = worker.all_certainly_past_crash_window();
         if !self.is_recorded(task) {
             self.reserve_worker(now, &id);
             return Some(IsolatedStart::Later);
--- a/crates/workflow/src/scheduler/lost_workers.rs
+++ b/crates/workflow/src/scheduler/lost_workers.rs
@@ -192,10 +192,23 @@
         })
     }
 
+    /// Whether a previous leader may have started an attempt so recently that it would be in its crash window. Such an
+    /// attempt isn't suspected, since most inherited ones were started long before.
+    fn may_have_just_started(&self, attempt: &Attempt) -> bool {
+        let inherited = attempt.start_deadline_ms.is_none();
+        inherited && self.ran_for(attempt).is_none_or(|ran_for| ran_for < CRASH_WINDOW)
+    }
+
     /// Whether no attempt here is in its crash window.
     pub(super) fn all_past_crash_window(&self) -> bool {
         !self.attempts.values().any(|attempt| self.is_in_crash_window(attempt))
     }
+
+    /// Whether no attempt here may be in its crash window.
+    pub(super) fn all_certainly_past_crash_window(&self) -> bool {
+        let maybe = |attempt: &Attempt| self.may_have_just_started(attempt);
+        self.all_past_crash_window() && !self.attempts.values().any(maybe)
+    }
 }
 
 impl Scheduler {
@@ -274,13 +287,17 @@
         }
         match self.common_cause(now, id, worker) {
             CommonCause::RackLost => CrashEvidence::Unsure,
-            CommonCause::Unlikely if self.groups_in_crash_window(worker) == 1 => {
-                CrashEvidence::Alone
-            }
+            CommonCause::Unlikely if self.is_only_suspect(worker) => CrashEvidence::Alone,
             CommonCause::Unlikely | CommonCause::Possible => CrashEvidence::Shared,
         }
     }
 
+    /// Whether only one task may have crashed a worker.
+    fn is_only_suspect(&self, worker: &Worker) -> bool {
+        let just_started = |attempt: &Attempt| worker.may_have_just_started(attempt);
+        self.groups_in_crash_window(worker) == 1 && !worker.attempts.values().any(just_started)
+    }
+
     /// Number of tasks in their crash window on a worker. Members of a gang count as one, since they start and stop
     /// together.
     fn groups_in_crash_window(&self, worker: &Worker) -> usize {
--- a/crates/workflow/tests/seeded_successions.rs
+++ b/crates/workflow/tests/seeded_successions.rs
@@ -87,8 +87,9 @@
 const REPEATED_LOSS_SEEDS: [u64; 2] = [130_918, 131_063];
 
 /// Seeds on which a task loses its worker right after several starts: with racks that the leaders see lost, with a rack
-/// whose other workers had just started or replied later, and after it had been cut off until its leases lapsed.
-const GIVEN_UP_SEEDS: [u64; 4] = [140_053, 151_760, 152_215, 166_628];
+/// whose other workers had just started or replied later, after it had been cut off until its leases lapsed, and beside a
+/// crashing task that the previous leader had just started.
+const GIVEN_UP_SEEDS: [u64; 5] = [140_053, 151_760, 152_215, 166_628, 168_754];
 
 /// Seed on which a leader is paused while a crashing task's isolated start crashes its worker.
 const PAUSED_LEADER_SEEDS: [u64; 1] = [131_363];
