--- a/crates/workflow/tests/seeded_successions.rs
+++ b/crates/workflow/tests/seeded_successions.rs
@@ -91,6 +91,10 @@
 /// crashing task that the previous leader had just started.
 const GIVEN_UP_SEEDS: [u64; 5] = [140_053, 151_760, 152_215, 166_628, 168_754];
 
+/// Seeds on which a task loses its workers three times right after its starts, each time around a change of the leader or
+/// with a rack that is replaced at once.
+const INHERITED_LOSS_SEEDS: [u64; 2] = [172_328, 173_709];
+
 /// Seed on which a leader is paused while a crashing task's isolated start crashes its worker.
 const PAUSED_LEADER_SEEDS: [u64; 1] = [131_363];
 
@@ -506,3 +510,9 @@
 fn given_up_seeds() {
     run_all(&GIVEN_UP_SEEDS, CRASHING_TASKS);
 }
+
+/// Guards against tasks that are given up for losses of which no leader could see the rack.
+#[test]
+fn inherited_loss_seeds() {
+    run_all(&INHERITED_LOSS_SEEDS, CRASHING_TASKS);
+}
