--- a/review/1/case.py
+++ b/review/1/case.py
@@ -36,9 +36,9 @@
     await worker.drain()
     await asyncio.sleep(0.4)
     if trouble():
-        record("%s is cut off: it reaches no store, its open connections are reset and new ones are refused" % worker.id)
+        record("%s is cut off: it reaches no store, its open connections carry nothing and new ones are refused" % worker.id)
         worker.cut = True
-        worker.server.refuse()
+        worker.server.cut_off()
     await asyncio.sleep(CUT_S)
     if trouble():
         record("the cut of %s is over" % worker.id)
--- a/review/standins.py
+++ b/review/standins.py
@@ -131,7 +131,13 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def cut_off(self):
+        """From now on connections are refused, and the open ones carry nothing."""
+        self.server.close()
+        self.silent = True
+
     async def accept_again(self):
+        self.silent = False
         host, port = self.addr.rsplit(":", 1)
         await self.listen(host, int(port))
 
@@ -406,7 +412,7 @@
                 written = self.last_written
                 if self.up and not self.cut and time.monotonic() - written >= HEARTBEAT_MS / 1000:
                     await self.report()
-                    listed = True
+                    listed, written = True, self.last_written
                 if self.up:
                     await self.advance()
             if listed and (time.monotonic() - written >= 3 * HEARTBEAT_MS / 1000 or self.left == worker_id):
