Log lines tell why a worker counts as having left, and what was left of its leases

The logs had `worker_left` and `run_lost loss=left`, which four causes share: the missing directory entry alone, the refused connection alone, both together, or a wrong end of the leases.

Change: `worker_left` gets cause, silent_ms and lease_left_ms, `run_lost` gets lease_left_ms.

--- a/crates/workflow/src/scheduler/commands.rs
+++ b/crates/workflow/src/scheduler/commands.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Attempt, Effect, Phase, Scheduler, Worker,
-        lost_workers::WorkerLoss,
+        lost_workers::{LeaveCause, WorkerLoss},
         waits::{Stop, StopReason},
     },
     crate::{RunId, TaskId, WorkerId},
@@ -297,8 +297,11 @@
     }
 
     /// Handles a worker that has left: all its runs have ended.
-    pub(super) fn on_left(&mut self, now: Time, id: &WorkerId) {
-        log::info!(worker:% = id; "worker_left");
+    pub(super) fn on_left(&mut self, now: Time, id: &WorkerId, cause: LeaveCause) {
+        if let Some(worker) = self.workers.get(id) {
+            let (silent_ms, lease_left_ms) = (worker.silent_ms(now), worker.lease_left_ms(now));
+            log::info!(worker:% = id, cause:%, silent_ms, lease_left_ms; "worker_left");
+        }
         self.forget_worker(now, id, WorkerLoss::Left);
     }
 
--- a/crates/workflow/src/scheduler/lost_workers.rs
+++ b/crates/workflow/src/scheduler/lost_workers.rs
@@ -61,6 +61,24 @@
     }
 }
 
+/// Why a worker counts as having left.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum LeaveCause {
+    /// It was draining, its directory entry is gone, and its address refuses connections.
+    Refused,
+    /// Its VM was taken down for maintenance.
+    Maintenance,
+}
+
+impl fmt::Display for LeaveCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            LeaveCause::Refused => "refused",
+            LeaveCause::Maintenance => "upkeep",
+        })
+    }
+}
+
 /// State kept about lost workers and their runs.
 #[derive(Debug)]
 pub(super) struct LostWorkers {
@@ -141,6 +159,16 @@
 }
 
 impl Worker {
+    /// Time since its last reply, in milliseconds; 0 if it has never replied.
+    pub(super) fn silent_ms(&self, now: Time) -> u64 {
+        self.last_contact.map_or(0, |at| now.since(at).as_millis() as u64)
+    }
+
+    /// Time until all runs there must have lapsed, in milliseconds.
+    pub(super) fn lease_left_ms(&self, now: Time) -> u64 {
+        self.lease_bound.since(now).as_millis() as u64
+    }
+
     /// Known running time of an attempt; none if it may never have started.
     fn ran_for(&self, attempt: &Attempt) -> Option<Duration> {
         let last_contact = self.last_contact.unwrap_or(attempt.running_since);
@@ -227,6 +255,7 @@
         later: Option<&WorkerId>,
     ) {
         let runs = self.lost_runs(now, id, loss);
+        let lease_left_ms = self.workers.get(id).map_or(0, |worker| worker.lease_left_ms(now));
         self.note_loss(now, id, loss);
         let beside = runs.len().saturating_sub(1);
         for LostRun { task, run, ran_for, listed, evidence } in runs {
@@ -242,8 +271,8 @@
                 let worked_ms = ran_for.unwrap_or_default().as_millis() as u64;
                 let evidence = evidence.map_or_else(|| "-".to_owned(), |e| e.to_string());
                 log::info!(
-                    task:%, run:%, worker:% = id, loss:%, in_doubt, worked_ms, beside, evidence:%,
-                    crashes;
+                    task:%, run:%, worker:% = id, loss:%, in_doubt, worked_ms, beside, lease_left_ms,
+                    evidence:%, crashes;
                     "run_lost"
                 );
             }
--- a/crates/workflow/src/scheduler/maintenance/mod.rs
+++ b/crates/workflow/src/scheduler/maintenance/mod.rs
@@ -13,7 +13,7 @@
 
 use {
     self::stages::{ActiveWave, Stage},
-    super::{Attempt, Effect, Phase, Scheduler, waits::StopReason},
+    super::{Attempt, Effect, Phase, Scheduler, lost_workers::LeaveCause, waits::StopReason},
     crate::{
         Ledger, MaintenanceResult, RunId, TaskId, VmId, VmList, VmState, Wave, WaveState, WorkerId,
     },
@@ -101,7 +101,7 @@
                 *stage = Stage::Down { worker: worker.clone(), since: now };
                 // All its runs have ended.
                 if let Some(id) = worker {
-                    self.on_left(now, &id);
+                    self.on_left(now, &id, LeaveCause::Maintenance);
                 }
             }
             MaintenanceResult::NotOfWave => {
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -2,7 +2,10 @@
 //! serves as a health check.
 
 use {
-    super::{Effect, Phase, PollReply, Scheduler, lost_workers::WorkerLoss},
+    super::{
+        Effect, Phase, PollReply, Scheduler,
+        lost_workers::{LeaveCause, WorkerLoss},
+    },
     crate::{WorkerId, WorkerState},
     egretlb_types::Time,
     std::time::Duration,
@@ -81,7 +84,7 @@
                     worker.missed_polls.note_failed(now.min(sent + worker.poll_wait));
                 }
                 if worker.has_left() {
-                    self.on_left(now, id);
+                    self.on_left(now, id, LeaveCause::Refused);
                 }
             }
         }
--- a/crates/workflow/tests/lost_run_lines.rs
+++ b/crates/workflow/tests/lost_run_lines.rs
@@ -53,5 +53,6 @@
 fn silent_worker() {
     let (runs, lines) = lost_lines(false);
     assert_eq!(lines.len(), runs);
-    assert!(lines.iter().all(|line| line.get("loss") == "lapsed"), "{lines:?}");
+    let lapsed = |line: &Line| line.get("loss") == "lapsed" && line.get("lease_left_ms") == "0";
+    assert!(lines.iter().all(lapsed), "{lines:?}");
 }
