A drained worker counts as gone only once its leases have lapsed

What callers saw: the effect of a task twice. A worker drains, is cut off so that connections to it are refused, and goes on working; its directory entry is gone since it can't report.

Cause: `has_left` took a missing entry and a refused connection for the end of a draining worker, and `on_poll` queued all its runs again, whatever was left of their leases. A cut that refuses connections shows both. A successor did the same with what the roster lists at such a worker.

Change: such a worker is still taken for one that left, for what its loss says of its tasks, but only after the last lease that a leader granted it has lapsed by the worker's slowest clock. Nothing else that is seen from outside bounds a run that can't be reached.

--- a/crates/workflow/src/scheduler/commands.rs
+++ b/crates/workflow/src/scheduler/commands.rs
@@ -296,7 +296,8 @@
         }
     }
 
-    /// Handles a worker that has left: all its runs have ended.
+    /// Handles a worker that has left. All its runs have ended: their leases have lapsed, or its VM
+    /// was taken down.
     pub(super) fn on_left(&mut self, now: Time, id: &WorkerId, cause: LeaveCause) {
         if let Some(worker) = self.workers.get(id) {
             let (silent_ms, lease_left_ms) = (worker.silent_ms(now), worker.lease_left_ms(now));
--- a/crates/workflow/src/scheduler/lost_workers.rs
+++ b/crates/workflow/src/scheduler/lost_workers.rs
@@ -64,7 +64,8 @@
 /// Why a worker counts as having left.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum LeaveCause {
-    /// It was draining, its directory entry is gone, and its address refuses connections.
+    /// It was draining, its directory entry is gone, its address refuses connections, and its leases
+    /// have lapsed.
     Refused,
     /// Its VM was taken down for maintenance.
     Maintenance,
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -83,9 +83,6 @@
                 } else {
                     worker.missed_polls.note_failed(now.min(sent + worker.poll_wait));
                 }
-                if worker.has_left() {
-                    self.on_left(now, id, LeaveCause::Refused);
-                }
             }
         }
         self.note_gain(now, id, earlier);
@@ -152,13 +149,10 @@
     /// marks the roster to be recorded if the state of a worker has changed.
     pub(super) fn expire(&mut self, now: Time) {
         let limits = self.limits;
-        let lapsed = |worker: &super::Worker| {
-            now >= worker.lease_bound && !worker.is_responsive(now, &limits)
-        };
         let lapsed_workers: Vec<WorkerId> = self
             .workers
             .iter()
-            .filter(|(_, worker)| lapsed(worker))
+            .filter(|(_, worker)| worker.has_lapsed(now, &limits))
             .map(|(id, _)| id.clone())
             .collect();
         for id in lapsed_workers {
@@ -185,6 +179,10 @@
 
     fn drop_lapsed(&mut self, now: Time, id: &WorkerId) {
         let Some(worker) = self.workers.get(id) else { return };
+        if worker.seems_to_have_left() {
+            self.on_left(now, id, LeaveCause::Refused);
+            return;
+        }
         let (runs, in_directory) = (worker.attempts.len(), worker.in_directory);
         if runs > 0 {
             log::warn!(worker:% = id, runs; "leases_lapsed");
--- a/crates/workflow/src/scheduler/reconciliation.rs
+++ b/crates/workflow/src/scheduler/reconciliation.rs
@@ -217,9 +217,8 @@
 
 /// Builds the state of a worker known only from the roster: it is polled, and gets no tasks while
 /// its directory entry is missing. It counts as draining only if the predecessor listed it as
-/// draining: a directory entry also expires while its worker or the store is cut off, and a draining
-/// worker without an entry counts as left once its address refuses a connection. If it hadn't left,
-/// its tasks would run twice.
+/// draining: a directory entry also expires while its worker or the store is cut off, and the runs
+/// of a draining worker get short leases.
 fn placeholder(entry: &RosterEntry) -> WorkerInfo {
     let draining = matches!(entry.state, RosterState::Draining { .. });
     WorkerInfo {
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -48,7 +48,8 @@
     pub(crate) listed_draining: bool,
     /// Number of runs that the roster lists there.
     pub(crate) listed_runs: usize,
-    /// Its address refused a connection: no process listens there.
+    /// Its address refused the last connection: no process listens there, or a network in between
+    /// refuses connections to it.
     pub(crate) connection_refused: bool,
     /// It has answered under this epoch: its runs are known, and no command of a predecessor takes
     /// effect there any more.
@@ -259,13 +260,18 @@
         self.info.state == WorkerState::Draining && (self.listed_draining || self.reconciled)
     }
 
-    /// Whether it has certainly left: it was draining, its entry is gone, and nothing listens at
-    /// its address. A missing entry alone isn't enough: entries also expire or are revoked, and a
-    /// draining worker runs on for seconds.
-    pub(crate) fn has_left(&self) -> bool {
+    /// Whether it seems to have left: it was draining, its entry is gone, and its address refuses
+    /// connections. A draining worker that is cut off looks the same while its tasks run on, so they
+    /// count as ended only once their leases have lapsed.
+    pub(crate) fn seems_to_have_left(&self) -> bool {
         self.info.state == WorkerState::Draining && !self.in_directory && self.connection_refused
     }
 
+    /// Whether all its runs have certainly lapsed, and it doesn't reply any more.
+    pub(crate) fn has_lapsed(&self, now: Time, limits: &Limits) -> bool {
+        now >= self.lease_bound && (self.seems_to_have_left() || !self.is_responsive(now, limits))
+    }
+
     /// Whether it accepts new tasks.
     pub(crate) fn accepts_work(&self, now: Time, limits: &Limits) -> bool {
         now >= self.quarantined_until
