A refused poll renews no leases

Cause: polls to such a worker carried renewals for 2.7 s after its last reply, and each put off the time at which its runs must have lapsed, although its address refused the connection.

Change: the renewal of the poll under way is kept apart until its result. A refused connection means that not a byte was sent, so its renewal is dropped; after any other result, also a lost or late one, it counts. Starts count from when they are decided, as before.

--- a/crates/workflow/src/scheduler/lost_workers.rs
+++ b/crates/workflow/src/scheduler/lost_workers.rs
@@ -167,7 +167,7 @@
 
     /// Time until all runs there must have lapsed, in milliseconds.
     pub(super) fn lease_left_ms(&self, now: Time) -> u64 {
-        self.lease_bound.since(now).as_millis() as u64
+        self.lease_bound().since(now).as_millis() as u64
     }
 
     /// Known running time of an attempt; none if it may never have started.
@@ -311,7 +311,7 @@
         loss: WorkerLoss,
     ) -> CrashEvidence {
         // After its leases have lapsed, a worker may be lost long after it was cut off.
-        let lapsed = loss == WorkerLoss::Lapsed || now >= worker.lease_bound;
+        let lapsed = loss == WorkerLoss::Lapsed || now >= worker.lease_bound();
         if lapsed || worker.all_past_crash_window() {
             return CrashEvidence::Unsure;
         }
--- a/crates/workflow/src/scheduler/maintenance/mod.rs
+++ b/crates/workflow/src/scheduler/maintenance/mod.rs
@@ -284,7 +284,7 @@
         let Some(worker) = self.workers.get(id) else { return timed_out };
         // The runs of a worker that hasn't answered this leader are unknown until they must have
         // lapsed.
-        if !worker.reconciled && now < worker.lease_bound {
+        if !worker.reconciled && now < worker.lease_bound() {
             return false;
         }
         let is_protected = |attempt: &Attempt| attempt.long_running && !attempt.preemptible;
--- a/crates/workflow/src/scheduler/placement.rs
+++ b/crates/workflow/src/scheduler/placement.rs
@@ -326,7 +326,7 @@
         self.release_held(task, id);
         let limits = self.limits;
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let Some(until_ms) = worker.lease_until(now, limits.lease, limits.lease_bound()) else {
+        let Some(until_ms) = worker.lease_for_start(now, limits.lease, limits.lease_bound()) else {
             return;
         };
         let addr = worker.info.addr;
--- a/crates/workflow/src/scheduler/poll_reply.rs
+++ b/crates/workflow/src/scheduler/poll_reply.rs
@@ -32,7 +32,7 @@
         let first_reply = !worker.reconciled;
         // An incomplete reply doesn't show everything that a previous leader started there. Leases aren't renewed
         // before reconciliation, so all of that has lapsed by the bound.
-        worker.reconciled |= !has_unreadable || now >= worker.lease_bound;
+        worker.reconciled |= !has_unreadable || now >= worker.lease_bound();
         if !worker.reconciled {
             worker.next_poll_at = now + POLL_RETRY;
         } else if first_reply
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -63,6 +63,7 @@
         self.pauses.note_event(now);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.poll_sent = None;
+            worker.settle_poll_lease(*result == PollResult::Refused);
             worker.next_poll_at = now + self.limits.poll_gap;
         }
         match result {
@@ -110,7 +111,7 @@
                 // restarted sooner.
                 let draining = worker.info.state == WorkerState::Draining;
                 let span = if draining { DRAINING_LEASE } else { limits.lease };
-                worker.lease_until(now, span, limits.lease_bound_for(span))
+                worker.lease_for_poll(now, span, limits.lease_bound_for(span))
             } else {
                 None
             };
--- a/crates/workflow/src/scheduler/reconciliation.rs
+++ b/crates/workflow/src/scheduler/reconciliation.rs
@@ -42,7 +42,7 @@
             self.roster.insert(number, entry.id.clone());
             worker.in_directory = false;
             worker.in_roster = true;
-            worker.lease_bound = self.inherited_lease_bound(page, &entry.state);
+            worker.extend_lease_bound(self.inherited_lease_bound(page, &entry.state));
             worker.listed_draining = matches!(entry.state, RosterState::Draining { .. });
             worker.listed_unresponsive = matches!(
                 entry.state,
@@ -55,7 +55,7 @@
             worker.inherited =
                 Some(if runs_listed { Inherited::RunsListed } else { Inherited::RunsUnknown });
             if !runs_listed {
-                self.unreconciled.insert(entry.id.clone(), worker.lease_bound);
+                self.unreconciled.insert(entry.id.clone(), worker.lease_bound());
             }
             self.workers.insert(entry.id.clone(), worker);
         }
@@ -66,7 +66,7 @@
     fn inherit_twice_listed(&mut self, id: &WorkerId) {
         let latest = self.succession.waits_until(&self.limits);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.lease_bound = latest;
+        worker.extend_lease_bound(latest);
         worker.inherited = Some(Inherited::RunsUnknown);
         self.unreconciled.insert(id.clone(), latest);
     }
@@ -198,7 +198,7 @@
     /// Returns the state of a worker to record in the roster.
     pub(super) fn roster_state(&self, now: Time, worker: &Worker) -> RosterState {
         let runs = || worker.attempts.keys().copied().collect();
-        let lapses_ms = self.succession.term_ms(worker.lease_bound);
+        let lapses_ms = self.succession.term_ms(worker.lease_bound());
         if worker.inherited == Some(Inherited::RunsUnknown) && !worker.reconciled {
             return RosterState::Unreconciled { lapses_ms };
         }
--- a/crates/workflow/src/scheduler/restarted_workers.rs
+++ b/crates/workflow/src/scheduler/restarted_workers.rs
@@ -138,9 +138,9 @@
         if in_doubt > 0 || unreconciled_until.is_some() {
             // A lease by the earlier incarnation's clock is cut to the longest one that is granted.
             let max_lease = self.limits.lease_bound_for(self.limits.max_lease);
-            let bound = (now + max_lease).max(worker.lease_bound);
+            let bound = (now + max_lease).max(worker.lease_bound());
             let worker = self.workers.entry(later.clone()).or_insert(placeholder);
-            worker.lease_bound = worker.lease_bound.max(bound);
+            worker.extend_lease_bound(bound);
             worker.replaces_listed = true;
             if unreconciled_until.is_some() && !worker.reconciled {
                 worker.inherited = Some(Inherited::RunsUnknown);
--- a/crates/workflow/src/scheduler/waits/held.rs
+++ b/crates/workflow/src/scheduler/waits/held.rs
@@ -84,7 +84,7 @@
         if !worker.is_responsive(now, &self.limits) {
             let since =
                 worker.last_contact.map_or(attempt.placed_at, |at| at.max(attempt.placed_at));
-            let until = Some(worker.lease_bound);
+            let until = Some(worker.lease_bound());
             return Some(NotRunning { reason: Reason::SilentWorker, since, until });
         }
         let (reason, since) = match attempt.phase {
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -57,8 +57,10 @@
     pub(crate) last_contact: Option<Time>,
     /// Polls that have failed since then.
     pub(super) missed_polls: MissedPolls,
-    /// When all runs there must have lapsed.
-    pub(crate) lease_bound: Time,
+    /// When all runs there must have lapsed, apart from those that the poll under way renews.
+    settled_lease_bound: Time,
+    /// When the runs that the poll under way renews must have lapsed.
+    poll_lease_bound: Option<Time>,
     /// The worker's clock in milliseconds, and when it was read.
     clock: Option<(u64, Time)>,
     pub(crate) poll_sent: Option<Time>,
@@ -131,7 +133,8 @@
             reconciled: false,
             last_contact: None,
             missed_polls: MissedPolls::default(),
-            lease_bound: now,
+            settled_lease_bound: now,
+            poll_lease_bound: None,
             clock: None,
             poll_sent: None,
             poll_wait: Duration::ZERO,
@@ -269,7 +272,7 @@
 
     /// Whether all its runs have certainly lapsed, and it doesn't reply any more.
     pub(crate) fn has_lapsed(&self, now: Time, limits: &Limits) -> bool {
-        now >= self.lease_bound && (self.seems_to_have_left() || !self.is_responsive(now, limits))
+        now >= self.lease_bound() && (self.seems_to_have_left() || !self.is_responsive(now, limits))
     }
 
     /// Whether it accepts new tasks.
@@ -306,18 +309,52 @@
             && self.is_responsive(now, limits)
     }
 
-    /// Returns the end of a lease of `span` from now on the worker's clock, or `None` if its clock
-    /// is unknown. The caller must send the lease: `lease_bound` already includes it.
-    pub(crate) fn lease_until(
+    /// When all runs there must have lapsed.
+    pub(crate) fn lease_bound(&self) -> Time {
+        self.poll_lease_bound.unwrap_or(Time::ZERO).max(self.settled_lease_bound)
+    }
+
+    /// Notes that runs there may go on until `bound`.
+    pub(crate) fn extend_lease_bound(&mut self, bound: Time) {
+        self.settled_lease_bound = self.settled_lease_bound.max(bound);
+    }
+
+    /// Notes the result of the poll under way. A refused one wasn't sent, so it has renewed nothing.
+    pub(crate) fn settle_poll_lease(&mut self, refused: bool) {
+        if let Some(bound) = self.poll_lease_bound.take().filter(|_| !refused) {
+            self.extend_lease_bound(bound);
+        }
+    }
+
+    /// Returns the end of a lease of `span` for a start, on the worker's clock, or `None` if its
+    /// clock is unknown. The caller must send the lease: the runs there may go on for `bound`.
+    pub(crate) fn lease_for_start(
         &mut self,
         now: Time,
         span: Duration,
         bound: Duration,
     ) -> Option<u64> {
+        let until_ms = self.lease_until(now, span)?;
+        self.extend_lease_bound(now + bound);
+        Some(until_ms)
+    }
+
+    /// Like [`Self::lease_for_start`], for the next poll.
+    pub(crate) fn lease_for_poll(
+        &mut self,
+        now: Time,
+        span: Duration,
+        bound: Duration,
+    ) -> Option<u64> {
+        let until_ms = self.lease_until(now, span)?;
+        self.poll_lease_bound = Some(now + bound);
+        Some(until_ms)
+    }
+
+    fn lease_until(&self, now: Time, span: Duration) -> Option<u64> {
         let (clock_ms, read) = self.clock?;
         let elapsed = u64::try_from(now.since(read).as_millis()).unwrap_or(u64::MAX);
         let span_ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
-        self.lease_bound = self.lease_bound.max(now + bound);
         Some(clock_ms.saturating_add(elapsed).saturating_add(span_ms))
     }
 }
--- a/crates/workflow/tests/refused_connections.rs
+++ b/crates/workflow/tests/refused_connections.rs
@@ -10,6 +10,12 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// How long a long-running task may be without a run before others must be told why.
+const MAX_DOWNTIME: Duration = Duration::from_secs(6);
+
+/// How long a workflow may stand still while there is room for its tasks.
+const MAX_STANDSTILL: Duration = Duration::from_secs(3);
+
 /// Starts a world whose worker 0 drains with two tasks under way, for which another one has room.
 fn draining(seed: u64) -> World {
     let mut world = World::new(seed, 3, 6, Limits::default());
@@ -64,3 +70,38 @@
         assert_eq!(*violations, Vec::<String>::new(), "seed {seed}, {killed_after_ms} ms");
     }
 }
+
+/// Guards against tasks that stand still for long after their worker has left, once the leases from before its notice are over.
+#[test]
+fn left_for_good() {
+    for seed in 0..20 {
+        let mut world = draining(seed);
+        world.run(3 * SECOND + Duration::from_millis(100 * seed));
+        world.workers[0].exit(&mut world.checker);
+        let restarted = |world: &World| world.checker.starts >= 14;
+        let took = world.run_until(10 * SECOND, restarted);
+        assert!(took.is_some_and(|took| took < MAX_STANDSTILL), "seed {seed}: {took:?}");
+        assert_eq!(world.checker.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// Guards against refused polls that count as renewals, so that the tasks of a crashed worker wait for leases which it never got.
+#[test]
+fn refused_renewals() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 3, 6, Limits::default());
+        world.run(2 * SECOND);
+        let mut task = step(6, 0);
+        task.long_running = true;
+        task.per_worker = 1;
+        world.submit(1, &submission(vec![task]));
+        world.add_worker(8);
+        world.run(2 * SECOND + Duration::from_millis(70 * seed));
+        let busy = world.workers.iter().position(|worker| !worker.running.is_empty());
+        let busy = busy.expect("six tasks run");
+        world.workers[busy].exit(&mut world.checker);
+        let took = world.run_until(12 * SECOND, |world| world.checker.starts >= 7);
+        assert!(took.is_some_and(|took| took < MAX_DOWNTIME), "seed {seed}: {took:?}");
+        assert_eq!(world.checker.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
