An entry of another writer ends no runs

Another writer's entry stands for a moment in place of a live worker's own, which the protocol allows ("It names no worker to use; the others hold").

Cause: found while looking for other places where runs are taken for ended without proof. An entry with a state that isn't known, or of another service, was applied as the worker's own. With a later start time it counted as a restart, so the runs that the worker had listed were queued again. With the address of another worker the next call went there, and its 421 counted as the end of the runs. The runtime also refused the worker's own entries afterwards as those of an earlier incarnation.

Change: such an entry counts as unreadable, like one that can't be decoded: the worker gets no new tasks until its own entry is back, and its runs, address and start time stay as known. The runtime asks in addition whether a route names the service. A worker that starts again in another service is noticed by its reply, which says when it started.

--- a/crates/runtime/src/configuration.rs
+++ b/crates/runtime/src/configuration.rs
@@ -68,6 +68,12 @@
         self.routes.is_some() && self.age(now).is_some_and(|age| age < MAX_CONFIGURATION_AGE)
     }
 
+    /// Whether a route sends work to the service.
+    pub fn names_service(&self, service: &str) -> bool {
+        let mut routes = self.routes.iter().flat_map(|table| &table.routes);
+        routes.any(|route| route.service == service)
+    }
+
     /// Finds the route of a request. If the configuration is outdated, the route may have been removed.
     ///
     /// # Errors
--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -11,7 +11,7 @@
     egretlb_types::{Epoch, Time},
     egretlb_workflow::{
         DirectoryChange, Effect, Key, Leadership, LeadershipEffect, Ledger, LedgerChange, Limits,
-        Scheduler, Wave, WorkerId, WorkerInfo, WorkflowId,
+        Scheduler, Wave, WorkerId, WorkerInfo, WorkerState, WorkflowId,
     },
     std::{
         collections::{BTreeMap, BTreeSet, HashSet},
@@ -20,6 +20,9 @@
     },
 };
 
+/// Detail of a log line on a worker's entry.
+pub(crate) const UNKNOWN_STATE: &str = "a state that isn't known";
+
 /// The effects of an event.
 #[derive(Debug, Default)]
 pub(crate) struct Effects {
@@ -242,14 +245,22 @@
         }
     }
 
-    /// Why the incarnation in a worker's entry can't be right, if it can't: one entry per name follows another.
-    pub(crate) fn incarnation_error(&self, id: &WorkerId) -> Option<&'static str> {
-        let known = self.listed_incarnation(id).filter(|known| known.is_restart_of(id))?;
-        log::debug!(worker:% = id, known:%; "entry_of_earlier_incarnation");
-        Some(match id.started_ms {
-            Some(_) => "start time is earlier than the known one",
-            None => "start time is missing",
-        })
+    /// Why an entry under the name of a known worker can't be that worker's own, if it can't.
+    pub(crate) fn entry_error(&self, entry: &WorkerInfo) -> Option<&'static str> {
+        let known = self.directory.get(&self.listed_incarnation(&entry.id)?)?;
+        if known.id.is_restart_of(&entry.id) {
+            log::debug!(worker:% = entry.id, known:% = known.id; "entry_of_earlier_incarnation");
+            return Some(match entry.id.started_ms {
+                Some(_) => "start time is earlier than the known one",
+                None => "start time is missing",
+            });
+        }
+        if entry.state == WorkerState::Other {
+            return Some(UNKNOWN_STATE);
+        }
+        let named = || self.configuration.names_service(&entry.service);
+        (entry.service != known.service && !named())
+            .then_some("another service, which no route names")
     }
 
     /// The incarnation in the directory of the worker that an entry names.
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        core::ReadProgress,
+        core::{ReadProgress, UNKNOWN_STATE},
         node::Node,
         platform::{
             BadEntry, EntryError, EntryKind, NewestResult, OperatorChange, ReadFailure, ReadResult,
@@ -268,19 +268,20 @@
     match node.formats().directory(&stored.key, &stored.value) {
         Ok(change) => {
             let id = change.worker().clone();
-            let present = matches!(&change, DirectoryChange::Present(_));
-            let error = node.core().incarnation_error(&id).filter(|_| present);
-            if let Some(error) = error {
+            let log = |error| {
                 let detail = CompactString::const_new(error);
                 let error = EntryError { kind: EntryKind::Worker, detail };
                 node.log_bad_entries(&[bad_entry(stored, &error)]);
-                return mark_unreadable(node, &stored.key);
-            }
-            if matches!(&change, DirectoryChange::Present(info) if info.state == WorkerState::Other)
-            {
-                let detail = CompactString::const_new("a state that isn't known");
-                let error = EntryError { kind: EntryKind::Worker, detail };
-                node.log_bad_entries(&[bad_entry(stored, &error)]);
+            };
+            if let DirectoryChange::Present(info) = &change {
+                let error = node.core().entry_error(info);
+                if let Some(error) = error {
+                    log(error);
+                    return mark_unreadable(node, &stored.key);
+                }
+                if info.state == WorkerState::Other {
+                    log(UNKNOWN_STATE);
+                }
             }
             node.step(|core, now, _| core.on_directory(now, change));
             id.name
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -394,6 +394,10 @@
         if info.state == WorkerState::Other && known.is_none() {
             return;
         }
+        if let Some(worker) = self.newest_worker(&id).filter(|worker| worker.is_foreign(&info)) {
+            worker.mark_entry_unreadable();
+            return;
+        }
         let worker =
             self.workers.entry(id.clone()).or_insert_with(|| Worker::new(now, info.clone()));
         let was_ready = worker.info.state == WorkerState::Ready;
--- a/crates/workflow/src/scheduler/reconciliation.rs
+++ b/crates/workflow/src/scheduler/reconciliation.rs
@@ -40,7 +40,7 @@
             let mut worker = Worker::new(now, placeholder(entry));
             worker.roster_page = Some(number);
             self.roster.insert(number, entry.id.clone());
-            worker.in_directory = false;
+            (worker.in_directory, worker.entry_read) = (false, false);
             worker.in_roster = true;
             worker.extend_lease_bound(self.inherited_lease_bound(page, &entry.state));
             worker.listed_draining = matches!(entry.state, RosterState::Draining { .. });
--- a/crates/workflow/src/scheduler/restarted_workers.rs
+++ b/crates/workflow/src/scheduler/restarted_workers.rs
@@ -91,7 +91,7 @@
             state: WorkerState::Ready,
         };
         let mut later = Worker::new(now, info);
-        later.in_directory = false;
+        (later.in_directory, later.entry_read) = (false, false);
         later
     }
 }
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -29,6 +29,8 @@
     pub(crate) info: WorkerInfo,
     /// It has an entry in the directory.
     pub(crate) in_directory: bool,
+    /// `info` is from an entry of its own; otherwise little more than its address is known.
+    pub(super) entry_read: bool,
     /// Its data centre is evacuated: nothing is started there.
     pub(crate) evacuated: bool,
     /// The recorded roster names it, so a successor polls it.
@@ -121,6 +123,7 @@
         Worker {
             info,
             in_directory: true,
+            entry_read: true,
             evacuated: false,
             in_roster: false,
             roster_page: None,
@@ -204,11 +207,28 @@
         self.neighbours.add_best_effort(attempt.image, attempt.paced_cpu());
     }
 
+    /// Whether the directory entry under its name is another writer's: its state isn't known, or it
+    /// names another service. Then nothing that it says holds, neither its start time nor its address.
+    pub(super) fn is_foreign(&self, entry: &WorkerInfo) -> bool {
+        let unknown_state = entry.state == WorkerState::Other;
+        if self.entry_read {
+            unknown_state || entry.service != self.info.service
+        } else {
+            unknown_state && entry.id != self.info.id
+        }
+    }
+
     /// Applies its directory entry.
     pub(crate) fn set_info(&mut self, info: WorkerInfo) {
         self.neighbours.set_capacity(info.capacity.cpu);
+        let known_addr = self.info.addr;
         self.info = info;
         self.in_directory = true;
+        if self.info.state == WorkerState::Other {
+            self.info.addr = known_addr;
+        } else {
+            self.entry_read = true;
+        }
     }
 
     /// CPU available to best-effort tasks, in millicores: what the other tasks are expected to
--- a/crates/workflow/tests/odd_workers.rs
+++ b/crates/workflow/tests/odd_workers.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use {
-    egretlb_workflow::{Limits, Step, WorkflowId},
+    egretlb_workflow::{Limits, Step, WorkerInfo, WorkerState, WorkflowId},
     std::time::Duration,
     support::{step, submission, world::World},
 };
@@ -193,3 +193,51 @@
     assert!(world.workers[0].next_end < 12, "{} ends", world.workers[0].next_end);
     assert_eq!(world.checker.violations, Vec::<String>::new());
 }
+
+/// Returns a world with a task on each worker, and the entry that another writer puts in place of that of worker 0.
+fn with_foreign_entry(seed: u64) -> (World, WorkerInfo) {
+    let mut world = World::new(seed, 3, 4, Limits::default());
+    world.tell_start_times();
+    world.run(2 * SECOND);
+    world.submit(1, &submission(vec![long_running(4)]));
+    world.add_worker(8);
+    world.run(SECOND);
+    let mut entry = world.workers[0].info.clone();
+    entry.state = WorkerState::Other;
+    (world, entry)
+}
+
+/// Checks that the entry of another writer, which is there for a second, ends no run and keeps the worker from no later task.
+fn check_foreign_entry(mut world: World, entry: WorkerInfo) {
+    world.workers[0].foreign_entry = Some(entry);
+    world.run(SECOND);
+    world.workers[0].foreign_entry = None;
+    world.run(8 * SECOND);
+    assert_eq!(world.checker.violations, Vec::<String>::new());
+    assert_eq!(world.checker.starts, 4);
+    let starts = world.workers[0].next_end;
+    world.submit(2, &submission(vec![step(40, 300)]));
+    world.run(4 * SECOND);
+    assert!(world.workers[0].next_end > starts);
+}
+
+/// Guards against an entry of another writer that is taken for the restart of a worker, whose tasks then run twice.
+#[test]
+fn foreign_start_time() {
+    for seed in 0..6 {
+        let (world, mut entry) = with_foreign_entry(seed);
+        entry.id.started_ms = entry.id.started_ms.map(|started_ms| started_ms + 60_000);
+        check_foreign_entry(world, entry);
+    }
+}
+
+/// Guards against an entry of another writer that names the address of another worker, whose answer is taken for the end of the
+/// worker's tasks.
+#[test]
+fn foreign_address() {
+    for seed in 0..6 {
+        let (world, mut entry) = with_foreign_entry(seed);
+        entry.addr = world.workers[1].info.addr;
+        check_foreign_entry(world, entry);
+    }
+}
--- a/crates/workflow/tests/support/messages.rs
+++ b/crates/workflow/tests/support/messages.rs
@@ -13,7 +13,7 @@
         WorkerId,
     },
     rand::Rng,
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
 };
 
 pub enum Msg {
@@ -225,14 +225,14 @@
             }
             _ => {}
         }
-        let (Effect::Poll { worker: id, .. }
-        | Effect::Start { worker: id, .. }
-        | Effect::Stop { worker: id, .. }
-        | Effect::Pace { worker: id, .. }) = &effect
+        let (Effect::Poll { worker: id, addr, .. }
+        | Effect::Start { worker: id, addr, .. }
+        | Effect::Stop { worker: id, addr, .. }
+        | Effect::Pace { worker: id, addr, .. }) = &effect
         else {
             return;
         };
-        let id = id.clone();
+        let (id, addr) = (id.clone(), *addr);
         let polls = matches!(effect, Effect::Poll { .. });
         if let Some(deliver_at) =
             self.next_free(&id).filter(|deliver_at| !polls && *deliver_at > now)
@@ -249,9 +249,11 @@
             self.messages.push((now, Msg::Answer { node, incarnation, epoch, sent, answer }));
             return;
         }
-        let Some(index) = self.workers.iter().position(|worker| worker.info.id == id) else {
-            return;
-        };
+        let named = |worker: &Worker| worker.info.id == id;
+        // The start time may be that of another writer's entry.
+        let same_name = |worker: &Worker| worker.up && worker.info.id.name == id.name;
+        let index = self.workers.iter().position(named);
+        let Some(index) = index.or_else(|| self.workers.iter().position(same_name)) else { return };
         let is_late = self.rng.random_range(0..1_000) < self.late_commands;
         if is_late && now.since(sent) < Duration::from_millis(100) {
             let wait = Duration::from_millis(self.rng.random_range(2_000..12_000));
@@ -259,7 +261,7 @@
             self.messages.push((now + wait, lost));
         }
         let ignores_commands = self.workers[index].ignores_commands && !polls;
-        let mut delivery = self.delivery(node, index);
+        let mut delivery = self.delivery(node, index, addr);
         // A command that an incarnation holds back isn't executed by a later one.
         let held_before = now.since(sent) >= Duration::from_millis(100)
             && matches!(delivery, Delivery::Restarted(_));
@@ -306,11 +308,10 @@
         busy.len().checked_sub(max).map(|first| busy[first])
     }
 
-    /// Returns the outcome of sending a command from a node to a worker.
-    fn delivery(&self, node: usize, index: usize) -> Delivery {
+    /// Returns the outcome of sending a command from a node to a worker at `addr`.
+    fn delivery(&self, node: usize, index: usize, addr: SocketAddr) -> Delivery {
         let node = &self.nodes[node];
         let worker = &self.workers[index];
-        let addr = worker.info.addr;
         let listens = |other: &Worker| other.up && other.info.addr == addr;
         let current = self.workers.iter().position(listens);
         match current {
@@ -342,6 +343,8 @@
         Some(match effect {
             Effect::Poll { epoch, recorded, until_ms, .. } => {
                 let result = match delivery {
+                    // It says when it started, which isn't later than the known time.
+                    Delivery::Worker if worker.info.id != id => PollResult::Failed,
                     Delivery::Worker => worker.poll(now, epoch, recorded, until_ms, checker),
                     Delivery::NoAnswer => PollResult::Failed,
                     Delivery::Refused => PollResult::Refused,
--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -93,6 +93,8 @@
     pub unknown_ends: u32,
     /// Whether its directory entry is unreadable.
     pub unreadable_entry: bool,
+    /// What another writer has put in place of its directory entry.
+    pub foreign_entry: Option<WorkerInfo>,
 }
 
 /// Maximum lease that is granted, in milliseconds.
@@ -142,6 +144,7 @@
             unreadable_ends: 0..=0,
             unknown_ends: 0,
             unreadable_entry: false,
+            foreign_entry: None,
         }
     }
 
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -319,8 +319,8 @@
     fn read_directory(&mut self, index: usize) {
         let now = self.now;
         let listed = |w: &&Worker| (w.up && w.listed) || w.stale_entry;
-        let mut present: Vec<_> =
-            self.workers.iter().filter(listed).map(|w| w.info.clone()).collect();
+        let entry = |w: &Worker| w.foreign_entry.clone().unwrap_or_else(|| w.info.clone());
+        let mut present: Vec<_> = self.workers.iter().filter(listed).map(entry).collect();
         let lost: Vec<WorkerId> = self
             .workers
             .iter()
