Soak: a worker drains, is cut off and returns

Cause: the soak drained no worker, so it couldn't show tasks that run twice behind a refusing cut.

Change: one of four workers, with runs of 2 s, drains, has its connections refused, loses its entry, and returns. Drawn by a generator of its own, so the other faults of a seed stay.

--- a/crates/egretlbd/tests/fault_soak.rs
+++ b/crates/egretlbd/tests/fault_soak.rs
@@ -1,6 +1,7 @@
 //! Soak test with real processes. Daemons are killed, paused, stopped and restarted by signals; the store rejects
 //! calls and loses responses; proxies delay, block, blackhole and reset connections to store and workers. Routes are added
-//! and removed, and workers start again under their names. All of it is drawn from a seed and may overlap.
+//! and removed, workers start again under their names, and one drains and is cut off. All of it is drawn from a seed and
+//! may overlap.
 //!
 //! CI runs two seeds. Manually: `EGRETLB_SOAK_SEEDS=1..51 cargo test --release -p egretlbd --test
 //! fault_soak -- --nocapture`. Each process has its own loopback address.
@@ -19,6 +20,7 @@
         collections::{BTreeMap, BTreeSet, VecDeque},
         env, fs,
         net::SocketAddr,
+        ops::Range,
         process::{Child, Command, Stdio},
         time::{Duration, Instant},
     },
@@ -59,6 +61,11 @@
 /// Workers with lower numbers say when they started.
 const NAMED_WORKERS: usize = 2;
 
+/// The worker that drains. Its runs take long, so that they go on while it is cut off.
+const DRAINED_WORKER: usize = 3;
+
+const DRAINED_RUNTIME: Duration = Duration::from_secs(2);
+
 struct Daemon {
     number: usize,
     settings: String,
@@ -141,11 +148,26 @@
     changed_at: Instant,
 }
 
+/// What happens next to the worker that drains.
+#[derive(Clone, Copy)]
+enum DrainStep {
+    /// Connections to it are refused, and the open ones carry nothing.
+    Cut,
+    /// Its directory entry expires.
+    Expire,
+    /// It can be reached again, and doesn't drain any more.
+    Return,
+}
+
 struct Soak {
     rng: SmallRng,
     /// Draws changes and restarts, so that the faults of a seed don't depend on them.
     change_rng: SmallRng,
     platform: Platform,
+    /// Draws drains, so that the rest of a seed doesn't depend on them.
+    drain_rng: SmallRng,
+    /// The next step of a drain, and when it is due.
+    drain: Option<(Instant, DrainStep)>,
     /// Between each daemon and the store.
     store_proxies: Vec<Proxy>,
     worker_proxies: Vec<Proxy>,
@@ -176,6 +198,7 @@
         for worker in platform.workers.iter().take(NAMED_WORKERS) {
             worker.borrow_mut().born = json!(FIRST_START_MS);
         }
+        platform.workers[DRAINED_WORKER].borrow_mut().runtime = DRAINED_RUNTIME;
         let worker_proxies = platform.proxy_workers().await;
         let mut store_proxies = Vec::new();
         for _ in 0..DAEMONS {
@@ -186,6 +209,8 @@
         Soak {
             rng: SmallRng::seed_from_u64(seed),
             change_rng: SmallRng::seed_from_u64(!seed),
+            drain_rng: SmallRng::seed_from_u64(seed.rotate_left(32)),
+            drain: None,
             platform,
             store_proxies,
             worker_proxies,
@@ -297,6 +322,50 @@
         }
     }
 
+    /// Takes the next step of a drain if it is due, or begins one.
+    fn advance_drain(&mut self) {
+        let now = Instant::now();
+        let step = match self.drain {
+            Some((at, step)) if at <= now => step,
+            Some(_) => return,
+            None => {
+                if self.drain_rng.random_bool(0.05) {
+                    self.publish_drained("draining");
+                    self.drain = Some((now + self.draw_ms(50..700), DrainStep::Cut));
+                }
+                return;
+            }
+        };
+        let proxy = &self.worker_proxies[DRAINED_WORKER];
+        self.drain = match step {
+            DrainStep::Cut => {
+                proxy.set_refusing(true);
+                proxy.blackhole_open_connections();
+                Some((now + self.draw_ms(0..800), DrainStep::Expire))
+            }
+            DrainStep::Expire => {
+                let id = self.platform.workers[DRAINED_WORKER].borrow().id.clone();
+                self.platform.store.borrow_mut().put("keyed.servers", &id, b"");
+                Some((now + self.draw_ms(300..3_000), DrainStep::Return))
+            }
+            DrainStep::Return => {
+                proxy.set_refusing(false);
+                self.publish_drained("ready");
+                None
+            }
+        };
+    }
+
+    fn draw_ms(&mut self, range: Range<u64>) -> Duration {
+        Duration::from_millis(self.drain_rng.random_range(range))
+    }
+
+    fn publish_drained(&self, state: &str) {
+        let worker = self.platform.workers[DRAINED_WORKER].borrow();
+        let entry = worker.entry(self.worker_proxies[DRAINED_WORKER].addr, state);
+        self.platform.store.borrow_mut().put("keyed.servers", &worker.id, entry.as_bytes());
+    }
+
     /// Asks a daemon about a route whose last change must be in force, and checks that it doesn't answer as before the
     /// change.
     async fn check_routes(&mut self) {
@@ -324,7 +393,10 @@
         self.platform.store.borrow_mut().busy_topic = None;
         for link in self.store_proxies.iter().chain(&self.worker_proxies) {
             link.set_fault(Fault::None);
+            link.set_refusing(false);
         }
+        self.drain = None;
+        self.publish_drained("ready");
         self.platform.store.borrow_mut().busy = false;
         self.platform.store.borrow_mut().lose_responses = 0;
         for daemon in &mut self.daemons {
@@ -395,6 +467,7 @@
             soak.inject_change();
         }
         soak.restart_workers();
+        soak.advance_drain();
         soak.submit().await;
         soak.check_single_runs();
         soak.check_routes().await;
