Entries of other services are judged where the configuration is known

The scheduler took any change of a worker's service for another writer's entry. If the first entry that it read was another writer's, the worker's own ones would have counted as unreadable for good.

Change: the runtime alone judges the service, since it knows which ones routes name; it rejects entries with an unknown state whether the worker is known or not. The scheduler still applies nothing of an entry with an unknown state.

Test: bad_entries foreign_entry_first (another writer's entry before a node starts, then the worker's own).

--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -20,9 +20,6 @@
     },
 };
 
-/// Detail of a log line on a worker's entry.
-pub(crate) const UNKNOWN_STATE: &str = "a state that isn't known";
-
 /// The effects of an event.
 #[derive(Debug, Default)]
 pub(crate) struct Effects {
@@ -245,8 +242,11 @@
         }
     }
 
-    /// Why an entry under the name of a known worker can't be that worker's own, if it can't.
+    /// Why an entry can't be the worker's own, if it can't. Another writer may have put it there.
     pub(crate) fn entry_error(&self, entry: &WorkerInfo) -> Option<&'static str> {
+        if entry.state == WorkerState::Other {
+            return Some("a state that isn't known");
+        }
         let known = self.directory.get(&self.listed_incarnation(&entry.id)?)?;
         if known.id.is_restart_of(&entry.id) {
             log::debug!(worker:% = entry.id, known:% = known.id; "entry_of_earlier_incarnation");
@@ -255,9 +255,6 @@
                 None => "start time is missing",
             });
         }
-        if entry.state == WorkerState::Other {
-            return Some(UNKNOWN_STATE);
-        }
         let named = || self.configuration.names_service(&entry.service);
         (entry.service != known.service && !named())
             .then_some("another service, which no route names")
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        core::{ReadProgress, UNKNOWN_STATE},
+        core::ReadProgress,
         node::Node,
         platform::{
             BadEntry, EntryError, EntryKind, NewestResult, OperatorChange, ReadFailure, ReadResult,
@@ -14,7 +14,7 @@
     bytes::Bytes,
     compact_str::CompactString,
     egretlb_types::Offset,
-    egretlb_workflow::{DirectoryChange, Key, WorkerId, WorkerState},
+    egretlb_workflow::{DirectoryChange, Key, WorkerId},
     std::{
         collections::{BTreeSet, HashSet},
         rc::Rc,
@@ -268,20 +268,15 @@
     match node.formats().directory(&stored.key, &stored.value) {
         Ok(change) => {
             let id = change.worker().clone();
-            let log = |error| {
+            let error = match &change {
+                DirectoryChange::Present(info) => node.core().entry_error(info),
+                DirectoryChange::Absent(_) | DirectoryChange::Unreadable(_) => None,
+            };
+            if let Some(error) = error {
                 let detail = CompactString::const_new(error);
                 let error = EntryError { kind: EntryKind::Worker, detail };
                 node.log_bad_entries(&[bad_entry(stored, &error)]);
-            };
-            if let DirectoryChange::Present(info) = &change {
-                let error = node.core().entry_error(info);
-                if let Some(error) = error {
-                    log(error);
-                    return mark_unreadable(node, &stored.key);
-                }
-                if info.state == WorkerState::Other {
-                    log(UNKNOWN_STATE);
-                }
+                return mark_unreadable(node, &stored.key);
             }
             node.step(|core, now, _| core.on_directory(now, change));
             id.name
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -394,7 +394,8 @@
         if info.state == WorkerState::Other && known.is_none() {
             return;
         }
-        if let Some(worker) = self.newest_worker(&id).filter(|worker| worker.is_foreign(&info)) {
+        if let Some(worker) = self.newest_worker(&id).filter(|worker| worker.may_be_foreign(&info))
+        {
             worker.mark_entry_unreadable();
             return;
         }
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -207,15 +207,10 @@
         self.neighbours.add_best_effort(attempt.image, attempt.paced_cpu());
     }
 
-    /// Whether the directory entry under its name is another writer's: its state isn't known, or it
-    /// names another service. Then nothing that it says holds, neither its start time nor its address.
-    pub(super) fn is_foreign(&self, entry: &WorkerInfo) -> bool {
-        let unknown_state = entry.state == WorkerState::Other;
-        if self.entry_read {
-            unknown_state || entry.service != self.info.service
-        } else {
-            unknown_state && entry.id != self.info.id
-        }
+    /// Whether a directory entry under its name may be another writer's: its state isn't known. Then
+    /// neither its start time nor its address holds.
+    pub(super) fn may_be_foreign(&self, entry: &WorkerInfo) -> bool {
+        entry.state == WorkerState::Other && (self.entry_read || entry.id != self.info.id)
     }
 
     /// Applies its directory entry.
