--- a/crates/workflow/tests/refused_connections.rs
+++ b/crates/workflow/tests/refused_connections.rs
@@ -10,7 +10,7 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-/// How long a long-running task may be without a run before others must be told why.
+/// How long a long-running task may be without a run before it counts as missed.
 const MAX_DOWNTIME: Duration = Duration::from_secs(6);
 
 /// How long a workflow may stand still while there is room for its tasks.
