Review: the case in review/4 with more room, the stand-ins end quietly

Cause: on a busy machine two workers listed few more ends than 500 each, and a proxy's channel that was opened as the script ended left a trace on the screen.

Change: the job runs on one worker, by its label, with 1,000 tasks at once; the proxy ends its channels. The check is the same.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -7,7 +7,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import rig as stand
 
-TASKS = 6000
+TASKS = 4000
 RUN_MS = 1500
 KILL_AFTER_S = 3.0
 DOWN_S = 3.5
@@ -18,7 +18,7 @@
     leader = await rig.leader()
     others = [daemon for daemon in rig.daemons if daemon is not leader]
     body = {"spec": "run=%d" % RUN_MS,
-            "steps": [{"count": TASKS, "cpu": 50, "memMb": 100, "estRuntimeMs": RUN_MS}]}
+            "steps": [{"count": TASKS, "cpu": 32, "memMb": 100, "estRuntimeMs": RUN_MS, "requiredLabel": "b"}]}
     answer = await rig.submit(others[0], job, body)
     if not answer or answer[0] != 200:
         raise stand.CannotRun("the job wasn't accepted")
@@ -36,7 +36,7 @@
         rig.background(restart())
     for _ in range(300):
         answer = await rig.request(others[0], "GET", stand.PREFIX + job)
-        if answer and answer[0] == 200 and answer[1]["state"] != "running" :
+        if answer and answer[0] == 200 and answer[1]["state"] != "running":
             break
         await asyncio.sleep(0.25)
     await asyncio.sleep(RUN_MS / 1000 + 1)
@@ -60,4 +60,5 @@
     return "TWICE: %d tasks started again after their run had ended done" % len(twice) if twice else None
 
 
-stand.main(os.path.dirname(os.path.abspath(__file__)), case, daemons=4, workers=2)
+stand.main(os.path.dirname(os.path.abspath(__file__)), case, daemons=4, workers=4,
+           worker_labels=lambda number: ["b" if number == 0 else "a", "r1-0"])
--- a/review/rig.py
+++ b/review/rig.py
@@ -515,16 +515,14 @@
             passes.set()
 
     async def on_channel(self, reader, writer):
+        far_writer = None
         try:
             far_reader, far_writer = await asyncio.open_connection(*self.target)
-        except OSError:
-            writer.close()
-            return
-        self.writers.update((writer, far_writer))
-        try:
+            self.writers.update((writer, far_writer))
             await asyncio.gather(self.pump(reader, far_writer, False), self.pump(far_reader, writer, True))
-        except asyncio.CancelledError:
-            pass
+        except (OSError, asyncio.CancelledError):
+            # The script ends, or nothing listens at the far side.
+            writer.close()
         self.writers.difference_update((writer, far_writer))
 
     async def pump(self, reader, writer, is_answer):
