Scheduler: log a first reply that shows only a part of a worker's ends

The new leader logs `elected` and `survey_complete`; ends missing from a reply, ends that were read and left in the queue, and starts of the earlier leader that arrive late would all look the same.

Change: a line `ends_listed_in_part` with the number of running and ended tasks and the last end in the reply.

The worker's first reply held 500 ends, up to number 1500, and nothing running; `survey_complete` followed in the same millisecond. The 130 tasks that ran twice are those of the ends 1501 to 1630, without a gap; they had ended 0.8 s before the second starts, and none of the tasks of the ends up to 1500 was started again. So the rest of the list was missing; the two other hypotheses don't fit.

--- a/crates/workflow/src/scheduler/poll_reply.rs
+++ b/crates/workflow/src/scheduler/poll_reply.rs
@@ -30,6 +30,11 @@
         let previous_unreadable = worker.unreadable_rows.clone();
         let has_unreadable = worker.unreadable_rows.update(now, reply);
         let first_reply = !worker.reconciled;
+        if first_reply && reply.is_full() {
+            let (running, ended) = (reply.running.len(), reply.ended.len());
+            let last_end = reply.ended.last().map_or(0, |end| end.number);
+            log::info!(worker:% = id, running, ended, last_end; "ends_listed_in_part");
+        }
         // An incomplete reply doesn't show everything that a previous leader started there. Leases aren't renewed
         // before reconciliation, so all of that has lapsed by the bound.
         worker.reconciled |= !has_unreadable || now >= worker.lease_bound();
