Scheduler: a new leader waits for all ends of its predecessor's workers

Cause: a reply lists 500 ends at most, and the first one counted as the whole list: the worker left `unreconciled`, and inherited tasks whose ends were still to come were placed. Besides, an idle worker's next part was asked for only after 1.5 s.

Change: a worker whose reply is full stays unreconciled until a reply isn't, or until the end of a run is listed that this leader knew as running. Leases go on and new tasks start there meanwhile; only inherited tasks that may have run at such a worker, by service and label, wait. The parts are asked for without a pause. While ends may be missing the roster lists no runs of the worker, so the next leader waits, too. A worker that lists only acknowledged ends for 2 s gets no starts and renewals, and counts as lapsed once its leases have expired.

Related paths with the same cause, fixed with it: the upkeep of such a worker, and tasks judged as stalled whose ends aren't listed yet.

--- a/crates/workflow/src/scheduler/lists.rs
+++ b/crates/workflow/src/scheduler/lists.rs
@@ -80,10 +80,18 @@
         rows >= ENDS_PER_ANSWER
     }
 
-    /// Whether a run may be under way although it isn't listed, because its row can't be read.
+    /// Number of the last listed end; 0 for none.
+    pub(super) fn last_end(&self) -> u64 {
+        let readable = self.ended.iter().map(|end| end.number);
+        let UnreadableRows { ends, foreign_ends, .. } = &self.unreadable;
+        readable.chain(ends.iter().copied()).chain(foreign_ends.iter().copied()).max().unwrap_or(0)
+    }
+
+    /// Whether a run that isn't listed may be under way in a row that can't be read, or have an end that isn't listed yet.
     pub(super) fn may_omit(&self, task: TaskId, run: RunId) -> bool {
-        let incomplete =
-            self.unreadable.unidentified_runs > 0 || !self.unreadable.partial_runs.is_empty();
+        let incomplete = self.is_full()
+            || self.unreadable.unidentified_runs > 0
+            || !self.unreadable.partial_runs.is_empty();
         incomplete && !self.running.iter().any(|running| (running.task, running.run) == (task, run))
     }
 }
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -34,6 +34,7 @@
 mod maintenance;
 mod overdue;
 mod pacing;
+mod partial_ends;
 mod placement;
 mod poll_reply;
 mod polls;
@@ -114,7 +115,8 @@
     queued_steps: BTreeSet<QueuedStep>,
     /// Positions of the queued steps if the queue is ordered by feasibility.
     feasibility_queue: queue_order::FeasibilityQueue,
-    /// Workers of the predecessor that haven't answered, and when all runs there have lapsed.
+    /// Workers of the predecessor that haven't listed all their runs and ends, and when all runs there have lapsed; see
+    /// [`Scheduler::reconciled_by`].
     unreconciled: BTreeMap<WorkerId, Time>,
     /// Data centres in which nothing may be started.
     evacuated: BTreeSet<CompactString>,
@@ -481,7 +483,7 @@
         self.queued_steps.len()
     }
 
-    /// Number of the predecessor's workers that haven't answered yet.
+    /// Number of the predecessor's workers that haven't listed all their runs and ends yet.
     pub fn unreconciled_count(&self) -> usize {
         self.unreconciled.len()
     }
--- a/crates/workflow/src/scheduler/placement.rs
+++ b/crates/workflow/src/scheduler/placement.rs
@@ -129,12 +129,12 @@
         out: &mut Vec<Effect>,
     ) -> bool {
         let Some(workflow) = self.workflows.get(&key.workflow) else { return true };
-        let found_only = workflow.inherited && !self.unreconciled.is_empty();
         let submission = Arc::clone(&workflow.submission);
         let service = &submission.service;
         let step = &submission.workflow.steps[usize::from(key.step)];
-        // Until all workers of the previous leader have replied, a task may still run on one that hasn't. Only tasks
-        // that this leader has found running before can be started.
+        // Until all workers of the previous leader have listed their runs and ends, a task may still run or have ended on
+        // one that hasn't. Only tasks that this leader has found running before can be started.
+        let found_only = workflow.inherited && self.may_have_unknown_runs(service, step);
         if found_only && (step.gang || step.speculative || !self.move_found_to_front(key)) {
             return false;
         }
--- a/crates/workflow/src/scheduler/poll_reply.rs
+++ b/crates/workflow/src/scheduler/poll_reply.rs
@@ -30,22 +30,14 @@
         let previous_unreadable = worker.unreadable_rows.clone();
         let has_unreadable = worker.unreadable_rows.update(now, reply);
         let first_reply = !worker.reconciled;
-        if first_reply && reply.is_full() {
-            let (running, ended) = (reply.running.len(), reply.ended.len());
-            let last_end = reply.ended.last().map_or(0, |end| end.number);
-            log::info!(worker:% = id, running, ended, last_end; "ends_listed_in_part");
-        }
-        // An incomplete reply doesn't show everything that a previous leader started there. Leases aren't renewed
+        // A reply with unreadable rows doesn't show everything that a previous leader started there. Leases aren't renewed
         // before reconciliation, so all of that has lapsed by the bound.
         worker.reconciled |= !has_unreadable || now >= worker.lease_bound();
         if !worker.reconciled {
             worker.next_poll_at = now + POLL_RETRY;
-        } else if first_reply
-            && self.unreconciled.remove(id).is_some()
-            && self.unreconciled.is_empty()
-        {
-            log::info!(epoch:% = self.epoch; "survey_complete");
         }
+        self.note_listed_ends(now, id, reply);
+        self.finish_reconciliation(id);
         if first_reply {
             self.remove_recorded_attempts(id, &reply.running);
         }
@@ -231,6 +223,7 @@
             listed.insert((*task, *run));
             self.on_listed(now, id, reply.clock_ms, (*task, *run), out);
         }
+        // The ends of runs that aren't listed may follow.
         if reply.is_full() {
             return;
         }
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -100,8 +100,9 @@
             let left_directory = worker.info.state == WorkerState::Draining && !worker.in_directory;
             let idle_due = worker.last_contact.is_none_or(|at| now.since(at) >= IDLE_POLL_INTERVAL)
                 || worker.owes_acknowledgement(now);
-            if worker.reconciled && !busy && !(idle_due && (worker.in_directory || left_directory))
-            {
+            let more_ends = worker.lists_ends_in_part() && !worker.withholds_ends(now);
+            let idle = worker.reconciled && !busy && !more_ends;
+            if idle && !(idle_due && (worker.in_directory || left_directory)) {
                 continue;
             }
             // Leases at an unresponsive worker aren't extended: polls that arrive without being
@@ -115,9 +116,10 @@
             } else {
                 None
             };
-            // Reconciliation and pending commands need an immediate answer.
+            // Reconciliation, the rest of a list and pending commands need an immediate answer.
             let has_pending_command = |phase: &Phase| !matches!(phase, Phase::Running { .. });
             let urgent = !worker.reconciled
+                || more_ends
                 || worker.attempts.values().any(|attempt| has_pending_command(&attempt.phase));
             let colocated =
                 worker.latency_critical > 0 && (worker.best_effort > 0 || worker.over_target);
@@ -174,7 +176,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         changed.iter().for_each(|id| self.mark_entry_dirty(id));
-        self.unreconciled.retain(|_, until| now < *until);
+        self.expire_reconciliations(now);
         self.release_workers(now);
     }
 
--- a/crates/workflow/src/scheduler/reconciliation.rs
+++ b/crates/workflow/src/scheduler/reconciliation.rs
@@ -1,6 +1,6 @@
 //! Takes over the workers and runs of the previous leader.
 //!
-//! Starts aren't recorded, so an inherited task waits until each worker has answered or until all
+//! Starts aren't recorded, so an inherited task waits until each worker has listed its runs and ends or until all
 //! runs there must have lapsed. Two things shorten that wait. A predecessor whose process has
 //! certainly ended, or that gave up its term, renews no leases any more. And a leader records which
 //! workers haven't answered it and when their runs must have lapsed, so a successor doesn't wait
@@ -185,7 +185,7 @@
     /// Whether the roster may be written: all workers have answered, or [`MAX_ROSTER_DELAY`] has
     /// passed.
     pub(super) fn may_write_roster(&self, now: Time) -> bool {
-        self.unreconciled.is_empty() || now.since(self.succession.began) >= MAX_ROSTER_DELAY
+        self.has_all_running_lists() || now.since(self.succession.began) >= MAX_ROSTER_DELAY
     }
 
     fn is_announced_as_lost_with_rack(&self, (task, run): (TaskId, RunId)) -> bool {
@@ -199,10 +199,13 @@
     pub(super) fn roster_state(&self, now: Time, worker: &Worker) -> RosterState {
         let runs = || worker.attempts.keys().copied().collect();
         let lapses_ms = self.succession.term_ms(worker.lease_bound());
-        if worker.inherited == Some(Inherited::RunsUnknown) && !worker.reconciled {
+        let unresponsive = worker.should_list_unresponsive(now, &self.limits);
+        let unreconciled = worker.inherited == Some(Inherited::RunsUnknown) && !worker.reconciled;
+        // A successor takes runs that aren't listed for ended, so it is told none of them while ends may be missing.
+        if unreconciled || (unresponsive && worker.hides_inherited_ends()) {
             return RosterState::Unreconciled { lapses_ms };
         }
-        if worker.should_list_unresponsive(now, &self.limits) {
+        if unresponsive {
             let just_started = worker.runs_in_crash_window();
             let just_started =
                 just_started.filter(|run| !self.is_announced_as_lost_with_rack(*run)).collect();
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -229,6 +229,9 @@
         for (id, number) in append.ends {
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.ends_recorded = worker.ends_recorded.max(number);
+                if worker.lists_ends_in_part() {
+                    worker.next_poll_at = now;
+                }
             }
         }
         for ListedWorker { id, unresponsive, draining } in append.roster {
--- a/crates/workflow/src/scheduler/restarted_workers.rs
+++ b/crates/workflow/src/scheduler/restarted_workers.rs
@@ -57,6 +57,7 @@
         self.reconciled
             && !self.listed_unresponsive
             && self.is_responsive(now, limits)
+            && !self.withholds_ends(now)
             && !self.may_have_restarted(now)
     }
 
--- a/crates/workflow/src/scheduler/waits/queued.rs
+++ b/crates/workflow/src/scheduler/waits/queued.rs
@@ -94,15 +94,9 @@
     fn cause(&mut self, now: Time, key: QueuedStep) -> Option<Cause> {
         let active = self.workflows.get(&key.workflow)?;
         let step = active.submission.workflow.steps.get(usize::from(key.step))?.clone();
-        if active.inherited && !self.unreconciled.is_empty() {
-            let workers = self.unreconciled.keys().take(MAX_NAMED).cloned().collect();
-            let until = self.unreconciled.values().copied().max();
-            return Some(Cause {
-                reason: Reason::SurveyUnderWay,
-                workers,
-                until,
-                service_workers: None,
-            });
+        let service = &active.submission.service;
+        if active.inherited && self.may_have_unknown_runs(service, &step) {
+            return Some(self.reconciliation_cause());
         }
         if self.lagging {
             return Some(Cause::from_reason(Reason::RecordsReadLate));
@@ -127,6 +121,18 @@
         Some(cause)
     }
 
+    /// Describes the wait of an inherited task for the workers of the predecessor.
+    fn reconciliation_cause(&self) -> Cause {
+        let reason = if self.has_all_running_lists() {
+            Reason::EndsUnlisted
+        } else {
+            Reason::SurveyUnderWay
+        };
+        let workers = self.unreconciled.keys().take(MAX_NAMED).cloned().collect();
+        let until = self.unreconciled.iter().map(|(id, until)| self.reconciled_by(id, *until));
+        Cause { reason, workers, until: until.max(), service_workers: None }
+    }
+
     /// Returns what excludes the workers that pass the most checks.
     fn furthest_stage(&mut self, now: Time, task: TaskId, step: &Step) -> Option<Cause> {
         let requirements = Requirements::new(step, &mut self.colocation);
--- a/crates/workflow/src/scheduler/waits/reason.rs
+++ b/crates/workflow/src/scheduler/waits/reason.rs
@@ -8,6 +8,8 @@
 pub enum Reason {
     /// This leader is new, and some workers that may still run its tasks haven't answered.
     SurveyUnderWay,
+    /// This leader is new, and some workers have listed only a part of the ends of their runs.
+    EndsUnlisted,
     /// The records are read too late to start anything.
     RecordsReadLate,
     /// It ran before, and no append of this leader was acknowledged recently: there may be another
@@ -64,6 +66,7 @@
             Reason::SurveyUnderWay => {
                 "workers that may still run it haven't answered the new leader"
             }
+            Reason::EndsUnlisted => "workers that may have done it haven't listed all their ends",
             Reason::RecordsReadLate => "the records are read too late",
             Reason::Unproven => "it ran before, and the leader hasn't been acknowledged lately",
             Reason::StartsUnderWay => "as many starts as allowed are under way",
--- a/crates/workflow/src/scheduler/waits/term.rs
+++ b/crates/workflow/src/scheduler/waits/term.rs
@@ -1,5 +1,5 @@
 //! Log lines on the hold of a new leader: it doesn't start inherited tasks before all workers of its
-//! predecessor have answered or the runs there must have lapsed.
+//! predecessor have listed their runs and ends or the runs there must have lapsed.
 
 use {
     super::{super::Scheduler, Joined, MAX_NAMED, ms},
@@ -33,12 +33,17 @@
         }
         let named: SmallVec<[WorkerId; MAX_NAMED]> =
             self.unreconciled.keys().take(MAX_NAMED).cloned().collect();
-        let until = self.unreconciled.values().max().map_or(Duration::ZERO, |at| at.since(now));
+        let until = self.unreconciled.iter().map(|(id, until)| self.reconciled_by(id, *until));
+        let until = until.max().map_or(Duration::ZERO, |at| at.since(now));
         let held_ms = ms(now.since(began));
-        let unanswered = self.unreconciled.len();
+        let listed_in_part = |id: &&WorkerId| {
+            self.workers.get(*id).is_some_and(|worker| worker.hides_inherited_ends())
+        };
+        let in_part = self.unreconciled.keys().filter(listed_in_part).count();
+        let unanswered = self.unreconciled.len() - in_part;
         let workers = Joined(&named);
         log::info!(
-            epoch:% = self.epoch, held_ms, unanswered, workers:%, at_most_ms = ms(until);
+            epoch:% = self.epoch, held_ms, unanswered, in_part, workers:%, at_most_ms = ms(until);
             "inherited_work_held"
         );
         self.waits.inherited_hold.named = Some(named);
@@ -48,7 +53,7 @@
         let Some(began) = self.waits.inherited_hold.began.take() else { return };
         let Some(named) = self.waits.inherited_hold.named.take() else { return };
         let unreconciled =
-            |id: &WorkerId| self.workers.get(id).is_none_or(|worker| !worker.reconciled);
+            |id: &WorkerId| self.workers.get(id).is_none_or(|worker| !worker.all_runs_known());
         let unreconciled: SmallVec<[WorkerId; MAX_NAMED]> =
             named.into_iter().filter(|id| unreconciled(id)).collect();
         let held_ms = ms(now.since(began));
--- a/crates/workflow/src/scheduler/worker.rs
+++ b/crates/workflow/src/scheduler/worker.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        attempt::Attempt, common_losses::MissedPolls, run_times::WorkerEvidence,
-        unreadable_rows::UnreadableRowTracker,
+        attempt::Attempt, common_losses::MissedPolls, partial_ends::PartialEnds,
+        run_times::WorkerEvidence, unreadable_rows::UnreadableRowTracker,
     },
     crate::{Limits, RunId, TaskId, WorkerInfo, WorkerState, colocation::Neighbours},
     egretlb_types::{Resources, Time},
@@ -53,8 +53,8 @@
     /// Its address refused the last connection: no process listens there, or a network in between
     /// refuses connections to it.
     pub(crate) connection_refused: bool,
-    /// It has answered under this epoch: its runs are known, and no command of a predecessor takes
-    /// effect there any more.
+    /// It has answered under this epoch: its running tasks are known, and no command of a predecessor takes effect there
+    /// any more. Some ends may not be listed yet.
     pub(crate) reconciled: bool,
     pub(crate) last_contact: Option<Time>,
     /// Polls that have failed since then.
@@ -73,6 +73,8 @@
     /// When it last listed its runs; `None` if the last poll failed.
     pub(super) listed_at: Option<Time>,
     pub(crate) next_poll_at: Time,
+    /// Set while its last reply may show only a part of its ends.
+    pub(super) partial_ends: Option<PartialEnds>,
     /// Rows of its lists that can't be read.
     pub(super) unreadable_rows: UnreadableRowTracker,
     /// Ends up to this number are processed.
@@ -144,6 +146,7 @@
             poll_cursor: 0,
             listed_at: None,
             next_poll_at: now,
+            partial_ends: None,
             unreadable_rows: UnreadableRowTracker::default(),
             ends_processed: 0,
             ends_recorded: 0,
@@ -275,7 +278,8 @@
     /// have been missing or read late, so a worker that was listed as draining may turn out not to
     /// be draining; then the next roster corrects it.
     pub(crate) fn is_draining(&self) -> bool {
-        self.info.state == WorkerState::Draining && (self.listed_draining || self.reconciled)
+        let runs_known = !self.hides_inherited_ends() && (self.listed_draining || self.reconciled);
+        self.info.state == WorkerState::Draining && runs_known
     }
 
     /// Whether it seems to have left: it was draining, its entry is gone, and its address refuses
@@ -285,9 +289,14 @@
         self.info.state == WorkerState::Draining && !self.in_directory && self.connection_refused
     }
 
-    /// Whether all its runs have certainly lapsed, and it doesn't reply any more.
+    /// Whether all its runs have certainly lapsed, and it doesn't reply any more or not with all its ends.
     pub(crate) fn has_lapsed(&self, now: Time, limits: &Limits) -> bool {
-        now >= self.lease_bound() && (self.seems_to_have_left() || !self.is_responsive(now, limits))
+        let unheard = || {
+            self.seems_to_have_left()
+                || !self.is_responsive(now, limits)
+                || self.withholds_ends(now)
+        };
+        now >= self.lease_bound() && unheard()
     }
 
     /// Whether it accepts new tasks.
@@ -322,6 +331,7 @@
             && self.reconciled
             && self.info.state == WorkerState::Ready
             && self.is_responsive(now, limits)
+            && !self.withholds_ends(now)
     }
 
     /// When all runs there must have lapsed.
--- a/crates/workflow/tests/support/checker.rs
+++ b/crates/workflow/tests/support/checker.rs
@@ -22,6 +22,10 @@
     running: BTreeMap<TaskId, BTreeSet<(WorkerId, RunId)>>,
     /// Ends that the leader hasn't acknowledged, by worker and number.
     unacknowledged: BTreeMap<WorkerId, BTreeMap<u64, (TaskId, EndKind)>>,
+    /// Workers at which tasks are done whose ends aren't acknowledged. Without those whose leases have lapsed since.
+    unacknowledged_done: BTreeMap<TaskId, BTreeSet<WorkerId>>,
+    /// Starts of tasks that were done by then at a worker that hasn't acknowledged it.
+    repeated: BTreeMap<TaskId, Vec<(WorkerId, String)>>,
     done: BTreeSet<TaskId>,
     acknowledged_done: BTreeSet<TaskId>,
     failed: BTreeMap<TaskId, u32>,
@@ -48,6 +52,14 @@
         if self.acknowledged_done.contains(&task) {
             self.violations.push(format!("{task} run {run} started after it was done"));
         }
+        // A violation only if that end is acknowledged later.
+        if !step.speculative && !step.gang {
+            for done_at in self.unacknowledged_done.get(&task).into_iter().flatten() {
+                let text =
+                    format!("{task} run {run} at {worker} started after it was done at {done_at}");
+                self.repeated.entry(task).or_default().push((done_at.clone(), text));
+            }
+        }
         // The platform sets no limit for long-running tasks.
         let failed = self.failed.get(&task).copied().filter(|_| !step.long_running);
         if failed.is_some_and(|failed| failed >= submission.max_attempts) {
@@ -83,6 +95,19 @@
         self.unacknowledged.entry(worker.clone()).or_default().insert(number, (task, kind));
         if kind == EndKind::Done {
             self.done.insert(task);
+            self.unacknowledged_done.entry(task).or_default().insert(worker.clone());
+        }
+    }
+
+    /// Notes that the leases of a worker have lapsed: its unacknowledged ends no longer forbid that tasks are started again.
+    pub fn lapsed(&mut self, worker: &WorkerId) {
+        for (task, _) in self.unacknowledged.get(worker).into_iter().flat_map(BTreeMap::values) {
+            if let Some(workers) = self.unacknowledged_done.get_mut(task) {
+                workers.remove(worker);
+            }
+            if let Some(repeated) = self.repeated.get_mut(task) {
+                repeated.retain(|(done_at, _)| done_at != worker);
+            }
         }
     }
 
@@ -105,6 +130,10 @@
             match kind {
                 EndKind::Done => {
                     self.acknowledged_done.insert(task);
+                    let repeated = self.repeated.remove(&task).unwrap_or_default();
+                    let forbidden = repeated.into_iter().filter(|(done_at, _)| done_at == worker);
+                    self.violations.extend(forbidden.map(|(_, text)| text));
+                    self.unacknowledged_done.remove(&task);
                 }
                 EndKind::Failed => *self.failed.entry(task).or_default() += 1,
                 _ => {}
@@ -124,6 +153,7 @@
 
     /// Drops the unacknowledged ends of a crashed worker.
     pub fn discard_ends(&mut self, worker: &WorkerId) {
+        self.lapsed(worker);
         self.unacknowledged.remove(worker);
     }
 
--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -89,6 +89,8 @@
     pub unreadable_runs: bool,
     /// Numbers of ends that are unreadable.
     pub unreadable_ends: RangeInclusive<u64>,
+    /// Whether it goes on listing ends after they are acknowledged, as if it had never received an acknowledgement.
+    pub keeps_ends: bool,
     /// Number of next successful runs that end in an unknown way.
     pub unknown_ends: u32,
     /// Whether its directory entry is unreadable.
@@ -100,6 +102,9 @@
 /// Maximum lease that is granted, in milliseconds.
 const MAX_LEASE_MS: u64 = 6_000;
 
+/// Maximum number of ends in one reply.
+pub const MAX_LISTED_ENDS: usize = 500;
+
 impl Worker {
     pub fn new(number: usize, cores: u32) -> Worker {
         let port = 1_000 + u16::try_from(number).unwrap_or(0);
@@ -142,6 +147,7 @@
             paces: Vec::new(),
             unreadable_runs: false,
             unreadable_ends: 0..=0,
+            keeps_ends: false,
             unknown_ends: 0,
             unreadable_entry: false,
             foreign_entry: None,
@@ -198,6 +204,7 @@
             self.finish(task, EndKind::Stopped, checker);
         }
         if clock_ms >= self.lease_until {
+            checker.lapsed(&self.info.id);
             let all: Vec<TaskId> = self.running.keys().copied().collect();
             for task in all {
                 self.finish(task, EndKind::Lapsed, checker);
@@ -220,7 +227,9 @@
         // Acknowledged ends aren't listed, also if they come later than the acknowledgement.
         self.end_cursor = self.end_cursor.max(recorded);
         checker.acknowledged(&self.info.id, self.end_cursor);
-        self.ended.retain(|end| end.number > self.end_cursor);
+        if !self.keeps_ends {
+            self.ended.retain(|end| end.number > self.end_cursor);
+        }
         if let Some(until_ms) = until_ms {
             self.renew(now, until_ms);
         }
@@ -244,8 +253,9 @@
             figure: figure(run),
         });
         let mut running: Vec<RunningTask> = running.collect();
+        let listed = self.ended.iter().take(MAX_LISTED_ENDS).cloned();
         let (ended, lost): (Vec<End>, Vec<End>) =
-            self.ended.iter().cloned().partition(|end| !self.unreadable_ends.contains(&end.number));
+            listed.partition(|end| !self.unreadable_ends.contains(&end.number));
         let ends = lost.iter().map(|end| end.number).collect();
         let mut unreadable = UnreadableRows { ends, ..UnreadableRows::default() };
         if self.unreadable_runs {
