Scheduler: an unreadable end in a full reply is waited for like any other

Cause: an unreadable end is listed again for a second before its run counts as ended without success. In a full reply it counted so at once, to let later ends follow. But the ends before it are acknowledged meanwhile, and those behind it in the reply are processed: only the rest of the list waits, for a second at most.

Change: the same second for every reply.

--- a/crates/workflow/src/scheduler/unreadable_rows.rs
+++ b/crates/workflow/src/scheduler/unreadable_rows.rs
@@ -56,7 +56,7 @@
             return self.unreadable_runs_since.is_some();
         };
         let since = *self.unreadable_ends_since.get_or_insert(now);
-        if reply.is_full() || now.since(since) >= END_GIVE_UP_AFTER {
+        if now.since(since) >= END_GIVE_UP_AFTER {
             log::warn!(ends_to = last; "unreadable_ends_given_up");
             self.given_up_to = last;
             self.unreadable_ends.clear();
--- a/crates/workflow/tests/ends_in_parts.rs
+++ b/crates/workflow/tests/ends_in_parts.rs
@@ -265,6 +265,23 @@
     }
 }
 
+/// Guards against an end that can't be read for a while and counts as a failure at once, since it stands in a full reply.
+#[test]
+fn unreadable_in_full_reply() {
+    for (seed, unreadable) in (0..3).flat_map(|seed| [(seed, 1..=3), (seed, 200..=200)]) {
+        let mut world = world(seed);
+        let id = world.submit(1, &submission(vec![small_tasks(1_400)]));
+        kill_before_ends(&mut world, 1_400);
+        world.workers[LARGE].unreadable_ends = unreadable;
+        assert!(world.run_until(5 * SECOND, |world| world.leader().is_some()).is_some());
+        world.run(600 * MS);
+        world.workers[LARGE].unreadable_ends = 0..=0;
+        assert!(world.run_until(10 * SECOND, |world| world.completed(id)).is_some());
+        check(&world, seed);
+        assert_eq!(world.checker.starts, 1_400, "seed {seed}");
+    }
+}
+
 /// Guards against lost workflows and repeated tasks where leaders are killed, and workers fall silent, at any moment of the
 /// lists of several workers.
 #[test]
