Scheduler: a run found elsewhere ends the wait for an earlier one also behind a partial list

Cause: the records still listed their earlier runs at the draining worker. A higher run found elsewhere proves that those have ended, but that was used only until the draining worker had replied once; a reply with 500 ends, among which the earlier runs don't stand, settles nothing about them.

Change: what this leader has neither started nor seen gives way to a higher run, whether its worker has replied or not.

Test: moved_off_before_takeover; before, two of the four tasks ran on after a second.

--- a/crates/workflow/src/scheduler/partial_ends.rs
+++ b/crates/workflow/src/scheduler/partial_ends.rs
@@ -53,7 +53,7 @@
 
 impl Attempt {
     /// Whether this leader knew the run before it ended: it started the run or found it listed.
-    fn is_known_to_run(&self) -> bool {
+    pub(super) fn is_known_to_run(&self) -> bool {
         self.listed || self.start_deadline_ms.is_some()
     }
 }
--- a/crates/workflow/src/scheduler/poll_reply.rs
+++ b/crates/workflow/src/scheduler/poll_reply.rs
@@ -424,15 +424,16 @@
     }
 
     /// Removes attempts known only from the records if a higher run of the task was found: the previous leader
-    /// started it because the others had ended.
+    /// started it because the others had ended, even if those ends aren't listed yet.
     fn drop_superseded_attempts(&mut self, task: TaskId, found: RunId) {
         let Some(state) = self.task_mut(task) else { return };
         let older: Vec<(WorkerId, RunId)> =
             state.attempts.iter().filter(|(_, run)| *run < found).cloned().collect();
         for (id, run) in older {
-            let Some(worker) = self.workers.get_mut(&id).filter(|worker| !worker.reconciled) else {
+            let Some(worker) = self.workers.get_mut(&id) else { continue };
+            if worker.attempts.get(&(task, run)).is_some_and(Attempt::is_known_to_run) {
                 continue;
-            };
+            }
             worker.remove(task, run);
             if let Some(state) = self.task_mut(task) {
                 state
--- a/crates/workflow/tests/ends_in_parts.rs
+++ b/crates/workflow/tests/ends_in_parts.rs
@@ -265,6 +265,43 @@
     }
 }
 
+/// Guards against stopping tasks that were moved off a draining worker, because the ends of their earlier runs aren't listed
+/// yet.
+#[test]
+fn moved_off_before_takeover() {
+    for seed in 0..4 {
+        let mut world = world(seed);
+        let mut service = long_running(4, 1);
+        service.label = Some(CompactString::const_new("large"));
+        world.submit(1, &submission(vec![service]));
+        world.run(SECOND);
+        let id = world.submit(2, &submission(vec![small_tasks(1_400)]));
+        assert!(world.run_until(2 * SECOND, |world| running(world) == 1_404).is_some());
+        let other = world.add_worker(8);
+        world.workers[other].info.labels.push(CompactString::const_new("large"));
+        world.workers[LARGE].info.state = WorkerState::Draining;
+        let moved = world.run_until(2 * SECOND, |world| world.workers[other].running.len() == 4);
+        assert!(moved.is_some(), "seed {seed}");
+        let count = running(&world);
+        kill_before_ends(&mut world, count);
+        world.workers[LARGE].keeps_ends = true;
+        for node in &mut world.nodes {
+            node.unreachable = vec![other];
+        }
+        acknowledge_first_part(&mut world);
+        let starts = world.checker.starts;
+        for node in &mut world.nodes {
+            node.unreachable.clear();
+        }
+        world.run(SECOND);
+        world.workers[LARGE].keeps_ends = false;
+        assert!(world.run_until(10 * SECOND, |world| world.completed(id)).is_some());
+        assert_eq!(world.workers[other].running.len(), 4, "seed {seed}");
+        assert_eq!(world.checker.starts, starts, "seed {seed}");
+        check(&world, seed);
+    }
+}
+
 /// Guards against an end that can't be read for a while and counts as a failure at once, since it stands in a full reply.
 #[test]
 fn unreadable_in_full_reply() {
