Scheduler: the roster lists no runs beside ends that the append leaves out

Cause: progress beyond the size of an append waits for the next one, but the roster went out with the first. It no longer listed the run at the draining worker, and the end wasn't recorded yet. The next leader takes what such an entry doesn't list for ended, and doesn't wait for the worker.

Change: while progress is left out, a worker with unrecorded ends is recorded as open or unreconciled, which the next leader waits for, and its page again with the next append.

--- a/crates/workflow/src/scheduler/reconciliation.rs
+++ b/crates/workflow/src/scheduler/reconciliation.rs
@@ -195,14 +195,21 @@
         })
     }
 
-    /// Returns the state of a worker to record in the roster.
-    pub(super) fn roster_state(&self, now: Time, worker: &Worker) -> RosterState {
+    /// Returns the state of a worker to record in the roster. `ends_recorded` tells whether all ends that it has listed are
+    /// recorded by then.
+    pub(super) fn roster_state(
+        &self,
+        now: Time,
+        worker: &Worker,
+        ends_recorded: bool,
+    ) -> RosterState {
         let runs = || worker.attempts.keys().copied().collect();
         let lapses_ms = self.succession.term_ms(worker.lease_bound());
         let unresponsive = worker.should_list_unresponsive(now, &self.limits);
         let unreconciled = worker.inherited == Some(Inherited::RunsUnknown) && !worker.reconciled;
         // A successor takes runs that aren't listed for ended, so it is told none of them while ends may be missing.
-        if unreconciled || (unresponsive && worker.hides_inherited_ends()) {
+        let lists_runs = ends_recorded && !worker.hides_inherited_ends();
+        if unreconciled || (unresponsive && !lists_runs) {
             return RosterState::Unreconciled { lapses_ms };
         }
         if unresponsive {
@@ -211,7 +218,7 @@
                 just_started.filter(|run| !self.is_announced_as_lost_with_rack(*run)).collect();
             return RosterState::Unresponsive { runs: runs(), just_started, lapses_ms };
         }
-        if worker.is_draining() {
+        if worker.is_draining() && lists_runs {
             return RosterState::Draining { runs: runs() };
         }
         RosterState::Open
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -7,6 +7,7 @@
         WorkflowId,
     },
     egretlb_types::Time,
+    smallvec::SmallVec,
     std::time::Duration,
 };
 
@@ -57,6 +58,11 @@
         self.in_roster || self.reconciled || self.replaces_listed
     }
 
+    /// Whether it has listed ends that aren't recorded.
+    fn has_unrecorded_ends(&self) -> bool {
+        self.ends_processed > self.ends_recorded
+    }
+
     /// Whether its responsiveness or draining state differs from what the roster says.
     pub(crate) fn differs_from_roster(&self, now: Time, limits: &Limits) -> bool {
         let responsiveness_changed =
@@ -105,7 +111,7 @@
         for (number, progress) in &append.waves {
             records.push(Record::new(Key::Wave(*number), progress));
         }
-        self.record_roster(now, &mut append, &mut records);
+        self.record_roster(now, partial, &mut append, &mut records);
         self.drop_old_records(now, &mut records);
         self.record_model(now, &mut records);
         self.record_load(now, &mut records);
@@ -148,18 +154,34 @@
         false
     }
 
-    fn record_roster(&mut self, now: Time, append: &mut PendingAppend, records: &mut Vec<Record>) {
+    /// Adds the changed pages of the roster. If the progress in this append is `partial`, ends may be left out that workers
+    /// have listed. Those workers are recorded without their runs, since a successor takes the missing ones for ended, and
+    /// again with the next append.
+    fn record_roster(
+        &mut self,
+        now: Time,
+        partial: bool,
+        append: &mut PendingAppend,
+        records: &mut Vec<Record>,
+    ) {
         if !self.may_write_roster(now) {
             return;
         }
         let mut bytes = 0;
+        let mut incomplete = SmallVec::<[u32; 8]>::new();
         while bytes < MAX_APPEND_BYTES
             && let Some((number, members)) = self.roster.pop_dirty()
         {
-            let record = self.record_roster_page(now, number, &members, append);
+            let has_unrecorded_ends =
+                |id| self.workers.get(id).is_some_and(Worker::has_unrecorded_ends);
+            if partial && members.iter().any(has_unrecorded_ends) {
+                incomplete.push(number);
+            }
+            let record = self.record_roster_page(now, number, &members, partial, append);
             bytes += record.size();
             records.push(record);
         }
+        incomplete.into_iter().for_each(|page| self.roster.mark_dirty(page));
     }
 
     fn record_roster_page(
@@ -167,12 +189,14 @@
         now: Time,
         number: u32,
         members: &[WorkerId],
+        partial: bool,
         append: &mut PendingAppend,
     ) -> Record {
         let mut entries = Vec::with_capacity(members.len());
         for id in members {
             let Some(worker) = self.workers.get(id) else { continue };
-            let state = self.roster_state(now, worker);
+            let ends_recorded = !(partial && worker.has_unrecorded_ends());
+            let state = self.roster_state(now, worker, ends_recorded);
             entries.push(RosterEntry { id: id.clone(), addr: worker.info.addr, state });
         }
         for entry in &entries {
@@ -183,7 +207,7 @@
             );
             // Takes effect now, since the record may be read before it is confirmed.
             worker.listed_unresponsive |= unresponsive;
-            let draining = worker.is_draining();
+            let draining = matches!(entry.state, RosterState::Draining { .. });
             worker.listed_draining |= draining;
             worker.listed_runs = match &entry.state {
                 RosterState::Unresponsive { runs, .. } | RosterState::Draining { runs } => {
--- a/crates/workflow/tests/support/worker.rs
+++ b/crates/workflow/tests/support/worker.rs
@@ -89,6 +89,8 @@
     pub unreadable_runs: bool,
     /// Numbers of ends that are unreadable.
     pub unreadable_ends: RangeInclusive<u64>,
+    /// Checkpoint of all runs that end here.
+    pub checkpoint: CompactString,
     /// Whether it goes on listing ends after they are acknowledged, as if it had never received an acknowledgement.
     pub keeps_ends: bool,
     /// Number of next successful runs that end in an unknown way.
@@ -147,6 +149,7 @@
             paces: Vec::new(),
             unreadable_runs: false,
             unreadable_ends: 0..=0,
+            checkpoint: CompactString::default(),
             keeps_ends: false,
             unknown_ends: 0,
             unreadable_entry: false,
@@ -173,7 +176,7 @@
             }
         }
         checker.ended(&self.info.id, task, run.run, kind, self.next_end);
-        let saved = CompactString::default();
+        let saved = self.checkpoint.clone();
         self.ended.push(End { number: self.next_end, task, run: run.run, kind, saved });
         self.next_end += 1;
     }
