Runtime: a load of records or configuration fails if the store cuts it short

Cause: a page of the newest records that repeats the one before, or that says that more follow but has no readable key, ended the load as if it were the last one. The process then led, answered and judged routes without the other pages.

Change: such a load of the work or the operator's topic fails and is tried again. The directory is read on as before, as an incomplete one, since workers write their entries again.

Tests: cut_pages; before, records_cut answers 410 and configuration_cut never becomes ready.

--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -132,9 +132,9 @@
     loop {
         let page = node.store().newest(topic, after.clone(), limits.page_timeout).await;
         let page = node.take_decoded(page);
-        let (records, unreadable, end, next_after, complete) = match page {
-            NewestResult::Page { records, unreadable, end, next_after, complete } => {
-                (records, unreadable, end, next_after, complete)
+        let (records, unreadable, end, has_more, next_after, complete) = match page {
+            NewestResult::Page { records, unreadable, end, has_more, next_after, complete } => {
+                (records, unreadable, end, has_more, next_after, complete)
             }
             NewestResult::Failed(cause) => {
                 limits.on_page_failed();
@@ -158,14 +158,19 @@
             Topic::Operator => listed.complete &= unreadable.is_empty(),
             Topic::Work | Topic::Terms => {}
         }
-        // Ends the loop if the store returns the same page again.
-        let page_repeated = next_after.is_some() && next_after == after;
+        // The next page can't be requested, or the store has returned this page again.
+        let is_cut = has_more && (next_after.is_none() || next_after == after);
+        // A record that isn't read would count as absent.
+        if is_cut && matches!(topic, Topic::Work | Topic::Operator) {
+            limits.on_page_failed();
+            return Err(ReadFailure::Malformed);
+        }
         after = next_after;
-        if after.is_none() || page_repeated {
+        if !has_more || is_cut {
             for stored in &leader_records {
                 apply(node, topic, stored, &mut listed);
             }
-            listed.complete &= !page_repeated;
+            listed.complete &= !is_cut;
             node.on_loaded(topic, &listed);
             let complete_until = (topic == Topic::Operator).then_some(sent);
             let progress = ReadProgress { loaded: true, complete_until, ..ReadProgress::default() };
--- a/crates/runtime/src/platform.rs
+++ b/crates/runtime/src/platform.rs
@@ -90,7 +90,9 @@
         unreadable: Vec<Bytes>,
         /// End offset of the partition.
         end: Offset,
-        /// The key after which the next page starts, if there is one.
+        /// Whether there is a next page.
+        has_more: bool,
+        /// The key after which the next page starts. `None` without a next page, or if no key can be read.
         next_after: Option<Bytes>,
         /// Whether all keys were readable. If not, an absent key may exist in the store.
         complete: bool,
