Scheduler: an unreadable page of the roster isn't taken for an empty one

Cause: the ledger skips a record that it can't read. The new leader didn't know the workers of that page, so it waited for none of them.

Change: the ledger remembers unreadable pages. A new leader then starts no inherited task before all runs of earlier leaders must have lapsed, apart from those that it has found, and records the page anew only after that, since its own successor has to wait, too. A leader in office also replaces a page that it doesn't use, so that none stays unreadable.

--- a/crates/workflow/src/ledger/mod.rs
+++ b/crates/workflow/src/ledger/mod.rs
@@ -100,6 +100,8 @@
     leader: Option<(Offset, LeaderRecord)>,
     /// Pages of the roster by number.
     roster: BTreeMap<u32, (Offset, RosterPage)>,
+    /// Pages of the roster of which the newest record is unreadable, with its offset.
+    unreadable_roster: BTreeMap<u32, Offset>,
     interference_model: Option<(Offset, InterferenceModel)>,
     /// The newest record of the estimated load; `None` in it if the value is unreadable.
     load: Option<(Offset, Option<LoadEstimate>)>,
@@ -138,6 +140,12 @@
         self.roster.iter().map(|(number, (_, page))| (*number, page))
     }
 
+    /// Returns the numbers of the pages of the roster of which the newest record is unreadable. Workers may be missing from
+    /// [`Ledger::roster_pages`] then, or listed as they were earlier.
+    pub fn unreadable_roster_pages(&self) -> impl Iterator<Item = u32> {
+        self.unreadable_roster.keys().copied()
+    }
+
     /// Returns the interference model that the last leader recorded.
     pub fn interference_model(&self) -> Option<&InterferenceModel> {
         self.interference_model.as_ref().map(|(_, interference_model)| interference_model)
@@ -172,7 +180,7 @@
     ///
     /// # Errors
     ///
-    /// The record can't be read; the ledger is unchanged.
+    /// The record can't be read; the ledger is unchanged, but for [`Ledger::unreadable_roster_pages`].
     pub fn apply(
         &mut self,
         offset: Offset,
@@ -220,8 +228,17 @@
         if self.roster.get(&page).is_some_and(|(stored_offset, _)| *stored_offset >= offset) {
             return Ok(LedgerChange::None);
         }
-        self.roster.insert(page, (offset, read_value(value)?));
-        Ok(LedgerChange::Roster)
+        match read_value(value) {
+            Ok(entries) => {
+                self.roster.insert(page, (offset, entries));
+                self.unreadable_roster.retain(|other, at| *other != page || *at > offset);
+                Ok(LedgerChange::Roster)
+            }
+            Err(error) => {
+                self.unreadable_roster.insert(page, offset);
+                Err(error)
+            }
+        }
     }
 
     fn apply_interference_model(
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -118,6 +118,8 @@
     /// Workers of the predecessor that haven't listed all their runs and ends, and when all runs there have lapsed; see
     /// [`Scheduler::reconciled_by`].
     unreconciled: BTreeMap<WorkerId, Time>,
+    /// Set while workers that aren't known may run any task.
+    unreadable_roster: Option<reconciliation::UnreadableRoster>,
     /// Data centres in which nothing may be started.
     evacuated: BTreeSet<CompactString>,
     /// Workflows whose progress has changed since it was last recorded.
@@ -285,6 +287,7 @@
             queued_steps: BTreeSet::new(),
             feasibility_queue: queue_order::FeasibilityQueue::default(),
             unreconciled: BTreeMap::new(),
+            unreadable_roster: None,
             evacuated: BTreeSet::new(),
             dirty: BTreeSet::new(),
             exhausted: BTreeSet::new(),
@@ -335,6 +338,7 @@
             wall_ms,
         };
         scheduler.inherit_workers(now, ledger);
+        scheduler.inherit_unreadable_pages(ledger);
         for change in directory {
             scheduler.apply_directory(now, change);
         }
--- a/crates/workflow/src/scheduler/partial_ends.rs
+++ b/crates/workflow/src/scheduler/partial_ends.rs
@@ -157,11 +157,11 @@
 
     /// Whether a task of an inherited workflow's step may be running or have ended at a worker without this leader's knowledge.
     pub(super) fn may_have_unknown_runs(&self, service: &CompactString, step: &Step) -> bool {
-        self.unreconciled.keys().any(|id| {
-            self.workers
-                .get(id)
-                .is_none_or(|worker| !worker.reconciled || worker.may_hide_end_of(service, step))
-        })
+        let may_hide_runs = |id: &WorkerId| {
+            let worker = self.workers.get(id);
+            worker.is_none_or(|worker| !worker.reconciled || worker.may_hide_end_of(service, step))
+        };
+        self.unreadable_roster.is_some() || self.unreconciled.keys().any(may_hide_runs)
     }
 
     /// Whether all workers of the predecessor have listed what runs there.
--- a/crates/workflow/src/scheduler/polls.rs
+++ b/crates/workflow/src/scheduler/polls.rs
@@ -177,6 +177,7 @@
             .collect();
         changed.iter().for_each(|id| self.mark_entry_dirty(id));
         self.expire_reconciliations(now);
+        self.expire_unreadable_roster(now);
         self.release_workers(now);
     }
 
--- a/crates/workflow/src/scheduler/reconciliation.rs
+++ b/crates/workflow/src/scheduler/reconciliation.rs
@@ -18,6 +18,7 @@
     },
     compact_str::CompactString,
     egretlb_types::{Resources, Time},
+    smallvec::SmallVec,
     std::time::Duration,
 };
 
@@ -25,6 +26,15 @@
 /// as unreconciled. These get no tasks until the next roster is recorded.
 const MAX_ROSTER_DELAY: Duration = Duration::from_millis(400);
 
+/// Pages of the predecessor's roster that can't be read. They aren't recorded anew before all runs at their workers must have
+/// lapsed, since the next leader has to wait for these, too.
+#[derive(Debug)]
+pub(super) struct UnreadableRoster {
+    /// When all runs at their workers must have lapsed.
+    pub(super) until: Time,
+    pages: SmallVec<[u32; 2]>,
+}
+
 impl Scheduler {
     /// Takes over the workers of the roster: they are polled, and get no tasks before they
     /// answer.
@@ -61,6 +71,24 @@
         }
     }
 
+    /// Notes which pages of the predecessor's roster can't be read. Any worker may be listed there, and run any task.
+    pub(super) fn inherit_unreadable_pages(&mut self, ledger: &Ledger) {
+        let pages: SmallVec<[u32; 2]> = ledger.unreadable_roster_pages().collect();
+        if pages.is_empty() {
+            return;
+        }
+        log::warn!(pages:? = pages; "roster_unreadable");
+        let until = self.succession.waits_until(&self.limits);
+        self.unreadable_roster = Some(UnreadableRoster { until, pages });
+    }
+
+    /// Ends the wait for workers that only an unreadable page may list, and records that page anew.
+    pub(super) fn expire_unreadable_roster(&mut self, now: Time) {
+        if let Some(unreadable) = self.unreadable_roster.take_if(|roster| now >= roster.until) {
+            unreadable.pages.into_iter().for_each(|page| self.roster.rewrite(page));
+        }
+    }
+
     /// Takes over a worker that two pages list, since a page was recorded after it had moved and the other one wasn't:
     /// anything may run there, by any earlier leader.
     fn inherit_twice_listed(&mut self, id: &WorkerId) {
@@ -237,7 +265,7 @@
         service: CompactString::default(),
         data_centre: CompactString::default(),
         capacity: Resources::default(),
-        labels: smallvec::SmallVec::new(),
+        labels: SmallVec::new(),
         state: if draining { WorkerState::Draining } else { WorkerState::Ready },
     }
 }
--- a/crates/workflow/src/scheduler/restore.rs
+++ b/crates/workflow/src/scheduler/restore.rs
@@ -17,7 +17,7 @@
             Key::Leader => {}
             // The next estimate replaces it.
             Key::Load => {}
-            Key::Roster(page) => self.roster.mark_dirty(page),
+            Key::Roster(page) => self.roster.rewrite(page),
             Key::InterferenceModel => self.model_dirty = true,
             Key::Wave(number) => self.maintenance.record_again(number),
             Key::Submission(id) => self.records_to_rewrite.extend(submission(id, ledger)),
--- a/crates/workflow/src/scheduler/roster.rs
+++ b/crates/workflow/src/scheduler/roster.rs
@@ -27,13 +27,23 @@
     pub(super) fn inherited(ledger: &Ledger) -> RosterPages {
         let mut pages = RosterPages::default();
         for (page, _) in ledger.roster_pages() {
-            pages.pages.insert(page, BTreeSet::new());
-            pages.open.insert(page);
-            pages.dirty.insert(page);
+            pages.rewrite(page);
+        }
+        // Not in use until it is rewritten, see `UnreadableRoster`.
+        for page in ledger.unreadable_roster_pages() {
+            pages.pages.entry(page).or_default();
         }
         pages
     }
 
+    /// Marks a page to be recorded, as an empty one if it isn't in use yet.
+    pub(super) fn rewrite(&mut self, page: u32) {
+        if self.pages.entry(page).or_default().len() < MAX_PAGE_WORKERS {
+            self.open.insert(page);
+        }
+        self.dirty.insert(page);
+    }
+
     /// Puts a worker on a page.
     pub(super) fn insert(&mut self, page: u32, id: WorkerId) {
         let members = self.pages.entry(page).or_default();
--- a/crates/workflow/src/scheduler/waits/queued.rs
+++ b/crates/workflow/src/scheduler/waits/queued.rs
@@ -123,14 +123,12 @@
 
     /// Describes the wait of an inherited task for the workers of the predecessor.
     fn reconciliation_cause(&self) -> Cause {
-        let reason = if self.has_all_running_lists() {
-            Reason::EndsUnlisted
-        } else {
-            Reason::SurveyUnderWay
-        };
+        let has_answers = self.has_all_running_lists() && self.unreadable_roster.is_none();
+        let reason = if has_answers { Reason::EndsUnlisted } else { Reason::SurveyUnderWay };
         let workers = self.unreconciled.keys().take(MAX_NAMED).cloned().collect();
         let until = self.unreconciled.iter().map(|(id, until)| self.reconciled_by(id, *until));
-        Cause { reason, workers, until: until.max(), service_workers: None }
+        let until = until.chain(self.unreadable_roster.as_ref().map(|roster| roster.until)).max();
+        Cause { reason, workers, until, service_workers: None }
     }
 
     /// Returns what excludes the workers that pass the most checks.
--- a/crates/workflow/tests/support/store.rs
+++ b/crates/workflow/tests/support/store.rs
@@ -40,4 +40,12 @@
         self.records.extend_from_slice(records);
         AppendResult::Done
     }
+
+    /// Replaces all records of a key, as if it had been loaded as the newest of its key.
+    pub fn replace(&mut self, key: &[u8], value: &[u8]) {
+        self.records.push(Record { key: key.to_vec(), value: Vec::new() });
+        for record in self.records.iter_mut().filter(|record| record.key == key) {
+            record.value = value.to_vec();
+        }
+    }
 }
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -159,6 +159,15 @@
         id
     }
 
+    /// Lets another writer replace a record by one that can't be read. Processes started later don't read the former one.
+    pub fn overwrite(&mut self, key: Key) {
+        self.foreign_keys.push(key);
+        for node in &mut self.nodes {
+            node.foreign_keys.clone_from(&self.foreign_keys);
+        }
+        self.store.replace(&key.to_bytes(), &[u8::MAX]);
+    }
+
     pub fn cancel(&mut self, id: WorkflowId) {
         self.store.append(&[Record::new(Key::Cancel(id), &true)], None);
         self.checker.cancelled.insert(id);
