Runtime: only a read sent after a request shows that a workflow isn't stored

Cause: `look_up` took a workflow for absent once a read that reached the end had been answered after the request's arrival. An answer that was on its way for a second doesn't know what was stored meanwhile: the silence of an old list.

Change: the read must have been sent after the arrival. While a request waits for that, reads of the records don't wait for the next record, so the answer takes no longer than the read under way, the pause and one more call.

Tests: late_reads; before, 410 for the first workflow. absent_soon guards the time of a true 410.

--- a/crates/runtime/src/clients.rs
+++ b/crates/runtime/src/clients.rs
@@ -231,16 +231,12 @@
     arrived: Time,
     catch_up: Duration,
 ) -> Lookup {
-    let lookup = node.watch.wait_for(|core| {
+    let lookup = node.watch.find_stored(arrived, |core| {
         if let Some(entry) = core.ledger.get(id) {
             return Some(Lookup::State(entry.state()));
         }
-        if core.accepted.contains(&id) {
-            return Some(Lookup::State(WorkflowState::Queued));
-        }
-        let read_past_arrival = core.work_progress.at_end
-            && core.work_progress.answered_at.is_some_and(|at| at > arrived);
-        read_past_arrival.then_some(Lookup::Absent)
+        core.accepted.contains(&id).then_some(Lookup::State(WorkflowState::Queued))
     });
-    timeout(catch_up, lookup).await.unwrap_or(Lookup::Unknown)
+    let found = timeout(catch_up, lookup).await;
+    found.map_or(Lookup::Unknown, |found| found.unwrap_or(Lookup::Absent))
 }
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -193,8 +193,13 @@
     if topic == Topic::Work {
         node.on_read_sent(sent);
     }
-    // A read that doesn't wait shows soon that a silent store answers again, or that the configuration is the newest.
-    let confirm = topic == Topic::Operator && cursor.unconfirmed;
+    // A read that doesn't wait shows soon that a silent store answers again, that the configuration is the newest, or that a
+    // workflow isn't stored.
+    let confirm = match topic {
+        Topic::Operator => cursor.unconfirmed,
+        Topic::Work => node.watch.is_read_awaited(),
+        Topic::Directory | Topic::Terms => false,
+    };
     let wait = if node.is_failing(topic) || confirm { Duration::ZERO } else { read_wait(topic) };
     let read = node.store().read(topic, cursor.next, wait, limits.max_kb).await;
     match node.take_decoded(read) {
--- a/crates/runtime/src/reads.rs
+++ b/crates/runtime/src/reads.rs
@@ -4,7 +4,12 @@
     crate::{clock::Clock, core::Core},
     egretlb_types::{Epoch, Seq, Time},
     egretlb_workflow::Record,
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{sync::Notify, time::sleep},
 };
 
@@ -13,12 +18,35 @@
 pub(crate) struct RecordWatch {
     core: Rc<RefCell<Core>>,
     read_applied: Notify,
+    /// Number of tasks that wait for a read that is sent from now on.
+    waiting_for_read: Cell<usize>,
+}
+
+/// Counts a task that waits for a read until it is dropped.
+struct WaitingForRead<'a>(&'a Cell<usize>);
+
+impl<'a> WaitingForRead<'a> {
+    fn new(count: &'a Cell<usize>) -> WaitingForRead<'a> {
+        count.set(count.get() + 1);
+        WaitingForRead(count)
+    }
+}
+
+impl Drop for WaitingForRead<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl RecordWatch {
     /// A watch on the state in `core`.
     pub(crate) fn new(core: Rc<RefCell<Core>>) -> RecordWatch {
-        RecordWatch { core, read_applied: Notify::new() }
+        RecordWatch { core, read_applied: Notify::new(), waiting_for_read: Cell::new(0) }
+    }
+
+    /// Whether a task waits for the next read, which then doesn't wait for a record.
+    pub(crate) fn is_read_awaited(&self) -> bool {
+        self.waiting_for_read.get() > 0
     }
 
     /// When a read of the work records was last answered.
@@ -44,6 +72,22 @@
         }
     }
 
+    /// Waits until `query` returns a value, or until a read that was sent after `since` has reached the end of the records.
+    /// Only such a read shows what was stored before: the answer to an earlier one may have been on its way since.
+    pub(crate) async fn find_stored<T>(
+        &self,
+        since: Time,
+        query: impl Fn(&Core) -> Option<T>,
+    ) -> Option<T> {
+        let _waiting = WaitingForRead::new(&self.waiting_for_read);
+        self.wait_for(|core| {
+            let found = query(core);
+            let complete = core.work_progress.complete_until.is_some_and(|sent| sent > since);
+            (found.is_some() || complete).then_some(found)
+        })
+        .await
+    }
+
     /// Waits until this process's append of the given epoch and number has been read.
     pub(crate) async fn wait_for_own_append(&self, epoch: Epoch, seq: Seq) {
         self.wait_for(|core| {
