Scheduler: a new page of the roster takes the lowest unused number

What callers saw (a test): every leader ended, if another writer had left a record for the page with the highest number and all other pages were full.

Cause: a new page was numbered after the highest known one, which overflows.

Test: highest_page_number; before, 'attempt to add with overflow'.

--- a/crates/workflow/src/scheduler/roster.rs
+++ b/crates/workflow/src/scheduler/roster.rs
@@ -58,7 +58,9 @@
 
     /// Puts a worker on the first page with a free entry and returns the page.
     fn add(&mut self, id: WorkerId) -> u32 {
-        let new_page = || self.pages.last_key_value().map_or(0, |(page, _)| page + 1);
+        // The highest number may be that of another writer's record, which no number follows.
+        let is_unused = |page: &u32| !self.pages.contains_key(page);
+        let new_page = || (0..=u32::MAX).find(is_unused).unwrap_or_default();
         let page = self.open.first().copied().unwrap_or_else(new_page);
         self.insert(page, id);
         page
--- a/crates/workflow/tests/unreadable_roster.rs
+++ b/crates/workflow/tests/unreadable_roster.rs
@@ -91,3 +91,19 @@
     let took = world.run_until(20 * SECOND, |world| world.completed(id));
     assert!(took.is_some_and(|took| took < 6 * SECOND), "{took:?}");
 }
+
+/// Guards against a leader that ends since another writer's page has the highest number, and all pages are full.
+#[test]
+fn highest_page_number() {
+    let mut world = World::new(8, 2, 2, Limits::default());
+    world.run(2 * SECOND);
+    world.overwrite(Key::Roster(u32::MAX));
+    world.run(SECOND);
+    for _ in 0..200 {
+        world.add_worker(1);
+    }
+    world.run(4 * SECOND);
+    let id = world.submit(1, &submission(vec![step(210, 1_000)]));
+    assert!(world.run_until(6 * SECOND, |world| world.completed(id)).is_some());
+    assert!(world.workers.iter().filter(|worker| worker.next_end > 1).count() > 150);
+}
