--- a/crates/workflow/src/scheduler/maintenance/mod.rs
+++ b/crates/workflow/src/scheduler/maintenance/mod.rs
@@ -282,8 +282,7 @@
     /// can be started again elsewhere.
     fn may_go_down(&self, now: Time, id: &WorkerId, timed_out: bool) -> bool {
         let Some(worker) = self.workers.get(id) else { return timed_out };
-        // The runs of a worker that hasn't listed all of them, or their ends, are unknown until they must have
-        // lapsed.
+        // Runs that a worker hasn't listed, with their ends, are unknown until they must have lapsed.
         if !worker.all_runs_known() && now < worker.lease_bound() {
             return false;
         }
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -118,7 +118,7 @@
     /// Workers of the predecessor that haven't listed all their runs and ends, and when all runs there have lapsed; see
     /// [`Scheduler::reconciled_by`].
     unreconciled: BTreeMap<WorkerId, Time>,
-    /// Set while workers that aren't known may run any task.
+    /// Set while workers that neither the roster nor the directory lists may run inherited tasks.
     unreadable_roster: Option<reconciliation::UnreadableRoster>,
     /// Data centres in which nothing may be started.
     evacuated: BTreeSet<CompactString>,
--- a/crates/workflow/src/scheduler/reconciliation.rs
+++ b/crates/workflow/src/scheduler/reconciliation.rs
@@ -235,7 +235,7 @@
         let lapses_ms = self.succession.term_ms(worker.lease_bound());
         let unresponsive = worker.should_list_unresponsive(now, &self.limits);
         let unreconciled = worker.inherited == Some(Inherited::RunsUnknown) && !worker.reconciled;
-        // A successor takes runs that aren't listed for ended, so it is told none of them while ends may be missing.
+        // A successor takes runs that the roster doesn't list for ended, so none are listed while ends may be missing.
         let lists_runs = ends_recorded && !worker.hides_inherited_ends();
         if unreconciled || (unresponsive && !lists_runs) {
             return RosterState::Unreconciled { lapses_ms };
--- a/crates/workflow/tests/ends_in_parts.rs
+++ b/crates/workflow/tests/ends_in_parts.rs
@@ -124,7 +124,7 @@
         let inherited = world.submit(2, &submission(vec![elsewhere]));
         let id = world.submit(3, &submission(vec![small_tasks(1_400)]));
         kill_before_ends(&mut world, 1_400);
-        // The worker doesn't show the rest for a while.
+        // The worker doesn't list the rest for a while.
         world.workers[LARGE].keeps_ends = true;
         acknowledge_first_part(&mut world);
         let starts = world.checker.starts;
@@ -159,7 +159,7 @@
         let took = world.run_until(30 * SECOND, |world| world.completed(id));
         assert!(took.is_some_and(|took| took < 16 * SECOND), "seed {seed}: {took:?}");
         check(&world, seed);
-        // Also what has begun there since.
+        // The worker is used again once it lists the rest.
         world.workers[LARGE].keeps_ends = false;
         world.run(4 * SECOND);
         let id = world.submit(2, &submission(vec![small_tasks(3_000)]));
@@ -249,7 +249,7 @@
         }
         let next = acknowledge_first_part(&mut world);
         if seed % 2 == 0 {
-            // The rest stays away until the roster is recorded.
+            // The rest isn't listed before the roster is recorded.
             world.workers[LARGE].keeps_ends = true;
             world.run(700 * MS);
             world.workers[LARGE].keeps_ends = false;
--- a/crates/workflow/tests/unreadable_roster.rs
+++ b/crates/workflow/tests/unreadable_roster.rs
@@ -53,7 +53,7 @@
         let id = world.submit(1, &submission(vec![step(12, 7_000)]));
         world.run(SECOND);
         replace_roster_and_processes(&mut world);
-        // Without an entry it is known to nobody.
+        // Without an entry, no new process knows the worker.
         world.workers[0].listed = seed % 2 == 0;
         for node in &mut world.nodes {
             node.unreachable = vec![0];
