Review: two cases dropped, two renumbered

Cause: the ONE case and the case of lasting tasks that end as done show what review/3 and review/2 show already. Change: both are removed; the UNASKED case is review/10 now and the case of changed settings review/11, with the same scripts.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""A leader that is cut off from the store orders upkeep after its successor has ordered it, where fences aren't checked."""
+"""A consumer leaves before its job's submission is answered and cancels the job: the cancel is acknowledged, and the job runs."""
 
 import asyncio
 import os
@@ -8,99 +8,68 @@
 sys.path.insert(0, os.path.dirname(HERE))
 import rig3  # noqa: E402
 
-MACHINES = 3
-CUT_S = 5.5
-DOWN_S = 5.0
+JOBS = 16
+SLOW_X = 50.0
+SLOW_S = 4.5
+PATIENCE_S = 0.125
+CANCEL_S = 3.0
+CONTACT_S = 3.0
+FIRST_STEP_S = 9.0
 
 
-class Cloud:
-    """The list of machines and the calls for their upkeep. `requireFencing` is false: it compares no tokens."""
-
-    def __init__(self, rig):
-        self.rig, self.down, self.orders, self.upkeep, self.done = rig, False, [], {}, set()
-
-    async def handle(self, method, path, query, headers, body):
-        if path == "/egretlb/machines":
-            if self.down:
-                return (503, {})
-            rows = [{"machine": worker.machine, "pool": worker.service, "zone": worker.zone,
-                     "state": "upkeep" if worker.machine in self.upkeep else "up",
-                     "labels": ["a", worker.rack], "capacity": worker.capacity, "id": worker.name}
-                    for worker in self.rig.workers.values()]
-            return (200, {"machines": rows, "nextToken": ""})
-        call = rig3.json.loads(body)
-        holder, token = headers.get("egretlb-duty-holder"), int(headers.get("egretlb-fencing-token", 0))
-        machine = call["machine"]
-        status = 503 if self.down else 200
-        self.orders.append((rig3.now(), machine, holder, token, status))
-        self.rig.record("order", "upkeep", machine, "wave", call["wave"], "holder", holder, "token", token, "->", status)
-        if status == 200 and machine not in self.upkeep and machine not in self.done:
-            self.rig.spawn(self.maintain(machine))
-        return (status, {})
-
-    async def maintain(self, machine):
-        self.upkeep[machine] = rig3.now()
-        worker = next(worker for worker in self.rig.workers.values() if worker.machine == machine)
-        await worker.leave()
-        await asyncio.sleep(2.0)
-        del self.rig.workers[worker.name]
-        await rig3.Worker(self.rig, worker.name + "b", worker.service, rack=worker.rack, machine=machine).start()
-        del self.upkeep[machine]
-        self.done.add(machine)
-        self.rig.record("upkeep of", machine, "over")
+async def consumer(rig, number, job, cancelled):
+    """Submits a job, leaves after half of its objective, and cancels the job at another node until that is answered."""
+    body = {"spec": "notice", "steps": [
+        {"count": 1, "cpu": 1000, "memMb": 100, "estRuntimeMs": 9000},
+        {"count": 1, "cpu": 1000, "memMb": 100, "estRuntimeMs": 500, "after": [0]}]}
+    node, other = rig.nodes[number % 3], rig.nodes[(number + 1) % 3]
+    await rig.client(node, "POST", job, body, timeout=PATIENCE_S)
+    while True:
+        answer = await rig.client(other, "DELETE", job)
+        if answer and (answer[0] == 410 or 200 <= answer[0] < 300):
+            cancelled[job] = (rig3.now(), answer[0])
+            return
+        await asyncio.sleep(0.5)
 
 
 async def case(rig, trouble):
-    # The settings say `requireFencing` false, as on cesq-becas.
-    cloud = Cloud(rig)
-    server = await rig3.Server(cloud.handle).start()
     rig.routes = [rig.route("q", "svc", rig.prefix)]
     await rig.configure()
-    for number in range(MACHINES):
+    for number in range(3):
         await rig3.Worker(rig, f"w{number}", "svc", rack=f"r{number}").start()
-    await rig.start_nodes(3, {"cloudApi": {"addr": server.addr, "ratePerS": 60.0, "duties": [], "dutyPerS": 60.0}})
+    rig.runtime = lambda run: FIRST_STEP_S if run.task.split(".")[2] == "0" else 0.5
+    await rig.start_nodes(3)
     await rig.wait_ready()
-    # Each worker runs a task for four seconds, which the first machine's upkeep waits for.
-    rig.runtime = lambda run: 4.0
-    await rig.client(rig.nodes[0], "POST", rig3.job_id(), {"spec": "x", "steps": [
-        {"count": MACHINES, "cpu": 30000, "memMb": 100, "estRuntimeMs": 4000}]})
     await asyncio.sleep(1.0)
-    machines = [worker.machine for worker in rig.workers.values()]
-    wave = {"wave": 7, "machines": machines, "deadlineS": 60, "cap": 1}
-    await rig.store.put("keyed.op", "wave/7", wave)
-    rig.record("operator", wave)
-    await asyncio.sleep(2.4)
+    slow_until = rig3.now()
     if trouble:
-        cloud.down = True
-        available = rig3.now() + DOWN_S
-        rig.record("the platform's calls are unavailable for", DOWN_S, "s")
-        await wait_for(lambda: cloud.orders, DOWN_S)
-        await asyncio.sleep(0.3)
-        leader = rig.leader_node()
-        rig.store.cut.add(leader.name)
-        healed = rig3.now() + CUT_S
-        rig.record("cut from the store for", CUT_S, "s:", leader.name)
-        await wait_for(lambda: rig3.now() >= available, DOWN_S)
-        cloud.down = False
-        rig.record("the platform's calls are available")
-        await wait_for(lambda: rig3.now() >= healed, CUT_S)
-        rig.store.cut.clear()
-        rig.record("the cut is over")
-    await wait_for(lambda: len(cloud.done) == MACHINES, 40.0)
-    if len(cloud.done) < MACHINES:
-        raise rig3.CantRun("the wave wasn't done")
-    highest, stale = {}, []
-    for at, machine, holder, token, status in cloud.orders:
-        if token < highest.get(machine, 0):
-            stale.append(f"{at:.3f} {machine} token {token} of {holder} after {highest[machine]}")
-        highest[machine] = max(token, highest.get(machine, 0))
-    return "; ".join(stale)
+        rig.store.slow = SLOW_X
+        slow_until += SLOW_S
+        rig.record("the store's answers take", SLOW_X, "times as long for", SLOW_S, "s")
+        rig.spawn(end_slowness(rig))
+    jobs, cancelled, consumers = [rig3.job_id() for _ in range(JOBS)], {}, []
+    await asyncio.sleep(0.3)
+    for number, job in enumerate(jobs):
+        consumers.append(rig.spawn(consumer(rig, number, job, cancelled)))
+        await asyncio.sleep(0.2)
+    await asyncio.gather(*consumers)
+    await asyncio.sleep(FIRST_STEP_S + 6.0)
+    broken = []
+    for at, worker, task, run in rig.starts:
+        job = task.split(".")[0]
+        acknowledged, status = cancelled[job]
+        calm = at - slow_until >= CONTACT_S
+        if calm and at - acknowledged > CANCEL_S:
+            broken.append(f"{task} run {run} started {at - acknowledged:.1f} s after the cancel was answered {status}")
+    for job in jobs:
+        await rig.client(rig.nodes[0], "GET", job)
+    return "; ".join(broken)
 
 
-async def wait_for(condition, limit):
-    until = rig3.now() + limit
-    while not condition() and rig3.now() < until:
-        await asyncio.sleep(0.01)
+async def end_slowness(rig):
+    await asyncio.sleep(SLOW_S)
+    rig.store.slow = 1.0
+    rig.record("the store answers as usual")
 
 
 if __name__ == "__main__":
