--- a/review/rig3.py
+++ b/review/rig3.py
@@ -599,6 +599,10 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play():
+        # A script that is told to end takes its processes with it.
+        playing = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
         rig = Rig(record)
         try:
             return await asyncio.wait_for(case(rig, trouble), 110)
@@ -606,7 +610,7 @@
             await rig.close()
     try:
         broken = asyncio.run(play())
-    except (CantRun, asyncio.TimeoutError, OSError) as error:
+    except (CantRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
         record("couldn't run:", repr(error))
         sys.exit(2)
     record("BROKEN" if broken else "held", broken or "")
