--- a/review/10/case.py
+++ b/review/10/case.py
@@ -8,21 +8,26 @@
 sys.path.insert(0, os.path.dirname(HERE))
 import rig3  # noqa: E402
 
-JOBS = 16
+JOBS = 32
+LEAVE = 4  # Each fourth consumer leaves: a share of 0.25.
 SLOW_X = 50.0
 SLOW_S = 4.5
 PATIENCE_S = 0.125
 CANCEL_S = 3.0
 CONTACT_S = 3.0
+GAP_S = 0.12
 FIRST_STEP_S = 9.0
 
 
 async def consumer(rig, number, job, cancelled):
-    """Submits a job, leaves after half of its objective, and cancels the job at another node until that is answered."""
+    """Submits a job. Each fourth consumer leaves after half of its objective, and cancels the job at another node until that is answered."""
     body = {"spec": "notice", "steps": [
         {"count": 1, "cpu": 1000, "memMb": 100, "estRuntimeMs": 9000},
         {"count": 1, "cpu": 1000, "memMb": 100, "estRuntimeMs": 500, "after": [0]}]}
     node, other = rig.nodes[number % 3], rig.nodes[(number + 1) % 3]
+    if number % LEAVE:
+        await rig.client(node, "POST", job, body)
+        return
     await rig.client(node, "POST", job, body, timeout=PATIENCE_S)
     while True:
         answer = await rig.client(other, "DELETE", job)
@@ -51,12 +56,14 @@
     await asyncio.sleep(0.3)
     for number, job in enumerate(jobs):
         consumers.append(rig.spawn(consumer(rig, number, job, cancelled)))
-        await asyncio.sleep(0.2)
+        await asyncio.sleep(GAP_S)
     await asyncio.gather(*consumers)
     await asyncio.sleep(FIRST_STEP_S + 6.0)
     broken = []
     for at, worker, task, run in rig.starts:
         job = task.split(".")[0]
+        if job not in cancelled:
+            continue
         acknowledged, status = cancelled[job]
         calm = at - slow_until >= CONTACT_S
         if calm and at - acknowledged > CANCEL_S:
