Cancellations of workflows that aren't stored yet are recorded

Cause: `cancel` answered 410 and recorded nothing if the records, read past the request's arrival, didn't show the workflow. Its submission may be under way all the same, at another process or in the store.

Change: the cancellation is recorded, and 410 is said once that is stored. All records have one order, so a submission after it is void for every process. An unreadable record in place of one is rewritten, as for known workflows. A process doesn't say 410 for a state while it doesn't know whether its own append of the workflow is stored.

--- a/crates/runtime/src/admission.rs
+++ b/crates/runtime/src/admission.rs
@@ -129,11 +129,10 @@
         control.decide(now, wall_ms, core.current_estimate(), arrival)
     }
 
-    /// Notes that a workflow's record is about to be stored: until its outcome is known, it isn't refused here.
+    /// Notes that a workflow's record is about to be stored: until its outcome is known, it is neither refused here nor said to
+    /// be absent.
     pub(crate) fn note_attempt(&self, id: WorkflowId) {
-        if self.core().limits.policies.admission {
-            self.admission.control.borrow_mut().note_attempt(self.clock().now(), id);
-        }
+        self.admission.control.borrow_mut().note_attempt(self.clock().now(), id);
     }
 
     /// Notes that a workflow's record surely wasn't stored by an attempt.
--- a/crates/runtime/src/clients.rs
+++ b/crates/runtime/src/clients.rs
@@ -183,22 +183,29 @@
         Lookup::State(state) => {
             Response { body: node.formats().state(state), ..Response::empty(status::OK) }
         }
+        // The outcome of a submission that this process has sent may be unknown.
+        Lookup::Absent if node.is_in_doubt(id) => unavailable(),
         Lookup::Absent => Response::empty(status::GONE),
         Lookup::Unknown => unavailable(),
     }
 }
 
 async fn cancel(node: &Rc<Node>, id: WorkflowId, arrived: Time, req: &Request) -> Response {
-    match find(node, id, arrived, req).await {
+    let is_stored = match find(node, id, arrived, req).await {
         Lookup::State(WorkflowState::Ended(_)) => return Response::empty(status::OK),
-        Lookup::State(WorkflowState::Queued | WorkflowState::Running) => {}
-        Lookup::Absent => return Response::empty(status::GONE),
+        Lookup::State(WorkflowState::Queued | WorkflowState::Running) => true,
+        Lookup::Absent => false,
         Lookup::Unknown => return unavailable(),
-    }
-    let stored = node.store_record(Record::new(Key::Cancel(id), &true)).await;
-    log::info!(workflow:% = id, stored:? = stored; "cancelled");
+    };
+    let stored = if is_stored {
+        node.store_record(Record::new(Key::Cancel(id), &true)).await
+    } else {
+        node.store_early_cancellation(id).await
+    };
+    log::info!(workflow:% = id, early = !is_stored, stored:? = stored; "cancelled");
     match stored {
-        Stored::Yes => Response::empty(status::OK),
+        Stored::Yes if is_stored => Response::empty(status::OK),
+        Stored::Yes => Response::empty(status::GONE),
         Stored::No | Stored::Refused { .. } => unavailable(),
         Stored::Unknown => Response::empty(status::TIMEOUT),
     }
--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -135,7 +135,9 @@
                 self.accepted.remove(&id);
             }
             LedgerChange::Load => self.load_read_at = Some(now),
-            LedgerChange::Cancelled(_) | LedgerChange::None => {}
+            LedgerChange::Cancelled(_)
+            | LedgerChange::EarlyCancellationDropped(_)
+            | LedgerChange::None => {}
         }
         if let Some(scheduler) = &mut self.scheduler {
             scheduler.on_change(now, &self.ledger, change, &mut out.scheduler);
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -14,7 +14,7 @@
     bytes::Bytes,
     compact_str::CompactString,
     egretlb_types::Offset,
-    egretlb_workflow::{DirectoryChange, Key, WorkerId},
+    egretlb_workflow::{DirectoryChange, Key, WorkerId, WorkflowId},
     std::{
         collections::{BTreeSet, HashSet},
         rc::Rc,
@@ -58,13 +58,20 @@
     pub(crate) workers: HashSet<CompactString>,
     /// Evacuated data centres.
     pub(crate) evacuated: BTreeSet<CompactString>,
+    /// Cancelled workflows whose submission wasn't found.
+    pub(crate) early_cancellations: BTreeSet<WorkflowId>,
     /// Whether all entries were read. If not, what isn't listed may still be in the store.
     pub(crate) complete: bool,
 }
 
 impl Default for Listed {
     fn default() -> Listed {
-        Listed { workers: HashSet::new(), evacuated: BTreeSet::new(), complete: true }
+        Listed {
+            workers: HashSet::new(),
+            evacuated: BTreeSet::new(),
+            early_cancellations: BTreeSet::new(),
+            complete: true,
+        }
     }
 }
 
@@ -237,7 +244,14 @@
 /// Applies a record and adds what it names to `listed`. An unreadable entry is logged and skipped.
 fn apply(node: &Rc<Node>, topic: Topic, stored: &StoredRecord, listed: &mut Listed) {
     match topic {
-        Topic::Work => node.step(|core, now, out| core.on_work(now, stored, out)),
+        Topic::Work => {
+            node.step(|core, now, out| core.on_work(now, stored, out));
+            if let Ok(Key::Cancel(id)) = Key::from_bytes(&stored.key)
+                && node.core().ledger.early_cancellations().contains(&id)
+            {
+                listed.early_cancellations.insert(id);
+            }
+        }
         Topic::Operator => match node.formats().operator(&stored.key, &stored.value) {
             Ok(change) => {
                 if let OperatorChange::Evacuation { data_centre, in_force: true } = &change {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -15,6 +15,7 @@
 mod configuration;
 mod core;
 mod dump;
+mod early_cancellations;
 mod failing_topics;
 mod follow;
 mod leader_append;
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -8,6 +8,7 @@
         clock::Clock,
         commands::CommandSlots,
         core::{Core, Effects, ReadProgress},
+        early_cancellations::EarlyCancellations,
         failing_topics::{FailingTopics, FailureReport},
         follow::Listed,
         peers::{LeaderClient, PendingRecord},
@@ -129,6 +130,7 @@
     pub(crate) leader: LeaderClient,
     pub(crate) metrics: WorkflowMetrics,
     pub(crate) admission: Admission,
+    pub(crate) early_cancellations: EarlyCancellations,
     /// Clients' records to include in the leader's next append.
     pub(crate) pending_records: RefCell<Vec<PendingRecord>>,
     /// Start of the leader's append in progress.
@@ -188,6 +190,7 @@
             leader: LeaderClient::default(),
             metrics: WorkflowMetrics::new(),
             admission: Admission::default(),
+            early_cancellations: EarlyCancellations::default(),
             pending_records: RefCell::default(),
             append_started: Cell::new(None),
             last_append_duration: Cell::default(),
@@ -354,6 +357,7 @@
             metrics.set_config_age(age);
         }
         metrics.set_evacuated(core.evacuated.len());
+        metrics.set_early_cancellations(core.ledger.early_cancellations().len());
         self.update_load_metrics(core);
         let Some(scheduler) = &mut core.scheduler else {
             metrics.set_load(false, 0, 0);
@@ -447,7 +451,11 @@
             }
             Topic::Operator => self.step(|core, _, _| core.on_operator_loaded(listed)),
             Topic::Terms => self.core.borrow_mut().terms_loaded = true,
-            Topic::Directory | Topic::Work => {}
+            Topic::Work => {
+                let is_stored = |id| listed.early_cancellations.contains(&id);
+                self.core.borrow_mut().ledger.retain_early_cancellations(is_stored);
+            }
+            Topic::Directory => {}
         }
     }
 
--- a/crates/runtime/src/standbys/forward.rs
+++ b/crates/runtime/src/standbys/forward.rs
@@ -12,7 +12,7 @@
     bytes::Bytes,
     egretlb_http::{Answer, CallError, Client, Request, Response},
     egretlb_types::Time,
-    egretlb_workflow::{Outcome, Record, WorkflowId, WorkflowState},
+    egretlb_workflow::{Key, Outcome, Record, WorkflowId, WorkflowState},
     http::{Method, header::RETRY_AFTER},
     std::{
         cell::{Cell, RefCell},
@@ -316,7 +316,12 @@
     if let Some((id, _)) = &submission {
         node.note_attempt(*id);
     }
-    let stored = node.store_record(record).await;
+    let stored = match Key::from_bytes(&record.key) {
+        Ok(Key::Cancel(id)) if node.core().ledger.get(id).is_none() => {
+            node.store_early_cancellation(id).await
+        }
+        _ => node.store_record(record).await,
+    };
     if let (Stored::No | Stored::Refused { .. }, Some((id, _))) = (stored, &submission) {
         node.note_not_stored(*id);
     }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -12,9 +12,9 @@
     dump::{Dump, MAX_DUMP_ITEMS, MAX_DUMP_TEXT, render_dump},
     logs::{InitError, LogOptions, format_line, init, log_event},
     metrics::{
-        Answered, AppendResult, CommonMetrics, EntryKind, EntryMetrics, IntervalResult,
-        METRICS_CONTENT_TYPE, Outcome, PreemptionLimit, Reach, ReadFailure, RunEvent,
-        SchedulerMetrics, Shares, VmCounts, WorkflowMetrics,
+        Answered, AppendResult, CommonMetrics, EarlyCancellation, EntryKind, EntryMetrics,
+        IntervalResult, METRICS_CONTENT_TYPE, Outcome, PreemptionLimit, Reach, ReadFailure,
+        RunEvent, SchedulerMetrics, Shares, VmCounts, WorkflowMetrics,
     },
     panics::exit_on_panic,
 };
--- a/crates/telemetry/src/metrics/mod.rs
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -25,8 +25,8 @@
     labels::{AppendResult, Outcome},
     scheduler::{SchedulerMetrics, VmCounts},
     workflow::{
-        Answered, EntryKind, IntervalResult, PreemptionLimit, Reach, ReadFailure, RunEvent,
-        WorkflowMetrics,
+        Answered, EarlyCancellation, EntryKind, IntervalResult, PreemptionLimit, Reach,
+        ReadFailure, RunEvent, WorkflowMetrics,
     },
 };
 
--- a/crates/telemetry/src/metrics/workflow.rs
+++ b/crates/telemetry/src/metrics/workflow.rs
@@ -166,6 +166,20 @@
     Malformed,
 }
 
+/// What became of the cancellation of a workflow that isn't stored. Variant names are label values.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, EncodeLabelValue)]
+pub enum EarlyCancellation {
+    /// Stored: a submission that comes later is void.
+    Stored,
+    /// Refused, since there are too many.
+    Refused,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+struct ByEarlyCancellation {
+    result: EarlyCancellation,
+}
+
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 struct ByRoute {
     route: String,
@@ -201,6 +215,8 @@
     evacuated: Gauge,
     unreadable: Family<ByEntryKind, Counter>,
     refused_submissions: Family<ByRoute, Counter>,
+    early_cancellations: Family<ByEarlyCancellation, Counter>,
+    kept_early_cancellations: Gauge,
     estimated_delay: Family<ByRoute, SecondsGauge>,
     estimate_age: SecondsGauge,
     load_estimates: Counter,
@@ -237,6 +253,8 @@
             evacuated: Gauge::default(),
             unreadable: Family::default(),
             refused_submissions: Family::default(),
+            early_cancellations: Family::default(),
+            kept_early_cancellations: Gauge::default(),
             estimated_delay: Family::default(),
             estimate_age: SecondsGauge::default(),
             load_estimates: Counter::default(),
@@ -331,6 +349,16 @@
             "Entries that couldn't be read, each counted when it is first seen",
             self.unreadable.clone(),
         );
+        registry.register(
+            "early_cancellations",
+            "Cancellations of workflows that aren't stored, by result",
+            self.early_cancellations.clone(),
+        );
+        registry.register(
+            "kept_early_cancellations",
+            "Cancellations in the store of workflows that aren't stored",
+            self.kept_early_cancellations.clone(),
+        );
         self.register_admission();
     }
 
@@ -456,6 +484,16 @@
         self.refused_submissions.get_or_create(&ByRoute { route: route.to_string() }).inc();
     }
 
+    /// Counts a cancellation of a workflow that isn't stored.
+    pub fn early_cancellation(&self, result: EarlyCancellation) {
+        self.early_cancellations.get_or_create(&ByEarlyCancellation { result }).inc();
+    }
+
+    /// Sets the number of cancellations in the store of workflows that aren't stored.
+    pub fn set_early_cancellations(&self, count: usize) {
+        self.kept_early_cancellations.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Sets the estimated delays by route, and their age.
     pub fn set_estimated_load<'a>(
         &self,
--- a/crates/workflow/src/ledger/mod.rs
+++ b/crates/workflow/src/ledger/mod.rs
@@ -15,7 +15,7 @@
     compact_str::CompactString,
     egretlb_types::Offset,
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
     },
 };
@@ -81,8 +81,10 @@
     None,
     /// A new workflow.
     Submitted(WorkflowId),
-    /// A workflow was cancelled.
+    /// A workflow was cancelled; one that isn't submitted yet, possibly again.
     Cancelled(WorkflowId),
+    /// An early cancellation was dropped from the store.
+    EarlyCancellationDropped(WorkflowId),
     /// A workflow's progress changed.
     Progressed(WorkflowId),
     /// The leader record changed.
@@ -97,6 +99,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     entries: HashMap<WorkflowId, Entry>,
+    early_cancellations: BTreeSet<WorkflowId>,
     leader: Option<(Offset, LeaderRecord)>,
     /// Pages of the roster by number.
     roster: BTreeMap<u32, (Offset, RosterPage)>,
@@ -130,6 +133,20 @@
         self.entries.iter().filter(|(_, entry)| entry.submitted).map(|(id, entry)| (*id, entry))
     }
 
+    /// Returns the ids that were cancelled before any submission of them was read. Their submissions may be under way.
+    pub fn early_cancellations(&self) -> &BTreeSet<WorkflowId> {
+        &self.early_cancellations
+    }
+
+    /// Drops the early cancellations that `is_stored` doesn't name.
+    pub fn retain_early_cancellations(&mut self, is_stored: impl Fn(WorkflowId) -> bool) {
+        let dropped: Vec<WorkflowId> =
+            self.early_cancellations.iter().copied().filter(|id| !is_stored(*id)).collect();
+        for id in dropped {
+            self.drop_early_cancellation(id);
+        }
+    }
+
     /// Returns the newest leader record.
     pub fn leader(&self) -> Option<&LeaderRecord> {
         self.leader.as_ref().map(|(_, leader)| leader)
@@ -195,18 +212,13 @@
             Key::Wave(number) => self.apply_wave(number, offset, value),
             Key::Submission(id) if value.is_empty() => {
                 self.entries.remove(&id);
+                self.early_cancellations.remove(&id);
                 Ok(LedgerChange::None)
             }
             Key::Submission(id) => self.apply_submission(id, value),
-            Key::Cancel(_) | Key::Progress(_) if value.is_empty() => Ok(LedgerChange::None),
-            Key::Cancel(id) => {
-                if !read_value::<bool>(value)? {
-                    return Ok(LedgerChange::None);
-                }
-                let entry = self.entries.entry(id).or_default();
-                let first = !std::mem::replace(&mut entry.cancelled, true);
-                Ok(if first { LedgerChange::Cancelled(id) } else { LedgerChange::None })
-            }
+            Key::Cancel(id) if value.is_empty() => Ok(self.drop_early_cancellation(id)),
+            Key::Progress(_) if value.is_empty() => Ok(LedgerChange::None),
+            Key::Cancel(id) => self.apply_cancellation(id, value),
             Key::Progress(id) => self.apply_progress(id, offset, value),
         }
     }
@@ -296,6 +308,7 @@
         if self.entries.get(&id).is_some_and(|entry| entry.submitted) {
             return Ok(LedgerChange::None);
         }
+        self.early_cancellations.remove(&id);
         let entry = self.entries.entry(id).or_default();
         entry.submitted = true;
         entry.repeats = submission.workflow.repeat.is_some();
@@ -306,6 +319,32 @@
         Ok(LedgerChange::Submitted(id))
     }
 
+    fn apply_cancellation(
+        &mut self,
+        id: WorkflowId,
+        value: &[u8],
+    ) -> Result<LedgerChange, RecordError> {
+        if !read_value::<bool>(value)? {
+            return Ok(LedgerChange::None);
+        }
+        let entry = self.entries.entry(id).or_default();
+        let first = !std::mem::replace(&mut entry.cancelled, true);
+        if !entry.submitted {
+            self.early_cancellations.insert(id);
+        }
+        let changed = first || !entry.submitted;
+        Ok(if changed { LedgerChange::Cancelled(id) } else { LedgerChange::None })
+    }
+
+    fn drop_early_cancellation(&mut self, id: WorkflowId) -> LedgerChange {
+        if !self.early_cancellations.remove(&id) {
+            return LedgerChange::None;
+        }
+        // Progress without a submission comes from a workflow that is being dropped.
+        self.entries.remove(&id);
+        LedgerChange::EarlyCancellationDropped(id)
+    }
+
     fn apply_progress(
         &mut self,
         id: WorkflowId,
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod commands;
 mod common_losses;
 mod deadlines;
+mod early_cancellations;
 mod effect;
 mod evacuation;
 mod fallback;
@@ -138,6 +139,7 @@
     append_sent_at: Time,
     /// When the last acknowledged append was sent.
     last_acked_append: Option<Time>,
+    early_cancellations: early_cancellations::EarlyCancellations,
     /// Ended workflows, and when this leader recorded or read that. Their records are dropped later.
     ended: Vec<(Time, WorkflowId)>,
     /// Estimated interference between tasks that share workers.
@@ -297,6 +299,7 @@
             pending_append: None,
             append_sent_at: now,
             last_acked_append: None,
+            early_cancellations: early_cancellations::EarlyCancellations::inherited(now, ledger),
             ended: Vec::new(),
             colocation: Colocation::new(
                 now,
@@ -427,11 +430,16 @@
     ) {
         match change {
             LedgerChange::Submitted(id) => {
+                self.early_cancellations.remove(id);
                 if let Some(entry) = ledger.get(id) {
                     self.add_workflow(now, id, entry, false);
                 }
             }
+            LedgerChange::Cancelled(id) if ledger.get(id).is_none() => {
+                self.early_cancellations.note(now, id);
+            }
             LedgerChange::Cancelled(id) => self.cancel(now, id, out),
+            LedgerChange::EarlyCancellationDropped(id) => self.restore_early_cancellation(id),
             LedgerChange::None
             | LedgerChange::Progressed(_)
             | LedgerChange::Leader
--- a/crates/workflow/src/scheduler/recording.rs
+++ b/crates/workflow/src/scheduler/recording.rs
@@ -43,8 +43,8 @@
 /// Interval between records of the interference model; each takes some 2 KB for 15 images, and every process reads it.
 const MODEL_RECORD_INTERVAL: Duration = Duration::from_secs(3);
 
-/// Maximum number of ended workflows whose records are dropped in one append.
-const MAX_DROPPED_PER_APPEND: usize = 200;
+/// Maximum number of ended workflows, and of early cancellations, whose records are dropped in one append.
+pub(super) const MAX_DROPPED_PER_APPEND: usize = 200;
 
 /// Maximum number of records rewritten in one append; a submission takes a few KB.
 const MAX_REWRITTEN_PER_APPEND: usize = 20;
@@ -113,6 +113,7 @@
         }
         self.record_roster(now, partial, &mut append, &mut records);
         self.drop_old_records(now, &mut records);
+        self.drop_early_cancellations(now, &mut records);
         self.record_model(now, &mut records);
         self.record_load(now, &mut records);
         let rewritten = self.records_to_rewrite.len().min(MAX_REWRITTEN_PER_APPEND);
--- a/crates/workflow/src/scheduler/restore.rs
+++ b/crates/workflow/src/scheduler/restore.rs
@@ -22,7 +22,8 @@
             Key::Wave(number) => self.maintenance.record_again(number),
             Key::Submission(id) => self.records_to_rewrite.extend(submission(id, ledger)),
             Key::Cancel(id) => {
-                let cancelled = ledger.get(id).is_some_and(|entry| entry.cancelled);
+                let cancelled = ledger.get(id).is_some_and(|entry| entry.cancelled)
+                    || ledger.early_cancellations().contains(&id);
                 self.records_to_rewrite.extend(cancelled.then(|| Record::new(key, &true)));
             }
             // The scheduler's state may be newer than the ledger's.
--- a/crates/workflow/tests/support/store.rs
+++ b/crates/workflow/tests/support/store.rs
@@ -12,6 +12,8 @@
     seq: Option<Seq>,
     /// Epoch whose appends are rejected.
     pub refused: Option<Epoch>,
+    /// Stored just before the append that drops its key.
+    pub before_drop: Option<Record>,
 }
 
 impl Store {
@@ -37,6 +39,8 @@
         if let Some((epoch, seq)) = fence {
             (self.epoch, self.seq) = (epoch, Some(seq));
         }
+        let drops = |key: &[u8]| records.iter().any(|r| r.key == key && r.value.is_empty());
+        self.records.extend(self.before_drop.take_if(|record| drops(&record.key)));
         self.records.extend_from_slice(records);
         AppendResult::Done
     }
