Numbers of a configuration have no upper bound, and one route doesn't put a version aside

All VMs take and run workflows of the removed queue and answer 503 for the new one.

Cause: the priority was read as a byte, and a route that can't be parsed made the whole version unreadable, so the one before it went on.

Change: priorities are 64 bits wide, other numbers saturate. Stored submissions keep the byte and have the full number behind the workflow, which processes of the former version ignore. A route with other unreadable terms keeps its former ones, or is answered 503; the rest of its version is in force. A process that starts while the newest entry is no configuration reads the one before it from the history. Requests about stored workflows don't need their route.

--- a/crates/runtime/src/clients.rs
+++ b/crates/runtime/src/clients.rs
@@ -67,7 +67,7 @@
     let route = match route {
         Ok(route) => route,
         Err(NoRoute::Absent) => return Response::empty(status::NOT_FOUND),
-        Err(NoRoute::Unknown) => return unavailable(),
+        Err(NoRoute::Unknown) => return answer_without_route(node, arrived, req).await,
     };
     let id_text = &req.path[route.prefix.len()..];
     if id_text.is_empty() && req.method == Method::GET {
@@ -85,6 +85,25 @@
     }
 }
 
+/// Answers a request whose route isn't known. What is known of a stored workflow doesn't depend on its route.
+async fn answer_without_route(node: &Rc<Node>, arrived: Time, req: &Request) -> Response {
+    let id_text = req.path.rsplit('/').next().unwrap_or_default();
+    let id: Option<WorkflowId> = id_text.parse().ok();
+    let Some(id) = id.filter(|_| node.core().configuration.version().is_some()) else {
+        return unavailable();
+    };
+    match (&req.method, find(node, id, arrived, req).await) {
+        (&Method::POST, Lookup::State(_)) => Response::empty(status::OK),
+        (&Method::GET, Lookup::State(state)) => state_response(node, state),
+        (&Method::DELETE, Lookup::State(state)) => cancel_stored(node, id, state).await,
+        _ => unavailable(),
+    }
+}
+
+fn state_response(node: &Node, state: WorkflowState) -> Response {
+    Response { body: node.formats().state(state), ..Response::empty(status::OK) }
+}
+
 fn error_response(node: &Node, status: u16, error: &dyn std::fmt::Display) -> Response {
     let body = node.formats().error(&error.to_string());
     Response { body, ..Response::empty(status) }
@@ -180,9 +199,7 @@
 
 async fn show(node: &Rc<Node>, id: WorkflowId, arrived: Time, req: &Request) -> Response {
     match find(node, id, arrived, req).await {
-        Lookup::State(state) => {
-            Response { body: node.formats().state(state), ..Response::empty(status::OK) }
-        }
+        Lookup::State(state) => state_response(node, state),
         // The outcome of a submission that this process has sent may be unknown.
         Lookup::Absent if node.is_in_doubt(id) => unavailable(),
         Lookup::Absent => Response::empty(status::GONE),
@@ -191,21 +208,31 @@
 }
 
 async fn cancel(node: &Rc<Node>, id: WorkflowId, arrived: Time, req: &Request) -> Response {
-    let is_stored = match find(node, id, arrived, req).await {
-        Lookup::State(WorkflowState::Ended(_)) => return Response::empty(status::OK),
-        Lookup::State(WorkflowState::Queued | WorkflowState::Running) => true,
-        Lookup::Absent => false,
-        Lookup::Unknown => return unavailable(),
-    };
-    let stored = if is_stored {
-        node.store_record(Record::new(Key::Cancel(id), &true)).await
-    } else {
-        node.store_early_cancellation(id).await
-    };
-    log::info!(workflow:% = id, early = !is_stored, stored:? = stored; "cancelled");
+    match find(node, id, arrived, req).await {
+        Lookup::State(state) => cancel_stored(node, id, state).await,
+        Lookup::Absent => {
+            let stored = node.store_early_cancellation(id).await;
+            cancel_response(id, stored, status::GONE)
+        }
+        Lookup::Unknown => unavailable(),
+    }
+}
+
+/// Cancels a workflow in a state, unless it has ended.
+async fn cancel_stored(node: &Rc<Node>, id: WorkflowId, state: WorkflowState) -> Response {
+    if let WorkflowState::Ended(_) = state {
+        return Response::empty(status::OK);
+    }
+    let stored = node.store_record(Record::new(Key::Cancel(id), &true)).await;
+    cancel_response(id, stored, status::OK)
+}
+
+/// The response to a cancellation; `success` is its status if the cancellation is stored.
+fn cancel_response(id: WorkflowId, stored: Stored, success: u16) -> Response {
+    let early = success == status::GONE;
+    log::info!(workflow:% = id, early, stored:? = stored; "cancelled");
     match stored {
-        Stored::Yes if is_stored => Response::empty(status::OK),
-        Stored::Yes => Response::empty(status::GONE),
+        Stored::Yes => Response::empty(success),
         Stored::No | Stored::Refused { .. } => unavailable(),
         Stored::Unknown => Response::empty(status::TIMEOUT),
     }
--- a/crates/runtime/src/configuration.rs
+++ b/crates/runtime/src/configuration.rs
@@ -5,7 +5,7 @@
 
 use {
     egretlb_types::Time,
-    egretlb_workflow::{Route, RouteTable},
+    egretlb_workflow::{Route, RouteMatch, RouteTable, UnreadableRoute},
     std::time::Duration,
 };
 
@@ -18,7 +18,7 @@
 pub enum NoRoute {
     /// The configuration has none for it.
     Absent,
-    /// No configuration has been read, or there may be a newer one, or the newest one couldn't be read.
+    /// No configuration has been read, or there may be a newer one, or the newest one or this route couldn't be read.
     Unknown,
 }
 
@@ -34,11 +34,14 @@
 
 impl Configuration {
     /// Puts routes in force, and returns whether they are newer than those before.
-    pub fn apply(&mut self, table: RouteTable) -> bool {
+    pub fn apply(&mut self, mut table: RouteTable) -> bool {
         self.newest_unreadable = false;
         if self.version().is_some_and(|current| current >= table.version) {
             return false;
         }
+        if let Some(earlier) = &self.routes {
+            table.adopt_terms(earlier);
+        }
         self.routes = Some(table);
         true
     }
@@ -53,6 +56,11 @@
         self.complete_until = self.complete_until.max(Some(until));
     }
 
+    /// The routes in force that couldn't be read.
+    pub fn unreadable_routes(&self) -> &[UnreadableRoute] {
+        self.routes.as_ref().map_or(&[], |table| &table.unreadable)
+    }
+
     /// Version in force; `None` before the first.
     pub fn version(&self) -> Option<u64> {
         self.routes.as_ref().map(|table| table.version)
@@ -80,8 +88,11 @@
     ///
     /// The error tells whether it is known that there is none.
     pub fn find(&self, now: Time, host: &str, path: &str) -> Result<&Route, NoRoute> {
-        let route = self.routes.as_ref().and_then(|table| table.find(host, path));
         let complete = self.is_current(now) && !self.newest_unreadable;
-        route.ok_or(if complete { NoRoute::Absent } else { NoRoute::Unknown })
+        match self.routes.as_ref().map_or(RouteMatch::Absent, |table| table.find(host, path)) {
+            RouteMatch::Found(route) => Ok(route),
+            RouteMatch::Absent if complete => Err(NoRoute::Absent),
+            RouteMatch::Absent | RouteMatch::Unreadable => Err(NoRoute::Unknown),
+        }
     }
 }
--- a/crates/runtime/src/core.rs
+++ b/crates/runtime/src/core.rs
@@ -157,7 +157,8 @@
         };
         let (version, routes) = (table.version, table.routes.len());
         if self.configuration.apply(table) {
-            log::info!(version, routes; "configuration_in_force");
+            let unreadable = self.configuration.unreadable_routes().len();
+            log::info!(version, routes, unreadable; "configuration_in_force");
         }
     }
 
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -12,9 +12,9 @@
         standbys::Announcement,
     },
     bytes::Bytes,
-    compact_str::CompactString,
+    compact_str::{CompactString, format_compact},
     egretlb_types::Offset,
-    egretlb_workflow::{DirectoryChange, Key, WorkerId, WorkflowId},
+    egretlb_workflow::{DirectoryChange, Key, UnreadableRoute, WorkerId, WorkflowId},
     std::{
         collections::{BTreeSet, HashSet},
         rc::Rc,
@@ -51,6 +51,10 @@
 /// receive no new tasks after 2 s.
 const DIRECTORY_READ_GAP: Duration = Duration::from_millis(250);
 
+/// How far before an unreadable configuration an earlier one is searched, in records, in this order. The oldest records
+/// may have been deleted.
+const HISTORY_DISTANCES: [u64; 3] = [256, 16, 1];
+
 /// What a load of a topic found.
 #[derive(Debug)]
 pub(crate) struct Listed {
@@ -60,6 +64,8 @@
     pub(crate) evacuated: BTreeSet<CompactString>,
     /// Cancelled workflows whose submission wasn't found.
     pub(crate) early_cancellations: BTreeSet<WorkflowId>,
+    /// Offset of the configuration, if it is unreadable.
+    pub(crate) unreadable_configuration: Option<Offset>,
     /// Whether all entries were read. If not, what isn't listed may still be in the store.
     pub(crate) complete: bool,
 }
@@ -70,6 +76,7 @@
             workers: HashSet::new(),
             evacuated: BTreeSet::new(),
             early_cancellations: BTreeSet::new(),
+            unreadable_configuration: None,
             complete: true,
         }
     }
@@ -178,6 +185,10 @@
                 apply(node, topic, stored, &mut listed);
             }
             listed.complete &= !is_cut;
+            let has_configuration = node.core().configuration.version().is_some();
+            if let Some(offset) = listed.unreadable_configuration.filter(|_| !has_configuration) {
+                recover_configuration(node, offset, limits).await;
+            }
             node.on_loaded(topic, &listed);
             let complete_until = (topic == Topic::Operator).then_some(sent);
             let progress = ReadProgress { loaded: true, complete_until, ..ReadProgress::default() };
@@ -254,6 +265,7 @@
         }
         Topic::Operator => match node.formats().operator(&stored.key, &stored.value) {
             Ok(change) => {
+                log_unreadable_routes(node, stored, &change);
                 if let OperatorChange::Evacuation { data_centre, in_force: true } = &change {
                     listed.evacuated.insert(data_centre.clone());
                 }
@@ -264,6 +276,7 @@
                 listed.complete = false;
                 if error.kind == EntryKind::Configuration {
                     node.core_mut().configuration.set_newest_unreadable();
+                    listed.unreadable_configuration = Some(stored.offset);
                 }
                 node.log_bad_entries(&[bad_entry(stored, &error)]);
             }
@@ -287,6 +300,47 @@
     }
 }
 
+fn log_unreadable_routes(node: &Node, stored: &StoredRecord, change: &OperatorChange) {
+    let OperatorChange::Routes(table) = change else { return };
+    let entry = |route: &UnreadableRoute| {
+        let key = format_compact!("{}/{}", String::from_utf8_lossy(&stored.key), route.name);
+        BadEntry::new(EntryKind::Configuration, key, stored.offset.0, &route.detail)
+    };
+    let entries: Vec<BadEntry> = table.unreadable.iter().map(entry).collect();
+    node.log_bad_entries(&entries);
+}
+
+/// Puts the last readable configuration before an unreadable one in force, if the store still has it: what replaced it can't
+/// be a version, since the store accepts only valid ones.
+async fn recover_configuration(node: &Rc<Node>, unreadable: Offset, limits: &ReadLimits) {
+    for distance in HISTORY_DISTANCES {
+        let mut next = Offset(unreadable.0.saturating_sub(distance));
+        let mut last = None;
+        while next < unreadable {
+            let read =
+                node.store().read(Topic::Operator, next, Duration::ZERO, limits.max_kb).await;
+            let ReadResult::Records { records, next: resume_at, .. } = read.value else { break };
+            if resume_at == next {
+                break;
+            }
+            next = resume_at;
+            let earlier = records.iter().filter(|stored| stored.offset < unreadable);
+            let changes = earlier.flat_map(|s| node.formats().operator(&s.key, &s.value));
+            last = changes
+                .filter(|change| matches!(change, OperatorChange::Routes(_)))
+                .last()
+                .or(last);
+        }
+        if let Some(change) = last.filter(|_| next >= unreadable) {
+            log::warn!(unreadable:% = unreadable; "configuration_recovered");
+            return node.step(|core, now, _| {
+                core.on_operator(now, change);
+                core.configuration.set_newest_unreadable();
+            });
+        }
+    }
+}
+
 /// Applies a worker's entry and returns the worker's name.
 fn apply_directory(node: &Rc<Node>, stored: &StoredRecord) -> CompactString {
     match node.formats().directory(&stored.key, &stored.value) {
--- a/crates/runtime/tests/configuration.rs
+++ b/crates/runtime/tests/configuration.rs
@@ -21,7 +21,7 @@
         slack_ms: 250,
         advice: None,
     };
-    RouteTable { version, routes: vec![route] }
+    RouteTable { version, routes: vec![route], ..RouteTable::default() }
 }
 
 fn lookup(configuration: &Configuration, now: Time, path: &str) -> Result<String, NoRoute> {
--- a/crates/workflow/src/admission/estimate.rs
+++ b/crates/workflow/src/admission/estimate.rs
@@ -35,7 +35,7 @@
     /// The workflow's route.
     pub route: &'a CompactString,
     /// Priority; 0 is most urgent.
-    pub priority: u8,
+    pub priority: u64,
     /// When the workflow was accepted, in milliseconds since 1970.
     pub accepted_ms: u64,
     /// When it should be complete, in milliseconds since 1970.
@@ -95,7 +95,7 @@
 /// What waits on a route.
 #[derive(Clone, Copy, Debug)]
 struct RouteBacklog {
-    priority: u8,
+    priority: u64,
     /// The shortest target duration of its workflows, in milliseconds.
     target_ms: u64,
     ahead: u64,
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -47,7 +47,7 @@
         EarlierTerm, Key, LeaderRecord, OccurrenceProgress, Outcome, Progress, Record, RecordError,
         RosterEntry, RosterPage, RosterState, StepProgress, Submission,
     },
-    routes::{AdviceTerms, Route, RouteTable},
+    routes::{AdviceTerms, Route, RouteMatch, RouteTable, UnreadableRoute},
     scheduler::{
         AdviceResult, Effect, End, EndKind, IntervalCause, IntervalCounts, PaceResult, PollReply,
         PollResult, Reason, RefusedPreemptions, RunningTask, Scheduler, SchedulerStats,
--- a/crates/workflow/src/overload/order.rs
+++ b/crates/workflow/src/overload/order.rs
@@ -35,7 +35,7 @@
 /// A waiting step.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WaitingStep {
-    pub(crate) priority: u8,
+    pub(crate) priority: u64,
     pub(crate) long_running: bool,
     /// When its workflow was accepted or its occurrence was due, and by when it should end, in milliseconds since 1970.
     pub(crate) begin_ms: u64,
@@ -47,9 +47,9 @@
 /// Position of a step in the queue; lower ones come first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct Position {
-    first: u8,
-    second: u8,
-    third: u8,
+    first: u64,
+    second: u64,
+    third: u64,
     /// Long-running tasks come after batch tasks: they occupy capacity for minutes.
     long_running: bool,
     /// Latest start that meets its limit, or the begin of the workflow if none does; in milliseconds since 1970.
@@ -77,12 +77,12 @@
     /// Its position in the queue.
     pub(crate) fn position(&self, order: QueueOrder, now_ms: u64) -> (Feasibility, Position) {
         let feasibility = self.feasibility(now_ms);
-        let reach = feasibility as u8;
+        let reach = feasibility as u64;
         let (first, second, third) = match order {
             QueueOrder::FeasibilityFirst => (0, reach, self.priority),
             QueueOrder::PriorityFirst => (0, self.priority, reach),
             QueueOrder::HopelessLast => {
-                (u8::from(feasibility == Feasibility::Hopeless), self.priority, reach)
+                (u64::from(feasibility == Feasibility::Hopeless), self.priority, reach)
             }
         };
         let at_ms = match feasibility {
--- a/crates/workflow/src/overload/preemption.rs
+++ b/crates/workflow/src/overload/preemption.rs
@@ -74,7 +74,7 @@
 /// How many tasks a long-running workflow has, and how many of them are at work within their targets.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct Standing {
-    pub(crate) priority: u8,
+    pub(crate) priority: u64,
     pub(crate) tasks: u32,
     pub(crate) at_work: u32,
 }
@@ -123,7 +123,7 @@
     stopped: BTreeMap<TaskId, Time>,
     refreshed_at: Option<Time>,
     /// When batch tasks last found no room, by priority.
-    blocked: BTreeMap<u8, Time>,
+    blocked: BTreeMap<u64, Time>,
 }
 
 impl PreemptionBudget {
@@ -162,7 +162,7 @@
     }
 
     /// A batch task's right to the room of a workflow's tasks.
-    pub(crate) fn claim(&self, workflow: WorkflowId, priority: u8) -> Claim {
+    pub(crate) fn claim(&self, workflow: WorkflowId, priority: u64) -> Claim {
         match self.accounts.get(&workflow) {
             Some(account) if priority <= account.standing.priority => Claim::Equal,
             _ => Claim::Lower,
@@ -170,7 +170,7 @@
     }
 
     /// The preference for stopping a task in favour of a batch task of a priority, or why it may not be stopped.
-    pub(crate) fn rank(&self, now: Time, task: TaskId, priority: u8) -> Result<StopRank, Refusal> {
+    pub(crate) fn rank(&self, now: Time, task: TaskId, priority: u64) -> Result<StopRank, Refusal> {
         let is_term_new = now.since(self.term_began) < MIN_STOP_INTERVAL;
         if is_term_new || self.was_stopped_recently(now, task) {
             return Err(Refusal::StoppedRecently);
@@ -206,12 +206,12 @@
     }
 
     /// Notes that a batch task of a priority found no room.
-    pub(crate) fn note_blocked(&mut self, now: Time, priority: u8) {
+    pub(crate) fn note_blocked(&mut self, now: Time, priority: u64) {
         self.blocked.insert(priority, now);
     }
 
     /// Whether a batch task of at least this priority found no room within `span`.
-    pub(crate) fn was_blocked(&self, now: Time, priority: u8, span: Duration) -> bool {
+    pub(crate) fn was_blocked(&self, now: Time, priority: u64, span: Duration) -> bool {
         self.blocked.range(..=priority).any(|(_, at)| now.since(*at) < span)
     }
 }
--- a/crates/workflow/src/overload/tests/order.rs
+++ b/crates/workflow/src/overload/tests/order.rs
@@ -4,7 +4,7 @@
 
 const NOW_MS: u64 = 1_000_000;
 
-fn waiting(priority: u8, due_in_ms: i64) -> WaitingStep {
+fn waiting(priority: u64, due_in_ms: i64) -> WaitingStep {
     WaitingStep {
         priority,
         long_running: false,
--- a/crates/workflow/src/overload/tests/preemption.rs
+++ b/crates/workflow/src/overload/tests/preemption.rs
@@ -3,8 +3,8 @@
 use super::*;
 
 const SECOND: Duration = Duration::from_secs(1);
-const URGENT: u8 = 0;
-const PATIENT: u8 = 2;
+const URGENT: u64 = 0;
+const PATIENT: u64 = 2;
 
 fn task(workflow: u64, index: u32) -> TaskId {
     TaskId { workflow: WorkflowId(workflow), occurrence: 0, step: 0, index }
@@ -17,7 +17,7 @@
 }
 
 /// Number of stops within a minute if one is asked for every 100 ms, and those stopped are back at once.
-fn stops_in_a_minute(priority: u8) -> usize {
+fn stops_in_a_minute(priority: u64) -> usize {
     let (mut budget, begin) = (PreemptionBudget::new(Time::ZERO), Time::from_secs(100));
     let mut stops = 0;
     for round in 0..600 {
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -12,7 +12,7 @@
     },
     compact_str::CompactString,
     egretlb_types::{Epoch, Seq},
-    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned},
     smallvec::SmallVec,
     std::{fmt, net::SocketAddr},
 };
@@ -209,13 +209,14 @@
 /// An accepted workflow, with its queue's settings, so that it can finish after the queue is
 /// deleted.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(from = "StoredSubmission", into = "StoredSubmission")]
 pub struct Submission {
     /// Name of the queue that the workflow was submitted to.
     pub route: CompactString,
     /// The service whose workers run the tasks.
     pub service: CompactString,
     /// Priority; 0 is most urgent.
-    pub priority: u8,
+    pub priority: u64,
     /// Number of failed runs of one task after which the workflow fails.
     pub max_attempts: u32,
     /// Target duration of the workflow as a multiple of its critical path, in thousandths.
@@ -230,6 +231,62 @@
     pub workflow: Workflow,
 }
 
+/// A submission as stored. Processes of earlier versions ignore what follows the workflow.
+#[derive(Serialize, Deserialize)]
+struct StoredSubmission {
+    route: CompactString,
+    service: CompactString,
+    /// The priority, or 255 if it is lower.
+    priority_byte: u8,
+    max_attempts: u32,
+    stretch_permille: u32,
+    slack_ms: u32,
+    advice: Option<AdviceTerms>,
+    accepted_ms: u64,
+    workflow: Workflow,
+    /// Missing in records of earlier versions.
+    #[serde(deserialize_with = "deserialize_last")]
+    priority: Option<u64>,
+}
+
+/// Deserializes the last field of a record, which may be missing.
+fn deserialize_last<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<u64>, D::Error> {
+    Ok(Option::deserialize(deserializer).unwrap_or(None))
+}
+
+impl From<Submission> for StoredSubmission {
+    fn from(submission: Submission) -> StoredSubmission {
+        StoredSubmission {
+            route: submission.route,
+            service: submission.service,
+            priority_byte: u8::try_from(submission.priority).unwrap_or(u8::MAX),
+            max_attempts: submission.max_attempts,
+            stretch_permille: submission.stretch_permille,
+            slack_ms: submission.slack_ms,
+            advice: submission.advice,
+            accepted_ms: submission.accepted_ms,
+            workflow: submission.workflow,
+            priority: Some(submission.priority),
+        }
+    }
+}
+
+impl From<StoredSubmission> for Submission {
+    fn from(stored: StoredSubmission) -> Submission {
+        Submission {
+            route: stored.route,
+            service: stored.service,
+            priority: stored.priority.unwrap_or(u64::from(stored.priority_byte)),
+            max_attempts: stored.max_attempts,
+            stretch_permille: stored.stretch_permille,
+            slack_ms: stored.slack_ms,
+            advice: stored.advice,
+            accepted_ms: stored.accepted_ms,
+            workflow: stored.workflow,
+        }
+    }
+}
+
 impl Submission {
     /// Returns the target duration of the workflow, in milliseconds.
     pub fn target_ms(&self) -> u64 {
--- a/crates/workflow/src/scheduler/held_rooms.rs
+++ b/crates/workflow/src/scheduler/held_rooms.rs
@@ -32,7 +32,7 @@
 pub(super) struct HeldRoom {
     step: StepId,
     /// If set, batch tasks of at least this priority may use it as well.
-    priority: Option<u8>,
+    priority: Option<u64>,
     worker: WorkerId,
     until: Time,
 }
@@ -48,7 +48,7 @@
     }
 
     /// Whether any step of this kind may use it.
-    pub(super) fn is_open_to(&self, priority: u8, long_running: bool) -> bool {
+    pub(super) fn is_open_to(&self, priority: u64, long_running: bool) -> bool {
         !long_running && self.priority.is_some_and(|lowest| priority <= lowest)
     }
 }
@@ -169,7 +169,7 @@
         key: QueuedStep,
         worker: WorkerId,
         span: Duration,
-        priority: Option<u8>,
+        priority: Option<u64>,
     ) {
         let until = now + span;
         if let Some(worker) = self.workers.get_mut(&worker) {
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -96,7 +96,7 @@
 /// A step with tasks that wait for a worker: an entry of the queue of all steps, in the order of the fields.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct QueuedStep {
-    priority: u8,
+    priority: u64,
     /// Long-running tasks come after batch tasks: they occupy capacity for minutes.
     long_running: bool,
     due_ms: u64,
--- a/crates/workflow/src/scheduler/preempt.rs
+++ b/crates/workflow/src/scheduler/preempt.rs
@@ -134,7 +134,7 @@
         task: TaskId,
         service: &CompactString,
         step: &Step,
-        priority: u8,
+        priority: u64,
     ) -> Result<Victim, Option<Refusal>> {
         let mut best: Option<(PreemptionValue, WorkerId, TaskId, RunId)> = None;
         let mut refusal = None;
--- a/crates/workflow/src/scheduler/preempt_limits.rs
+++ b/crates/workflow/src/scheduler/preempt_limits.rs
@@ -31,7 +31,7 @@
     at: Time,
     service: CompactString,
     resources: Resources,
-    priority: u8,
+    priority: u64,
 }
 
 /// A service in which the limits keep batch tasks waiting.
@@ -61,7 +61,7 @@
     }
 
     /// Whether an equal or smaller demand recently found no task to stop.
-    fn is_fruitless(&self, now: Time, service: &CompactString, step: &Step, priority: u8) -> bool {
+    fn is_fruitless(&self, now: Time, service: &CompactString, step: &Step, priority: u64) -> bool {
         let covers = |search: &FruitlessSearch| {
             now.since(search.at) < SEARCH_INTERVAL
                 && search.priority <= priority
@@ -155,7 +155,7 @@
         &self,
         now: Time,
         task: TaskId,
-        priority: u8,
+        priority: u64,
     ) -> Result<Option<StopRank>, Refusal> {
         if !self.limits_preemption() {
             return Ok(None);
--- a/crates/workflow/src/spec.rs
+++ b/crates/workflow/src/spec.rs
@@ -271,8 +271,9 @@
         let core_ms = |step: &Step| {
             let cpu =
                 u64::from(step.resources.cpu.0) + 8_000 * u64::from(step.resources.accelerators.0);
-            u64::from(step.count) * cpu * u64::from(step.estimate_ms) / 1_000
+            u64::from(step.count).saturating_mul(cpu).saturating_mul(u64::from(step.estimate_ms))
+                / 1_000
         };
-        self.steps.iter().map(core_ms).sum()
+        self.steps.iter().map(core_ms).fold(0, u64::saturating_add)
     }
 }
--- a/crates/workflow/tests/load_estimates.rs
+++ b/crates/workflow/tests/load_estimates.rs
@@ -17,7 +17,7 @@
 /// Interval between estimates, in milliseconds.
 const INTERVAL_MS: u64 = 500;
 
-fn work(route: &CompactString, priority: u8, due_ms: u64, core_ms: u64) -> WaitingWork<'_> {
+fn work(route: &CompactString, priority: u64, due_ms: u64, core_ms: u64) -> WaitingWork<'_> {
     let (accepted_ms, remaining_ms) = (0, 1_000);
     WaitingWork { service: &SERVICE, route, priority, accepted_ms, due_ms, remaining_ms, core_ms }
 }
--- a/crates/workflow/tests/support/routes.rs
+++ b/crates/workflow/tests/support/routes.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Kind {
     pub route: &'static str,
-    pub priority: u8,
+    pub priority: u64,
     pub stretch_permille: u32,
     pub slack_ms: u32,
     pub steps: u16,
