Occurrences that an earlier leader has begun are begun when a run or an end of them is found

Cause: which occurrences have begun is recorded only with the end of one of their tasks. A successor derives it anew from its clock and from how many may be open at once, and may come to another result. The end of a task of an occurrence that wasn't open was dropped and acknowledged; a run was stopped, and its task started beside it. Later the occurrence began with all its tasks waiting.

Change: a listed end, a listed run or a run in the roster shows that its occurrence has begun, whatever clock and limit say. Numbers of occurrences that are complete by then are skipped. `occurrence_found` tells of each.

Without the change `more_than_open_at_once`, `ended_before_due` and `running_before_due` fail, and `ended_before_due` also without skipping complete occurrences. `listed_as_running` holds with and without it: that place is closed by reading.

--- a/crates/workflow/src/scheduler/active_workflow.rs
+++ b/crates/workflow/src/scheduler/active_workflow.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         AnnouncedRun, Crash, CrashEvidence, Entry, OccurrenceProgress, Outcome, Progress, RunId,
-        StepProgress, Submission, WorkerId,
+        StepProgress, Submission, TaskId, WorkerId,
         crash::{decisive_shared_crash, is_given_up, is_suspect},
         overload::remaining_paths,
         run_times::SiblingSpeeds,
@@ -151,7 +151,7 @@
     pub(crate) complete_below: u32,
     pub(crate) complete: BTreeSet<u32>,
     pub(crate) occurrences: BTreeMap<u32, Occurrence>,
-    /// Number of the first occurrence that isn't due yet.
+    /// Number of the first occurrence that isn't due yet, or may not begin yet. Later ones may have begun under an earlier leader.
     pub(crate) next_occurrence: u32,
     /// Completion target, in milliseconds since 1970.
     pub(crate) due_ms: u64,
@@ -216,6 +216,22 @@
                 && occurrences * workflow.task_count() <= u64::from(MAX_TASKS))
     }
 
+    /// Whether a run shows that an earlier leader has begun this task's occurrence, which isn't known to have begun.
+    pub(crate) fn is_begun_unknown(&self, task: TaskId) -> bool {
+        let workflow = &self.submission.workflow;
+        let step = workflow.steps.get(usize::from(task.step));
+        let exists = task.occurrence < workflow.occurrences()
+            && step.is_some_and(|step| task.index < step.count);
+        exists && !self.has_begun(task.occurrence) && self.outcome.is_none()
+    }
+
+    /// Whether an occurrence is open or complete.
+    pub(crate) fn has_begun(&self, number: u32) -> bool {
+        number < self.complete_below
+            || self.complete.contains(&number)
+            || self.occurrences.contains_key(&number)
+    }
+
     /// When occurrence `number` is due, in milliseconds since 1970.
     pub(crate) fn due_at(&self, number: u32) -> u64 {
         match self.submission.workflow.repeat {
--- a/crates/workflow/src/scheduler/poll_reply.rs
+++ b/crates/workflow/src/scheduler/poll_reply.rs
@@ -102,6 +102,7 @@
             _ => self.stats.stopped += 1,
         }
         self.clear_crash_of_run(end.task, end.run);
+        self.begin_found_occurrence(now, end.task);
         let Some(state) = self.task_mut(end.task) else { return };
         state.attempts.retain(|(_, run)| *run != end.run);
         state.last_run = state.last_run.max(end.run);
@@ -368,6 +369,7 @@
         out: &mut Vec<Effect>,
     ) {
         let RunningTask { task, run, percent, .. } = *running;
+        self.begin_found_occurrence(now, task);
         self.drop_superseded_attempts(task, run);
         self.clear_crash_of_run(task, run);
         let step = self.step(task).cloned();
--- a/crates/workflow/src/scheduler/queue.rs
+++ b/crates/workflow/src/scheduler/queue.rs
@@ -80,7 +80,7 @@
             if active.outcome.is_some() || !more || active.due_at(number) > self.wall_ms {
                 return;
             }
-            if active.complete.contains(&number) || active.occurrences.contains_key(&number) {
+            if active.has_begun(number) {
                 active.next_occurrence += 1;
                 continue;
             }
@@ -94,6 +94,21 @@
         }
     }
 
+    /// Begins the occurrence of a task that an earlier leader has started, if it isn't known here. That leader hasn't recorded that
+    /// it began, and here it isn't due by the clock, or too many others are unfinished.
+    pub(super) fn begin_found_occurrence(&mut self, now: Time, task: TaskId) {
+        let TaskId { workflow: id, occurrence: number, .. } = task;
+        let Some(active) = self.workflows.get_mut(&id).filter(|a| a.is_begun_unknown(task)) else {
+            return;
+        };
+        let occurrence = active.new_occurrence(None);
+        active.occurrences.insert(number, occurrence);
+        let due_in_ms = active.due_at(number).saturating_sub(self.wall_ms);
+        log::info!(workflow:% = id, occurrence = number, due_in_ms; "occurrence_found");
+        self.stats.occurrences_found += 1;
+        self.open_steps(now, id, number);
+    }
+
     /// Opens the steps of an occurrence whose predecessors are all done, and queues their tasks.
     pub(super) fn open_steps(&mut self, now: Time, id: WorkflowId, number: u32) {
         let Some(active) = self.workflows.get_mut(&id) else { return };
--- a/crates/workflow/src/scheduler/reconciliation.rs
+++ b/crates/workflow/src/scheduler/reconciliation.rs
@@ -193,6 +193,7 @@
     /// Assumes that a run is under way at a worker, until that worker answers or its leases have
     /// lapsed. Adds it to the attempts of its task, so that the task isn't started meanwhile.
     fn assume_running(&mut self, now: Time, id: &WorkerId, task: TaskId, run: RunId) {
+        self.begin_found_occurrence(now, task);
         let step = self.step(task).cloned().unwrap_or_default();
         let requirements = Requirements::new(&step, &mut self.colocation);
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/workflow/tests/support/node.rs
+++ b/crates/workflow/tests/support/node.rs
@@ -7,7 +7,7 @@
         DirectoryChange, Effect, Key, Leadership, LeadershipEffect, Ledger, LedgerChange, Limits,
         RecordError, Scheduler, WorkerInfo,
     },
-    std::collections::BTreeSet,
+    std::{collections::BTreeSet, time::Duration},
 };
 
 /// Spreads incarnations like random numbers. Append numbers derive from them, and the store takes consecutive ones of two
@@ -39,6 +39,8 @@
     /// When the evacuations were last read.
     pub read_at: Time,
     pub incarnation: u64,
+    /// How far its time of day is behind.
+    pub clock_behind: Duration,
     /// Keys of records that may be unreadable, since another writer wrote them.
     pub foreign_keys: Vec<Key>,
     limits: Limits,
@@ -75,6 +77,7 @@
             evacuated: BTreeSet::new(),
             read_at: now,
             incarnation,
+            clock_behind: Duration::ZERO,
             foreign_keys: Vec::new(),
             limits,
         }
@@ -84,6 +87,11 @@
         self.up && now >= self.frozen_until
     }
 
+    /// Its time of day, in milliseconds since 1970.
+    pub fn wall_ms(&self, now: Time) -> u64 {
+        (now - self.clock_behind).as_micros() / 1_000
+    }
+
     pub fn leads(&self, now: Time) -> bool {
         self.leadership.authority(now).is_some()
     }
@@ -140,7 +148,7 @@
                 LeadershipEffect::Elected { epoch, succession } => {
                     self.elections += 1;
                     let directory = self.directory.iter().cloned().map(DirectoryChange::Present);
-                    let wall_ms = now.as_micros() / 1_000;
+                    let wall_ms = self.wall_ms(now);
                     let mut scheduler = Scheduler::new(
                         now,
                         wall_ms,
--- a/crates/workflow/tests/support/world.rs
+++ b/crates/workflow/tests/support/world.rs
@@ -168,6 +168,15 @@
         self.store.replace(&key.to_bytes(), &[u8::MAX]);
     }
 
+    /// Lets another writer append a record of a key, which needn't be readable.
+    pub fn overwrite_with(&mut self, key: Key, value: &impl serde::Serialize) {
+        self.foreign_keys.push(key);
+        for node in &mut self.nodes {
+            node.foreign_keys.clone_from(&self.foreign_keys);
+        }
+        self.store.append(&[Record::new(key, value)], None);
+    }
+
     pub fn cancel(&mut self, id: WorkflowId) {
         self.store.append(&[Record::new(Key::Cancel(id), &true)], None);
         self.checker.cancelled.insert(id);
@@ -310,13 +319,13 @@
         node.leadership.tick(now, readable || node.calls_hang, &mut out);
         node.apply(now, out, &mut actions);
         let mut effects = Vec::new();
-        let leads = node.leads(now);
+        let (leads, wall_ms) = (node.leads(now), node.wall_ms(now));
         if let Some(scheduler) = &mut node.scheduler {
             for (number, wave) in &self.waves {
                 scheduler.on_wave(now, *number, Some(wave.clone()), &node.ledger);
             }
             if leads {
-                scheduler.tick(now, now.as_micros() / 1_000, &mut effects);
+                scheduler.tick(now, wall_ms, &mut effects);
             } else {
                 scheduler.send_heartbeat(now, &mut effects);
             }
