A leader record of the highest epoch counts as unreadable

No epoch follows the highest one, so each process that wanted to claim after such a record ended (in builds with overflow checks) or claimed epoch 0 for ever, and nobody led. Such a record is no leader's: it is skipped, and the next heartbeat replaces it.

Evidence: `odd_leaders` `highest_epoch` fails without the change: nobody leads.

--- a/crates/workflow/src/ledger/mod.rs
+++ b/crates/workflow/src/ledger/mod.rs
@@ -13,7 +13,7 @@
         RosterPage, Submission, WaveProgress, WorkflowId, record::read_value,
     },
     compact_str::CompactString,
-    egretlb_types::Offset,
+    egretlb_types::{Epoch, Offset},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
@@ -227,7 +227,12 @@
         if self.leader.as_ref().is_some_and(|(stored_offset, _)| *stored_offset >= offset) {
             return Ok(LedgerChange::None);
         }
-        self.leader = Some((offset, read_value(value)?));
+        let leader: LeaderRecord = read_value(value)?;
+        // Nobody could lead after it, so it isn't a leader's.
+        if leader.epoch == Epoch(u64::MAX) {
+            return Err(RecordError::Broken);
+        }
+        self.leader = Some((offset, leader));
         Ok(LedgerChange::Leader)
     }
 
