--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -250,8 +250,6 @@
     pub quarantined: u64,
     /// Failures in a row on a worker that chance explains.
     pub failures_by_chance: u64,
-    /// Occurrences that an earlier leader had begun without recording it.
-    pub occurrences_found: u64,
     /// Workers scanned to place tasks.
     pub workers_scanned: u64,
     /// Intervals of workflows with latency-critical tasks.
--- a/crates/workflow/src/scheduler/queue.rs
+++ b/crates/workflow/src/scheduler/queue.rs
@@ -105,7 +105,6 @@
         active.occurrences.insert(number, occurrence);
         let due_in_ms = active.due_at(number).saturating_sub(self.wall_ms);
         log::info!(workflow:% = id, occurrence = number, due_in_ms; "occurrence_found");
-        self.stats.occurrences_found += 1;
         self.open_steps(now, id, number);
     }
 
