--- a/crates/workflow/src/scheduler/active_workflow.rs
+++ b/crates/workflow/src/scheduler/active_workflow.rs
@@ -216,8 +216,8 @@
                 && occurrences * workflow.task_count() <= u64::from(MAX_TASKS))
     }
 
-    /// Whether a run shows that an earlier leader has begun this task's occurrence, which isn't known to have begun.
-    pub(crate) fn is_begun_unknown(&self, task: TaskId) -> bool {
+    /// Whether a run of this task shows that an earlier leader has begun its occurrence without recording it.
+    pub(crate) fn shows_unrecorded_begin(&self, task: TaskId) -> bool {
         let workflow = &self.submission.workflow;
         let step = workflow.steps.get(usize::from(task.step));
         let exists = task.occurrence < workflow.occurrences()
--- a/crates/workflow/src/scheduler/early_cancellations.rs
+++ b/crates/workflow/src/scheduler/early_cancellations.rs
@@ -13,8 +13,8 @@
     },
 };
 
-/// How long an early cancellation is kept. A submission is retried for 5 s at most, and the store may execute a call that it
-/// hasn't answered some seconds later.
+/// How long an early cancellation is kept. A submission is passed on and retried for some 10 s at most, and the store may execute
+/// a call that it hasn't answered some seconds later.
 const KEPT_FOR: Duration = Duration::from_secs(60);
 
 /// Early cancellations in the store, as far as the leader has read.
--- a/crates/workflow/src/scheduler/queue.rs
+++ b/crates/workflow/src/scheduler/queue.rs
@@ -98,7 +98,8 @@
     /// it began, and here it isn't due by the clock, or too many others are unfinished.
     pub(super) fn begin_found_occurrence(&mut self, now: Time, task: TaskId) {
         let TaskId { workflow: id, occurrence: number, .. } = task;
-        let Some(active) = self.workflows.get_mut(&id).filter(|a| a.is_begun_unknown(task)) else {
+        let Some(active) = self.workflows.get_mut(&id).filter(|a| a.shows_unrecorded_begin(task))
+        else {
             return;
         };
         let occurrence = active.new_occurrence(None);
