Scheduler: no order ends a run beyond its step's limit on unavailable tasks

Cause: each place that decides a stop kept the step's limit by a check of its own. Moves of throttled tasks, evictions, and moves off slow workers had none.

Evidence: the log of a broken run has six lines `slowed_filler_moved` within 1 ms, five of them beyond the limit, and no `serving_relieved`.

Change: a stop takes a grant, which only `grant_stop` creates; it counts the other tasks of the step that aren't fully up. A throttled task without a grant stays at its pace. A best-effort task that may not be evicted is paused until the latency-critical tasks have recovered, so their targets are kept as before. `serving_relieved` says how many are paused.

--- a/crates/workflow/src/scheduler/attempt.rs
+++ b/crates/workflow/src/scheduler/attempt.rs
@@ -81,6 +81,9 @@
     pub(crate) pace_sent: Option<u32>,
     /// Since when the pace is too low to keep the task on this worker.
     pub(crate) throttled_since: Option<Time>,
+    /// Best-effort, and paused until its worker's latency-critical tasks have recovered: too many tasks of its step were
+    /// unavailable for it to be evicted.
+    pub(crate) paused_over_target: bool,
     /// Resources counted against the worker's capacity.
     pub(crate) reserved: Resources,
     /// CPU of a best-effort task, counted only against that of other best-effort tasks.
@@ -163,6 +166,7 @@
             pace: FULL_PACE_PERCENT,
             pace_sent: Some(FULL_PACE_PERCENT),
             throttled_since: None,
+            paused_over_target: false,
             reserved,
             best_effort_cpu,
             latency_critical: step.target_ms > 0,
--- a/crates/workflow/src/scheduler/commands.rs
+++ b/crates/workflow/src/scheduler/commands.rs
@@ -4,11 +4,13 @@
     super::{
         Attempt, Effect, Phase, Scheduler, Worker,
         lost_workers::{LeaveCause, WorkerLoss},
+        stop_grants::StopGrant,
         waits::{Stop, StopReason},
     },
     crate::{RunId, TaskId, WorkerId},
     egretlb_types::Time,
     serde::{Deserialize, Serialize},
+    smallvec::SmallVec,
     std::time::Duration,
 };
 
@@ -221,8 +223,7 @@
         self.drop_attempt(now, id, task, run);
     }
 
-    /// Stops the runs at a worker that `selects` matches, and stores the reason for later log
-    /// lines.
+    /// Stops the runs at a worker that `selects` matches, except those whose end isn't granted.
     pub(super) fn stop_runs(
         &mut self,
         now: Time,
@@ -232,24 +233,34 @@
         selects: impl Fn(TaskId, RunId) -> bool,
     ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let addr = worker.info.addr;
         worker.next_poll_at = worker.next_poll_at.min(now + self.limits.poll_gap);
-        for ((task, run), attempt) in &mut worker.attempts {
-            if !selects(*task, *run) {
-                continue;
+        let selected = worker.attempts.keys().filter(|(task, run)| selects(*task, *run));
+        let selected: SmallVec<[(TaskId, RunId); 4]> = selected.copied().collect();
+        for (task, run) in selected {
+            if let Some(grant) = self.grant_stop(task, run, reason) {
+                self.stop_run(now, id, grant, out);
             }
-            attempt.phase = Phase::Stopping { sent: now, confirmed_ms: None };
-            attempt.stop.get_or_insert(Stop { reason, since: now });
-            out.push(Effect::Stop {
-                worker: id.clone(),
-                addr,
-                epoch: self.epoch,
-                task: *task,
-                run: *run,
-            });
         }
     }
 
+    /// Stops a run at a worker, and stores the reason for later log lines.
+    pub(super) fn stop_run(
+        &mut self,
+        now: Time,
+        id: &WorkerId,
+        grant: StopGrant,
+        out: &mut Vec<Effect>,
+    ) {
+        let StopGrant { task, run, reason, .. } = grant;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let addr = worker.info.addr;
+        worker.next_poll_at = worker.next_poll_at.min(now + self.limits.poll_gap);
+        let Some(attempt) = worker.attempts.get_mut(&(task, run)) else { return };
+        attempt.phase = Phase::Stopping { sent: now, confirmed_ms: None };
+        attempt.stop.get_or_insert(Stop { reason, since: now });
+        out.push(Effect::Stop { worker: id.clone(), addr, epoch: self.epoch, task, run });
+    }
+
     /// Handles the result of a stop.
     pub fn on_stop(
         &mut self,
--- a/crates/workflow/src/scheduler/latency_critical.rs
+++ b/crates/workflow/src/scheduler/latency_critical.rs
@@ -108,6 +108,9 @@
             }
         }
         self.over_target = longest.is_some();
+        if !self.over_target {
+            self.attempts.values_mut().for_each(|attempt| attempt.paused_over_target = false);
+        }
         longest
     }
 }
@@ -137,7 +140,7 @@
     }
 
     /// Evicts all best-effort tasks of a worker that aren't paused, unless the target has been exceeded only briefly or
-    /// the worker's last eviction was within [`EVICTION_INTERVAL`].
+    /// the worker's last eviction was within [`EVICTION_INTERVAL`]. Those that may not be stopped are paused.
     fn evict_best_effort(
         &mut self,
         now: Time,
@@ -162,12 +165,21 @@
             return;
         }
         worker.evicted_at = now;
-        self.stats.evicted += victims.len() as u64;
-        let image = self.colocation.model().name(over_target.image);
-        log::info!(worker:% = id, image:%, stopped = victims.len(); "serving_relieved");
-        self.stop_runs(now, id, StopReason::Evicted, out, |task, run| {
-            victims.contains(&(task, run))
-        });
+        let mut stopped = 0;
+        for (task, run) in &victims {
+            if let Some(grant) = self.grant_stop(*task, *run, StopReason::Evicted) {
+                stopped += 1;
+                self.stop_run(now, id, grant, out);
+            } else if let Some(worker) = self.workers.get_mut(id)
+                && let Some(attempt) = worker.attempts.get_mut(&(*task, *run))
+            {
+                attempt.paused_over_target = true;
+            }
+        }
+        self.stats.evicted += stopped;
+        let (image, paused) =
+            (self.colocation.model().name(over_target.image), victims.len() as u64 - stopped);
+        log::info!(worker:% = id, image:%, stopped, paused; "serving_relieved");
     }
 
     /// Updates the interference model from the latest samples of all workers, when due.
--- a/crates/workflow/src/scheduler/maintenance/mod.rs
+++ b/crates/workflow/src/scheduler/maintenance/mod.rs
@@ -249,35 +249,12 @@
             .map(|(key, _)| *key)
             .collect();
         for (task, run) in movable {
-            if self.may_be_unavailable(task) {
-                self.stop_runs(now, id, StopReason::Maintenance, out, |other_task, other_run| {
-                    other_task == task && other_run == run
-                });
+            if let Some(grant) = self.grant_stop(task, run, StopReason::Maintenance) {
+                self.stop_run(now, id, grant, out);
             }
         }
     }
 
-    /// Whether one more task of a step may be unavailable. A task that isn't fully up counts as
-    /// unavailable.
-    fn may_be_unavailable(&self, task: TaskId) -> bool {
-        let Some(allowed) = self.step(task).and_then(|step| step.max_unavailable) else {
-            return true;
-        };
-        let count = self.step(task).map_or(0, |step| step.count);
-        let is_up = |index: u32| {
-            let (first, last) = (RunId(0), RunId(u64::MAX));
-            let task = TaskId { index, ..task };
-            self.workers.values().any(|worker| {
-                worker
-                    .attempts
-                    .range((task, first)..=(task, last))
-                    .any(|(_, attempt)| attempt.is_fully_up())
-            })
-        };
-        let unavailable = (0..count).filter(|index| !is_up(*index)).count();
-        unavailable < allowed as usize
-    }
-
     /// Whether a VM may go down with its remaining tasks: none, or after a timeout only tasks that
     /// can be started again elsewhere.
     fn may_go_down(&self, now: Time, id: &WorkerId, timed_out: bool) -> bool {
@@ -324,9 +301,3 @@
         _ => listed != before,
     }
 }
-
-impl Attempt {
-    fn is_fully_up(&self) -> bool {
-        matches!(self.phase, Phase::Running { .. }) && self.percent >= 100
-    }
-}
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -51,6 +51,7 @@
 mod roster;
 mod run_times;
 mod start_window;
+mod stop_grants;
 mod stragglers;
 mod unreadable_rows;
 mod waits;
--- a/crates/workflow/src/scheduler/pacing.rs
+++ b/crates/workflow/src/scheduler/pacing.rs
@@ -120,12 +120,16 @@
         let mut changes: Vec<(TaskId, RunId, u32)> = Vec::new();
         for ((task, run), attempt) in &worker.attempts {
             if attempt.best_effort && matches!(attempt.phase, Phase::Running { .. }) {
-                let share = self.colocation.allowed_pace(
-                    &worker.neighbours,
-                    &tolerated,
-                    attempt.best_effort_demand(),
-                    self.is_short_of_time(*task, attempt.percent),
-                );
+                let share = if attempt.paused_over_target && worker.latency_critical > 0 {
+                    0.0
+                } else {
+                    self.colocation.allowed_pace(
+                        &worker.neighbours,
+                        &tolerated,
+                        attempt.best_effort_demand(),
+                        self.is_short_of_time(*task, attempt.percent),
+                    )
+                };
                 let pace = pace_from_share(share);
                 if is_worth_sending(attempt, pace) {
                     changes.push((*task, *run, pace));
@@ -152,12 +156,12 @@
             .map(|(key, _)| *key)
             .collect();
         for (task, run) in throttled {
-            if self.fits_elsewhere(now, id, task) {
+            if let Some(grant) = self.grant_stop(task, run, StopReason::Throttled)
+                && self.fits_elsewhere(now, id, task)
+            {
                 self.stats.evicted += 1;
                 log::info!(task:%, run:%, worker:% = id; "slowed_filler_moved");
-                self.stop_runs(now, id, StopReason::Throttled, out, |other_task, other_run| {
-                    other_task == task && other_run == run
-                });
+                self.stop_run(now, id, grant, out);
             }
         }
     }
--- a/crates/workflow/src/scheduler/stragglers.rs
+++ b/crates/workflow/src/scheduler/stragglers.rs
@@ -224,6 +224,9 @@
         if state.attempts.len() > 1 || state.slow_moves >= MAX_MOVES {
             return;
         }
+        if !step.speculative && !self.may_be_unavailable(task) {
+            return;
+        }
         self.avoid(now, task, id);
         if step.speculative && !self.may_start() {
             return;
