Scheduler: a long-running task that ends successfully is started again

Cause: `on_done` marked the task as done without asking whether its step is long-running.

Change: such an end queues the task again, 2 s after its last start at the earliest, so that one that exits at once doesn't spin. Progress in which an earlier version has recorded such a task as done is read as if it wasn't. `task_exited` tells of each end, and `egretlb explain` counts them by task.

--- a/crates/explain/src/findings.rs
+++ b/crates/explain/src/findings.rs
@@ -69,6 +69,11 @@
         /// Number of failed runs by worker.
         by_worker: BTreeMap<CompactString, usize>,
     },
+    /// Long-running tasks ended successfully.
+    TasksExited {
+        /// Number of such ends by task.
+        by_task: BTreeMap<CompactString, usize>,
+    },
     /// Runs were lost with their worker.
     RunsLost {
         /// Number of lost runs by task.
@@ -157,6 +162,14 @@
     counts.iter().try_for_each(|(name, count)| write!(f, " {count} {preposition} {name}"))
 }
 
+fn write_started_late(f: &mut fmt::Formatter<'_>, waited_ms: u64, leaders: usize) -> fmt::Result {
+    write!(f, "first started {waited_ms} ms after its acceptance: ")?;
+    match leaders {
+        0 => write!(f, "no worker had free capacity"),
+        _ => write!(f, "the leader changed meanwhile ({leaders})"),
+    }
+}
+
 fn write_given_up(f: &mut fmt::Formatter<'_>, task: &str, crashes: u64) -> fmt::Result {
     write!(f, "{task} was given up: {crashes} workers crashed after it was started")
 }
@@ -198,11 +211,7 @@
                  with the same id"
             ),
             Finding::StartedLate { waited_ms, leaders } => {
-                write!(f, "first started {waited_ms} ms after its acceptance: ")?;
-                match leaders {
-                    0 => write!(f, "no worker had free capacity"),
-                    _ => write!(f, "the leader changed meanwhile ({leaders})"),
-                }
+                write_started_late(f, *waited_ms, *leaders)
             }
             Finding::LeaderChanged { at, node, surveyed_after_ms } => {
                 write!(f, "{node} became leader at {at}")?;
@@ -212,6 +221,12 @@
                 }
             }
             Finding::RunsFailed { by_worker } => write_counts(f, "runs failed:", "at", by_worker),
+            Finding::TasksExited { by_task } => write_counts(
+                f,
+                "long-running tasks ended successfully and were started again:",
+                "of",
+                by_task,
+            ),
             Finding::RunsLost { by_task } => {
                 write_counts(f, "runs lost with their worker:", "of", by_task)
             }
@@ -397,6 +412,10 @@
         if !by_worker.is_empty() {
             findings.push(Finding::RunsFailed { by_worker });
         }
+        let by_task = self.count_by("task_exited", "task");
+        if !by_task.is_empty() {
+            findings.push(Finding::TasksExited { by_task });
+        }
         let by_task = self.count_by("run_lost", "task");
         if !by_task.is_empty() {
             findings.push(Finding::RunsLost { by_task });
--- a/crates/explain/tests/failed_requests.rs
+++ b/crates/explain/tests/failed_requests.rs
@@ -83,6 +83,20 @@
     assert!(findings.iter().any(|finding| finding.to_string() == expected), "{findings:?}");
 }
 
+/// Guards against a long-running task that ends again and again without a word of it.
+#[test]
+fn exits_by_task() {
+    let findings = explain(&[
+        (1.000, "entry-1", "submitted workflow=97aa5350f2a720be route=r stored=Yes"),
+        (1.010, "entry-2", "workflow_started workflow=97aa5350f2a720be worker=w-1"),
+        (4.300, "entry-2", "task_exited task=97aa5350f2a720be.0.0.1 run=1 worker=w-1 exits=1"),
+        (6.300, "entry-2", "task_exited task=97aa5350f2a720be.0.0.1 run=2 worker=w-2 exits=2"),
+    ]);
+    let expected = "long-running tasks ended successfully and were started again: \
+                    2 of 97aa5350f2a720be.0.0.1";
+    assert!(findings.iter().any(|finding| finding.to_string() == expected), "{findings:?}");
+}
+
 /// The task that crashed its workers is named.
 #[test]
 fn crashing_task() {
--- a/crates/workflow/src/scheduler/active_workflow.rs
+++ b/crates/workflow/src/scheduler/active_workflow.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         AnnouncedRun, Crash, CrashEvidence, Entry, OccurrenceProgress, Outcome, Progress, RunId,
-        StepProgress, Submission, TaskId, WorkerId,
+        Step, StepProgress, Submission, TaskId, WorkerId,
         crash::{decisive_shared_crash, is_given_up, is_suspect},
         overload::remaining_paths,
         run_times::SiblingSpeeds,
@@ -27,6 +27,8 @@
 pub(crate) struct TaskState {
     pub(crate) done: bool,
     pub(crate) failed: SmallVec<[RunId; 2]>,
+    /// How often a run of this long-running task has ended successfully under this leader.
+    pub(crate) exits: u32,
     /// Worker losses during its runs since a run last lasted long enough, or failed, without a crash.
     pub(crate) crashes: Vec<Crash>,
     /// A run that is recorded before its outcome is known, so that a crash is counted even if the
@@ -194,7 +196,7 @@
                 ..StepState::default()
             };
             if let Some(recorded) = progress.and_then(|progress| progress.steps.get(number)) {
-                restore(&mut state, recorded);
+                restore(&mut state, recorded, step);
             }
             occurrence.steps.push(state);
         }
@@ -280,10 +282,10 @@
     }
 }
 
-/// Restores the tasks of a step from its recorded progress.
-fn restore(state: &mut StepState, recorded: &StepProgress) {
+/// Restores the tasks of a step from its recorded progress. Earlier versions recorded long-running tasks that exited as done.
+fn restore(state: &mut StepState, recorded: &StepProgress, step: &Step) {
     for (index, task) in (0u32..).zip(&mut state.tasks) {
-        if recorded.done.contains(index) {
+        if recorded.done.contains(index) && !step.long_running {
             task.done = true;
             state.done += 1;
         }
--- a/crates/workflow/src/scheduler/mod.rs
+++ b/crates/workflow/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod early_cancellations;
 mod effect;
 mod evacuation;
+mod exits;
 mod fallback;
 mod gangs;
 mod given_up;
@@ -141,6 +142,7 @@
     /// When the last acknowledged append was sent.
     last_acked_append: Option<Time>,
     early_cancellations: early_cancellations::EarlyCancellations,
+    restarts: exits::Restarts,
     /// Ended workflows, and when this leader recorded or read that. Their records are dropped later.
     ended: Vec<(Time, WorkflowId)>,
     /// Estimated interference between tasks that share workers.
@@ -301,6 +303,7 @@
             append_sent_at: now,
             last_acked_append: None,
             early_cancellations: early_cancellations::EarlyCancellations::inherited(now, ledger),
+            restarts: exits::Restarts::default(),
             ended: Vec::new(),
             colocation: Colocation::new(
                 now,
@@ -463,6 +466,7 @@
         self.isolated_starts_due = scan_due;
         self.end_exhausted_workflows(now, out);
         self.begin_due_occurrences(now);
+        self.queue_exited(now);
         if scan_due {
             self.move_off_draining_workers(now, out);
             self.resend_stops(now, out);
--- a/crates/workflow/src/scheduler/poll_reply.rs
+++ b/crates/workflow/src/scheduler/poll_reply.rs
@@ -75,8 +75,10 @@
     ) {
         log::debug!(task:% = end.task, run:% = end.run, worker:% = id, end:? = end.kind; "task_ended");
         self.log_end(now, id, end.task, end.run, end.kind);
+        let mut placed_at = None;
         if let Some(worker) = self.workers.get_mut(id) {
             let attempt = worker.remove(end.task, end.run);
+            placed_at = attempt.as_ref().map(|attempt| attempt.placed_at);
             let by_evidence = self.limits.policies.straggler_evidence;
             match end.kind {
                 EndKind::Done if by_evidence => {
@@ -113,6 +115,9 @@
             return;
         }
         match end.kind {
+            EndKind::Done if self.step(end.task).is_some_and(|step| step.long_running) => {
+                self.on_exit(now, id, end, placed_at);
+            }
             EndKind::Done => self.on_done(now, end.task, out),
             EndKind::Failed => self.on_failed(now, id, end),
             // Only a known failure counts as a failed attempt.
